The whole path, thin: a declared service answers a caller

Change: separate processes on loopback. An operator's statement goes through the log; the domain's scheduler claims the workers with marks, places the service's tasks and keeps their leases; the entry learns the runners from it and carries a caller's request there and back.

Ruled out: every scheduler owning a share of its domain's workers. A task's uniqueness on workers out of reach then needs a second agreement; with one holder of the domain's term it follows from the marks on a quorum of seats.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+PROTOS := api/platform/platform.proto api/control/control.proto
+BIN := bin
+
+.PHONY: build generate fmt lint test
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+generate:
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	for p in $(PROTOS); do \
+		PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+			--twirp_out=. --twirp_opt=paths=source_relative $$p || exit 1; done
+
+fmt:
+	gofmt -l -w $$(git ls-files '*.go')
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test:
+	.ci/test
--- /dev/null
+++ b/internal/configuration/catalog.go
@@ -0,0 +1,276 @@
+package configuration
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// Entry is a declared object with the offset and author of its last change.
+type Entry[T any] struct {
+	Value   T     `json:"value"`
+	Version int64 `json:"version"`
+	// Created is the offset at which the object was declared anew.
+	Created int64  `json:"created"`
+	Actor   string `json:"actor"`
+}
+
+// Catalog is the state that the log's records add up to. It isn't safe for
+// concurrent use; readers on other goroutines take a Clone.
+type Catalog struct {
+	// Next is the offset of the first record not applied yet.
+	Next      int64                       `json:"next"`
+	Domains   map[string]Entry[Domain]    `json:"domains,omitempty"`
+	Teams     map[string]Entry[Team]      `json:"teams,omitempty"`
+	Workloads map[string]Entry[Workload]  `json:"workloads,omitempty"`
+	Drained   map[string]Entry[Drain]     `json:"drained,omitempty"`
+	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
+	// Applied keeps the outcome of recent records by ID.
+	Applied map[string]Outcome `json:"applied,omitempty"`
+	// Recent lists the IDs in Applied, oldest first.
+	Recent []string `json:"recent,omitempty"`
+}
+
+// Outcome tells what became of one record.
+type Outcome struct {
+	Offset   int64     `json:"offset"`
+	Accepted bool      `json:"accepted"`
+	Conflict *Conflict `json:"conflict,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+}
+
+// Conflict names the change that a refused record lost to.
+type Conflict struct {
+	Kind   Kind   `json:"kind"`
+	Name   string `json:"name"`
+	Winner string `json:"winner"`
+	Offset int64  `json:"offset"`
+}
+
+// recentOutcomes bounds the outcomes that a catalog keeps.
+const recentOutcomes = 4096
+
+// NewCatalog returns the empty catalog.
+func NewCatalog() *Catalog {
+	c := &Catalog{}
+	c.init()
+	return c
+}
+
+func (c *Catalog) init() {
+	if c.Domains == nil {
+		c.Domains = map[string]Entry[Domain]{}
+	}
+	if c.Teams == nil {
+		c.Teams = map[string]Entry[Team]{}
+	}
+	if c.Workloads == nil {
+		c.Workloads = map[string]Entry[Workload]{}
+	}
+	if c.Drained == nil {
+		c.Drained = map[string]Entry[Drain]{}
+	}
+	if c.Ended == nil {
+		c.Ended = map[string]map[string]Ended{}
+	}
+	if c.Applied == nil {
+		c.Applied = map[string]Outcome{}
+	}
+}
+
+// Apply applies the record at the given offset. Offsets below Next are ignored,
+// so records that arrive twice have one effect.
+func (c *Catalog) Apply(offset int64, r Record) Outcome {
+	if offset < c.Next {
+		return c.Applied[r.ID]
+	}
+	c.Next = offset + 1
+	if prior, ok := c.Applied[r.ID]; ok {
+		return prior
+	}
+	out := c.admit(offset, r)
+	if out.Accepted {
+		c.change(offset, r)
+	}
+	c.remember(r.ID, out)
+	return out
+}
+
+// Skip passes over an offset whose record could not be decoded.
+func (c *Catalog) Skip(offset int64) {
+	if offset >= c.Next {
+		c.Next = offset + 1
+	}
+}
+
+func (c *Catalog) admit(offset int64, r Record) Outcome {
+	for _, e := range r.Expect {
+		version, actor := c.version(e.Kind, e.Name)
+		if version != e.Version {
+			return Outcome{Offset: offset, Conflict: &Conflict{e.Kind, e.Name, actor, version}, Reason: fmt.Sprintf("%s %s changed at offset %d", e.Kind, e.Name, version)}
+		}
+	}
+	for _, op := range r.Ops {
+		if reason := c.check(op); reason != "" {
+			return Outcome{Offset: offset, Reason: reason}
+		}
+	}
+	return Outcome{Offset: offset, Accepted: true}
+}
+
+// check returns why op can't be applied, or nothing.
+func (c *Catalog) check(op Op) string {
+	w := op.Workload
+	if w == nil {
+		return ""
+	}
+	sum := 0
+	for _, h := range w.Homes {
+		if h.Count < 0 {
+			return fmt.Sprintf("workload %s: negative count in %s", w.Name, h.Domain)
+		}
+		sum += h.Count
+	}
+	if sum != w.Count {
+		return fmt.Sprintf("workload %s: homes hold %d of %d tasks", w.Name, sum, w.Count)
+	}
+	if !w.Size.Valid() {
+		return fmt.Sprintf("workload %s: negative size", w.Name)
+	}
+	if old, ok := c.Workloads[w.Name]; ok && w.Kind != Service && !slices.Equal(old.Value.Homes, w.Homes) {
+		return fmt.Sprintf("workload %s: tasks of finite work keep their homes; cancel it and declare it anew", w.Name)
+	}
+	return ""
+}
+
+// version returns the version and last author of an object; 0 when absent.
+func (c *Catalog) version(kind Kind, name string) (int64, string) {
+	switch kind {
+	case KindDomain:
+		return c.Domains[name].Version, c.Domains[name].Actor
+	case KindTeam:
+		return c.Teams[name].Version, c.Teams[name].Actor
+	case KindWorkload:
+		return c.Workloads[name].Version, c.Workloads[name].Actor
+	case KindHost:
+		return c.Drained[name].Version, c.Drained[name].Actor
+	}
+	return 0, ""
+}
+
+func (c *Catalog) change(offset int64, r Record) {
+	for _, op := range r.Ops {
+		c.changeOne(offset, r.Actor, op)
+	}
+	for _, e := range r.Ended {
+		c.end(e)
+	}
+}
+
+func (c *Catalog) changeOne(offset int64, actor string, op Op) {
+	switch {
+	case op.Domain != nil:
+		put(c.Domains, op.Domain.Name, *op.Domain, offset, actor)
+	case op.Team != nil:
+		put(c.Teams, op.Team.Name, *op.Team, offset, actor)
+	case op.Workload != nil:
+		put(c.Workloads, op.Workload.Name, *op.Workload, offset, actor)
+	case op.Drain != nil && op.Drain.Return:
+		delete(c.Drained, op.Drain.Host)
+	case op.Drain != nil:
+		put(c.Drained, op.Drain.Host, *op.Drain, offset, actor)
+	case op.Cancel != nil:
+		for _, name := range op.Cancel.Workloads {
+			c.drop(name)
+		}
+	case op.Remove != nil:
+		c.remove(*op.Remove)
+	}
+}
+
+func put[T any](m map[string]Entry[T], name string, v T, offset int64, actor string) {
+	created := offset
+	if old, ok := m[name]; ok {
+		created = old.Created
+	}
+	m[name] = Entry[T]{Value: v, Version: offset, Created: created, Actor: actor}
+}
+
+func (c *Catalog) drop(workload string) {
+	delete(c.Workloads, workload)
+	delete(c.Ended, workload)
+}
+
+func (c *Catalog) remove(r Remove) {
+	switch r.Kind {
+	case KindDomain:
+		delete(c.Domains, r.Name)
+	case KindTeam:
+		delete(c.Teams, r.Name)
+	case KindWorkload:
+		c.drop(r.Name)
+	case KindHost:
+		delete(c.Drained, r.Name)
+	}
+}
+
+func (c *Catalog) end(e Ended) {
+	workload := WorkloadOf(e.Task)
+	if _, ok := c.Workloads[workload]; !ok {
+		return
+	}
+	if c.Ended[workload] == nil {
+		c.Ended[workload] = map[string]Ended{}
+	}
+	c.Ended[workload][e.Task] = e
+}
+
+func (c *Catalog) remember(id string, out Outcome) {
+	c.Applied[id] = out
+	c.Recent = append(c.Recent, id)
+	if len(c.Recent) > recentOutcomes {
+		delete(c.Applied, c.Recent[0])
+		c.Recent = slices.Clone(c.Recent[1:])
+	}
+}
+
+// Tasks returns the names of the tasks of a declared workload whose home is
+// domain. A workload that was cancelled and declared anew has new names, since
+// tasks of the former one may still run out of reach.
+func Tasks(e Entry[Workload], domain string) []string {
+	var names []string
+	from := 0
+	for _, h := range e.Value.Homes {
+		for i := 0; h.Domain == domain && i < h.Count; i++ {
+			names = append(names, taskName(e, domain, from, i))
+		}
+		from += h.Count
+	}
+	return names
+}
+
+// taskName numbers replicas within their domain, so that a change of one
+// domain's count renames no replica elsewhere, and finite tasks over all.
+func taskName(e Entry[Workload], domain string, from, i int) string {
+	if e.Value.Kind == Service {
+		return fmt.Sprintf("%s/%d/%s/%d", e.Value.Name, e.Created, domain, i)
+	}
+	return fmt.Sprintf("%s/%d/%d", e.Value.Name, e.Created, from+i)
+}
+
+// WorkloadOf returns the workload that a task name belongs to.
+func WorkloadOf(task string) string {
+	name, _, _ := strings.Cut(task, "/")
+	return name
+}
+
+// WorkloadNames returns the names of all workloads in order.
+func (c *Catalog) WorkloadNames() []string {
+	names := make([]string, 0, len(c.Workloads))
+	for name := range c.Workloads {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/ownership/term.go
@@ -0,0 +1,62 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+)
+
+// Quorum returns how many of n worker seats a term needs: more than three
+// fifths. Quorums of two seat lists that differ in fewer than a fifth of their
+// seats always share a seat.
+func Quorum(n int) int { return n*3/5 + 1 }
+
+// Term tells whether a scheduler may place its domain's tasks. It holds while
+// the scheduler owns a quorum of the domain's seats.
+type Term struct {
+	timing Timing
+	// until is the local time up to which the term surely holds.
+	until time.Duration
+	// began is the local time at which the unbroken term began.
+	began time.Duration
+	held  bool
+}
+
+// NewTerm returns a term that is not held.
+func NewTerm(t Timing) *Term { return &Term{timing: t} }
+
+// Update works the term out from the claims on the domain's seats at the local
+// time now.
+func (t *Term) Update(now time.Duration, claims []*Claim) {
+	untils := make([]time.Duration, 0, len(claims))
+	for _, c := range claims {
+		if c.Owned(now) {
+			untils = append(untils, c.ValidUntil())
+		}
+	}
+	need := Quorum(len(claims))
+	if len(claims) == 0 || len(untils) < need {
+		t.held = false
+		return
+	}
+	slices.Sort(untils)
+	t.until = untils[len(untils)-need]
+	if !t.held {
+		t.held, t.began = true, now
+	}
+}
+
+// Held reports whether the term surely holds at the local time now.
+func (t *Term) Held(now time.Duration) bool { return t.held && now < t.until }
+
+// Until returns the local time up to which the newest term surely held.
+func (t *Term) Until() time.Duration { return t.until }
+
+// Began returns the local time at which the unbroken term began.
+func (t *Term) Began() time.Duration { return t.began }
+
+// HiddenUntil returns the local time from which a task that this scheduler has
+// not seen on any worker is surely not running: an earlier holder of the term
+// renews without it for at most Detached, and the last lease runs out after that.
+func (t *Term) HiddenUntil() time.Duration {
+	return t.began + t.timing.Lengthen(t.timing.Detached+t.timing.Task)
+}
--- /dev/null
+++ b/internal/resource/resource.go
@@ -0,0 +1,51 @@
+// Package resource describes amounts of the resources that a worker has and a
+// task takes.
+package resource
+
+import "fmt"
+
+// Vector is an amount of each resource. The zero value is nothing.
+type Vector struct {
+	// MilliCPU is processor time in thousandths of a core.
+	MilliCPU int64 `json:"milliCPU,omitempty"`
+	// MemoryMiB is memory in MiB.
+	MemoryMiB int64 `json:"memoryMiB,omitempty"`
+	// Accelerators is a count of whole accelerators.
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Add returns v + o.
+func (v Vector) Add(o Vector) Vector {
+	return Vector{v.MilliCPU + o.MilliCPU, v.MemoryMiB + o.MemoryMiB, v.Accelerators + o.Accelerators}
+}
+
+// Sub returns v - o; amounts may become negative.
+func (v Vector) Sub(o Vector) Vector {
+	return Vector{v.MilliCPU - o.MilliCPU, v.MemoryMiB - o.MemoryMiB, v.Accelerators - o.Accelerators}
+}
+
+// Scale returns v taken n times.
+func (v Vector) Scale(n int64) Vector {
+	return Vector{v.MilliCPU * n, v.MemoryMiB * n, v.Accelerators * n}
+}
+
+// Max returns the larger amount of each resource.
+func (v Vector) Max(o Vector) Vector {
+	return Vector{max(v.MilliCPU, o.MilliCPU), max(v.MemoryMiB, o.MemoryMiB), max(v.Accelerators, o.Accelerators)}
+}
+
+// Fits reports whether v is within o in every resource.
+func (v Vector) Fits(o Vector) bool {
+	return v.MilliCPU <= o.MilliCPU && v.MemoryMiB <= o.MemoryMiB && v.Accelerators <= o.Accelerators
+}
+
+// IsZero reports whether v is nothing.
+func (v Vector) IsZero() bool { return v == Vector{} }
+
+// Valid reports whether no amount is negative.
+func (v Vector) Valid() bool { return v.MilliCPU >= 0 && v.MemoryMiB >= 0 && v.Accelerators >= 0 }
+
+// String writes v as "2.5 cpu 4096 MiB 1 acc".
+func (v Vector) String() string {
+	return fmt.Sprintf("%g cpu %d MiB %d acc", float64(v.MilliCPU)/1000, v.MemoryMiB, v.Accelerators)
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,256 @@
+// Package scheduler is the control state of one scheduler: events in, effects
+// out. It reads no clock, does no I/O and starts no goroutine, so the program,
+// the replay and the tests run the same code. A Core isn't safe for concurrent
+// use; one goroutine owns it.
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
+)
+
+// Settings are fixed for a core's life.
+type Settings struct {
+	Host string
+	// Incarnation tells this process from earlier ones of the same host.
+	Incarnation string
+	Domain      string
+	Timing      ownership.Timing
+	// LeaderSilence is how long a domain's leader is trusted without a word from it.
+	LeaderSilence time.Duration
+	// QuorumWait is how long a claimant tries for a quorum before it yields.
+	QuorumWait time.Duration
+}
+
+// DefaultSettings returns the settings of the given host of the domain.
+func DefaultSettings(host, incarnation, domain string) Settings {
+	return Settings{
+		Host:          host,
+		Incarnation:   incarnation,
+		Domain:        domain,
+		Timing:        ownership.DefaultTiming(),
+		LeaderSilence: 3 * time.Second,
+		QuorumWait:    4 * time.Second,
+	}
+}
+
+// Holder is the name that this scheduler's marks carry.
+func (s Settings) Holder() string { return s.Host + "#" + s.Incarnation }
+
+// Core is the control state.
+type Core struct {
+	set  Settings
+	now  time.Duration
+	view *configuration.View
+	term *ownership.Term
+	// workers holds the domain's seats by name; order lists them sorted.
+	workers map[string]*worker
+	order   []string
+	// tasks holds the domain's wanted tasks by name.
+	tasks map[string]*task
+	peers map[string]peer
+	hosts map[string]Host
+	// attempts numbers the starts of this incarnation.
+	attempts uint64
+	// election state: see election.go.
+	election election
+	ended    endings
+	leaving  bool
+	// held is whether the term was held when it was last worked out.
+	held     bool
+	applied  int64
+	out      []Effect
+	dir      Directory
+	dirDirty bool
+	reasons  Counters
+}
+
+// New returns a core that knows nothing.
+func New(set Settings) *Core {
+	return &Core{
+		set:     set,
+		view:    configuration.NewView(),
+		term:    ownership.NewTerm(set.Timing),
+		workers: map[string]*worker{},
+		tasks:   map[string]*task{},
+		peers:   map[string]peer{},
+		hosts:   map[string]Host{},
+		ended:   newEndings(),
+		applied: -1,
+		reasons: Counters{},
+	}
+}
+
+// Counters counts refusals and retries by reason.
+type Counters map[string]int64
+
+// Step takes one event at the local time now, the time since the process
+// started, and returns what is to be done. Times never decrease.
+func (c *Core) Step(now time.Duration, ev Event) []Effect {
+	c.now = now
+	c.out = nil
+	c.expire()
+	c.take(ev)
+	c.updateTerm()
+	c.reconcile()
+	return c.out
+}
+
+func (c *Core) take(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+		c.elect()
+		c.flushEnded()
+	case LogRead:
+		c.readLog(ev)
+	case HostsRead:
+		c.readHosts(ev)
+	case WriteReplied:
+		c.replied(ev)
+	case WriteFailed:
+		c.failed(ev)
+	case PeerHeard:
+		c.peers[ev.Host] = peer{PeerHeard: ev, at: c.now}
+	case AppendDone:
+		c.appended(ev)
+	case Leave:
+		c.leave()
+	}
+}
+
+// expire gives up claims and writes whose time has passed, before anything
+// else may rely on them.
+func (c *Core) expire() {
+	for _, name := range c.order {
+		c.workers[name].claim.Expire(c.now)
+	}
+	c.updateTerm()
+}
+
+func (c *Core) updateTerm() {
+	claims := make([]*ownership.Claim, 0, len(c.order))
+	for _, name := range c.order {
+		claims = append(claims, c.workers[name].claim)
+	}
+	until := c.term.Until()
+	c.term.Update(c.now, claims)
+	held := c.term.Held(c.now)
+	if c.held && !held {
+		c.markDetached(min(c.now, until))
+	}
+	if !c.held && held {
+		c.beginTerm()
+	}
+	if c.held != held {
+		c.dirDirty = true
+	}
+	c.held = held
+}
+
+// beginTerm counts what was seen on the owned workers as known in the new term.
+func (c *Core) beginTerm() {
+	for _, name := range c.order {
+		if w := c.workers[name]; w.claim.Owned(c.now) && w.seenAt >= 0 {
+			c.confirm(w)
+		}
+	}
+}
+
+func (c *Core) readLog(ev LogRead) {
+	for _, o := range c.view.Feed(ev.First, ev.Records) {
+		if o.Conflict != nil {
+			c.reasons["config-conflict"]++
+		}
+	}
+	if next := c.view.Catalog.Next; next != c.applied && c.view.Complete() {
+		c.applied = next
+		c.configure()
+	}
+}
+
+// configure brings seats and wanted tasks in line with the catalog.
+func (c *Core) configure() {
+	d := c.view.Catalog.Domains[c.set.Domain].Value
+	c.setSeats(d.Workers)
+	c.setTasks()
+	c.ended.settle(c.view.Catalog)
+	c.dirDirty = true
+}
+
+func (c *Core) setSeats(names []string) {
+	want := map[string]bool{}
+	for _, n := range names {
+		want[n] = true
+		if c.workers[n] == nil {
+			c.workers[n] = newWorker(n, c.set.Timing)
+		}
+	}
+	for n := range c.workers {
+		if !want[n] {
+			c.dropSeat(n)
+		}
+	}
+	c.order = c.order[:0]
+	for n := range c.workers {
+		c.order = append(c.order, n)
+	}
+	sort.Strings(c.order)
+	c.applyHosts()
+}
+
+func (c *Core) readHosts(ev HostsRead) {
+	clear(c.hosts)
+	for _, h := range ev.Hosts {
+		c.hosts[h.Name] = h
+	}
+	c.applyHosts()
+}
+
+func (c *Core) applyHosts() {
+	for n, w := range c.workers {
+		h, ok := c.hosts[n]
+		if !ok {
+			continue
+		}
+		if w.leaving != h.Leaving {
+			c.dirDirty = true
+		}
+		w.address, w.rack, w.leaving = h.Address, h.Rack, h.Leaving
+	}
+}
+
+// Ready reports whether the core knows its configuration.
+func (c *Core) Ready() bool { return c.view.Complete() }
+
+// Leader reports whether this scheduler places the domain's tasks.
+func (c *Core) Leader() bool { return c.term.Held(c.now) }
+
+// Catalog returns the configuration in force here. Callers must not change it
+// and must not keep it past the next Step.
+func (c *Core) Catalog() *configuration.Catalog { return c.view.Catalog }
+
+// NextOffset returns the log offset that the core needs next.
+func (c *Core) NextOffset() int64 { return c.view.Next() }
+
+// Counters returns refusals and retries by reason.
+func (c *Core) Counters() Counters { return c.reasons }
+
+func (c *Core) newAttempt() uint64 {
+	c.attempts++
+	return attemptBase(c.set.Holder()) + c.attempts
+}
+
+func (c *Core) recordID() string {
+	c.attempts++
+	return fmt.Sprintf("%s-%d", c.set.Holder(), c.attempts)
+}
+
+// seat returns this host's place among its domain's entry hosts.
+func (c *Core) seat() int {
+	return max(0, slices.Index(c.view.Catalog.Domains[c.set.Domain].Value.Entries, c.set.Host))
+}
--- /dev/null
+++ b/internal/scheduler/core_test.go
@@ -0,0 +1,63 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+)
+
+func TestScheduler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Scheduler")
+}
+
+// answer replies to a write as a worker whose clock is an hour ahead and that
+// takes every mark and start.
+func answer(now time.Duration, w scheduler.WriteWorker) scheduler.WriteReplied {
+	ev := scheduler.WriteReplied{Worker: w.Worker, Capacity: resource.Vector{MilliCPU: 8000, MemoryMiB: 8192}, Digest: w.Digest + 1}
+	ev.Reply = ownership.Reply{Write: w.Write, Now: now + time.Hour, Boot: time.Minute, Expiry: w.MarkExpiry, Since: now + time.Hour}
+	for _, s := range w.Starts {
+		ev.Tasks = append(ev.Tasks, scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: s.Expiry})
+	}
+	return ev
+}
+
+var _ = Describe("Core", func() {
+	It("places a declared service on workers that it owns", func() {
+		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
+		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{
+			{Domain: &configuration.Domain{Name: "d", Workers: []string{"w1", "w2"}, Entries: []string{"h1"}}},
+			{Workload: &configuration.Workload{
+				Name: "s", Kind: configuration.Service, Count: 2, Size: resource.Vector{MilliCPU: 1000},
+				Homes: []configuration.Home{{Domain: "d", Count: 2}},
+			}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		effects := c.Step(0, scheduler.HostsRead{Hosts: []scheduler.Host{{Name: "w1", Address: "a1"}, {Name: "w2", Address: "a2"}}})
+		effects = append(effects, c.Step(0, scheduler.LogRead{Records: []configuration.Numbered{{Data: data}}})...)
+		starts := map[string]string{}
+		for now := time.Millisecond; now < 5*time.Second; now += 100 * time.Millisecond {
+			queue := append(effects, c.Step(now, scheduler.Tick{})...)
+			effects = nil
+			for len(queue) > 0 {
+				w := queue[0].(scheduler.WriteWorker)
+				queue = queue[1:]
+				for _, s := range w.Starts {
+					starts[s.Task] = w.Worker
+					Expect(s.Expiry).To(BeNumerically("<=", now+time.Hour+ownership.DefaultTiming().Mark))
+				}
+				queue = append(queue, c.Step(now, answer(now, w))...)
+			}
+		}
+		Expect(c.Leader()).To(BeTrue())
+		Expect(starts).To(HaveLen(2))
+		Expect(starts["s/0/d/0"]).NotTo(Equal(starts["s/0/d/1"]))
+	})
+})
--- /dev/null
+++ b/internal/scheduler/events.go
@@ -0,0 +1,168 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
+)
+
+// Event is something that happened outside the core.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// LogRead brings records of the platform's log, read there or relayed by a peer.
+type LogRead struct {
+	// First is the offset of the oldest record that the log still has.
+	First   int64
+	Records []configuration.Numbered
+	// Relayed is set on records that a peer passed on.
+	Relayed bool
+}
+
+// HostsRead brings the platform's list of hosts, which lags.
+type HostsRead struct{ Hosts []Host }
+
+// Host is one entry of the platform's list.
+type Host struct {
+	Name    string
+	Domain  string
+	Rack    string
+	Address string
+	Leaving bool
+	Entry   bool
+}
+
+// WriteReplied brings a worker's answer to a write.
+type WriteReplied struct {
+	Worker string
+	Reply  ownership.Reply
+	// Unchanged means that Tasks and Capacity are as last told.
+	Unchanged bool
+	Digest    uint64
+	Tasks     []ObservedTask
+	Capacity  resource.Vector
+}
+
+// TaskState is the state of a task on a worker.
+type TaskState int
+
+// The states, in the order of the platform's protocol.
+const (
+	Running TaskState = iota
+	Succeeded
+	Failed
+	Stopped
+	Lapsed
+	Checkpointed
+)
+
+// ObservedTask is a task as a worker reports it.
+type ObservedTask struct {
+	Task    string
+	Attempt uint64
+	Size    resource.Vector
+	// Expiry of the lease, in the worker's clock.
+	Expiry  time.Duration
+	State   TaskState
+	Address string
+	// Usage lags behind the truth.
+	Usage      resource.Vector
+	Checkpoint uint64
+	Throttled  bool
+}
+
+// WriteFailed tells that a write got no reply; it may still take effect.
+type WriteFailed struct {
+	Worker string
+	Write  uint64
+}
+
+// PeerHeard brings the state of another scheduler of the same domain.
+type PeerHeard struct {
+	Host     string
+	Holder   string
+	Position int64
+	Leader   bool
+	Leaving  bool
+}
+
+// AppendDone tells how an append ended. A failed append may have taken effect.
+type AppendDone struct {
+	ID     string
+	Failed bool
+}
+
+// Leave begins a planned stop: the core gives up what it owns.
+type Leave struct{}
+
+func (Tick) event()         {}
+func (LogRead) event()      {}
+func (HostsRead) event()    {}
+func (WriteReplied) event() {}
+func (WriteFailed) event()  {}
+func (PeerHeard) event()    {}
+func (AppendDone) event()   {}
+func (Leave) event()        {}
+
+// Effect is something that the core wants done outside.
+type Effect interface{ effect() }
+
+// WriteWorker sends one write to a worker; its reply comes back as
+// WriteReplied, and its loss as WriteFailed, with the same number.
+type WriteWorker struct {
+	Worker  string
+	Address string
+	Holder  string
+	Write   uint64
+	// MarkExpiry is the new expiry of the mark; 0 leaves it, negative releases it.
+	MarkExpiry time.Duration
+	// RenewExpiry extends the leases of the worker's live tasks; 0 leaves them.
+	RenewExpiry time.Duration
+	Starts      []Start
+	Orders      []Order
+	Forget      []uint64
+	Digest      uint64
+}
+
+// Start orders a worker to run a task.
+type Start struct {
+	Task    string
+	Attempt uint64
+	Size    resource.Vector
+	// Expiry is the first lease's end and the latest time at which the start
+	// counts. Invariant: no later than the sender's confirmed mark.
+	Expiry     time.Duration
+	Service    string
+	RunMillis  int64
+	Checkpoint uint64
+}
+
+// OrderKind is what a worker is told to do with a running task.
+type OrderKind int
+
+// The orders, in the order of the platform's protocol.
+const (
+	Stop OrderKind = iota
+	Checkpoint
+	Throttle
+	Resume
+)
+
+// Order tells a worker to change a running task.
+type Order struct {
+	Kind    OrderKind
+	Task    string
+	Attempt uint64
+	// ValidUntil is the latest worker time at which the order counts.
+	ValidUntil time.Duration
+}
+
+// AppendRecord appends to the platform's log; the end comes back as AppendDone.
+type AppendRecord struct{ Record configuration.Record }
+
+func (WriteWorker) effect()  {}
+func (AppendRecord) effect() {}
--- /dev/null
+++ b/internal/schedulerd/main.go
@@ -0,0 +1,78 @@
+package schedulerd
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
+	"github.com/mimosaspool/mimosaspool/internal/platform"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+	"github.com/mimosaspool/mimosaspool/internal/settings"
+)
+
+// flags are the program's settings.
+type flags struct {
+	Host     string   `flag:"host" validate:"required"`
+	Region   string   `flag:"region" validate:"required"`
+	Domain   string   `flag:"domain" validate:"required"`
+	Listen   string   `flag:"listen" validate:"required,hostname_port"`
+	Platform string   `flag:"platform-url" validate:"required,url"`
+	Peers    []string `flag:"peer-urls" validate:"dive,url"`
+}
+
+// callTimeout bounds a call to the platform or a peer; it is above the longest wait for news.
+const callTimeout = 5 * time.Second
+
+// Main runs the program and returns its exit code.
+func Main() int {
+	var f flags
+	cmd := &cobra.Command{
+		Use:   "mimosaspool-scheduler",
+		Short: "Place tasks on the workers of one failure domain",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Validate(f); err != nil {
+				return err
+			}
+			return run(cmd.Context(), f)
+		},
+	}
+	cmd.Flags().StringVar(&f.Host, "host", "", "name of this entry host")
+	cmd.Flags().StringVar(&f.Region, "region", "", "region of this host")
+	cmd.Flags().StringVar(&f.Domain, "domain", "", "failure domain of this host")
+	cmd.Flags().StringVar(&f.Listen, "listen", "", "address to serve on, host:port")
+	cmd.Flags().StringVar(&f.Platform, "platform-url", "", "base URL of the platform's log and list of hosts")
+	cmd.Flags().StringSliceVar(&f.Peers, "peer-urls", nil, "base URLs of the other schedulers")
+	return settings.Execute(cmd)
+}
+
+func run(parent context.Context, f flags) error {
+	log := logrus.WithFields(logrus.Fields{"host": f.Host, "domain": f.Domain})
+	ctx, cancel := lifecycle.Signals(parent, func() { log.Warn("stopped at once; owned workers were not released") })
+	defer cancel()
+	client := platform.NewHTTPClient(callTimeout)
+	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	d := New(Options{
+		Settings: scheduler.DefaultSettings(f.Host, incarnation, f.Domain),
+		Region:   f.Region,
+		Peers:    f.Peers,
+		Log:      platform.NewLog(f.Platform, client),
+		Hosts:    platform.NewHosts(f.Platform, client),
+		Workers:  platform.NewWorkers(client),
+		Client:   client,
+		Logger:   log,
+	})
+	r := mux.NewRouter()
+	lifecycle.AddHealth(r, d.Ready)
+	d.Register(func(prefix string, h http.Handler) { r.PathPrefix(prefix).Handler(h) })
+	served := make(chan error, 1)
+	go func() { served <- lifecycle.Serve(ctx, f.Listen, r); cancel() }()
+	d.Run(ctx)
+	return <-served
+}
