routing: event and effect types of the entry's core

Cause: the entry's decisions were part of its HTTP handler and could not be replayed. Ruled out: one event for all ends of a send, since refused-before-start and lost must never be confused.

--- /dev/null
+++ b/internal/routing/events.go
@@ -0,0 +1,303 @@
+package routing
+
+import "time"
+
+// Event is something that happened outside the core. Times inside events and
+// effects are local times: the time since the process started.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Admit brings a caller's request. Its ID is new in this process.
+type Admit struct {
+	ID      uint64
+	Service string
+	Team    string
+	// Deadline is the local time by which the answer must begin.
+	Deadline   time.Duration
+	Idempotent bool
+	// Replayable requests can be sent again from what the entry has kept of them.
+	Replayable bool
+	// Key is the idempotency key of a non-idempotent request; empty without one.
+	Key string
+	// Hop is set on a request that another entry has passed on.
+	Hop bool
+}
+
+// CallerLeft tells that the caller closed its connection.
+type CallerLeft struct{ ID uint64 }
+
+// Progress tells that bytes moved in a send, in either direction.
+type Progress struct {
+	ID   uint64
+	Send uint64
+	// Begun is set once the answer's header has been passed to the caller.
+	Begun bool
+}
+
+// Answered tells that the whole answer of a send has come.
+type Answered struct {
+	ID     uint64
+	Send   uint64
+	Status int
+}
+
+// Refused tells that the other end refused a send before starting the request.
+type Refused struct {
+	ID         uint64
+	Send       uint64
+	RetryAfter time.Duration
+	// Reason is the reason that another entry gave; empty from a runner.
+	Reason Reason
+}
+
+// Failed tells that a send ended without a whole answer. It also confirms a GiveUp.
+type Failed struct {
+	ID   uint64
+	Send uint64
+	// Reached is set unless surely no byte of the request left the entry.
+	Reached bool
+	// Begun is set when part of the answer has been passed to the caller.
+	Begun bool
+	// Unknown is set when another entry answered that the outcome is unknown.
+	Unknown bool
+}
+
+// DirectoryRead brings the domain's runners and the slots granted to this entry.
+type DirectoryRead struct {
+	// SentAt is the local time at which the query left; the grant lease counts from it.
+	SentAt time.Duration
+	// Unchanged renews the lease and leaves all else as it is.
+	Unchanged bool
+	Runners   []Runner
+	Services  []Service
+	// Entries are the configured entry hosts of all domains.
+	Entries []Peer
+}
+
+// Runner is a service's runner with the slots that this entry may fill.
+type Runner struct {
+	Attempt uint64
+	Service string
+	Task    string
+	Address string
+	Slots   int
+	// Leaving runners get nothing new.
+	Leaving bool
+}
+
+// Policy decides when a request may be passed on to another domain.
+type Policy string
+
+// The policies.
+const (
+	Fast    Policy = "fast"
+	Thrifty Policy = "thrifty"
+	Careful Policy = "careful"
+)
+
+// Service is a declared service.
+type Service struct {
+	Name   string
+	Policy Policy
+	// QueueLimit bounds the waiting requests; 0 is the default.
+	QueueLimit int
+}
+
+// Peer is a configured entry host. Address is empty while it isn't known.
+type Peer struct {
+	Host    string
+	Domain  string
+	Region  string
+	Address string
+}
+
+// PeerLoad brings another entry's expected waits.
+type PeerLoad struct {
+	Host     string
+	Services []ServiceLoad
+}
+
+// ServiceLoad is how long a new request of a service would wait at an entry.
+type ServiceLoad struct {
+	Service string
+	Wait    time.Duration
+}
+
+// IntentStored tells how a StoreIntent ended.
+type IntentStored struct {
+	Key    string
+	Host   string
+	Failed bool
+	// Conflict is set when the host knows the key from another sender.
+	Conflict bool
+}
+
+// IntentHeard brings an intent that another entry wants kept, or that a peer
+// returned to this entry.
+type IntentHeard struct{ Intent Intent }
+
+// Recalled brings the keys that a peer knows, or the news that it could not be asked.
+type Recalled struct {
+	Host   string
+	Failed bool
+	// Complete is set when the peer itself knows all keys.
+	Complete bool
+	Intents  []Intent
+}
+
+// Leave begins a planned stop: nothing new is admitted from now on.
+type Leave struct{}
+
+func (Tick) event()          {}
+func (Admit) event()         {}
+func (CallerLeft) event()    {}
+func (Progress) event()      {}
+func (Answered) event()      {}
+func (Refused) event()       {}
+func (Failed) event()        {}
+func (DirectoryRead) event() {}
+func (PeerLoad) event()      {}
+func (IntentStored) event()  {}
+func (IntentHeard) event()   {}
+func (Recalled) event()      {}
+func (Leave) event()         {}
+
+// Effect is something that the core wants done outside.
+type Effect interface{ effect() }
+
+// Target is what a send goes to.
+type Target int
+
+// A send goes to a runner, to the home entry of the request's key, or to an
+// entry of another domain.
+const (
+	ToRunner Target = iota
+	ToHome
+	ToDomain
+)
+
+// Send hands a request to a runner or another entry. The shell answers with
+// Progress while bytes move and at last with exactly one of Answered, Refused
+// and Failed, all with the same Send number.
+type Send struct {
+	ID      uint64
+	Send    uint64
+	Target  Target
+	Attempt uint64
+	Address string
+	// Fresh asks for a new connection and for the idle ones to be closed.
+	Fresh bool
+	// NotAfter is the latest local time at which the first byte may leave.
+	NotAfter time.Duration
+	// CrossRegion is set when the bytes are billed.
+	CrossRegion bool
+}
+
+// GiveUp closes the connection of a send. The shell confirms with Failed, or
+// with Answered where the answer was there already.
+type GiveUp struct {
+	ID   uint64
+	Send uint64
+}
+
+// Finish ends a request towards its caller. A send still in flight goes on and
+// its answer is dropped.
+type Finish struct {
+	ID     uint64
+	Ending Ending
+}
+
+// StoreIntent asks another entry to keep an intent; its end comes back as
+// IntentStored. Ends are stored without a reply being waited for.
+type StoreIntent struct {
+	Host    string
+	Address string
+	Intent  Intent
+}
+
+// Recall asks another entry for all the keys that it knows; the reply comes
+// back as Recalled.
+type Recall struct {
+	Host    string
+	Address string
+}
+
+func (Send) effect()        {}
+func (GiveUp) effect()      {}
+func (Finish) effect()      {}
+func (StoreIntent) effect() {}
+func (Recall) effect()      {}
+
+// Intent is what entries keep of a non-idempotent request with a key.
+type Intent struct {
+	Key string
+	// Holder is the incarnation of the home entry that took the request.
+	Holder string
+	State  KeyState
+}
+
+// KeyState is where the one run of a key stands.
+type KeyState int
+
+// A key is intended from before its request is sent. It ends answered or
+// unknown, or is withdrawn when its request surely did not run.
+const (
+	KeyIntended KeyState = iota
+	KeyAnswered
+	KeyUnknown
+	KeyWithdrawn
+)
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes. NotRun is said only where no byte reached a runner or every
+// runner that was reached refused before starting.
+const (
+	OutcomeAnswered Outcome = iota
+	OutcomeNotRun
+	OutcomeUnknown
+)
+
+// Ending is what a caller is told.
+type Ending struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when a request that did not run may come back.
+	RetryAfter time.Duration
+	// Replay names the request whose answer is this one's answer; 0 is its own.
+	Replay uint64
+}
+
+// Reason tells why a request did not run, was retried, or has no known outcome.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone           Reason = ""
+	ReasonNoService      Reason = "no-service"
+	ReasonNoRunner       Reason = "no-runner"
+	ReasonQueueFull      Reason = "queue-full"
+	ReasonDisplaced      Reason = "displaced"
+	ReasonDeadline       Reason = "deadline"
+	ReasonExpectedWait   Reason = "expected-wait"
+	ReasonLeaving        Reason = "entry-leaving"
+	ReasonCallerLeft     Reason = "caller-left"
+	ReasonRefused        Reason = "runner-refused"
+	ReasonUnreachable    Reason = "runner-unreachable"
+	ReasonLost           Reason = "connection-lost"
+	ReasonSilent         Reason = "connection-silent"
+	ReasonRetryBudget    Reason = "retry-budget"
+	ReasonHomeUnknown    Reason = "home-unknown"
+	ReasonHomeLost       Reason = "home-unreachable"
+	ReasonNotHome        Reason = "not-home"
+	ReasonKeysIncomplete Reason = "keys-incomplete"
+	ReasonNoSecond       Reason = "no-second-entry"
+	ReasonKeyUnknown     Reason = "key-unknown"
+	ReasonAnswerNotKept  Reason = "answer-not-kept"
+	ReasonTooManyKeys    Reason = "too-many-keys"
+	ReasonDomainLost     Reason = "domain-unreachable"
+	ReasonRemote         Reason = "other-entry"
+)
