--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -17,8 +17,6 @@
 	// Deadline is the local time by which the answer must begin.
 	Deadline   time.Duration
 	Idempotent bool
-	// Replayable requests can be sent again from what the entry has kept of them.
-	Replayable bool
 	// Key is the idempotency key of a non-idempotent request; empty without one.
 	Key string
 	// Hop is set on a request that another entry has passed on.
@@ -48,6 +46,8 @@
 	ID         uint64
 	Send       uint64
 	RetryAfter time.Duration
+	// Replayable is set when the whole request can be sent again.
+	Replayable bool
 	// Reason is the reason that another entry gave; empty from a runner.
 	Reason Reason
 }
@@ -60,6 +60,8 @@
 	Reached bool
 	// Begun is set when part of the answer has been passed to the caller.
 	Begun bool
+	// Replayable is set when the whole request can be sent again.
+	Replayable bool
 	// Unknown is set when another entry answered that the outcome is unknown.
 	Unknown bool
 }
@@ -72,8 +74,6 @@
 	Unchanged bool
 	Runners   []Runner
 	Services  []Service
-	// Entries are the configured entry hosts of all domains.
-	Entries []Peer
 }
 
 // Runner is a service's runner with the slots that this entry may fill.
@@ -105,7 +105,7 @@
 	QueueLimit int
 }
 
-// Peer is a configured entry host. Address is empty while it isn't known.
+// Peer is a configured entry host.
 type Peer struct {
 	Host    string
 	Domain  string
@@ -127,16 +127,23 @@
 
 // IntentStored tells how a StoreIntent ended.
 type IntentStored struct {
-	Key    string
+	Intent Intent
 	Host   string
 	Failed bool
-	// Conflict is set when the host knows the key from another sender.
+	// Conflict is set when the host knows the key from another holder.
 	Conflict bool
 }
 
-// IntentHeard brings an intent that another entry wants kept, or that a peer
-// returned to this entry.
-type IntentHeard struct{ Intent Intent }
+// IntentHeard brings an intent that another entry wants kept; the answer is an
+// IntentReply with the same Call.
+type IntentHeard struct {
+	Call   uint64
+	Intent Intent
+}
+
+// RecallHeard brings another entry's query for all keys known here; the answer
+// is a RecallReply with the same Call.
+type RecallHeard struct{ Call uint64 }
 
 // Recalled brings the keys that a peer knows, or the news that it could not be asked.
 type Recalled struct {
@@ -162,6 +169,7 @@
 func (IntentStored) event()  {}
 func (IntentHeard) event()   {}
 func (Recalled) event()      {}
+func (RecallHeard) event()   {}
 func (Leave) event()         {}
 
 // Effect is something that the core wants done outside.
@@ -193,6 +201,8 @@
 	NotAfter time.Duration
 	// CrossRegion is set when the bytes are billed.
 	CrossRegion bool
+	// Keep asks for the answer to be kept, for later requests with the same key.
+	Keep bool
 }
 
 // GiveUp closes the connection of a send. The shell confirms with Failed, or
@@ -209,8 +219,8 @@
 	Ending Ending
 }
 
-// StoreIntent asks another entry to keep an intent; its end comes back as
-// IntentStored. Ends are stored without a reply being waited for.
+// StoreIntent asks another entry to keep an intent; how it went comes back as
+// IntentStored.
 type StoreIntent struct {
 	Host    string
 	Address string
@@ -224,17 +234,38 @@
 	Address string
 }
 
+// IntentReply answers an IntentHeard.
+type IntentReply struct {
+	Call     uint64
+	Conflict bool
+}
+
+// RecallReply answers a RecallHeard.
+type RecallReply struct {
+	Call     uint64
+	Complete bool
+	Intents  []Intent
+}
+
+// DropAnswer lets a kept answer go.
+type DropAnswer struct{ ID uint64 }
+
 func (Send) effect()        {}
 func (GiveUp) effect()      {}
 func (Finish) effect()      {}
 func (StoreIntent) effect() {}
 func (Recall) effect()      {}
+func (IntentReply) effect() {}
+func (RecallReply) effect() {}
+func (DropAnswer) effect()  {}
 
 // Intent is what entries keep of a non-idempotent request with a key.
 type Intent struct {
 	Key string
-	// Holder is the incarnation of the home entry that took the request.
+	// Holder is the incarnation of the home entry that took the request, and ID
+	// the request's number there.
 	Holder string
+	ID     uint64
 	State  KeyState
 }
 
@@ -297,7 +328,10 @@
 	ReasonNoSecond       Reason = "no-second-entry"
 	ReasonKeyUnknown     Reason = "key-unknown"
 	ReasonAnswerNotKept  Reason = "answer-not-kept"
+	ReasonKeyPending     Reason = "key-pending"
 	ReasonTooManyKeys    Reason = "too-many-keys"
 	ReasonDomainLost     Reason = "domain-unreachable"
 	ReasonRemote         Reason = "other-entry"
+	ReasonRunnerFailing  Reason = "runner-quarantined"
+	ReasonExpectedLess   Reason = "shorter-wait-elsewhere"
 )
