--- a/api/control/control.twirp.go
+++ b/api/control/control.twirp.go
@@ -528,10 +528,13 @@
 // Directory Interface
 // ===================
 
-// Directory is served by each scheduler to the entries.
+// Directory is served by each scheduler to the entries of its domain.
 type Directory interface {
-	// Sync returns the runners and slots of the caller's domain, waiting up to
-	// wait_ms for a version after the known one.
+	// Sync reports what the caller holds and returns the runners of its domain
+	// with the slots that it may fill, waiting up to wait_ms for news. Only the
+	// holder of the domain's term grants slots; a reply renews the grant lease
+	// from the time at which the caller sent the request. A caller sends its next
+	// request only after it has applied or dropped the reply to the last one.
 	Sync(context.Context, *SyncRequest) (*SyncReply, error)
 }
 
@@ -1021,6 +1024,1062 @@
 	return baseServicePath(s.pathPrefix, "mimosaspool.control", "Directory")
 }
 
+// ===============
+// Entry Interface
+// ===============
+
+// Entry is served by each entry to the other entries.
+type Entry interface {
+	// StoreIntent keeps what the caller knows of an idempotency key.
+	StoreIntent(context.Context, *StoreIntentRequest) (*StoreIntentReply, error)
+
+	// Recall returns every key that the receiver knows.
+	Recall(context.Context, *RecallRequest) (*RecallReply, error)
+
+	// Load returns how long new requests would wait at the receiver.
+	Load(context.Context, *LoadRequest) (*LoadReply, error)
+}
+
+// =====================
+// Entry Protobuf Client
+// =====================
+
+type entryProtobufClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewEntryProtobufClient creates a Protobuf client that implements the Entry interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewEntryProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Entry {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "mimosaspool.control", "Entry")
+	urls := [3]string{
+		serviceURL + "StoreIntent",
+		serviceURL + "Recall",
+		serviceURL + "Load",
+	}
+
+	return &entryProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *entryProtobufClient) StoreIntent(ctx context.Context, in *StoreIntentRequest) (*StoreIntentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "StoreIntent")
+	caller := c.callStoreIntent
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreIntentRequest) (*StoreIntentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreIntentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreIntentRequest) when calling interceptor")
+					}
+					return c.callStoreIntent(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreIntentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreIntentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryProtobufClient) callStoreIntent(ctx context.Context, in *StoreIntentRequest) (*StoreIntentReply, error) {
+	out := new(StoreIntentReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entryProtobufClient) Recall(ctx context.Context, in *RecallRequest) (*RecallReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	caller := c.callRecall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecallRequest) (*RecallReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecallRequest) when calling interceptor")
+					}
+					return c.callRecall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecallReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecallReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryProtobufClient) callRecall(ctx context.Context, in *RecallRequest) (*RecallReply, error) {
+	out := new(RecallReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entryProtobufClient) Load(ctx context.Context, in *LoadRequest) (*LoadReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	caller := c.callLoad
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LoadRequest) (*LoadReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+					}
+					return c.callLoad(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryProtobufClient) callLoad(ctx context.Context, in *LoadRequest) (*LoadReply, error) {
+	out := new(LoadReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =================
+// Entry JSON Client
+// =================
+
+type entryJSONClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewEntryJSONClient creates a JSON client that implements the Entry interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewEntryJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Entry {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "mimosaspool.control", "Entry")
+	urls := [3]string{
+		serviceURL + "StoreIntent",
+		serviceURL + "Recall",
+		serviceURL + "Load",
+	}
+
+	return &entryJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *entryJSONClient) StoreIntent(ctx context.Context, in *StoreIntentRequest) (*StoreIntentReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "StoreIntent")
+	caller := c.callStoreIntent
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreIntentRequest) (*StoreIntentReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreIntentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreIntentRequest) when calling interceptor")
+					}
+					return c.callStoreIntent(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreIntentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreIntentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryJSONClient) callStoreIntent(ctx context.Context, in *StoreIntentRequest) (*StoreIntentReply, error) {
+	out := new(StoreIntentReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entryJSONClient) Recall(ctx context.Context, in *RecallRequest) (*RecallReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	caller := c.callRecall
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecallRequest) (*RecallReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecallRequest) when calling interceptor")
+					}
+					return c.callRecall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecallReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecallReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryJSONClient) callRecall(ctx context.Context, in *RecallRequest) (*RecallReply, error) {
+	out := new(RecallReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entryJSONClient) Load(ctx context.Context, in *LoadRequest) (*LoadReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	caller := c.callLoad
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LoadRequest) (*LoadReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+					}
+					return c.callLoad(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryJSONClient) callLoad(ctx context.Context, in *LoadRequest) (*LoadReply, error) {
+	out := new(LoadReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Entry Server Handler
+// ====================
+
+type entryServer struct {
+	Entry
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewEntryServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewEntryServer(svc Entry, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &entryServer{
+		Entry:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *entryServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *entryServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// EntryPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const EntryPathPrefix = "/twirp/mimosaspool.control.Entry/"
+
+func (s *entryServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.control")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "mimosaspool.control.Entry" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "StoreIntent":
+		s.serveStoreIntent(ctx, resp, req)
+		return
+	case "Recall":
+		s.serveRecall(ctx, resp, req)
+		return
+	case "Load":
+		s.serveLoad(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *entryServer) serveStoreIntent(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveStoreIntentJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveStoreIntentProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entryServer) serveStoreIntentJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "StoreIntent")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StoreIntentRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entry.StoreIntent
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreIntentRequest) (*StoreIntentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreIntentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreIntentRequest) when calling interceptor")
+					}
+					return s.Entry.StoreIntent(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreIntentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreIntentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreIntentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreIntentReply and nil error while calling StoreIntent. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveStoreIntentProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "StoreIntent")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StoreIntentRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entry.StoreIntent
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreIntentRequest) (*StoreIntentReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreIntentRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreIntentRequest) when calling interceptor")
+					}
+					return s.Entry.StoreIntent(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreIntentReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreIntentReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreIntentReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreIntentReply and nil error while calling StoreIntent. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveRecall(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRecallJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRecallProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entryServer) serveRecallJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RecallRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entry.Recall
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecallRequest) (*RecallReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecallRequest) when calling interceptor")
+					}
+					return s.Entry.Recall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecallReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecallReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecallReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecallReply and nil error while calling Recall. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveRecallProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Recall")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RecallRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entry.Recall
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecallRequest) (*RecallReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecallRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecallRequest) when calling interceptor")
+					}
+					return s.Entry.Recall(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecallReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecallReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecallReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecallReply and nil error while calling Recall. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveLoad(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLoadJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLoadProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entryServer) serveLoadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LoadRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entry.Load
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LoadRequest) (*LoadReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+					}
+					return s.Entry.Load(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LoadReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadReply and nil error while calling Load. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveLoadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LoadRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entry.Load
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LoadRequest) (*LoadReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+					}
+					return s.Entry.Load(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LoadReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadReply and nil error while calling Load. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
+}
+
+func (s *entryServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *entryServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "mimosaspool.control", "Entry")
+}
+
 // ==================
 // Operator Interface
 // ==================
@@ -1502,7 +2561,7 @@
 }
 
 func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 2
+	return twirpFileDescriptor0, 3
 }
 
 func (s *operatorServer) ProtocGenTwirpVersion() string {
@@ -2082,57 +3141,79 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 819 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0xcd, 0x8e, 0x23, 0x35,
-	0x10, 0x56, 0xe7, 0xbf, 0x2b, 0xb3, 0x23, 0x64, 0xd0, 0xd2, 0x0c, 0xec, 0x6e, 0xe8, 0x11, 0x52,
-	0x4e, 0x59, 0x14, 0x2e, 0x20, 0xf6, 0x84, 0x58, 0xb1, 0x8b, 0x18, 0x2d, 0x78, 0xf8, 0x91, 0x56,
-	0x42, 0x91, 0xa7, 0xbb, 0x26, 0x31, 0xe3, 0x6e, 0xf7, 0xda, 0xce, 0xcc, 0xf6, 0x23, 0x70, 0xe1,
-	0xc4, 0x91, 0x13, 0x2f, 0xc0, 0x2b, 0xa2, 0xb2, 0xbb, 0x33, 0xc9, 0x28, 0x19, 0x0e, 0x9c, 0xda,
-	0x5f, 0xb9, 0xca, 0x2e, 0x7f, 0x5f, 0x55, 0x35, 0x7c, 0x20, 0x2a, 0xf9, 0x34, 0xd3, 0xa5, 0x33,
-	0x5a, 0xb5, 0xdf, 0x59, 0x65, 0xb4, 0xd3, 0xec, 0xdd, 0x42, 0x16, 0xda, 0x0a, 0x5b, 0x69, 0xad,
-	0x66, 0xcd, 0x56, 0xfa, 0x77, 0x04, 0xc7, 0xe7, 0xd9, 0x0a, 0xf3, 0xb5, 0x42, 0x73, 0xee, 0x84,
-	0x43, 0xc6, 0xa0, 0xb7, 0xd2, 0xd6, 0x25, 0xd1, 0x24, 0x9a, 0xc6, 0xdc, 0xaf, 0xd9, 0x43, 0x18,
-	0xac, 0xb4, 0xca, 0xd1, 0x24, 0x1d, 0x6f, 0x6d, 0x10, 0xd9, 0x73, 0x5d, 0x08, 0x59, 0x26, 0xdd,
-	0x60, 0x0f, 0x88, 0x9d, 0xc0, 0xa8, 0xd2, 0x56, 0x3a, 0xa9, 0xcb, 0xa4, 0x37, 0x89, 0xa6, 0x5d,
-	0xbe, 0xc1, 0x14, 0xa3, 0x50, 0xd0, 0x59, 0xfd, 0x49, 0x34, 0x1d, 0xf1, 0x06, 0xb1, 0x04, 0x86,
-	0x0a, 0xc5, 0xb5, 0x2c, 0x97, 0xc9, 0xc0, 0x6f, 0xb4, 0x30, 0x3d, 0x83, 0x77, 0x5e, 0xa0, 0x30,
-	0xee, 0x02, 0x85, 0xe3, 0xf8, 0x66, 0x8d, 0xd6, 0xb1, 0x2f, 0xa0, 0x6f, 0x29, 0x5d, 0x9f, 0xe6,
-	0x78, 0x7e, 0x3a, 0xdb, 0xf3, 0xba, 0xd9, 0xee, 0xcb, 0x78, 0x88, 0x48, 0x7f, 0x8f, 0xe0, 0x78,
-	0xeb, 0xbc, 0x4a, 0xd5, 0xff, 0xe3, 0x34, 0xf6, 0x0c, 0x86, 0x06, 0x33, 0x6d, 0x72, 0x9b, 0x74,
-	0x26, 0xdd, 0xe9, 0x78, 0x9e, 0xee, 0x0d, 0xe6, 0xa8, 0x44, 0x8d, 0x39, 0xf7, 0xae, 0xbc, 0x0d,
-	0x49, 0x7f, 0x84, 0x07, 0x3b, 0x3b, 0xc4, 0x8e, 0xbe, 0xbc, 0xb4, 0x18, 0xf8, 0xef, 0xf2, 0x06,
-	0xb1, 0xf7, 0x61, 0xe8, 0x64, 0x81, 0x8b, 0xc2, 0x7a, 0x09, 0xba, 0x7c, 0x40, 0xf0, 0xcc, 0x92,
-	0x5c, 0xb9, 0x70, 0xc2, 0x0b, 0x70, 0xc4, 0xfd, 0x3a, 0xfd, 0x27, 0x82, 0xf1, 0x79, 0x5d, 0x66,
-	0x2d, 0x59, 0xef, 0x41, 0x1f, 0x4b, 0x67, 0xea, 0x46, 0xd3, 0x00, 0x0e, 0x8a, 0x7a, 0x0a, 0x0f,
-	0xae, 0x4a, 0x7d, 0x53, 0x2e, 0xae, 0xd1, 0x58, 0x52, 0xb0, 0xeb, 0x2f, 0x3c, 0xf2, 0xc6, 0x9f,
-	0x83, 0x8d, 0xf2, 0xb9, 0x11, 0xd2, 0x51, 0x3e, 0x24, 0x70, 0x9f, 0x0f, 0x08, 0x9e, 0xd9, 0x6d,
-	0x19, 0xfb, 0x3b, 0x32, 0x52, 0x51, 0x18, 0x54, 0x28, 0x2c, 0xe6, 0xc9, 0x60, 0xd2, 0x9d, 0xf6,
-	0xf8, 0x06, 0xa7, 0x7f, 0x74, 0x20, 0x0e, 0x19, 0x93, 0x1c, 0x09, 0x0c, 0xdb, 0xbb, 0x03, 0x0b,
-	0x2d, 0xdc, 0x2a, 0x9e, 0xce, 0x4e, 0xf1, 0x6c, 0x17, 0x5c, 0xf7, 0x4e, 0xc1, 0x7d, 0x09, 0x31,
-	0x96, 0x79, 0xa5, 0x65, 0xe9, 0x28, 0x59, 0xd2, 0xe8, 0xd1, 0x5e, 0x8d, 0x9e, 0x37, 0x5e, 0xfc,
-	0xd6, 0x9f, 0x3d, 0x83, 0x91, 0x45, 0x73, 0x2d, 0x33, 0xb4, 0x49, 0xdf, 0xc7, 0x4e, 0xf6, 0x17,
-	0x47, 0x70, 0x7a, 0x59, 0x5e, 0x6a, 0xbe, 0x89, 0x60, 0x9f, 0xc3, 0x90, 0xb8, 0x96, 0x68, 0xfd,
-	0x8b, 0xc7, 0xf3, 0xc7, 0x07, 0x2e, 0x76, 0xa6, 0xf6, 0xa1, 0xad, 0x7b, 0xfa, 0x57, 0x04, 0xa3,
-	0x36, 0x1f, 0xe2, 0xa3, 0x39, 0xb2, 0x51, 0xb0, 0x85, 0xa4, 0xbe, 0x13, 0xf6, 0xaa, 0x51, 0xd0,
-	0xaf, 0xc9, 0x5b, 0x38, 0x87, 0x45, 0xe5, 0x3c, 0x15, 0x3d, 0xde, 0x42, 0xbf, 0x93, 0xe7, 0x06,
-	0x6d, 0x10, 0x2d, 0xe6, 0x2d, 0xa4, 0x0a, 0xb1, 0x4a, 0x3b, 0xeb, 0x35, 0xeb, 0xf3, 0x00, 0xee,
-	0x69, 0xc9, 0xd7, 0x30, 0xde, 0x7a, 0x31, 0xa5, 0x51, 0x8a, 0xa2, 0xcd, 0xce, 0xaf, 0x49, 0xaa,
-	0x4a, 0x2b, 0x99, 0xd5, 0x6d, 0x79, 0x05, 0xc4, 0x9e, 0xc0, 0xf8, 0xcd, 0x1a, 0xd7, 0xb8, 0x50,
-	0xb2, 0x90, 0x21, 0xc5, 0x3e, 0x07, 0x6f, 0xfa, 0x8e, 0x2c, 0xa9, 0x84, 0x78, 0x43, 0xc8, 0xa1,
-	0x69, 0xd4, 0x4c, 0x9d, 0xce, 0xce, 0xd4, 0x79, 0x08, 0x03, 0x83, 0xcb, 0xb6, 0x04, 0x62, 0xde,
-	0xa0, 0xc3, 0xcf, 0x4e, 0xff, 0x8c, 0xe0, 0xf8, 0xf9, 0x5b, 0xcc, 0xd6, 0x0e, 0xdb, 0x5e, 0x21,
-	0x46, 0xf1, 0xed, 0xe6, 0x42, 0x5a, 0x13, 0x3b, 0x22, 0x73, 0xba, 0x6d, 0x94, 0x00, 0xd8, 0x87,
-	0x10, 0x67, 0x2b, 0x51, 0x2e, 0x71, 0x21, 0xf3, 0xe6, 0xc6, 0x51, 0x30, 0xbc, 0xcc, 0xd9, 0x23,
-	0x80, 0x6c, 0x85, 0xd9, 0xd5, 0x42, 0x97, 0xaa, 0xf6, 0xd7, 0x8e, 0x78, 0xec, 0x2d, 0xaf, 0x4a,
-	0x55, 0xb3, 0x8f, 0x20, 0xbe, 0xd4, 0xe6, 0x46, 0x98, 0x1c, 0xf3, 0xa6, 0x4f, 0x6e, 0x0d, 0xe9,
-	0x37, 0x70, 0xb4, 0xc9, 0x8a, 0xfa, 0xe1, 0x09, 0x8c, 0x0d, 0xda, 0xb5, 0x72, 0x8b, 0xdf, 0x6c,
-	0xd3, 0x13, 0x47, 0x1c, 0x82, 0xe9, 0x5b, 0x1b, 0xda, 0xa2, 0x99, 0x1a, 0x9d, 0xed, 0xa9, 0x31,
-	0x5f, 0x40, 0xef, 0x7b, 0x44, 0xc3, 0x7e, 0x81, 0x78, 0x33, 0xf1, 0xd8, 0x27, 0x7b, 0x6b, 0xf0,
-	0xee, 0x84, 0x3d, 0x39, 0xfd, 0x2f, 0xb7, 0x4a, 0xd5, 0xf3, 0x9f, 0x20, 0xfe, 0x5a, 0x1a, 0x24,
-	0x3e, 0x6a, 0xf6, 0x02, 0x7a, 0xd4, 0xc3, 0xec, 0x40, 0x87, 0xdc, 0x0e, 0xa4, 0x93, 0xc7, 0xf7,
-	0x78, 0xd0, 0xb1, 0xbf, 0xc2, 0xe8, 0x55, 0x85, 0x46, 0x10, 0xcd, 0x3f, 0xc0, 0xb0, 0x21, 0x83,
-	0xed, 0x4f, 0x69, 0x57, 0xc0, 0x93, 0x8f, 0xef, 0x77, 0xaa, 0x54, 0xfd, 0xd5, 0xa7, 0xaf, 0x67,
-	0x4b, 0xe9, 0x56, 0xeb, 0x8b, 0x59, 0xa6, 0x8b, 0xa7, 0x5b, 0xee, 0x3b, 0xeb, 0xad, 0x5f, 0xe9,
-	0xc5, 0xc0, 0xff, 0x43, 0x3f, 0xfb, 0x37, 0x00, 0x00, 0xff, 0xff, 0x05, 0x15, 0x82, 0x35, 0x60,
-	0x07, 0x00, 0x00,
+	// 1171 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x56, 0x4d, 0x8f, 0x1b, 0x45,
+	0x13, 0x96, 0xbf, 0x3d, 0xe5, 0xcd, 0x6a, 0xd5, 0xef, 0xab, 0x30, 0x38, 0x24, 0xd9, 0xcc, 0x2a,
+	0x62, 0x4f, 0x0e, 0xda, 0x08, 0x04, 0x22, 0x12, 0x08, 0x25, 0x62, 0x37, 0x4a, 0x08, 0xb4, 0x09,
+	0x41, 0x91, 0x22, 0x33, 0x3b, 0x53, 0xbb, 0x6e, 0xb6, 0x3d, 0x3d, 0x99, 0x6e, 0x67, 0xe3, 0x1b,
+	0x57, 0xee, 0x1c, 0x39, 0xf1, 0x4f, 0xf8, 0x27, 0xfc, 0x14, 0x54, 0xfd, 0xe1, 0x1d, 0x83, 0xed,
+	0x1c, 0x38, 0xb9, 0x9f, 0x9a, 0xea, 0x72, 0xf5, 0x53, 0x4f, 0x55, 0x37, 0xbc, 0x9f, 0x96, 0xe2,
+	0x5e, 0xa6, 0x0a, 0x53, 0x29, 0x19, 0x7e, 0x47, 0x65, 0xa5, 0x8c, 0x62, 0xff, 0x9b, 0x89, 0x99,
+	0xd2, 0xa9, 0x2e, 0x95, 0x92, 0x23, 0xff, 0x29, 0xf9, 0xa3, 0x01, 0xbb, 0xe3, 0x6c, 0x8a, 0xf9,
+	0x5c, 0x62, 0x35, 0x36, 0xa9, 0x41, 0xc6, 0xa0, 0x3d, 0x55, 0xda, 0xc4, 0x8d, 0xfd, 0xc6, 0x61,
+	0xc4, 0xed, 0x9a, 0x5d, 0x87, 0xee, 0x54, 0xc9, 0x1c, 0xab, 0xb8, 0x69, 0xad, 0x1e, 0x91, 0x3d,
+	0x57, 0xb3, 0x54, 0x14, 0x71, 0xcb, 0xd9, 0x1d, 0x62, 0x43, 0xe8, 0x97, 0x4a, 0x0b, 0x23, 0x54,
+	0x11, 0xb7, 0xf7, 0x1b, 0x87, 0x2d, 0xbe, 0xc4, 0xb4, 0x47, 0x62, 0x4a, 0xb1, 0x3a, 0xfb, 0x8d,
+	0xc3, 0x3e, 0xf7, 0x88, 0xc5, 0xd0, 0x93, 0x98, 0xbe, 0x11, 0xc5, 0x79, 0xdc, 0xb5, 0x1f, 0x02,
+	0x4c, 0x9e, 0xc2, 0xde, 0x31, 0xa6, 0x95, 0x39, 0xc5, 0xd4, 0x70, 0x7c, 0x3d, 0x47, 0x6d, 0xd8,
+	0x67, 0xd0, 0xd1, 0x94, 0xae, 0x4d, 0x73, 0x70, 0x74, 0x30, 0x5a, 0x73, 0xba, 0xd1, 0xea, 0xc9,
+	0xb8, 0xdb, 0x91, 0xfc, 0xda, 0x80, 0xdd, 0x5a, 0xbc, 0x52, 0x2e, 0xfe, 0x43, 0x34, 0xf6, 0x00,
+	0x7a, 0x15, 0x66, 0xaa, 0xca, 0x75, 0xdc, 0xdc, 0x6f, 0x1d, 0x0e, 0x8e, 0x92, 0xb5, 0x9b, 0x39,
+	0xca, 0x74, 0x81, 0x39, 0xb7, 0xae, 0x3c, 0x6c, 0x49, 0xbe, 0x87, 0x6b, 0x2b, 0x5f, 0x88, 0x1d,
+	0x75, 0x76, 0xa6, 0xd1, 0xf1, 0xdf, 0xe2, 0x1e, 0xb1, 0xf7, 0xa0, 0x67, 0xc4, 0x0c, 0x27, 0x33,
+	0x6d, 0x4b, 0xd0, 0xe2, 0x5d, 0x82, 0x4f, 0x35, 0x95, 0x2b, 0x4f, 0x4d, 0x6a, 0x0b, 0xb0, 0xc3,
+	0xed, 0x3a, 0xf9, 0xb3, 0x09, 0x83, 0xf1, 0xa2, 0xc8, 0x02, 0x59, 0xff, 0x87, 0x0e, 0x16, 0xa6,
+	0x5a, 0xf8, 0x9a, 0x3a, 0xb0, 0xb1, 0xa8, 0x07, 0x70, 0xed, 0xa2, 0x50, 0x97, 0xc5, 0xe4, 0x0d,
+	0x56, 0x9a, 0x2a, 0xd8, 0xb2, 0x7f, 0xb8, 0x63, 0x8d, 0x3f, 0x38, 0x1b, 0xe5, 0x73, 0x99, 0x0a,
+	0x43, 0xf9, 0x50, 0x81, 0x3b, 0xbc, 0x4b, 0xf0, 0xa9, 0xae, 0x97, 0xb1, 0xb3, 0x52, 0x46, 0xfa,
+	0x92, 0x96, 0xa5, 0x14, 0x98, 0xc7, 0x3d, 0x1b, 0x31, 0x40, 0x76, 0x04, 0xed, 0x29, 0xca, 0x3c,
+	0xee, 0x5b, 0x02, 0x6f, 0xad, 0x25, 0xf0, 0x18, 0x65, 0x3e, 0x96, 0xca, 0x68, 0x6e, 0x7d, 0x89,
+	0xf7, 0x1c, 0x67, 0x69, 0x91, 0xeb, 0x38, 0xda, 0xc2, 0xfb, 0x18, 0xab, 0x37, 0x22, 0xc3, 0x87,
+	0xd6, 0x95, 0x87, 0x2d, 0x24, 0x50, 0x4d, 0xe4, 0x14, 0x19, 0xc6, 0xe0, 0x04, 0x1a, 0xf0, 0xe3,
+	0x76, 0xbf, 0xbb, 0xd7, 0x4b, 0x9e, 0x41, 0xb4, 0xfc, 0x4b, 0x9b, 0xba, 0x31, 0x38, 0x2b, 0x5d,
+	0x59, 0xda, 0x3c, 0x40, 0xa2, 0x56, 0x93, 0x8b, 0xe5, 0xb0, 0xc3, 0x1d, 0xa0, 0xa2, 0x9c, 0xce,
+	0xf5, 0xc2, 0x32, 0xd7, 0xe1, 0x76, 0x9d, 0x7c, 0x01, 0xd7, 0x56, 0x92, 0xa1, 0xa0, 0xda, 0x19,
+	0x7c, 0x5d, 0x02, 0x5c, 0x1f, 0x34, 0xf9, 0xab, 0x09, 0x91, 0xab, 0x2a, 0x49, 0x36, 0x86, 0x5e,
+	0xa8, 0x8f, 0x53, 0x4a, 0x80, 0xb5, 0x06, 0x6b, 0xae, 0x34, 0x58, 0xbd, 0x29, 0x5b, 0xff, 0x68,
+	0xca, 0xcf, 0x21, 0xc2, 0x22, 0x2f, 0x95, 0x28, 0x0c, 0x15, 0x94, 0xf8, 0xbc, 0xb9, 0x96, 0xcf,
+	0x47, 0xde, 0x8b, 0x5f, 0xf9, 0xb3, 0x07, 0x44, 0xa6, 0xcd, 0x5c, 0xc7, 0x1d, 0xbb, 0x77, 0x7f,
+	0x5b, 0x2d, 0x4e, 0x8a, 0x33, 0xc5, 0x97, 0x3b, 0xd8, 0xa7, 0xd0, 0x23, 0x3d, 0x0a, 0xd4, 0x71,
+	0x77, 0x4b, 0xfd, 0x1f, 0x91, 0x66, 0xed, 0xd6, 0xe0, 0x4e, 0x07, 0xd5, 0x58, 0x89, 0x54, 0x7a,
+	0x3d, 0x79, 0xc4, 0x3e, 0x80, 0x68, 0x5e, 0x64, 0xd3, 0xb4, 0x38, 0x47, 0xd2, 0x14, 0x71, 0x70,
+	0x65, 0x20, 0x1a, 0xce, 0x2b, 0x44, 0x43, 0x0a, 0x8d, 0xec, 0xc7, 0x25, 0x4e, 0x7e, 0x6f, 0x40,
+	0x3f, 0x9c, 0x70, 0x4b, 0x7d, 0x18, 0xb4, 0x4d, 0xaa, 0x2f, 0x7c, 0xdf, 0xd8, 0x75, 0x5d, 0x22,
+	0xad, 0x55, 0x89, 0xd0, 0x97, 0x3c, 0xaf, 0x50, 0xbb, 0x56, 0x89, 0x78, 0x80, 0x57, 0x75, 0xee,
+	0xd4, 0xc5, 0xb3, 0x79, 0x10, 0xbe, 0x84, 0x41, 0x8d, 0x43, 0x4a, 0xa3, 0x48, 0x67, 0x21, 0x3b,
+	0xbb, 0x26, 0x4e, 0x4a, 0x25, 0x45, 0xb6, 0x08, 0x4d, 0xed, 0x10, 0xbb, 0x0d, 0x83, 0xd7, 0x73,
+	0x9c, 0xe3, 0x44, 0x8a, 0x99, 0x30, 0x5e, 0x98, 0x60, 0x4d, 0x4f, 0xc8, 0x92, 0x08, 0x88, 0x96,
+	0x14, 0x6f, 0xba, 0x03, 0xfc, 0xac, 0x6f, 0xae, 0xcc, 0xfa, 0xeb, 0xd0, 0xad, 0xf0, 0x3c, 0x88,
+	0x2a, 0xe2, 0x1e, 0x6d, 0x3e, 0x76, 0xf2, 0x23, 0x74, 0x4f, 0x0a, 0x83, 0x85, 0x61, 0x7b, 0xd0,
+	0xba, 0xc0, 0x30, 0x96, 0x68, 0xb9, 0x71, 0x28, 0xed, 0x42, 0x53, 0xe4, 0x9e, 0xd9, 0xa6, 0xc8,
+	0x2d, 0x75, 0x76, 0x62, 0xb7, 0x3d, 0x75, 0x76, 0xb4, 0x9f, 0x00, 0x1b, 0x1b, 0x55, 0xa1, 0x0b,
+	0x1f, 0xc6, 0xdf, 0x7d, 0xe8, 0x0a, 0x6b, 0xf0, 0xe3, 0xfd, 0xc6, 0x5a, 0x81, 0xf9, 0x3d, 0xde,
+	0x35, 0x19, 0xc1, 0xde, 0x4a, 0x28, 0xea, 0xb9, 0x21, 0xf4, 0x33, 0x55, 0x9c, 0x49, 0x91, 0xb9,
+	0x50, 0x7d, 0xbe, 0xc4, 0xc9, 0x01, 0x4d, 0xf2, 0x2c, 0x95, 0x32, 0xfc, 0xeb, 0x1a, 0x0e, 0x93,
+	0x9f, 0x60, 0x10, 0x9c, 0x28, 0xde, 0xc7, 0xd0, 0x73, 0xff, 0xa6, 0xe3, 0x86, 0x95, 0xfe, 0xd6,
+	0xcc, 0x82, 0xaf, 0x4b, 0x63, 0x56, 0x4a, 0x34, 0xe8, 0x5b, 0x7c, 0x89, 0x93, 0x3b, 0x30, 0x78,
+	0xa2, 0xd2, 0x7c, 0x5b, 0x12, 0x2f, 0x20, 0x72, 0x2e, 0x94, 0xc2, 0xba, 0x4a, 0x7f, 0x02, 0x1d,
+	0x1a, 0xe6, 0xe1, 0x42, 0xdb, 0xda, 0xcc, 0x2f, 0x52, 0x61, 0xb8, 0x73, 0x4f, 0xbe, 0x5c, 0xca,
+	0x93, 0xac, 0x5b, 0xfa, 0x27, 0x5c, 0x1e, 0xf3, 0xe5, 0x65, 0x46, 0xf0, 0xb9, 0x4e, 0x7e, 0x6b,
+	0xc0, 0xee, 0xa3, 0xb7, 0x98, 0xcd, 0x0d, 0xd6, 0x4e, 0x60, 0xf0, 0xed, 0x32, 0x41, 0x5a, 0x53,
+	0xf1, 0xd3, 0xcc, 0xa8, 0xa0, 0x11, 0x07, 0xd8, 0x0d, 0x88, 0x5c, 0x8f, 0x4f, 0xbc, 0x52, 0x22,
+	0xde, 0x77, 0x86, 0x93, 0x9c, 0xdd, 0x04, 0xc8, 0xa6, 0x98, 0x5d, 0x4c, 0x54, 0x21, 0x17, 0x56,
+	0x34, 0x7d, 0x1e, 0x59, 0xcb, 0xb3, 0x42, 0x2e, 0x68, 0x64, 0x9c, 0xa9, 0xea, 0x32, 0xad, 0x72,
+	0xcc, 0xfd, 0xbd, 0x75, 0x65, 0x48, 0xbe, 0x86, 0x9d, 0x65, 0x56, 0x44, 0xda, 0x6d, 0x18, 0x54,
+	0xa8, 0xe7, 0xd2, 0x4c, 0x7e, 0xd6, 0x7e, 0xfe, 0xee, 0x70, 0x70, 0xa6, 0xc7, 0xda, 0x8d, 0x60,
+	0x7f, 0x8b, 0x37, 0xeb, 0xb7, 0xf8, 0xd1, 0x04, 0xda, 0xdf, 0x22, 0x56, 0xec, 0x05, 0x5d, 0x2e,
+	0xfe, 0x05, 0xc2, 0xee, 0x6e, 0xb8, 0xef, 0x56, 0x5f, 0x3c, 0xc3, 0x83, 0x77, 0xb9, 0x95, 0x72,
+	0x71, 0xf4, 0x1c, 0xa2, 0x87, 0xa2, 0x42, 0xe2, 0x63, 0xc1, 0x8e, 0xa1, 0x4d, 0xf7, 0x05, 0xdb,
+	0x50, 0xc0, 0xab, 0x07, 0xc2, 0xf0, 0xd6, 0x16, 0x0f, 0x0a, 0xfb, 0x4b, 0x13, 0x3a, 0x76, 0x3a,
+	0xb0, 0x57, 0x30, 0xa8, 0xb5, 0x05, 0xfb, 0x70, 0xfd, 0xc6, 0x7f, 0xf5, 0xe0, 0xf0, 0xee, 0xbb,
+	0x1d, 0x89, 0xd9, 0x6f, 0xa0, 0xeb, 0x1a, 0x84, 0x6d, 0x7a, 0x46, 0xd5, 0x5a, 0x6c, 0xb8, 0xbf,
+	0xd5, 0x87, 0xe2, 0x1d, 0x43, 0x9b, 0xb4, 0xbe, 0x81, 0x82, 0x5a, 0xa7, 0x6c, 0xa0, 0x60, 0xd9,
+	0x28, 0x47, 0xaf, 0xa0, 0xff, 0xac, 0xc4, 0x2a, 0x25, 0xa5, 0x7d, 0x07, 0x3d, 0xaf, 0x07, 0xb6,
+	0xbe, 0x2a, 0xab, 0x1a, 0x1e, 0xde, 0xd9, 0xee, 0x54, 0xca, 0xc5, 0x57, 0x1f, 0xbd, 0x1c, 0x9d,
+	0x0b, 0x33, 0x9d, 0x9f, 0x8e, 0x32, 0x35, 0xbb, 0x57, 0x73, 0x5f, 0x59, 0xd7, 0x5e, 0xf7, 0xa7,
+	0x5d, 0xfb, 0xac, 0xbf, 0xff, 0x77, 0x00, 0x00, 0x00, 0xff, 0xff, 0xb4, 0xe4, 0x17, 0x9f, 0xf3,
+	0x0b, 0x00, 0x00,
 }
--- a/internal/routing/property_test.go
+++ b/internal/routing/property_test.go
@@ -1,7 +1,9 @@
 package routing_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -11,6 +13,17 @@
 	"github.com/mimosaspool/mimosaspool/internal/routing"
 )
 
+// TestMain fixes seed and number of histories; flags of the command line win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // world is a fake shell that draws how each send ends, and judges the core by
 // what runners and callers saw.
 type world struct {
