Stand-ins show faults on order and record breaches

Cause: the stand-ins could neither fail nor tell a lapsed task from a live one (leases were looked at only when a worker was written to). Ruled out: a process for each worker, since no judge would see two workers at one moment; cuts by firewall rules, which need rights on the machine. Change: one fault endpoint, links with a listener for each pair, log limits, retention, outages and lost replies, a lagging list, worker clocks of their own, late usage, checkpoints, throttling, black holes, restarts; one lock over all workers, so that one-place and capacity are judged at one moment.

--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/spf13/cobra"
@@ -15,9 +14,13 @@
 
 // flags are the program's settings.
 type flags struct {
-	Listen  string   `flag:"listen" validate:"required,hostname_port"`
-	Site    string   `flag:"site" validate:"oneof=tallowood agency"`
-	Domains []string `flag:"domains" validate:"required"`
+	Listen   string        `flag:"listen" validate:"required,hostname_port"`
+	Site     string        `flag:"site" validate:"oneof=tallowood agency"`
+	Domains  []string      `flag:"domains" validate:"required"`
+	Appends  int           `flag:"log-appends" validate:"min=1"`
+	Records  int           `flag:"log-records" validate:"min=0"`
+	Age      time.Duration `flag:"log-age" validate:"min=0"`
+	HostsLag time.Duration `flag:"hosts-lag" validate:"min=0"`
 }
 
 // sites holds the workers of each known site.
@@ -49,31 +52,32 @@
 	cmd.Flags().StringVar(&f.Listen, "listen", "", "address to serve the log and the list of hosts on, host:port")
 	cmd.Flags().StringVar(&f.Site, "site", "tallowood", "whose workers to serve: tallowood or agency")
 	cmd.Flags().StringSliceVar(&f.Domains, "domains", nil, "names of the failure domains")
+	cmd.Flags().IntVar(&f.Appends, "log-appends", 300, "appends a second that the log takes")
+	cmd.Flags().IntVar(&f.Records, "log-records", 100000, "records that the log keeps; 0 keeps all")
+	cmd.Flags().DurationVar(&f.Age, "log-age", time.Hour, "how long the log keeps a record; 0 is for good")
+	cmd.Flags().DurationVar(&f.HostsLag, "hosts-lag", 2*time.Second, "how far the list of hosts lags")
 	return settings.Execute(cmd)
 }
 
 func run(parent context.Context, f flags) error {
 	ctx, cancel := lifecycle.Signals(parent, func() {})
 	defer cancel()
-	s := NewSite()
+	s := NewSite(SiteOptions{
+		Log:      LogLimits{AppendsPerSecond: f.Appends, Records: f.Records, Age: f.Age},
+		HostsLag: f.HostsLag,
+	})
 	defer s.Close()
 	for _, g := range sites[f.Site] {
 		if err := s.AddGroup(g, f.Domains); err != nil {
 			return err
 		}
 	}
+	go s.Run(ctx)
 	r := mux.NewRouter()
 	s.Register(r)
-	return lifecycle.Serve(ctx, f.Listen, r)
-}
-
-// Register adds the platform's services and the record of breaches to a router.
-func (s *Site) Register(r *mux.Router) {
-	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(s)} {
+	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, "direct"})} {
 		r.PathPrefix(srv.PathPrefix()).Handler(srv)
 	}
-	r.HandleFunc("/breaches", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(s.Breaches.List())
-	})
 	lifecycle.AddHealth(r, func() bool { return true })
+	return lifecycle.Serve(ctx, f.Listen, r)
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
+	"sync"
+	"time"
 
-	"github.com/twitchtv/twirp"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 
 	api "github.com/mimosaspool/mimosaspool/api/platform"
 )
@@ -19,18 +21,53 @@
 	Capacity *api.Resources
 }
 
+// SiteOptions configure a site.
+type SiteOptions struct {
+	Log      LogLimits
+	HostsLag time.Duration
+}
+
 // Site is a stand-in platform: a log, a list of hosts and workers in domains.
 type Site struct {
 	Log      *Log
+	Faults   *Faults
+	Links    *Links
 	Breaches *Breaches
-	Workers  map[string]*Worker
-	hosts    []*api.Host
-	servers  []*http.Server
+	Requests *Requests
+	began    time.Time
+
+	// mu guards the list of hosts, the workers and their tasks.
+	mu          sync.Mutex
+	workers     map[string]*Worker
+	places      map[string][]place
+	checkpoints map[uint64]int64
+	hosts       hosts
+	gone        map[string]bool
+	servers     map[string]*http.Server
+	platforms   map[string]string
+
+	// told guards hosts.told.
+	told sync.RWMutex
 }
 
 // NewSite returns a site without workers.
-func NewSite() *Site {
-	return &Site{Log: NewLog(), Breaches: NewBreaches(), Workers: map[string]*Worker{}}
+func NewSite(opt SiteOptions) *Site {
+	s := &Site{
+		Faults:      NewFaults(),
+		Breaches:    &Breaches{},
+		began:       time.Now(),
+		workers:     map[string]*Worker{},
+		places:      map[string][]place{},
+		checkpoints: map[uint64]int64{},
+		hosts:       hosts{lag: opt.HostsLag, told: map[string]time.Time{}},
+		gone:        map[string]bool{},
+		servers:     map[string]*http.Server{},
+		platforms:   map[string]string{},
+	}
+	s.Log = NewLog(opt.Log, s.Faults)
+	s.Links = NewLinks(s.Faults)
+	s.Requests = &Requests{breaches: s.Breaches, byKey: map[string]Request{}}
+	return s
 }
 
 // AddGroup adds workers, spread over the domains in turn, each on a loopback
@@ -53,34 +90,140 @@
 }
 
 func (s *Site) addWorker(h *api.Host) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	w := newWorker(h, s)
+	s.workers[h.Name] = w
+	addr, err := s.serve(h.Name, api.NewWorkerServer(w))
 	if err != nil {
 		return err
 	}
-	h.Address = l.Addr().String()
-	w := NewWorker(h, s.Breaches)
-	s.Workers[h.Name] = w
-	s.hosts = append(s.hosts, h)
-	server := &http.Server{Handler: api.NewWorkerServer(w, twirp.WithServerPathPrefix("/twirp"))}
-	s.servers = append(s.servers, server)
+	h.Address = addr
+	s.addHost(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts.show(time.Now().Add(s.hosts.lag)) // known from the beginning
+	return nil
+}
+
+// serve serves h on a loopback port in place of the named earlier server.
+func (s *Site) serve(name string, h http.Handler) (string, error) {
+	l, err := listen()
+	if err != nil {
+		return "", errors.Wrapf(err, "serve %s", name)
+	}
+	if old := s.servers[name]; old != nil {
+		old.Close()
+	}
+	server := &http.Server{Handler: h}
+	s.servers[name] = server
 	go server.Serve(l)
+	return l.Addr().String(), nil
+}
+
+// Platform returns the address at which the named entry host reaches the log
+// and the list of hosts.
+func (s *Site) Platform(from string) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if addr, ok := s.platforms[from]; ok {
+		return s.Links.Address(from, platformName, addr)
+	}
+	r := mux.NewRouter()
+	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, from})} {
+		r.PathPrefix(srv.PathPrefix()).Handler(srv)
+	}
+	addr, err := s.serve(platformName+" of "+from, r)
+	if err != nil {
+		return "", err
+	}
+	s.platforms[from] = addr
+	return s.Links.Address(from, platformName, addr)
+}
+
+// platformName is the name of the log and the list of hosts as an end of links.
+const platformName = "platform"
+
+// Order begins a fault.
+func (s *Site) Order(f Fault) (Fault, error) {
+	f, err := s.Faults.Order(f)
+	if err != nil {
+		return f, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch f.Kind {
+	case LinkCut, LinkSilent, LinkRefuse:
+		s.Links.begin(f)
+	case RunnerSilent, WorkerRestart, WorkerReplace:
+		for name, w := range s.workers {
+			if err := s.beginOn(f, name, w); err != nil {
+				return f, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// beginOn applies a fault that happens at one moment to a worker it concerns.
+func (s *Site) beginOn(f Fault, name string, w *Worker) error {
+	if f.Kind == RunnerSilent {
+		for _, t := range w.tasks {
+			if t.runner != nil && matches(f.Target, t.runner.names()...) {
+				t.runner.l.silence()
+			}
+		}
+		return nil
+	}
+	if !matches(f.Target, name) {
+		return nil
+	}
+	if f.Kind == WorkerReplace {
+		w.skew(fmt.Sprint(name, f.ID))
+		addr, err := s.serve(name, api.NewWorkerServer(w))
+		if err != nil {
+			return err
+		}
+		w.host.Address = addr
+		s.hosts.change(time.Now())
+	}
+	w.restart()
 	return nil
 }
 
-// List implements the platform's Hosts service.
-func (s *Site) List(_ context.Context, req *api.ListRequest) (*api.ListReply, error) {
-	reply := &api.ListReply{}
-	for _, h := range s.hosts {
-		if req.Domain == "" || req.Domain == h.Domain {
-			reply.Hosts = append(reply.Hosts, h)
+// sweepInterval is how often lapsed leases and hosts' states are looked at.
+const sweepInterval = 20 * time.Millisecond
+
+// Run ends what lapses until ctx ends.
+func (s *Site) Run(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.sweep()
 		}
 	}
-	return reply, nil
 }
 
-// Close ends the workers' servers.
+func (s *Site) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		w.sweep(w.now())
+	}
+	s.refresh()
+}
+
+// Close ends all servers and links.
 func (s *Site) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Links.Close()
 	for _, srv := range s.servers {
 		srv.Close()
 	}
+	for _, w := range s.workers {
+		w.restart()
+	}
 }
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,247 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	api "github.com/mimosaspool/mimosaspool/api/platform"
+)
+
+func TestStandin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Stand-in")
+}
+
+// leaseMs is longer than any test takes.
+const leaseMs = 60_000
+
+var _ = Describe("Site", func() {
+	var (
+		s *Site
+		a *Worker
+		b *Worker
+	)
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		s = NewSite(SiteOptions{Log: LogLimits{AppendsPerSecond: 2, Records: 2}})
+		g := Group{Name: "w", Count: 2, PerRack: 2, Capacity: &api.Resources{MilliCpu: 2000, MemoryMib: 2000}}
+		Expect(s.AddGroup(g, []string{"d"})).To(Succeed())
+		a, b = s.workers["w-d-01"], s.workers["w-d-02"]
+		DeferCleanup(s.Close)
+	})
+
+	order := func(f Fault) Fault {
+		GinkgoHelper()
+		f, err := s.Order(f)
+		Expect(err).NotTo(HaveOccurred())
+		return f
+	}
+	write := func(w *Worker, req *api.WriteRequest) *api.WriteReply {
+		GinkgoHelper()
+		reply, err := w.Write(ctx, req)
+		Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	start := func(w *Worker, name string, attempt uint64, st *api.Start) *api.Task {
+		GinkgoHelper()
+		st.Task, st.Attempt = name, attempt
+		st.Size = &api.Resources{MilliCpu: 1500, MemoryMib: 100}
+		if st.LeaseExpiryMs == 0 {
+			st.LeaseExpiryMs = w.now() + leaseMs
+		}
+		for _, t := range write(w, &api.WriteRequest{Holder: "h", Starts: []*api.Start{st}}).Tasks {
+			if t.Attempt == attempt {
+				return t
+			}
+		}
+		return nil
+	}
+	promises := func() (list []Promise) {
+		for _, x := range s.Breaches.List() {
+			list = append(list, x.Promise)
+		}
+		return list
+	}
+
+	It("limits, trims and loses as a log does", func() {
+		order(Fault{Kind: LogLostReply, Value: 100, DurationMs: leaseMs})
+		_, err := s.Log.Append(ctx, &api.AppendRequest{Data: []byte("a")})
+		Expect(err).To(HaveOccurred())
+		s.Faults.Clear(0)
+		r, err := s.Log.Append(ctx, &api.AppendRequest{Data: []byte("b")})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Offset).To(Equal(int64(1)))
+		_, err = s.Log.Append(ctx, &api.AppendRequest{})
+		Expect(err).To(HaveOccurred())
+		Expect(s.Log.Use()).To(Equal(LogUse{Appends: 2, Bytes: 2, Refused: 1}))
+		s.Log.add(nil)
+		page, err := s.Log.Read(ctx, &api.ReadRequest{Max: 10})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.First).To(Equal(int64(1)))
+		Expect(page.Records).To(HaveLen(2))
+		order(Fault{Kind: LogOut})
+		_, err = s.Log.Read(ctx, &api.ReadRequest{Max: 10})
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("obeys and records overcommitment and a task in two places", func() {
+		start(a, "t/0/0", 1, &api.Start{})
+		start(a, "t/0/1", 2, &api.Start{})
+		start(b, "t/0/0", 3, &api.Start{})
+		Expect(promises()).To(Equal([]Promise{PromiseCapacity, PromiseOnePlace}))
+	})
+
+	It("counts a lapsed attempt as gone and ignores a late start", func() {
+		Expect(start(a, "t/0/0", 1, &api.Start{LeaseExpiryMs: a.now() - 1})).To(BeNil())
+		start(a, "t/0/0", 2, &api.Start{})
+		a.tasks[2].api.LeaseExpiryMs = a.now()
+		start(b, "t/0/0", 3, &api.Start{})
+		Expect(promises()).To(BeEmpty())
+	})
+
+	It("resumes from a checkpoint, slows down, and reports use late", func() {
+		order(Fault{Kind: TaskUsage, Target: "t", Value: 200})
+		start(a, "t/0/0", 1, &api.Start{RunMs: 40_000})
+		task := a.tasks[1]
+		task.throttle(a.now(), true)
+		Expect(task.endsAt - a.now()).To(BeNumerically(">", 70_000))
+		task.throttle(a.now(), false)
+		Expect(task.api.Usage).To(BeNil())
+		task.report(task.began + usageLagMs)
+		Expect(task.api.Usage.MilliCpu).To(Equal(int64(3000)))
+		stop := &api.Order{Kind: api.OrderKind_CHECKPOINT, Task: "t/0/0", Attempt: 1, ValidUntilMs: a.now() + leaseMs}
+		task.endsAt = a.now() + 20_000
+		saved := write(a, &api.WriteRequest{Orders: []*api.Order{stop}}).Tasks[0]
+		Expect(saved.State).To(Equal(api.TaskState_CHECKPOINTED))
+		start(b, "t/0/0", 2, &api.Start{RunMs: 40_000, Checkpoint: saved.Checkpoint})
+		Expect(b.tasks[2].endsAt - b.now()).To(BeNumerically("<=", 20_000))
+	})
+
+	It("forgets all when a worker restarts and fails all on a black hole", func() {
+		write(a, &api.WriteRequest{Holder: "h", MarkExpiryMs: a.now() + leaseMs})
+		start(a, "t/0/0", 1, &api.Start{})
+		boot := a.boot
+		order(Fault{Kind: WorkerRestart, Target: "w-d-01"})
+		reply := write(a, &api.WriteRequest{Holder: "h"})
+		Expect(reply.BootMs).To(BeNumerically(">", boot))
+		Expect(reply.Mark).To(BeNil())
+		Expect(reply.Tasks).To(BeEmpty())
+		order(Fault{Kind: WorkerBlackHole, Target: "w-d-0*"})
+		start(a, "t/0/0", 2, &api.Start{})
+		a.sweep(a.tasks[2].endsAt)
+		Expect(a.tasks[2].api.State).To(Equal(api.TaskState_FAILED))
+		Expect(promises()).To(BeEmpty())
+	})
+
+	It("records work for a host that the list has long shown as leaving", func() {
+		order(Fault{Kind: HostLeaving, Target: "w-d-01"})
+		s.sweep()
+		list, err := hostsFor{s, "e"}.List(ctx, &api.ListRequest{Domain: "d"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Hosts[0].Leaving).To(BeTrue())
+		start(a, "t/0/0", 1, &api.Start{})
+		Expect(promises()).To(BeEmpty())
+		s.hosts.told["w-d-01"] = time.Now().Add(-2 * leavingGrace)
+		start(a, "t/0/1", 2, &api.Start{})
+		Expect(promises()).To(ContainElement(PromiseLeaving))
+	})
+
+	It("records a ninth request, a key run twice and a request cut off", func() {
+		task := start(a, "s/0/d/0", 1, &api.Start{Service: "s"})
+		r := a.tasks[1].runner
+		r.busy.Store(runnerSlots)
+		for range 2 {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+task.Address, bytes.NewBufferString("body"))
+			req.Header.Set(headerKey, "k")
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+		}
+		write(a, &api.WriteRequest{Orders: []*api.Order{{Attempt: 1, ValidUntilMs: a.now() + leaseMs}}})
+		Expect(promises()).To(Equal([]Promise{PromiseSlots, PromiseSlots, PromiseAtMostOnce, PromiseGraceful}))
+		Expect(s.Requests.List()).To(HaveLen(2))
+	})
+
+	It("takes faults in JSON and refuses unknown ones", func() {
+		r := mux.NewRouter()
+		s.Register(r)
+		post := func(body string) int {
+			w := httptest.NewRecorder()
+			r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/faults", bytes.NewBufferString(body)))
+			return w.Code
+		}
+		Expect(post(`{"kind":"log-out","duration_ms":5}`)).To(Equal(http.StatusOK))
+		Expect(post(`{"kind":"log-lost"}`)).To(Equal(http.StatusBadRequest))
+		Expect(s.Faults.List()).To(HaveLen(1))
+	})
+
+	Context("on a link", func() {
+		var addr string
+		var open net.Conn
+		// echoes reports whether what is sent comes back.
+		echoes := func(c net.Conn) bool {
+			_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+			_, err := c.Write([]byte("x"))
+			if err == nil {
+				_, err = c.Read(make([]byte, 1))
+			}
+			return err == nil
+		}
+		dial := func() net.Conn {
+			c, err := net.Dial("tcp", addr)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			return c
+		}
+
+		BeforeEach(func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						p := make([]byte, 1)
+						for _, err := c.Read(p); err == nil; _, err = c.Read(p) {
+							c.Write(p)
+						}
+						c.Close()
+					}()
+				}
+			}()
+			addr, err = s.Links.Address("e", "f", l.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			open = dial()
+			Expect(echoes(open)).To(BeTrue())
+		})
+
+		It("cuts until the fault ends, open connections for good", func() {
+			f := order(Fault{Kind: LinkCut, From: "e*", To: "f"})
+			Expect(echoes(open)).To(BeFalse())
+			Expect(echoes(dial())).To(BeFalse())
+			s.Faults.Clear(f.ID)
+			Expect(echoes(open)).To(BeFalse())
+			Expect(echoes(dial())).To(BeTrue())
+		})
+
+		It("makes open connections silent while new ones work", func() {
+			order(Fault{Kind: LinkSilent, From: "e"})
+			Expect(echoes(open)).To(BeFalse())
+			Expect(echoes(dial())).To(BeTrue())
+		})
+	})
+})
