--- a/internal/standin/api.go
+++ b/internal/standin/api.go
@@ -42,6 +42,7 @@
 	get("/breaches", func() any { return s.Breaches.List() })
 	get("/requests", func() any { return s.Requests.List() })
 	get("/workers", func() any { return s.workersUse() })
+	get("/links", func() any { return s.Links.Use() })
 	get("/log", func() any { return s.Log.Use() })
 	r.HandleFunc("/faults", s.postFault).Methods(http.MethodPost)
 	r.HandleFunc("/faults/{id}", s.deleteFault).Methods(http.MethodDelete)
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -14,13 +14,16 @@
 	silent atomic.Bool
 	delay  func() time.Duration
 	closed func(*conn)
-	once   sync.Once
+	// bytes counts what came and went.
+	bytes *atomic.Int64
+	once  sync.Once
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.bytes.Add(int64(n))
 		if err != nil {
 			return n, err
 		}
@@ -38,7 +41,9 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -57,6 +62,7 @@
 	mute, refuse func() bool
 	// limit is called with the number of open connections.
 	limit func(open int)
+	bytes atomic.Int64
 	mu    sync.Mutex
 	open  map[*conn]struct{}
 }
@@ -86,7 +92,7 @@
 			raw.Close()
 			continue
 		}
-		c := &conn{Conn: raw, delay: l.delay, closed: l.forget}
+		c := &conn{Conn: raw, delay: l.delay, closed: l.forget, bytes: &l.bytes}
 		c.silent.Store(l.mute())
 		l.mu.Lock()
 		l.open[c] = struct{}{}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -1,8 +1,11 @@
 package standin
 
 import (
+	"cmp"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -113,3 +116,22 @@
 	}()
 	_, _ = io.Copy(near, far)
 }
+
+// LinkUse is what a link has carried.
+type LinkUse struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Bytes int64  `json:"bytes"`
+}
+
+// Use returns what each link has carried so far, in order of its ends.
+func (s *Links) Use() []LinkUse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]LinkUse, 0, len(s.byPair))
+	for _, k := range s.byPair {
+		list = append(list, LinkUse{k.from, k.to, k.l.bytes.Load()})
+	}
+	slices.SortFunc(list, func(a, b LinkUse) int { return cmp.Or(strings.Compare(a.From, b.From), strings.Compare(a.To, b.To)) })
+	return list
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -30,6 +30,7 @@
 	Appends int64 `json:"appends"`
 	Bytes   int64 `json:"bytes"`
 	Refused int64 `json:"refused"`
+	Reads   int64 `json:"reads"`
 }
 
 // Log is an append-only log in memory.
@@ -157,6 +158,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.trim()
+	l.use.Reads++
 	next := l.next()
 	reply := &api.ReadReply{First: l.first, Next: next}
 	from := max(req.From, l.first)
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	api "github.com/mimosaspool/mimosaspool/api/platform"
+	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
 )
 
 // Group is a number of like workers, named NAME-DOMAIN-NN.
@@ -113,7 +114,7 @@
 	if old := s.servers[name]; old != nil {
 		old.Close()
 	}
-	server := &http.Server{Handler: h}
+	server := &http.Server{Protocols: lifecycle.Protocols(), Handler: h}
 	s.servers[name] = server
 	go server.Serve(l)
 	return l.Addr().String(), nil
