make demo: the real programs at a site's sizes, judged from outside

Cause: nothing ran the whole path at today's sizes with a kill and a cut. Change: internal/demo starts the stand-in and six entry hosts as child processes, applies examples/SITE.mp with mimosaspoolctl, sends load, kills a host, cuts a domain from the platform, stops a host as planned, and compares what callers were told with what runners saw.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
 PROTOS := api/platform/platform.proto api/control/control.proto
 BIN := bin
+SITE ?= tallowood
 
-.PHONY: build generate fmt lint test
+.PHONY: build generate fmt lint test demo
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -23,3 +24,6 @@
 
 test:
 	.ci/test
+
+demo: build
+	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
--- /dev/null
+++ b/internal/demo/judge.go
@@ -0,0 +1,62 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/standin"
+)
+
+// The promises that are judged by what callers and operators saw; stand-ins
+// judge the others.
+const (
+	promiseNotRun        standin.Promise = "not-run"
+	promiseAnswer        standin.Promise = "whole-answer"
+	promiseGracefulEntry standin.Promise = "graceful-entry"
+	promiseConfiguration standin.Promise = "configuration"
+	promiseDrained       standin.Promise = "drained"
+)
+
+// span is a time during which something held, by entry host.
+type span struct {
+	host     string
+	from, to time.Time
+}
+
+// judge compares what callers saw with what runners saw. In the given spans
+// entry hosts were stopped as planned.
+func judge(results []result, ran []standin.Request, planned []span) []standin.Breach {
+	byID, byKey := map[string]standin.Request{}, map[string]standin.Request{}
+	for _, q := range ran {
+		byID[q.ID] = q
+		if _, again := byKey[q.Key]; q.Key != "" && !again {
+			byKey[q.Key] = q
+		}
+	}
+	var out []standin.Breach
+	add := func(p standin.Promise, r result, detail string) {
+		out = append(out, standin.Breach{Time: r.ended, Promise: p, Subject: r.id, Detail: detail})
+	}
+	for _, r := range results {
+		if q, did := byID[r.id]; did && q.Service != r.service {
+			add(promiseAnswer, r, fmt.Sprintf("sent to %s, but ran on %s", r.service, q.Task))
+		}
+		switch r.outcome {
+		case notRun:
+			if q, did := byID[r.id]; did {
+				add(promiseNotRun, r, fmt.Sprintf("%s at %s said %q, but it ran on %s", r.service, r.entry, r.detail, q.Task))
+			} else if q, did := byKey[r.key]; did && r.key != "" {
+				add(promiseNotRun, r, fmt.Sprintf("%s at %s said %q, but its key ran on %s", r.service, r.entry, r.detail, q.Task))
+			}
+		case lost:
+			add(promiseAnswer, r, r.detail)
+		case unknown:
+			for _, s := range planned {
+				if s.host == r.entry && r.sent.Before(s.to) && r.ended.After(s.from) {
+					add(promiseGracefulEntry, r, r.detail)
+				}
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/demo/judge_test.go
@@ -0,0 +1,45 @@
+package demo
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/standin"
+)
+
+func TestDemo(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Demo")
+}
+
+var _ = Describe("judge", func() {
+	began := time.Unix(0, 0)
+	ran := []standin.Request{{ID: "a", Key: "ka", Service: "s", Task: "s/0/d/0"}, {ID: "b", Service: "s"}}
+	planned := []span{{host: "e", from: began, to: began.Add(time.Second)}}
+
+	DescribeTable("finds", func(r result, want ...standin.Promise) {
+		r.service, r.sent, r.ended = "s", began, began.Add(time.Second)
+		var got []standin.Promise
+		for _, b := range judge([]result{r}, ran, planned) {
+			got = append(got, b.Promise)
+		}
+		Expect(got).To(HaveExactElements(want))
+	},
+		Entry("nothing in an answered request", result{id: "a", outcome: answered}),
+		Entry("nothing in one that did not run", result{id: "c", outcome: notRun}),
+		Entry("nothing in an unknown one", result{id: "a", outcome: unknown, entry: "f"}),
+		Entry("one said not to have run that ran", result{id: "b", outcome: notRun}, promiseNotRun),
+		Entry("a key said not to have run that ran", result{id: "c", key: "ka", outcome: notRun}, promiseNotRun),
+		Entry("another request's answer", result{id: "a", outcome: lost}, promiseAnswer),
+		Entry("a request cut off by a planned stop", result{id: "a", outcome: unknown, entry: "e"}, promiseGracefulEntry),
+	)
+
+	It("finds a request that ran in another service", func() {
+		list := judge([]result{{id: "a", service: "t", outcome: answered}}, ran, nil)
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].Promise).To(Equal(promiseAnswer))
+	})
+})
--- a/internal/standin/api.go
+++ b/internal/standin/api.go
@@ -42,6 +42,7 @@
 	get("/breaches", func() any { return s.Breaches.List() })
 	get("/requests", func() any { return s.Requests.List() })
 	get("/workers", func() any { return s.workersUse() })
+	get("/starts", func() any { return s.startsSoFar() })
 	get("/links", func() any { return s.Links.Use() })
 	get("/log", func() any { return s.Log.Use() })
 	r.HandleFunc("/faults", s.postFault).Methods(http.MethodPost)
@@ -61,6 +62,12 @@
 	return list
 }
 
+func (s *Site) startsSoFar() []Start {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Start{}, s.starts...)
+}
+
 func (s *Site) postFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if !readJSON(w, r, &f) {
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -35,13 +35,13 @@
 	Links    *Links
 	Breaches *Breaches
 	Requests *Requests
-	began    time.Time
 
 	// mu guards the list of hosts, the workers and their tasks.
 	mu          sync.Mutex
 	workers     map[string]*Worker
 	places      map[string][]place
 	checkpoints map[uint64]int64
+	starts      []Start
 	hosts       hosts
 	gone        map[string]bool
 	servers     map[string]*http.Server
@@ -56,7 +56,6 @@
 	s := &Site{
 		Faults:      NewFaults(),
 		Breaches:    &Breaches{},
-		began:       time.Now(),
 		workers:     map[string]*Worker{},
 		places:      map[string][]place{},
 		checkpoints: map[uint64]int64{},
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,8 +37,14 @@
 	Running  int            `json:"running"`
 	Writes   int64          `json:"writes"`
 	Starts   int64          `json:"starts"`
-	// Started holds, for each start, the time since the site began.
-	Started []int64 `json:"started_ms,omitempty"`
+}
+
+// Start is one start of a task.
+type Start struct {
+	Time    time.Time `json:"time"`
+	Task    string    `json:"task"`
+	Attempt uint64    `json:"attempt"`
+	Worker  string    `json:"worker"`
 }
 
 // maxClockSkew bounds how far a worker's clock is from the machine's.
@@ -206,7 +212,7 @@
 	}
 	w.tasks[s.Attempt] = t
 	w.use.Starts++
-	w.use.Started = append(w.use.Started, time.Since(w.site.began).Milliseconds())
+	w.site.starts = append(w.site.starts, Start{Time: time.Now(), Task: s.Task, Attempt: s.Attempt, Worker: w.host.Name})
 	w.site.entered(s, w)
 	w.checkStart(s)
 }
@@ -283,6 +289,5 @@
 			u.Running++
 		}
 	}
-	u.Started = slices.Clone(u.Started)
 	return u
 }
