--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
 PROTOS := api/platform/platform.proto api/control/control.proto
 BIN := bin
+SITE ?= tallowood
 
-.PHONY: build generate fmt lint test bench
+.PHONY: build generate fmt lint test bench demo chaos proof measure slopes
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,3 +28,6 @@
 BENCH ?= .
 bench:
 	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 5000x ./internal/scheduler/...
+
+demo: build
+	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
