Operators' language, its checks and execution

The first form of the language stopped at its first syntax error, took zero sizes and unknown names, and ran changes without a version. A statement's faults now all show at once, each at its word with the nearest known one, and a script's changes are one record that expects the versions its author saw.

Ruled out: one parse of the whole text (one fault at a time), and a copy of the catalog to plan on (a copy costs as much as the catalog is large; the plan keeps only what changes).

A lost reply is settled by the record's id; an append that was repeated has one effect. Version 0 meant both 'absent' and 'declared at offset 0', so a change of the log's first object could win against a cancellation: absence is -1 now. The catalog keeps a bounded history of changes.

--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -30,6 +30,8 @@
 	Applied map[string]Outcome `json:"applied,omitempty"`
 	// Recent lists the IDs in Applied, oldest first.
 	Recent []string `json:"recent,omitempty"`
+	// History holds the last changes of declared objects, oldest first.
+	History []Change `json:"history,omitempty"`
 }
 
 // Outcome tells what became of one record.
@@ -106,9 +108,9 @@
 
 func (c *Catalog) admit(offset int64, r Record) Outcome {
 	for _, e := range r.Expect {
-		version, actor := c.version(e.Kind, e.Name)
-		if version != e.Version {
-			return Outcome{Offset: offset, Conflict: &Conflict{e.Kind, e.Name, actor, version}, Reason: fmt.Sprintf("%s %s changed at offset %d", e.Kind, e.Name, version)}
+		if version, _ := c.Version(e.Kind, e.Name); version != e.Version {
+			winner := c.LastChange(e.Kind, e.Name)
+			return Outcome{Offset: offset, Conflict: &winner, Reason: fmt.Sprintf("%s %s changed at offset %d", e.Kind, e.Name, winner.Offset)}
 		}
 	}
 	for _, op := range r.Ops {
@@ -144,23 +146,32 @@
 	return ""
 }
 
-// version returns the version and last author of an object; 0 when absent.
-func (c *Catalog) version(kind Kind, name string) (int64, string) {
+// Version returns the version and last author of an object.
+func (c *Catalog) Version(kind Kind, name string) (int64, string) {
 	switch kind {
 	case KindDomain:
-		return c.Domains[name].Version, c.Domains[name].Actor
+		return version(c.Domains, name)
 	case KindTeam:
-		return c.Teams[name].Version, c.Teams[name].Actor
+		return version(c.Teams, name)
 	case KindWorkload:
-		return c.Workloads[name].Version, c.Workloads[name].Actor
+		return version(c.Workloads, name)
 	case KindHost:
-		return c.Drained[name].Version, c.Drained[name].Actor
+		return version(c.Drained, name)
 	}
-	return 0, ""
+	return Absent, ""
+}
+
+func version[T any](m map[string]Entry[T], name string) (int64, string) {
+	e, ok := m[name]
+	if !ok {
+		return Absent, ""
+	}
+	return e.Version, e.Actor
 }
 
 func (c *Catalog) change(offset int64, r Record) {
 	for _, op := range r.Ops {
+		c.note(offset, r.Actor, op)
 		c.changeOne(offset, r.Actor, op)
 	}
 	for _, e := range r.Ended {
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -32,10 +32,13 @@
 type Expectation struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	// Version is the offset of the object's last change; 0 means absent.
+	// Version is the offset of the object's last change, or Absent.
 	Version int64 `json:"version"`
 }
 
+// Absent is the version of an object that isn't declared.
+const Absent int64 = -1
+
 // Kind is a kind of declared object.
 type Kind string
 
--- /dev/null
+++ b/internal/ctl/call.go
@@ -0,0 +1,123 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/operator"
+	"github.com/mimosaspool/mimosaspool/internal/platform"
+	"github.com/mimosaspool/mimosaspool/internal/settings"
+)
+
+// The exit codes of this program, besides those of every program.
+const (
+	exitFault   = 3
+	exitRefused = 4
+	exitUnknown = 5
+	exitDiffers = 6
+)
+
+// exitError ends the program with a code; its text was printed already.
+type exitError struct{ code int }
+
+func (exitError) Error() string { return "" }
+
+// ExitCode implements settings.ExitCoder.
+func (e exitError) ExitCode() int { return e.code }
+
+// noAnswer tells that no scheduler answered. A change may have been taken over
+// all the same, so its id goes with it.
+type noAnswer struct {
+	id      string
+	reasons []string
+}
+
+func (e *noAnswer) Error() string {
+	return fmt.Sprintf("no scheduler answered:\n  %s\nA change may be or become accepted; ask again with --change-id %s", strings.Join(e.reasons, "\n  "), e.id)
+}
+
+// ExitCode implements settings.ExitCoder.
+func (e *noAnswer) ExitCode() int { return settings.ExitFailed }
+
+// call is one script to be executed.
+type call struct {
+	text        string
+	check, diff bool
+}
+
+// callTimeout bounds one try at one scheduler; it is above the time in which a
+// scheduler settles a change.
+const callTimeout = 10 * time.Second
+
+// retryWait is the wait before the schedulers are tried anew.
+const retryWait = time.Second
+
+func (t *tool) run(ctx context.Context, c call) error {
+	if len(t.flags.Schedulers) == 0 {
+		return &settings.Error{Problems: []settings.Problem{{Flag: "scheduler-url", Allowed: "must be set"}}}
+	}
+	res, err := t.ask(ctx, c)
+	if err != nil {
+		return err
+	}
+	return t.show(res)
+}
+
+// ask tries the schedulers in turn, with the same change id, until one gives
+// a definite answer or the time is over.
+func (t *tool) ask(ctx context.Context, c call) (operator.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.flags.Timeout)
+	defer cancel()
+	req := &control.ExecuteRequest{Text: c.text, Actor: t.flags.Actor, ChangeId: t.flags.ChangeID, CheckOnly: c.check, DiffOnly: c.diff}
+	if t.flags.IfVersion >= 0 {
+		req.IfVersion = &t.flags.IfVersion
+	}
+	if req.ChangeId == "" {
+		req.ChangeId = uuid.NewString()
+	}
+	var last *operator.Result
+	for {
+		var reasons []string
+		for _, url := range t.flags.Schedulers {
+			res, err := askOne(ctx, url, req)
+			switch {
+			case err != nil:
+				reasons = append(reasons, fmt.Sprintf("%s: %v", url, err))
+			case res.Change != nil && res.Change.State == operator.Unknown:
+				last = &res
+			default:
+				return res, nil
+			}
+		}
+		select {
+		case <-time.After(retryWait):
+		case <-ctx.Done():
+			if last != nil {
+				return *last, nil
+			}
+			return operator.Result{}, &noAnswer{req.ChangeId, reasons}
+		}
+	}
+}
+
+func askOne(ctx context.Context, url string, req *control.ExecuteRequest) (operator.Result, error) {
+	var res operator.Result
+	client := control.NewOperatorProtobufClient(url, platform.NewHTTPClient(callTimeout))
+	reply, err := client.Execute(ctx, req)
+	if err != nil {
+		var e twirp.Error
+		if errors.As(err, &e) {
+			return res, errors.New(e.Msg())
+		}
+		return res, errors.WithStack(err)
+	}
+	return res, errors.Wrap(json.Unmarshal(reply.ResultJson, &res), "malformed reply")
+}
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -2,75 +2,70 @@
 package ctl
 
 import (
-	"fmt"
 	"io"
 	"os"
 	"os/user"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	control "github.com/mimosaspool/mimosaspool/api/control"
-	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
 )
 
 // flags are the program's settings.
 type flags struct {
-	Scheduler string `flag:"scheduler-url" validate:"required,url"`
+	Schedulers []string      `flag:"scheduler-url" validate:"dive,http_url"`
+	Output     string        `flag:"output" validate:"oneof=table json"`
+	Actor      string        `flag:"actor" validate:"required,max=128"`
+	IfVersion  int64         `flag:"if-version" validate:"min=-1"`
+	ChangeID   string        `flag:"change-id" validate:"max=128"`
+	Timeout    time.Duration `flag:"timeout" validate:"gt=0"`
+	Offline    bool          `flag:"offline"`
 }
 
-// callTimeout bounds one call to a scheduler.
-const callTimeout = 10 * time.Second
+// defaultTimeout bounds one command, retries included.
+const defaultTimeout = 30 * time.Second
 
 // Main runs the program and returns its exit code.
 func Main() int {
-	var f flags
-	cmd := &cobra.Command{Use: "mimosaspoolctl", Short: "Send statements to a scheduler"}
-	cmd.PersistentFlags().StringVar(&f.Scheduler, "scheduler-url", "", "base URL of a scheduler")
-	cmd.AddCommand(&cobra.Command{
-		Use:   "exec STATEMENTS",
-		Short: "Execute statements",
-		Args:  cobra.ExactArgs(1),
-		RunE:  func(cmd *cobra.Command, args []string) error { return execute(cmd, f, args[0]) },
-	})
-	cmd.AddCommand(&cobra.Command{
-		Use:   "apply FILE",
-		Short: "Execute the statements of a file, all or none",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			text, err := read(args[0])
-			if err != nil {
-				return err
-			}
-			return execute(cmd, f, text)
-		},
-	})
-	return settings.Execute(cmd)
+	t := &tool{in: os.Stdin, out: os.Stdout, err: os.Stderr}
+	return settings.Execute(t.command(), &t.flags)
 }
 
-func read(path string) (string, error) {
-	if path == "-" {
-		data, err := io.ReadAll(os.Stdin)
-		return string(data), errors.WithStack(err)
-	}
-	data, err := os.ReadFile(path)
-	return string(data), errors.WithStack(err)
+// tool is one run of the program.
+type tool struct {
+	flags flags
+	in    io.Reader
+	out   io.Writer
+	err   io.Writer
 }
 
-func execute(cmd *cobra.Command, f flags, text string) error {
-	if err := settings.Validate(f); err != nil {
-		return err
-	}
-	client := control.NewOperatorProtobufClient(f.Scheduler, platform.NewHTTPClient(callTimeout))
-	reply, err := client.Execute(cmd.Context(), &control.ExecuteRequest{Text: text, Actor: actor(), ChangeId: uuid.NewString()})
-	if err != nil {
-		return err
+func (t *tool) command() *cobra.Command {
+	f := &t.flags
+	cmd := &cobra.Command{
+		Use:   "mimosaspoolctl",
+		Short: "Declare work, ask what runs and why, and change policy",
+		Long: `Declare work, ask what runs and why, and change policy.
+
+Exit codes:
+  0  done
+  1  no scheduler answered, or it failed
+  2  a setting or argument can't be used
+  3  a statement has a fault; nothing was changed
+  4  the change was refused, or lost to another one; nothing was changed
+  5  it is not known yet whether the change is accepted: ask again with its id
+  6  diff: the file differs from what is in force`,
 	}
-	fmt.Fprintln(cmd.OutOrStdout(), string(reply.ResultJson))
-	return nil
+	p := cmd.PersistentFlags()
+	p.StringSliceVar(&f.Schedulers, "scheduler-url", nil, "base URL of a scheduler; several are tried in turn")
+	p.StringVarP(&f.Output, "output", "o", "table", "form of the output: table or json")
+	p.StringVar(&f.Actor, "actor", actor(), "name that changes are recorded under")
+	p.Int64Var(&f.IfVersion, "if-version", -1, "version that the changed objects must have; -1 for the one in force")
+	p.StringVar(&f.ChangeID, "change-id", "", "id of the change; give that of an earlier try to ask what became of it")
+	p.DurationVar(&f.Timeout, "timeout", defaultTimeout, "longest time to try for")
+	cmd.AddCommand(t.exec(), t.apply(), t.check(), t.diff(), t.list(), t.explain(), t.history(), t.shell(), t.version())
+	return cmd
 }
 
 func actor() string {
@@ -79,3 +74,13 @@
 	}
 	return "unknown"
 }
+
+// read returns the text of a file, or of the standard input for "-".
+func (t *tool) read(path string) (string, error) {
+	if path == "-" {
+		data, err := io.ReadAll(t.in)
+		return string(data), errors.WithStack(err)
+	}
+	data, err := os.ReadFile(path)
+	return string(data), errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/ctl/render.go
@@ -0,0 +1,154 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspool/mimosaspool/internal/language"
+	"github.com/mimosaspool/mimosaspool/internal/operator"
+)
+
+// show prints a result and returns the error that sets the exit code.
+func (t *tool) show(res operator.Result) error {
+	if t.flags.Output == "json" {
+		enc := json.NewEncoder(t.out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(res); err != nil {
+			return errors.WithStack(err)
+		}
+		return verdict(res)
+	}
+	if len(res.Faults) > 0 {
+		fmt.Fprintln(t.err, res.Faults.Error())
+	}
+	Render(t.out, res)
+	return verdict(res)
+}
+
+func verdict(res operator.Result) error {
+	if len(res.Faults) > 0 {
+		return exitError{exitFault}
+	}
+	for _, p := range res.Diff {
+		if p.Action != operator.Keep {
+			return exitError{exitDiffers}
+		}
+	}
+	if res.Change != nil {
+		switch res.Change.State {
+		case operator.Refused:
+			return exitError{exitRefused}
+		case operator.Unknown:
+			return exitError{exitUnknown}
+		}
+	}
+	return nil
+}
+
+// Render writes a result for people, without its faults.
+func Render(w io.Writer, res operator.Result) {
+	if res.Change != nil {
+		renderChange(w, res.Change)
+	}
+	renderPlanned(w, res.Diff)
+	for _, a := range res.Answers {
+		renderAnswer(w, a)
+	}
+	if res.Change == nil && res.Diff == nil && res.Answers == nil && res.Checked > 0 {
+		fmt.Fprintf(w, "%d statements, no fault\n", res.Checked)
+	}
+}
+
+func renderChange(w io.Writer, c *operator.Outcome) {
+	switch c.State {
+	case operator.Accepted:
+		fmt.Fprintf(w, "accepted at offset %d\n", c.Offset)
+	case operator.Unchanged:
+		fmt.Fprintf(w, "nothing to change: it is in force at offset %d\n", c.Offset)
+	case operator.Refused:
+		fmt.Fprintf(w, "refused: %s\n", c.Reason)
+		if x := c.Conflict; x != nil && x.Winner != "" {
+			fmt.Fprintf(w, "%s %s was last changed by %s at offset %d\n", x.Kind, x.Name, x.Winner, x.Offset)
+		}
+	case operator.Unknown:
+		fmt.Fprintf(w, "not known yet: %s\nask again with --change-id %s\n", c.Reason, c.ID)
+	}
+	renderPlanned(w, c.Objects)
+}
+
+var signs = map[operator.Action]string{operator.Add: "+", operator.Change: "~", operator.Drop: "-", operator.Keep: "="}
+
+func renderPlanned(w io.Writer, list []operator.Planned) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, p := range list {
+		fmt.Fprintln(tw, strings.TrimRight(fmt.Sprintf("%s %s %s\t%s", signs[p.Action], p.Kind, p.Name, p.Detail), "\t"))
+	}
+	tw.Flush()
+}
+
+func renderAnswer(w io.Writer, a operator.Answer) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range a.Facts {
+		fmt.Fprintf(tw, "%s\t%s\n", f.Name, f.Value)
+	}
+	tw.Flush()
+	if a.Table != nil {
+		renderTable(w, a.Table)
+	}
+	for _, c := range a.Changes {
+		fmt.Fprintf(w, "to change: %s\n", c)
+	}
+	for _, m := range a.Missing {
+		fmt.Fprintf(w, "out of reach: %s\n", m)
+	}
+}
+
+// renderTable writes a table without the columns that are empty throughout.
+func renderTable(w io.Writer, t *operator.Table) {
+	if len(t.Rows) == 0 {
+		fmt.Fprintln(w, "none")
+		return
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	shown := columns(t)
+	var names []string
+	for _, i := range shown {
+		names = append(names, strings.ToUpper(t.Columns[i]))
+	}
+	writeRow(tw, names)
+	for _, row := range t.Rows {
+		var cells []string
+		for _, i := range shown {
+			cells = append(cells, format(t.Columns[i], row[i]))
+		}
+		writeRow(tw, cells)
+	}
+	tw.Flush()
+}
+
+func writeRow(w io.Writer, cells []string) { fmt.Fprintln(w, strings.Join(cells, "\t")) }
+
+func columns(t *operator.Table) []int {
+	var shown []int
+	for i := range t.Columns {
+		for _, row := range t.Rows {
+			if c := row[i]; c.Numeric && c.Number != 0 || !c.Numeric && c.Text != "" {
+				shown = append(shown, i)
+				break
+			}
+		}
+	}
+	return shown
+}
+
+func format(column string, c operator.Cell) string {
+	if c.Numeric && strings.HasSuffix(column, "memory") {
+		return language.FormatMemory(int64(c.Number))
+	}
+	return c.String()
+}
--- a/internal/language/compile.go
+++ b/internal/language/compile.go
@@ -1,150 +1,169 @@
 package language
 
 import (
-	"fmt"
-	"regexp"
-	"strconv"
-	"strings"
-	"time"
-
-	"github.com/pkg/errors"
+	"math"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
 
-// ErrValue marks a value that a declaration can't take.
-var ErrValue = errors.New("bad value")
-
-// Operation returns the change that a statement asks for, or nil for a query.
-func (s *Statement) Operation() (*configuration.Op, error) {
-	switch {
-	case s.Domain != nil:
-		return s.Domain.operation()
-	case s.Team != nil:
-		return s.Team.operation()
-	case s.Workload != nil:
-		return s.Workload.operation()
-	case s.Drain != nil:
-		return &configuration.Op{Drain: &configuration.Drain{Host: *s.Drain}}, nil
-	case s.Return != nil:
-		return &configuration.Op{Drain: &configuration.Drain{Host: *s.Return, Return: true}}, nil
-	case len(s.Cancel) > 0:
-		return &configuration.Op{Cancel: &configuration.Cancel{Workloads: s.Cancel}}, nil
-	}
-	return nil, nil
-}
-
-func (d *Domain) operation() (*configuration.Op, error) {
-	out := &configuration.Domain{Name: d.Name, Region: d.Region, Entries: d.Entries}
-	for _, w := range d.Workers {
-		names, err := expand(w)
-		if err != nil {
-			return nil, err
-		}
-		out.Workers = append(out.Workers, names...)
-	}
-	return &configuration.Op{Domain: out}, nil
-}
-
-func (t *Team) operation() (*configuration.Op, error) {
-	out := &configuration.Team{Name: t.Name, Weight: 1}
-	for _, o := range t.Options {
-		var err error
-		switch o.Key {
-		case "cpu":
-			out.Quota.MilliCPU, err = cores(o.Value)
-		case "memory":
-			out.Quota.MemoryMiB, err = memory(o.Value)
-		case "accelerators":
-			out.Quota.Accelerators, err = strconv.ParseInt(o.Value, 10, 64)
-		case "weight":
-			out.Weight, err = strconv.ParseInt(o.Value, 10, 64)
-		default:
-			err = errors.Wrapf(ErrValue, "a team has no %s", o.Key)
-		}
-		if err != nil {
-			return nil, errors.WithMessagef(err, "%s: %s", o.Pos, o.Key)
-		}
-	}
-	return &configuration.Op{Team: out}, nil
+// choices are the values of settings that have a fixed set of them.
+var choices = map[string][]string{
+	"policy":  {"fast", "thrifty", "careful"},
+	"urgency": {"low", "normal", "urgent"},
+	"spread":  {"yes", "no"},
 }
 
-func (w *Workload) operation() (*configuration.Op, error) {
-	out := &configuration.Workload{Name: w.Name, Kind: configuration.WorkloadKind(w.Kind), Count: 1}
-	for _, o := range w.Options {
-		if err := o.apply(out); err != nil {
-			return nil, errors.WithMessagef(err, "%s: %s", o.Pos, o.Key)
-		}
-	}
-	for _, h := range w.Homes {
-		out.Homes = append(out.Homes, configuration.Home{Domain: h.Domain, Count: h.Count})
-	}
-	return &configuration.Op{Workload: out}, nil
+// setting is the value of an option; the field that its key names is set.
+type setting struct {
+	size    resource.Vector
+	number  int64
+	team    string
+	policy  configuration.Policy
+	urgency configuration.Urgency
+	spread  bool
 }
 
-func (o *Option) apply(out *configuration.Workload) (err error) {
+func (o *Option) parse() (v setting, err error) {
+	s := o.Value.Text
 	switch o.Key {
 	case "team":
-		out.Team = o.Value
+		v.team, err = s, checkName(s)
 	case "count":
-		out.Count, err = strconv.Atoi(o.Value)
+		v.number, err = integer(s, 1, maxCount)
 	case "cpu":
-		out.Size.MilliCPU, err = cores(o.Value)
+		v.size.MilliCPU, err = cores(s)
 	case "memory":
-		out.Size.MemoryMiB, err = memory(o.Value)
+		v.size.MemoryMiB, err = memory(s)
 	case "accelerators":
-		out.Size.Accelerators, err = strconv.ParseInt(o.Value, 10, 64)
+		v.size.Accelerators, err = integer(s, 1, maxCount)
 	case "policy":
-		out.Policy = configuration.Policy(o.Value)
+		v.policy, err = oneOf(s, configuration.Fast, configuration.Thrifty, configuration.Careful)
 	case "urgency":
-		out.Urgency = configuration.Urgency(o.Value)
+		v.urgency, err = oneOf(s, configuration.Low, configuration.Normal, configuration.Urgent)
 	case "run":
-		var d time.Duration
-		d, err = time.ParseDuration(o.Value)
-		out.RunMillis = d.Milliseconds()
+		v.number, err = runTime(s)
 	case "spread":
-		out.Spread = o.Value == "yes"
+		var yes string
+		yes, err = oneOf(s, "yes", "no")
+		v.spread = yes == "yes"
+	case "weight":
+		v.number, err = integer(s, 1, maxWeight)
 	}
-	return err
+	return v, err
 }
 
-func cores(s string) (int64, error) {
-	f, err := strconv.ParseFloat(s, 64)
-	return int64(f * 1000), err
+// Expected returns the version that the statement expects, if it names one.
+func (s *Statement) Expected() (int64, bool) {
+	switch {
+	case s.Absent:
+		return configuration.Absent, true
+	case s.Version == nil:
+		return 0, false
+	}
+	n, err := integer(s.Version.Text, 0, math.MaxInt64)
+	return n, err == nil
 }
 
-// memory reads an amount such as 512MiB or 8GiB.
-func memory(s string) (int64, error) {
-	if n, ok := strings.CutSuffix(s, "GiB"); ok {
-		v, err := strconv.ParseInt(n, 10, 64)
-		return v * 1024, err
+// Max returns the limit that w gives, or most when there is none.
+func Max(w *Word, most int) int {
+	if w == nil {
+		return most
 	}
-	n, ok := strings.CutSuffix(s, "MiB")
-	if !ok {
-		return 0, errors.Wrapf(ErrValue, "%q: write MiB or GiB", s)
+	n, err := integer(w.Text, 1, maxCount)
+	if err != nil {
+		return most
+	}
+	return min(int(n), most)
+}
+
+// Value returns the domain that a checked statement declares.
+func (d *Domain) Value() configuration.Domain {
+	return configuration.Domain{Name: d.Name.Text, Region: d.Region.Text, Workers: expandAll(d.Workers), Entries: expandAll(d.Entries)}
+}
+
+func expandAll(words []*Word) []string {
+	var all []string
+	for _, w := range words {
+		names, _ := expand(w.Text)
+		all = append(all, names...)
 	}
-	return strconv.ParseInt(n, 10, 64)
+	return all
 }
 
-var rangePattern = regexp.MustCompile(`^(.*)\[(\d+)-(\d+)\](.*)$`)
+// Value returns the team that a checked statement declares.
+func (t *Team) Value() configuration.Team {
+	out := configuration.Team{Name: t.Name.Text, Weight: 1}
+	ApplyTeam(t.Options, &out)
+	return out
+}
 
-// maxRange bounds the names that one range may stand for.
-const maxRange = 10000
+// Value returns the workload that a checked statement declares. Without homes
+// in the statement it has none.
+func (w *Workload) Value() configuration.Workload {
+	out := configuration.Workload{
+		Name: w.Name.Text, Kind: configuration.WorkloadKind(w.Kind), Count: 1,
+		Policy: configuration.Fast, Urgency: configuration.Normal,
+	}
+	ApplyWorkload(w.Options, &out)
+	for _, h := range w.Homes {
+		n, _ := integer(h.Count.Text, 0, maxCount)
+		out.Homes = append(out.Homes, configuration.Home{Domain: h.Domain.Text, Count: int(n)})
+	}
+	return out
+}
+
+// ApplyTeam changes what checked options name.
+func ApplyTeam(options []*Option, out *configuration.Team) {
+	for _, o := range options {
+		v, _ := o.parse()
+		applySize(o.Key, v, &out.Quota)
+		if o.Key == "weight" {
+			out.Weight = v.number
+		}
+	}
+}
 
-// expand writes out a range of names such as w-[01-12].
-func expand(s string) ([]string, error) {
-	m := rangePattern.FindStringSubmatch(s)
-	if m == nil {
-		return []string{s}, nil
+// ApplyWorkload changes what checked options name.
+func ApplyWorkload(options []*Option, out *configuration.Workload) {
+	for _, o := range options {
+		v, _ := o.parse()
+		applySize(o.Key, v, &out.Size)
+		switch o.Key {
+		case "team":
+			out.Team = v.team
+		case "count":
+			out.Count = int(v.number)
+		case "policy":
+			out.Policy = v.policy
+		case "urgency":
+			out.Urgency = v.urgency
+		case "run":
+			out.RunMillis = v.number
+		case "spread":
+			out.Spread = v.spread
+		}
 	}
-	from, _ := strconv.Atoi(m[2])
-	to, _ := strconv.Atoi(m[3])
-	if to < from || to-from >= maxRange {
-		return nil, errors.Wrapf(ErrValue, "range %s", s)
+}
+
+func applySize(key string, v setting, out *resource.Vector) {
+	switch key {
+	case "cpu":
+		out.MilliCPU = v.size.MilliCPU
+	case "memory":
+		out.MemoryMiB = v.size.MemoryMiB
+	case "accelerators":
+		out.Accelerators = v.size.Accelerators
 	}
-	var names []string
-	for i := from; i <= to; i++ {
-		names = append(names, fmt.Sprintf("%s%0*d%s", m[1], len(m[2]), i, m[4]))
+}
+
+// OptionWord returns the value of the last option with the key, or nil.
+func OptionWord(options []*Option, key string) *Word {
+	var w *Word
+	for _, o := range options {
+		if o.Key == key {
+			w = o.Value
+		}
 	}
-	return names, nil
+	return w
 }
--- a/internal/language/grammar.go
+++ b/internal/language/grammar.go
@@ -1,46 +1,60 @@
-// Package language reads the operators' query and command language.
+// Package language reads the operators' query and command language: the
+// grammar, the checks that need no server, and faults that point at a word.
 package language
 
-import (
-	"github.com/alecthomas/participle/v2"
-	"github.com/alecthomas/participle/v2/lexer"
-)
+import "github.com/alecthomas/participle/v2/lexer"
 
-// Script is a sequence of statements, each ended by a semicolon.
-type Script struct {
-	Statements []*Statement `parser:"( @@ ';' )*"`
+// Word is a name or value with its place in the text.
+type Word struct {
+	Pos  lexer.Position
+	Text string `parser:"@Word"`
 }
 
-// Statement is one statement; exactly one field is set.
+// Statement is one statement; exactly one of the verbs is set.
 type Statement struct {
-	Pos      lexer.Position
-	Domain   *Domain   `parser:"  'declare' 'domain' @@"`
-	Team     *Team     `parser:"| 'declare' 'team' @@"`
-	Workload *Workload `parser:"| 'declare' @@"`
-	Drain    *string   `parser:"| 'drain' @Word"`
-	Return   *string   `parser:"| 'return' @Word"`
-	Cancel   []string  `parser:"| 'cancel' @Word ( ',' @Word )*"`
-	List     *List     `parser:"| 'list' @@"`
+	Pos     lexer.Position
+	Declare *Declare `parser:"( 'declare' @@"`
+	Set     *Set     `parser:"| 'set' @@"`
+	Drain   []*Word  `parser:"| 'drain' @@ ( ',' @@ )*"`
+	Return  []*Word  `parser:"| 'return' @@ ( ',' @@ )*"`
+	Cancel  *Target  `parser:"| 'cancel' @@"`
+	Remove  *Object  `parser:"| 'remove' @@"`
+	List    *List    `parser:"| 'list' @@"`
+	Explain *Object  `parser:"| 'explain' @@"`
+	History *History `parser:"| @@ )"`
+	// Version is the version that the changed objects must have.
+	Version *Word `parser:"( 'if' ( 'version' @@"`
+	// Absent asks that the changed objects aren't declared yet.
+	Absent bool `parser:"| @'absent' ) )?"`
+	// Text is the statement as written, on one line.
+	Text string
+}
+
+// Declare declares an object; exactly one field is set.
+type Declare struct {
+	Domain   *Domain   `parser:"  'domain' @@"`
+	Team     *Team     `parser:"| 'team' @@"`
+	Workload *Workload `parser:"| @@"`
 }
 
 // Domain declares a failure domain.
 type Domain struct {
-	Name    string   `parser:"@Word"`
-	Region  string   `parser:"'region' @Word"`
-	Workers []string `parser:"'workers' @Word ( ',' @Word )*"`
-	Entries []string `parser:"'entries' @Word ( ',' @Word )*"`
+	Name    *Word   `parser:"@@"`
+	Region  *Word   `parser:"'region' @@"`
+	Workers []*Word `parser:"'workers' @@ ( ',' @@ )*"`
+	Entries []*Word `parser:"'entries' @@ ( ',' @@ )*"`
 }
 
 // Team declares a team.
 type Team struct {
-	Name    string    `parser:"@Word"`
+	Name    *Word     `parser:"@@"`
 	Options []*Option `parser:"@@*"`
 }
 
 // Workload declares a service, batch work or an all-at-once job.
 type Workload struct {
 	Kind    string    `parser:"@( 'service' | 'batch' | 'gang' )"`
-	Name    string    `parser:"@Word"`
+	Name    *Word     `parser:"@@"`
 	Options []*Option `parser:"@@*"`
 	Homes   []*Home   `parser:"( 'homes' @@ ( ',' @@ )* )?"`
 }
@@ -49,28 +63,63 @@
 type Option struct {
 	Pos   lexer.Position
 	Key   string `parser:"@( 'team' | 'count' | 'cpu' | 'memory' | 'accelerators' | 'policy' | 'urgency' | 'run' | 'spread' | 'weight' )"`
-	Value string `parser:"@Word"`
+	Value *Word  `parser:"@@"`
 }
 
 // Home is a failure domain's part of a workload.
 type Home struct {
-	Domain string `parser:"@Word"`
-	Count  int    `parser:"@Word"`
+	Domain *Word `parser:"@@"`
+	Count  *Word `parser:"@@"`
+}
+
+// Set changes settings of declared objects and leaves the others.
+type Set struct {
+	Options []*Option `parser:"@@ ( ',' @@ )*"`
+	For     *Target   `parser:"'for' @@"`
+}
+
+// Target names declared objects, or picks them by conditions.
+type Target struct {
+	Kind  string       `parser:"( @( 'services' | 'service' | 'batch' | 'gangs' | 'gang' | 'workloads' | 'workload' | 'team' ) )?"`
+	Where []*Condition `parser:"( 'where' @@ ( 'and' @@ )*"`
+	Names []*Word      `parser:"| @@ ( ',' @@ )* )"`
+}
+
+// Condition compares a column of a list with a value.
+type Condition struct {
+	Column *Word  `parser:"@@"`
+	Op     string `parser:"@Op"`
+	Value  *Word  `parser:"@@"`
 }
 
 // List asks for a table of objects.
 type List struct {
-	What string `parser:"@Word"`
+	What  *Word        `parser:"@@"`
+	Where []*Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+	Order []*Order     `parser:"( 'order' 'by' @@ ( ',' @@ )* )?"`
+	Limit *Word        `parser:"( 'limit' @@ )?"`
+}
+
+// Order sorts a table by a column.
+type Order struct {
+	Column *Word `parser:"@@"`
+	Desc   bool  `parser:"( @'desc' | 'asc' )?"`
 }
 
-var tokens = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Comment", Pattern: `#[^\n]*`},
-	{Name: "Word", Pattern: `[A-Za-z0-9_./\[\]-]+`},
-	{Name: "Punct", Pattern: `[;,]`},
-	{Name: "Space", Pattern: `\s+`},
-})
+// Object names one object.
+type Object struct {
+	Kind *Word `parser:"@@"`
+	Name *Word `parser:"@@"`
+}
 
-var parser = participle.MustBuild[Script](participle.Lexer(tokens), participle.Elide("Comment", "Space"), participle.UseLookahead(2))
+// History asks who changed what, of one object or of all.
+type History struct {
+	Verb   string  `parser:"@'history'"`
+	Object *Object `parser:"( (?! 'limit' | 'if' ) @@ )?"`
+	Limit  *Word   `parser:"( 'limit' @@ )?"`
+}
 
-// Parse reads a script.
-func Parse(text string) (*Script, error) { return parser.ParseString("", text) }
+// Changes reports whether the statement changes the configuration.
+func (s *Statement) Changes() bool {
+	return s.List == nil && s.Explain == nil && s.History == nil
+}
--- /dev/null
+++ b/internal/language/parse.go
@@ -0,0 +1,151 @@
+package language
+
+import (
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/pkg/errors"
+)
+
+// Script is a sequence of statements, each ended by a semicolon.
+type Script struct {
+	Statements []*Statement
+	lines      []string
+	// names counts the workers and entries that the script names.
+	names int
+}
+
+// MaxText bounds the bytes of one script.
+const MaxText = 4 << 20
+
+var tokens = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "Word", Pattern: `[A-Za-z0-9_./\[\]-]+`},
+	{Name: "Op", Pattern: `!=|<=|>=|[=<>~]`},
+	{Name: "Punct", Pattern: `[;,]`},
+	{Name: "Space", Pattern: `\s+`},
+	{Name: "Other", Pattern: `.`},
+})
+
+var parser = participle.MustBuild[Statement](participle.Lexer(tokens), participle.Elide("Comment", "Space"), participle.UseLookahead(2))
+
+// Parse reads a script and checks all that can be checked without a server.
+// Its error is of type Faults and names every fault.
+func Parse(text string) (*Script, error) {
+	s := &Script{lines: strings.Split(text, "\n")}
+	if len(text) > MaxText {
+		return nil, Faults{{Line: 1, Column: 1, Message: "the text is longer than 4 MiB"}}
+	}
+	groups, faults := s.split(text)
+	for _, g := range groups {
+		st, err := s.parse(g)
+		if err != nil {
+			faults = append(faults, *err)
+			continue
+		}
+		s.Statements = append(s.Statements, st)
+		faults = append(faults, s.check(st)...)
+	}
+	if len(faults) > 0 {
+		faults.sort()
+		return nil, faults
+	}
+	return s, nil
+}
+
+// group holds the tokens of one statement; the last one ends the input.
+type group []lexer.Token
+
+// split divides the text at its semicolons.
+func (s *Script) split(text string) ([]group, Faults) {
+	lex, err := tokens.LexString("", text)
+	if err != nil {
+		return nil, Faults{{Line: 1, Column: 1, Message: err.Error()}}
+	}
+	names := tokens.Symbols()
+	var groups []group
+	var faults Faults
+	var g group
+	for {
+		t, err := lex.Next()
+		switch {
+		case err != nil:
+			return groups, append(faults, Fault{Line: 1, Column: 1, Message: err.Error()})
+		case t.EOF() && len(g) > 0:
+			faults = append(faults, s.faultAt(g[len(g)-1].Pos, g[len(g)-1].Value, "the statement isn't ended by a semicolon"))
+			return groups, faults
+		case t.EOF():
+			return groups, faults
+		case t.Type == names["Space"] || t.Type == names["Comment"]:
+		case t.Value == ";":
+			if len(g) > 0 {
+				groups = append(groups, append(g, lexer.Token{Type: lexer.EOF, Pos: t.Pos}))
+			}
+			g = nil
+		default:
+			g = append(g, t)
+		}
+	}
+}
+
+// Next implements lexer.Lexer.
+func (g *group) Next() (lexer.Token, error) {
+	t := (*g)[0]
+	if !t.EOF() {
+		*g = (*g)[1:]
+	}
+	return t, nil
+}
+
+func (g group) text() string {
+	var b strings.Builder
+	for i, t := range g[:len(g)-1] {
+		if i > 0 && t.Value != "," {
+			b.WriteByte(' ')
+		}
+		b.WriteString(t.Value)
+	}
+	return b.String()
+}
+
+func (s *Script) parse(g group) (*Statement, *Fault) {
+	text := g.text()
+	lex, err := lexer.Upgrade(&g)
+	if err != nil {
+		return nil, &Fault{Line: 1, Column: 1, Message: err.Error()}
+	}
+	st, err := parser.ParseFromLexer(lex)
+	if err == nil {
+		st.Text = text
+		return st, nil
+	}
+	f := s.syntaxFault(err)
+	return nil, &f
+}
+
+func (s *Script) syntaxFault(err error) Fault {
+	var unexpected *participle.UnexpectedTokenError
+	if errors.As(err, &unexpected) {
+		t := unexpected.Unexpected
+		if t.EOF() {
+			return s.faultAt(t.Pos, ";", "the statement ends too early"+expected(unexpected))
+		}
+		f := s.faultAt(t.Pos, t.Value, "unexpected word"+expected(unexpected))
+		f.Suggestion = Nearest(t.Value, keywords)
+		return f
+	}
+	var at participle.Error
+	if errors.As(err, &at) {
+		return s.faultAt(at.Position(), "", at.Message())
+	}
+	return Fault{Line: 1, Column: 1, Message: err.Error()}
+}
+
+func expected(e *participle.UnexpectedTokenError) string {
+	_, after, ok := strings.Cut(e.Message(), "(expected ")
+	if !ok {
+		return ""
+	}
+	return ", expected " + strings.TrimSuffix(after, ")")
+}
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -27,6 +27,9 @@
 	Workers platform.Workers
 	Client  *http.Client
 	Logger  *logrus.Entry
+	// Count adds to the counter of a kind (refusal, retry, loss) and reason.
+	// It may be called concurrently.
+	Count func(kind, reason string, n int64)
 }
 
 // The pace of the daemon's loops.
@@ -50,6 +53,8 @@
 	calls chan func(*scheduler.Core)
 	core  *scheduler.Core
 	wg    sync.WaitGroup
+	// counted holds the core's counters as last passed on.
+	counted scheduler.Counters
 
 	mu     sync.Mutex
 	status status
@@ -70,6 +75,9 @@
 
 // New returns a daemon that has not started.
 func New(opt Options) *Daemon {
+	if opt.Count == nil {
+		opt.Count = func(string, string, int64) {}
+	}
 	return &Daemon{
 		opt:     opt,
 		start:   time.Now(),
@@ -134,6 +142,7 @@
 	for _, eff := range d.core.Step(time.Since(d.start), ev) {
 		d.do(io, eff)
 	}
+	d.count()
 	d.publish()
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,14 +1,17 @@
 // Package settings runs a program's command with settings from flags and
-// environment variables.
+// environment variables. All settings are checked before the command runs, and
+// every bad one is named at once.
 package settings
 
 import (
 	"fmt"
+	"io"
 	"os"
-	"reflect"
+	"runtime/debug"
 	"strings"
 
-	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 )
@@ -39,56 +42,168 @@
 	return "bad settings:\n  " + strings.Join(lines, "\n  ")
 }
 
-// FromEnvironment sets each flag that was not given from its variable:
-// --log-url from MIMOSASPOOL_LOG_URL.
-func FromEnvironment(flags *pflag.FlagSet) error {
-	var problems []Problem
-	flags.VisitAll(func(f *pflag.Flag) {
-		v, ok := os.LookupEnv(Prefix + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_")))
-		if !ok || f.Changed {
+// ExitCoder is an error that sets the program's exit code.
+type ExitCoder interface {
+	error
+	ExitCode() int
+}
+
+// Variable returns the environment variable of a flag: --log-url is read from
+// MIMOSASPOOL_LOG_URL.
+func Variable(flag string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// unset names flags that have no environment variable.
+var unset = map[string]bool{"help": true, "version": true}
+
+// checked keeps a value's error instead of ending the parse with it.
+type checked struct {
+	pflag.Value
+	name     string
+	problems *[]Problem
+}
+
+// Set implements pflag.Value.
+func (c checked) Set(s string) error {
+	if err := c.Value.Set(s); err != nil {
+		*c.problems = append(*c.problems, Problem{c.name, s, "must be of type " + c.Type() + ": " + cause(err)})
+	}
+	return nil
+}
+
+func cause(err error) string {
+	for errors.Unwrap(err) != nil {
+		err = errors.Unwrap(err)
+	}
+	return err.Error()
+}
+
+// run is one run of a program's command.
+type run struct {
+	options  []any
+	problems []Problem
+	format   string
+	// started is set once the settings are known to be good.
+	started bool
+}
+
+// Execute runs a command and returns the exit code. The options are pointers
+// to structs with validate and flag tags; they are checked before the command runs.
+func Execute(cmd *cobra.Command, options ...any) int {
+	r := &run{options: options}
+	r.prepare(cmd)
+	err := cmd.Execute()
+	return r.exit(os.Stderr, err)
+}
+
+func (r *run) prepare(cmd *cobra.Command) {
+	cmd.SilenceUsage, cmd.SilenceErrors = true, true
+	cmd.Version = Version()
+	if !cmd.HasSubCommands() {
+		cmd.Flags().StringVar(&r.format, "log-format", "text", "form of log lines: text or json")
+		cmd.InitDefaultCompletionCmd()
+	}
+	r.checkFlags(cmd)
+	cmd.PersistentPreRunE = func(c *cobra.Command, _ []string) error { return r.check(c) }
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		if len(r.problems) > 0 {
+			return fmt.Errorf("%w\n%w", err, &Error{r.problems})
+		}
+		return err
+	})
+}
+
+// checkFlags prepares the flags of a command and of those below it.
+func (r *run) checkFlags(cmd *cobra.Command) {
+	visit := func(f *pflag.Flag) {
+		if _, done := f.Value.(checked); done || unset[f.Name] {
 			return
 		}
-		if err := flags.Set(f.Name, v); err != nil {
-			problems = append(problems, Problem{f.Name, v, err.Error()})
+		f.Usage += " [" + Variable(f.Name) + "]"
+		if f.Value.Type() != "bool" {
+			f.Value = checked{f.Value, f.Name, &r.problems}
 		}
-	})
-	if len(problems) > 0 {
-		return &Error{problems}
 	}
-	return nil
+	cmd.PersistentFlags().VisitAll(visit)
+	cmd.Flags().VisitAll(visit)
+	for _, c := range cmd.Commands() {
+		r.checkFlags(c)
+	}
 }
 
-// Validate checks a struct by its validate tags. Fields name their flag in a
-// flag tag.
-func Validate(options any) error {
-	v := validator.New()
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("flag") })
-	err := v.Struct(options)
-	if err == nil {
+// check reads the environment and names every setting that can't be used.
+func (r *run) check(cmd *cobra.Command) error {
+	if strings.HasPrefix(cmd.Name(), "__") || cmd.Name() == "help" || cmd.HasParent() && cmd.Parent().Name() == "completion" {
 		return nil
 	}
-	invalid, ok := err.(validator.ValidationErrors)
-	if !ok {
-		return err
+	r.fromEnvironment(cmd.Flags())
+	bad := map[string]bool{}
+	for _, p := range r.problems {
+		bad[p.Flag] = true
+	}
+	for _, o := range r.options {
+		for _, p := range invalid(o) {
+			if !bad[p.Flag] {
+				r.problems = append(r.problems, p)
+			}
+		}
+	}
+	switch r.format {
+	case "", "text":
+	case "json":
+		logrus.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		r.problems = append(r.problems, Problem{"log-format", r.format, "must be one of text, json"})
 	}
-	e := &Error{}
-	for _, f := range invalid {
-		e.Problems = append(e.Problems, Problem{f.Field(), fmt.Sprint(f.Value()), strings.TrimSpace("must be " + f.Tag() + " " + f.Param())})
+	if len(r.problems) > 0 {
+		return &Error{r.problems}
 	}
-	return e
+	r.started = true
+	return nil
 }
 
-// Execute runs a command and returns the exit code.
-func Execute(cmd *cobra.Command) int {
-	cmd.SilenceUsage, cmd.SilenceErrors = true, true
-	cmd.PersistentPreRunE = func(c *cobra.Command, _ []string) error { return FromEnvironment(c.Flags()) }
-	err := cmd.Execute()
+// fromEnvironment sets each flag that was not given from its variable.
+func (r *run) fromEnvironment(flags *pflag.FlagSet) {
+	flags.VisitAll(func(f *pflag.Flag) {
+		v, ok := os.LookupEnv(Variable(f.Name))
+		if !ok || f.Changed || unset[f.Name] {
+			return
+		}
+		if err := flags.Set(f.Name, v); err != nil {
+			r.problems = append(r.problems, Problem{f.Name, v, cause(err)})
+		}
+	})
+}
+
+func (r *run) exit(w io.Writer, err error) int {
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintln(os.Stderr, "error:", err)
-	if _, ok := err.(*Error); ok {
+	if text := err.Error(); text != "" {
+		fmt.Fprintln(w, "error:", text)
+	}
+	var settings *Error
+	var coder ExitCoder
+	switch {
+	case errors.As(err, &coder):
+		return coder.ExitCode()
+	case errors.As(err, &settings), !r.started:
 		return ExitSettings
 	}
 	return ExitFailed
 }
+
+// Version returns the version that the program was built from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && info.Main.Version == "(devel)" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
