--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -56,7 +57,10 @@
 		renderChange(w, res.Change)
 	}
 	renderPlanned(w, res.Diff)
-	for _, a := range res.Answers {
+	for i, a := range res.Answers {
+		if i > 0 || res.Change != nil {
+			fmt.Fprintln(w)
+		}
 		renderAnswer(w, a)
 	}
 	if res.Change == nil && res.Diff == nil && res.Answers == nil && res.Checked > 0 {
@@ -114,7 +118,8 @@
 		fmt.Fprintln(w, "none")
 		return
 	}
-	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var b bytes.Buffer
+	tw := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	shown := columns(t)
 	var names []string
 	for _, i := range shown {
@@ -129,6 +134,9 @@
 		writeRow(tw, cells)
 	}
 	tw.Flush()
+	for line := range strings.Lines(b.String()) {
+		fmt.Fprintln(w, strings.TrimRight(line, " \n"))
+	}
 }
 
 func writeRow(w io.Writer, cells []string) { fmt.Fprintln(w, strings.Join(cells, "\t")) }
--- a/internal/language/fault.go
+++ b/internal/language/fault.go
@@ -64,7 +64,8 @@
 	return strings.Join(lines, "\n")
 }
 
-func (f Faults) sort() {
+// Sort puts the faults in the order of the text.
+func (f Faults) Sort() {
 	sort.SliceStable(f, func(i, j int) bool {
 		if f[i].Line != f[j].Line {
 			return f[i].Line < f[j].Line
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -12,6 +12,8 @@
 type Script struct {
 	Statements []*Statement
 	lines      []string
+	// doubtful holds the words of statements that were left out for a fault.
+	doubtful map[string]bool
 	// names counts the workers and entries that the script names.
 	names int
 }
@@ -31,29 +33,42 @@
 var parser = participle.MustBuild[Statement](participle.Lexer(tokens), participle.Elide("Comment", "Space"), participle.UseLookahead(2))
 
 // Parse reads a script and checks all that can be checked without a server.
-// Its error is of type Faults and names every fault.
+// Its error is of type Faults and names every fault; the script then holds the
+// statements that have none.
 func Parse(text string) (*Script, error) {
-	s := &Script{lines: strings.Split(text, "\n")}
+	s := &Script{lines: strings.Split(text, "\n"), doubtful: map[string]bool{}}
 	if len(text) > MaxText {
-		return nil, Faults{{Line: 1, Column: 1, Message: "the text is longer than 4 MiB"}}
+		return s, Faults{{Line: 1, Column: 1, Message: "the text is longer than 4 MiB"}}
 	}
 	groups, faults := s.split(text)
 	for _, g := range groups {
 		st, err := s.parse(g)
+		var bad Faults
 		if err != nil {
-			faults = append(faults, *err)
+			bad = Faults{*err}
+		} else {
+			bad = s.check(st)
+		}
+		if len(bad) == 0 {
+			s.Statements = append(s.Statements, st)
 			continue
 		}
-		s.Statements = append(s.Statements, st)
-		faults = append(faults, s.check(st)...)
+		faults = append(faults, bad...)
+		for _, t := range g {
+			s.doubtful[t.Value] = true
+		}
 	}
 	if len(faults) > 0 {
-		faults.sort()
-		return nil, faults
+		faults.Sort()
+		return s, faults
 	}
 	return s, nil
 }
 
+// Doubtful reports whether a word stands in a statement that was left out for
+// a fault, so that nothing can be said about what it names.
+func (s *Script) Doubtful(word string) bool { return s.doubtful[word] }
+
 // group holds the tokens of one statement; the last one ends the input.
 type group []lexer.Token
 
@@ -147,5 +162,13 @@
 	if !ok {
 		return ""
 	}
-	return ", expected " + strings.TrimSuffix(after, ")")
+	return ", expected " + nodes.Replace(strings.TrimSuffix(after, ")"))
 }
+
+// nodes names the grammar's parts for people.
+var nodes = strings.NewReplacer(
+	"<word>", "a name or value", "<op>", "one of = != < <= > >= ~", "Declare", "domain, team, service, batch or gang",
+	"Domain", "a domain", "Team", "a team", "Workload", "service, batch or gang", "Set", "a setting", "Option", "a setting",
+	"Target", "a name, or a kind of workload", "Object", "a kind and a name", "List", "a list", "History", "history",
+	"Word", "a name or value", "Condition", "a condition", "Home", "a domain and a count", "Order", "a column", "<EOF>", "the end",
+)
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -174,6 +174,14 @@
 	return a
 }
 
+// fact writes a column as a property.
+func fact(column string, c Cell) Fact {
+	if c.Numeric && strings.HasSuffix(column, "memory") {
+		return Fact{column, language.FormatMemory(int64(c.Number))}
+	}
+	return Fact{column, c.String()}
+}
+
 func (s *Service) explainDomain(ctx context.Context, script *language.Script, o *language.Object) (Answer, language.Faults, error) {
 	var domains []configuration.Entry[configuration.Domain]
 	if err := s.onCore(ctx, func(c *scheduler.Core) { domains = domainEntries(c.Catalog()) }); err != nil {
@@ -188,7 +196,7 @@
 	a := Answer{Missing: missing(names[i:i+1], all)}
 	row := domainsTable(domains[i:i+1], all)
 	for k, c := range row.Columns {
-		a.Facts = append(a.Facts, Fact{c, row.Rows[0][k].String()})
+		a.Facts = append(a.Facts, fact(c, row.Rows[0][k]))
 	}
 	if len(a.Missing) > 0 {
 		a.Changes = append(a.Changes, "a scheduler of the domain must be in reach and own more than three fifths of its workers; its running tasks go on meanwhile")
@@ -218,7 +226,7 @@
 		names = append(names, row[0].Text)
 		for k, c := range table.Columns {
 			if row[0].Text == o.Name.Text {
-				a.Facts = append(a.Facts, Fact{c, row[k].String()})
+				a.Facts = append(a.Facts, fact(c, row[k]))
 			}
 		}
 	}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -148,7 +148,7 @@
 	}
 	script, err := language.Parse(req.Text)
 	if faults := (language.Faults)(nil); errors.As(err, &faults) {
-		return s.refuse(res, faults), nil
+		return s.refuse(res, s.further(ctx, req, script, faults)), nil
 	} else if err != nil {
 		return res, errors.WithStack(err)
 	}
@@ -190,6 +190,22 @@
 	})
 }
 
+// further adds to a script's faults those that its other statements have
+// against the catalog.
+func (s *Service) further(ctx context.Context, req Request, script *language.Script, faults language.Faults) language.Faults {
+	_ = s.onCore(ctx, func(c *scheduler.Core) {
+		p := newPlan(c.Catalog(), script, req, nil)
+		p.run()
+		for _, f := range p.faults {
+			if !script.Doubtful(f.Word) {
+				faults = append(faults, f)
+			}
+		}
+	})
+	faults.Sort()
+	return faults
+}
+
 func (s *Service) refuse(res Result, faults language.Faults) Result {
 	s.node.Count("refusal", "statement-malformed")
 	res.Faults = faults
--- a/internal/operator/workload.go
+++ b/internal/operator/workload.go
@@ -86,6 +86,8 @@
 		sum += h.Count
 	}
 	switch {
+	case len(p.domains.names()) == 0 && p.script.Doubtful("domain"):
+		return
 	case len(p.domains.names()) == 0:
 		p.fault(w, "no failure domain is declared")
 		return
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -2,7 +2,10 @@
 // task takes.
 package resource
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Vector is an amount of each resource. The zero value is nothing.
 type Vector struct {
@@ -45,7 +48,24 @@
 // Valid reports whether no amount is negative.
 func (v Vector) Valid() bool { return v.MilliCPU >= 0 && v.MemoryMiB >= 0 && v.Accelerators >= 0 }
 
-// String writes v as "2.5 cpu 4096 MiB 1 acc".
+// String writes v as "2.5 cpu, 4GiB, 1 accelerators", without what is zero.
 func (v Vector) String() string {
-	return fmt.Sprintf("%g cpu %d MiB %d acc", float64(v.MilliCPU)/1000, v.MemoryMiB, v.Accelerators)
+	var parts []string
+	if v.MilliCPU != 0 {
+		parts = append(parts, fmt.Sprintf("%g cpu", float64(v.MilliCPU)/1000))
+	}
+	switch {
+	case v.MemoryMiB == 0:
+	case v.MemoryMiB%1024 == 0:
+		parts = append(parts, fmt.Sprintf("%dGiB", v.MemoryMiB/1024))
+	default:
+		parts = append(parts, fmt.Sprintf("%dMiB", v.MemoryMiB))
+	}
+	if v.Accelerators != 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", v.Accelerators))
+	}
+	if len(parts) == 0 {
+		return "nothing"
+	}
+	return strings.Join(parts, ", ")
 }
