View takes the log's beginning from a peer

Cause: records that a peer relayed before the first page of the log were kept aside and never applied: the first page, with offset 0, made the view complete but left them waiting. The view then applied offset 2 without 0 and 1, and asked for offset 2 for good, so a scheduler lacked two records and every later one.

Change: a record at offset 0 completes the view, whoever passes it on. A host that reaches only its peers thereby becomes ready too.

--- a/internal/configuration/view.go
+++ b/internal/configuration/view.go
@@ -67,6 +67,10 @@
 		v.complete = false
 		v.waiting = nil
 	}
+	if n.Offset == 0 {
+		// Nothing came before, whoever passed the record on.
+		v.complete = true
+	}
 	if v.complete {
 		return v.apply(n)
 	}
