internal/proof: scheduler cores against fakes in virtual time, judged from the outside

Several scheduler cores per domain run against fake workers with clocks of their own, a log, a lagging list of hosts and links with delay, loss, repetition and cuts, all on one event queue from a seed. Processes are killed, or paused at any point, also between a decision and its message. The checker sees only what workers ran and what operators were told and read.

Timing.Without names guards that tests take out; no setting reaches it.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,9 @@
 
 test:
 	.ci/test
+
+# Plays generated histories under faults: SEEDS=1000 is the long form.
+SEEDS ?= 0
+.PHONY: proof
+proof:
+	$(GO) run ./internal/proof/prove --histories $(SEEDS)
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -26,8 +26,13 @@
 	Detached time.Duration
 	// DriftPerMille bounds the difference in rate between two clocks.
 	DriftPerMille int64
+	// Without names the guards that a test has taken out.
+	Without Guard
 }
 
+// lacks reports whether a test has taken the guard out.
+func (t Timing) lacks(g Guard) bool { return t.Without&g != 0 }
+
 // DefaultTiming suits links with round trips well below a second.
 func DefaultTiming() Timing {
 	return Timing{
@@ -125,7 +130,7 @@
 
 // Receive takes a reply. It reports whether the reply was to the newest write; others change nothing.
 func (c *Claim) Receive(r Reply) bool {
-	if r.Write != c.write || !c.pending {
+	if (r.Write != c.write || !c.pending) && !c.timing.lacks(GuardNewest) {
 		return false
 	}
 	c.pending = false
@@ -160,10 +165,12 @@
 	if r.Expiry <= r.Now {
 		return false
 	}
-	if c.phase == Owned && r.Since == c.since && r.Boot <= c.since {
+	unbroken := r.Since == c.since && r.Boot <= c.since
+	if c.phase == Owned && (unbroken || c.timing.lacks(GuardSince)) {
 		return true
 	}
-	return r.Others == 0 && r.Now-r.Boot >= c.timing.Mark
+	alone := r.Others == 0 || c.timing.lacks(GuardOthers)
+	return alone && (r.Now-r.Boot >= c.timing.Mark || c.timing.lacks(GuardBoot))
 }
 
 // Expire drops a claim whose mark may have lapsed and gives up a write whose
@@ -212,7 +219,12 @@
 
 // StartExpiry returns the expiry, in the worker's clock, of a lease given to a
 // task that is started now: no later than the confirmed mark.
-func (c *Claim) StartExpiry() time.Duration { return c.confirmed }
+func (c *Claim) StartExpiry() time.Duration {
+	if c.timing.lacks(GuardBound) {
+		return c.reading + c.timing.Task
+	}
+	return c.confirmed
+}
 
 // TaskExpiry returns the expiry, in the worker's clock, that a renewal sent now
 // gives to running tasks, and the local time by which that lease has surely run out.
--- a/internal/ownership/term.go
+++ b/internal/ownership/term.go
@@ -58,5 +58,8 @@
 // not seen on any worker is surely not running: an earlier holder of the term
 // renews without it for at most Detached, and the last lease runs out after that.
 func (t *Term) HiddenUntil() time.Duration {
+	if t.timing.lacks(GuardHidden) {
+		return t.began
+	}
 	return t.began + t.timing.Lengthen(t.timing.Detached+t.timing.Task)
 }
--- /dev/null
+++ b/internal/proof/platform.go
@@ -0,0 +1,92 @@
+package proof
+
+import (
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+)
+
+// platformHost is the name of the platform's end of a link.
+const platformHost = "platform"
+
+// Times of the platform's services.
+const (
+	readWait  = 2 * time.Second
+	callLimit = 5 * time.Second
+	listLag   = 2 * time.Second
+	slowest   = 4 * time.Second
+)
+
+// log is the platform's append-only log.
+type log struct {
+	w       *World
+	first   int64
+	records []configuration.Numbered
+	// down and slow hold until when the log does not answer, or answers late.
+	down, slow time.Duration
+	// forgetful is the chance in thousandths that an append's reply is lost.
+	forgetful int
+	waiting   []func()
+}
+
+func (l *log) next() int64 { return l.first + int64(len(l.records)) }
+
+// append adds a record; answer is not called when the reply is lost.
+func (l *log) append(data []byte, answer func(offset int64)) {
+	if l.w.now < l.down {
+		return
+	}
+	l.w.after(l.pace(), func() {
+		offset := l.next()
+		l.records = append(l.records, configuration.Numbered{Offset: offset, TimeMillis: l.w.now.Milliseconds(), Data: data})
+		waiting := l.waiting
+		l.waiting = nil
+		for _, wake := range waiting {
+			wake()
+		}
+		if l.w.now >= l.down && !l.w.chance(l.forgetful) {
+			answer(offset)
+		}
+	})
+}
+
+func (l *log) pace() time.Duration {
+	if l.w.now < l.slow {
+		return l.w.upTo(slowest)
+	}
+	return time.Millisecond
+}
+
+// read answers with the records from an offset on, and waits for one.
+func (l *log) read(from int64, answer func(first int64, records []configuration.Numbered)) {
+	if l.w.now < l.down {
+		return
+	}
+	reply := func() {
+		if l.w.now < l.down {
+			return
+		}
+		start := min(max(from, l.first), l.next())
+		answer(l.first, l.records[start-l.first:])
+	}
+	if from < l.next() {
+		l.w.after(l.pace(), reply)
+		return
+	}
+	done := false
+	once := func() {
+		if !done {
+			done = true
+			reply()
+		}
+	}
+	l.waiting = append(l.waiting, once)
+	l.w.after(readWait, once)
+}
+
+// publish makes the present hosts of a domain visible in the list, after a lag.
+func (w *World) publish(domain string) {
+	hosts := append([]scheduler.Host(nil), w.hosts[domain]...)
+	w.after(w.between(listLag/2, listLag), func() { w.listed[domain] = hosts })
+}
--- /dev/null
+++ b/internal/proof/world.go
@@ -0,0 +1,133 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/checker"
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+)
+
+// Site tells what a world consists of.
+type Site struct {
+	Domains, Schedulers, Workers int
+	Capacity                     resource.Vector
+	Timing                       ownership.Timing
+	Link                         link
+}
+
+// World is a site in virtual time.
+type World struct {
+	now       time.Duration
+	queue     queue
+	rand      *rand.Rand
+	timing    ownership.Timing
+	link      link
+	cuts      map[route]time.Duration
+	log       *log
+	processes []*process
+	machines  []*machine
+	addresses map[string]*machine
+	domains   []string
+	hosts     map[string][]scheduler.Host
+	listed    map[string][]scheduler.Host
+	// lastStart is when each task last started.
+	lastStart map[string]time.Duration
+	Tasks     *checker.Tasks
+	Changes   *checker.Changes
+	// Writes counts the messages to workers.
+	Writes int
+}
+
+// NewWorld builds a site from a seed and declares its domains.
+func NewWorld(seed uint64, s Site) *World {
+	w := &World{
+		rand: rand.New(rand.NewPCG(seed, 0)), timing: s.Timing, link: s.Link, cuts: map[route]time.Duration{},
+		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{},
+		lastStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(),
+	}
+	w.log = &log{w: w}
+	rec := configuration.Record{ID: "site", Actor: "test"}
+	for d := range s.Domains {
+		domain := configuration.Domain{Name: fmt.Sprintf("d%d", d+1)}
+		w.domains = append(w.domains, domain.Name)
+		for i := range s.Schedulers {
+			p := &process{w: w, host: fmt.Sprintf("%s-h%d", domain.Name, i+1), domain: domain.Name}
+			w.processes = append(w.processes, p)
+			domain.Entries = append(domain.Entries, p.host)
+		}
+		for i := range s.Workers {
+			name := fmt.Sprintf("%s-w%02d", domain.Name, i+1)
+			domain.Workers = append(domain.Workers, name)
+			w.addWorker(domain.Name, name, s.Capacity)
+		}
+		w.listed[domain.Name] = append([]scheduler.Host(nil), w.hosts[domain.Name]...)
+		rec.Ops = append(rec.Ops, configuration.Op{Domain: &domain})
+	}
+	w.Append(rec)
+	for _, p := range w.processes {
+		p.boot()
+	}
+	return w
+}
+
+func (w *World) addWorker(domain, name string, capacity resource.Vector) {
+	w.addresses[name] = w.newMachine(name, w.newClock(), time.Hour, capacity)
+	w.hosts[domain] = append(w.hosts[domain], scheduler.Host{Name: name, Domain: domain, Address: name, Rack: "r"})
+}
+
+// newClock returns a clock that is hours and minutes off.
+func (w *World) newClock() clock {
+	return clock{offset: w.between(2*time.Hour, 3*time.Hour), ppm: w.rand.Int64N(2*maxPPM) - maxPPM}
+}
+
+// Append puts a record into the log at once.
+func (w *World) Append(r configuration.Record) {
+	data, err := configuration.Encode(r)
+	if err != nil {
+		panic(err) // records of tests can be written
+	}
+	w.log.append(data, func(int64) {})
+}
+
+// Run lets virtual time pass up to the given time.
+func (w *World) Run(until time.Duration) {
+	for w.queue.Len() > 0 && w.queue.items[0].at <= until {
+		it := w.queue.next()
+		w.now = max(w.now, it.at)
+		it.do()
+	}
+	w.now = until
+	w.sweepAll()
+}
+
+func (w *World) after(d time.Duration, do func()) { w.queue.add(w.now+d, do) }
+
+// at runs do at a time of the history.
+func (w *World) at(t time.Duration, do func()) { w.queue.add(t, do) }
+
+func (w *World) sweepAll() {
+	for _, m := range w.machines {
+		if !m.dead {
+			m.sweep()
+		}
+	}
+}
+
+func (w *World) started(task string) { w.lastStart[task] = w.now }
+
+func (w *World) lacks(g ownership.Guard) bool { return w.timing.Without&g != 0 }
+
+// leader returns the domain's scheduler that holds its term, or nil.
+func (w *World) leader(domain string) *process {
+	for _, p := range w.processes {
+		if p.domain == domain && p.up && !p.paused && p.core.Leader() {
+			return p
+		}
+	}
+	return nil
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -240,6 +240,9 @@
 // Counters returns refusals and retries by reason.
 func (c *Core) Counters() Counters { return c.reasons }
 
+// lacks reports whether a test has taken the guard out.
+func (c *Core) lacks(g ownership.Guard) bool { return c.set.Timing.Without&g != 0 }
+
 func (c *Core) newAttempt() uint64 {
 	c.attempts++
 	return attemptBase(c.set.Holder()) + c.attempts
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 )
 
@@ -182,7 +183,8 @@
 			continue
 		}
 		sure := t.term == c.term.Began() || c.now >= c.term.HiddenUntil()
-		if sure && !w.claim.Owned(c.now) && c.now >= w.renewedUntil {
+		lapsed := c.now >= w.renewedUntil || c.lacks(ownership.GuardRenewed)
+		if sure && !w.claim.Owned(c.now) && lapsed {
 			c.forgetTasks(w)
 		}
 	}
@@ -301,7 +303,9 @@
 		s.Service = spec.Name
 	}
 	w.starts = append(w.starts, s)
-	w.assumed[s.Attempt] = s
+	if !c.lacks(ownership.GuardAssumed) {
+		w.assumed[s.Attempt] = s
+	}
 }
 
 func (c *Core) nodes() []*placement.Node {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -113,7 +113,9 @@
 	}
 	for _, s := range w.starts {
 		s.Expiry = w.claim.StartExpiry()
-		w.assumed[s.Attempt] = s
+		if !c.lacks(ownership.GuardAssumed) {
+			w.assumed[s.Attempt] = s
+		}
 		eff.Starts = append(eff.Starts, s)
 	}
 	for _, o := range w.orders {
@@ -162,7 +164,7 @@
 	if c.term.Held(c.now) {
 		return true
 	}
-	return w.detached && c.now-w.detachedAt < c.set.Timing.Detached
+	return w.detached && (c.now-w.detachedAt < c.set.Timing.Detached || c.lacks(ownership.GuardDetached))
 }
 
 // markDetached notes which workers are still owned when a term ended at the
@@ -261,7 +263,7 @@
 		return
 	}
 	c.abandon(w)
-	quiet := !w.claim.Pending() && len(w.assumed) == 0
+	quiet := !w.claim.Pending() && len(w.assumed) == 0 || c.lacks(ownership.GuardQuiet)
 	w.claim.Release()
 	w.detached = false
 	if quiet {
