--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 demo: build
 	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
+
+# Plays generated histories under faults: SEEDS=1000 is the long form.
+SEEDS ?= 0
+proof:
+	$(GO) run ./internal/proof/prove --histories $(SEEDS)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
@@ -135,6 +136,8 @@
 		w.flushAt = flush
 	}
 	w.starts = append(w.starts, s)
-	w.assumed[s.Attempt] = s
+	if !c.lacks(ownership.GuardAssumed) {
+		w.assumed[s.Attempt] = s
+	}
 	c.touch(w)
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
 
@@ -344,7 +345,8 @@
 func (c *Core) collectLost() {
 	for i := 0; i < len(c.touched); i++ {
 		w := c.touched[i]
-		if len(w.bound) > 0 && !w.claim.Owned(c.now) && c.now >= w.renewedUntil {
+		lapsed := c.now >= w.renewedUntil || c.lacks(ownership.GuardRenewed)
+		if len(w.bound) > 0 && !w.claim.Owned(c.now) && lapsed {
 			c.forgetTasks(w)
 		}
 	}
