--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 SEEDS ?= 0
 proof:
 	$(GO) run ./internal/proof/prove --histories $(SEEDS)
+
+# Remakes the measurements and tables of docs/CAPACITY.md.
+slopes:
+	$(GO) run ./cmd/mimosaspool-slopes
