Placement: policies, gangs, urgency, quotas, learned sizes, quarantine

Cause: every workload was placed alike, one task at a time, whatever its policy, kind, team and urgency; sizes were taken as declared.

Change: - fast spreads spare capacity over a bounded sample; thrifty is best fit with each resource weighed by its scarcity, and its starts wait up to 400 ms for the worker's next message; careful starts only on workers that have shown their newest starts and never stops others' work without a checkpoint. A new declaration switches. Random and first-come first-fit stay as baselines. - Work without accelerators keeps off what free accelerators need, and off such workers while accelerator work waits. Spread counts tasks by rack. - Gangs start in a trial that is kept whole or taken back. The first group that finds no room holds a reservation, worked out from expected ends; others fill in until then or beside it; once its time has passed nothing new goes there. A gang that loses a member is stopped and retried whole. - Urgent work has the cheapest low or normal batch work of one worker checkpointed, or stopped when it has just begun; the room is held for it. - Quotas are divided over domains by demand; teams with the least weighted share go first. - Admission takes the larger of declared and observed size; run times are learned. Jobs that could never run are refused with the reason, which Core.Refusal also gives before an append. - A worker on which tasks of different workloads fail in a row is put under quarantine and gets probes. Orders are repeated at most every 200 ms.

Ruled out: counting failures by worker alone (one bad job would put workers under quarantine one after another).

Tested: go test ./internal/scheduler -run TestStepByStep -rapid.checks=10000, no breach of capacity, no task twice, no gang in part at rest.

--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -53,6 +53,10 @@
 		n.Later = n.Later.Sub(r.Size)
 	}
 	c.free = c.free.Sub(r.Size)
+	if n.Probe {
+		c.count(n, -1)
+		n.Blocked = Quarantined
+	}
 }
 
 // Nodes returns all nodes in order.
@@ -105,6 +109,37 @@
 	return best
 }
 
+// Why returns the reason that stands closest to a placement of r: one that
+// other work's moves can lift comes before a lack of capacity.
+func (c *Cell) Why(r *Request) Reason {
+	best, top := NotOwned, -1
+	for i := range c.nodes {
+		why := Feasible(r, &c.nodes[i])
+		if rank := closeness(why); rank > top {
+			best, top = why, rank
+		}
+	}
+	return best
+}
+
+func closeness(why Reason) int {
+	switch why {
+	case Reserved:
+		return 6
+	case Held:
+		return 5
+	case AcceleratorsKept:
+		return 4
+	case Unconfirmed:
+		return 3
+	case CPU, Memory, Accelerators:
+		return 2
+	case Quarantined:
+		return 1
+	}
+	return 0
+}
+
 // Explain returns why no node takes r now.
 func (c *Cell) Explain(r *Request) *FitError {
 	e := &FitError{Task: r.Task, Reasons: make(map[string]Reason, len(c.nodes))}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -85,6 +85,8 @@
 	Impossible Reason = "impossible"
 	// GangTooLarge: the domain could never hold all tasks of the gang at once.
 	GangTooLarge Reason = "gang-too-large"
+	// GangSplit: a gang must have one home domain.
+	GangSplit Reason = "gang-split"
 	// GangWaits: the gang's other tasks can't start yet.
 	GangWaits Reason = "gang-waits"
 )
@@ -107,7 +109,7 @@
 		return why
 	}
 	switch {
-	case n.Probe && (!r.Expendable || n.Unconfirmed > 0 || len(n.Tasks) > 0):
+	case n.Probe && !r.Expendable:
 		return Quarantined
 	case r.Confirmed && n.Unconfirmed > 0:
 		return Unconfirmed
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -30,6 +30,9 @@
 	flushAt time.Duration
 	// drained is set while operators have taken the worker out of use.
 	drained bool
+	health  health
+	// orderedAt is when orders were last handed to the next write.
+	orderedAt time.Duration
 }
 
 // never is later than any time a core sees.
@@ -97,7 +100,8 @@
 		c.agenda.Push(w)
 	}
 	heap.Init(&c.agenda)
-	c.termStale, c.seenAll = true, false
+	c.termStale, c.seenAll, c.orphansStale = true, false, true
+	c.forgetPlaces()
 	c.touched = c.touched[:0]
 	for _, name := range c.order {
 		c.workers[name].touched = false
@@ -105,6 +109,15 @@
 	c.touchAll()
 }
 
+// forgetPlaces drops what is kept on nodes, which are made anew.
+func (c *Core) forgetPlaces() {
+	for _, g := range c.queue.groups {
+		g.holds = nil
+	}
+	c.reserved = reservation{}
+	c.queue.activateAll()
+}
+
 // expire gives up claims and writes whose time has passed, before anything
 // else may rely on them. prev is the time of the step before.
 func (c *Core) expire(prev time.Duration) {
@@ -147,6 +160,12 @@
 			at = min(at, w.flushAt)
 		}
 	}
+	if w.health.until > c.now {
+		at = min(at, w.health.until)
+	}
+	if c.now < w.orderedAt+orderRetry && w.orderedAt > 0 {
+		at = min(at, w.orderedAt+orderRetry)
+	}
 	if w.claim.Owned(c.now) {
 		at = min(at, w.claim.ValidUntil())
 	} else if len(w.bound) > 0 {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -89,6 +89,8 @@
 		w.since = now
 	}
 	w.expiry = max(eff.MarkExpiry, 0)
+	w.lapse(now)
+	w.renew(eff.RenewExpiry)
 	for _, o := range eff.Orders {
 		c.orders = append(c.orders, o)
 		w.end(o.Attempt, map[scheduler.OrderKind]scheduler.TaskState{scheduler.Stop: scheduler.Stopped, scheduler.Checkpoint: scheduler.Checkpointed}[o.Kind])
@@ -105,6 +107,22 @@
 	return w.reply(eff, now)
 }
 
+// lapse ends the tasks whose lease has run out.
+func (w *fakeWorker) lapse(now time.Duration) {
+	for a, t := range w.tasks {
+		if t.Expiry <= now {
+			w.end(a, scheduler.Lapsed)
+		}
+	}
+}
+
+func (w *fakeWorker) renew(expiry time.Duration) {
+	for a, t := range w.tasks {
+		t.Expiry = max(t.Expiry, expiry)
+		w.tasks[a] = t
+	}
+}
+
 func (w *fakeWorker) reply(eff scheduler.WriteWorker, now time.Duration) scheduler.WriteReplied {
 	ev := scheduler.WriteReplied{Worker: eff.Worker, Capacity: w.capacity, Digest: w.digest + 1}
 	ev.Reply = ownership.Reply{Write: eff.Write, Now: now, Boot: time.Minute, Expiry: w.expiry, Since: w.since}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/job"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/team"
 )
 
 // placer is the part of the core that gives waiting tasks their workers.
@@ -21,12 +23,26 @@
 	orphans []*task
 	// discard lists tasks that may have to be forgotten.
 	discard []*task
+	// torn lists gangs to be looked at since a member waits again.
+	torn     []*group
+	reserved reservation
+	ledger   *team.Ledger
+	// freedTeams lists teams that gave something back.
+	freedTeams []string
+	// retryAt is when blocked groups that hold or want kept room are tried again.
+	retryAt time.Duration
+	// orphansStale is set when seats changed since orphans were listed.
+	orphansStale bool
+	// clearFrom is where the next search for victims begins.
+	clearFrom int
+	// limit is the largest amount of each resource that a worker has.
+	limit resource.Vector
 	// rules holds the rules of each policy in use.
 	rules map[configuration.Policy]*placement.Rules
 }
 
 func newPlacer() placer {
-	return placer{queue: newQueue(), rules: map[configuration.Policy]*placement.Rules{}}
+	return placer{queue: newQueue(), ledger: team.NewLedger(), rules: map[configuration.Policy]*placement.Rules{}}
 }
 
 // rulesOf returns the rules of the group's policy.
@@ -43,9 +59,10 @@
 // refresh brings a worker's node up to date and wakes groups that it may help.
 func (c *Core) refresh(w *worker) {
 	old := w.node
+	blocked := c.blocked(w)
 	now := placement.Node{
 		Name: w.name, Rack: w.rack, Capacity: w.capacity, Free: w.free(), Tasks: old.Tasks,
-		Unconfirmed: len(w.assumed), Blocked: c.blocked(w),
+		Unconfirmed: len(w.assumed), Blocked: blocked, Probe: w.health.probing,
 	}
 	if now.Tasks == nil {
 		now.Tasks = map[string]int{}
@@ -59,9 +76,12 @@
 	for _, s := range w.assumed {
 		now.Tasks[configuration.WorkloadOf(s.Task)]++
 	}
-	opened := opens(old, &now)
+	opened, reshaped := opens(old, &now), old.Capacity != now.Capacity
 	c.cell.Set(old, now)
-	if opened {
+	if reshaped {
+		c.limit = c.limit.Max(now.Capacity)
+		c.queue.activateAll()
+	} else if opened {
 		c.wakeFreed(w.node)
 	}
 }
@@ -83,28 +103,101 @@
 		return placement.Leaving
 	case w.drained:
 		return placement.Draining
+	case c.now < w.health.until || c.judgeProbe(w):
+		return placement.Quarantined
 	}
 	return ""
 }
 
-// place tries to place the first task of a group.
+// place tries to place the first task of a group, or the whole of a gang.
 func (c *Core) place(g *group, t *task) {
-	rules := c.rulesOf(g)
+	if !c.ledger.Admits(g.spec.Team, c.sizeOf(g).Scale(c.atOnce(g))) {
+		c.reasons["quota"]++
+		c.setAside(g, placement.Quota)
+		return
+	}
+	if g.isGang() {
+		c.placeGang(g)
+		return
+	}
 	req := c.request(g, t)
-	n := c.cell.Place(req, rules)
+	n := c.heldNode(g, req)
 	if n == nil {
-		c.reasons["no-fit"]++
-		c.queue.block(g, placement.CPU)
+		n = c.cell.Place(req, c.rulesOf(g))
+	}
+	if n == nil {
+		c.noFit(g, t)
 		return
 	}
 	g.pop()
 	c.cell.Take(req, n)
+	c.useHold(g, n, req.Size)
 	c.assume(t, c.workers[n.Name], g, req.Size)
+	c.placedGroup(g)
+}
+
+// atOnce returns how many tasks of the group start together.
+func (c *Core) atOnce(g *group) int64 {
+	if g.isGang() {
+		return int64(c.gangState(g).waiting)
+	}
+	return 1
+}
+
+// noFit sets a group aside whose first task finds no place, and does what may
+// bring its start nearer: a reservation, or room cleared of less urgent work.
+func (c *Core) noFit(g *group, t *task) {
+	c.reasons["no-fit"]++
+	if r := c.Refusal(g.spec); r != nil {
+		c.reasons["impossible"]++
+		c.setAside(g, placement.Reason(r.Cause))
+		return
+	}
+	c.setAside(g, c.cell.Why(c.request(g, t)))
+	if !c.rulesOf(g).InOrder {
+		c.preempt(g, t)
+		c.reserve(g)
+	}
+}
+
+// setAside blocks a group. One that does not wait for room gives up its reservation.
+func (c *Core) setAside(g *group, why placement.Reason) {
+	c.queue.block(g, why)
+	if c.reserved.holder == g && !g.awaitsRoom() {
+		c.unreserve()
+	}
+}
+
+// placedGroup gives up what was kept for a group that needs it no more.
+func (c *Core) placedGroup(g *group) {
+	if c.reserved.holder == g {
+		c.unreserve()
+	}
+	if len(g.holds) > 0 && g.waitingCount() == 0 {
+		c.dropHolds(g, true)
+	}
+}
+
+// Refusal returns why the domain's part of a workload could never run on the
+// workers as they are known, or nil. It may be asked before the workload is declared.
+func (c *Core) Refusal(w *configuration.Workload) *job.Refusal {
+	s := job.Shapes{Domain: c.set.Domain}
+	for _, name := range c.order {
+		if seat := c.workers[name]; seat.capacity.IsZero() {
+			s.Unknown++
+		} else {
+			s.Known = append(s.Known, seat.capacity)
+		}
+	}
+	return job.Refuse(w, s)
 }
 
 // request describes a task of the group to placement.
 func (c *Core) request(g *group, t *task) *placement.Request {
-	r := &placement.Request{Task: t.name, Workload: g.spec, Size: c.sizeOf(g), Confirmed: c.rulesOf(g).Confirmed}
+	r := &placement.Request{
+		Task: t.name, Workload: g.spec, Size: c.sizeOf(g), Ends: c.ends(g), Confirmed: c.rulesOf(g).Confirmed,
+		Expendable: g.spec.Kind == configuration.Batch && g.spec.Urgency != configuration.Urgent,
+	}
 	if g.spec.Spread {
 		r.Racks = g.racks
 	}
@@ -121,10 +214,11 @@
 }
 
 // sizeOf returns what a task of the group takes.
-func (c *Core) sizeOf(g *group) resource.Vector { return g.spec.Size }
+func (c *Core) sizeOf(g *group) resource.Vector { return g.profile.Size(g.spec.Size, c.limit) }
 
 // assume hands the task to a worker's next write and counts it there.
 func (c *Core) assume(t *task, w *worker, g *group, size resource.Vector) {
+	t.size, t.boundAt = size, c.now
 	c.bind(t, w, placed, c.newAttempt())
 	s := Start{Task: t.name, Attempt: t.attempt, Size: size, RunMillis: g.spec.RunMillis, Checkpoint: t.checkpoint}
 	if g.spec.Kind == configuration.Service {
--- /dev/null
+++ b/internal/scheduler/policy_test.go
@@ -0,0 +1,370 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/placement"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+)
+
+func cpu(n int64) resource.Vector { return resource.Vector{MilliCPU: 1000 * n} }
+
+// mixed returns plain workers, with accelerators on every third.
+func mixed(i int) resource.Vector {
+	v := resource.Vector{MilliCPU: 8000, MemoryMiB: 8192}
+	if i%3 == 0 {
+		v.Accelerators = 4
+	}
+	return v
+}
+
+// on counts the running tasks of a workload by worker.
+func (c *cell) on(name string) map[string]int {
+	m := map[string]int{}
+	for task, w := range c.running() {
+		if strings.HasPrefix(task, name+"/") {
+			m[w]++
+		}
+	}
+	return m
+}
+
+func total(m map[string]int) (n int) {
+	for _, k := range m {
+		n += k
+	}
+	return n
+}
+
+// reasons returns the reasons for which tasks of a workload wait.
+func (c *cell) reasons(name string) []placement.Reason {
+	var list []placement.Reason
+	for _, t := range c.core.Tasks() {
+		if t.Workload == name {
+			for _, r := range t.Reasons {
+				list = append(list, r)
+			}
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func (c *cell) finish(name string, state scheduler.TaskState) {
+	for _, w := range c.workers {
+		for a, t := range w.tasks {
+			if strings.HasPrefix(t.Task, name+"/") {
+				w.end(a, state)
+			}
+		}
+	}
+}
+
+var _ = Describe("Policies", func() {
+	It("spreads fast work and packs thrifty work", func() {
+		c := newCell(4, small)
+		fast, thrifty := workload("f", configuration.Batch, 4, cpu(1)), workload("t", configuration.Batch, 4, cpu(1))
+		thrifty.Policy = configuration.Thrifty
+		c.declare(declared(fast))
+		c.run(5 * time.Second)
+		Expect(c.on("f")).To(HaveLen(4))
+		c.declare(configuration.Op{Cancel: &configuration.Cancel{Workloads: []string{"f"}}})
+		c.run(time.Second)
+		c.declare(declared(thrifty))
+		c.run(5 * time.Second)
+		Expect(c.on("t")).To(HaveLen(1))
+	})
+
+	It("switches while running by a new declaration", func() {
+		c := newCell(4, small)
+		w := workload("s", configuration.Service, 2, cpu(1))
+		w.Policy = configuration.Thrifty
+		c.declare(declared(w))
+		c.run(5 * time.Second)
+		Expect(c.on("s")).To(HaveLen(1))
+		w.Policy, w.Count, w.Homes = configuration.Fast, 4, []configuration.Home{{Domain: "d", Count: 4}}
+		c.declare(declared(w))
+		c.run(5 * time.Second)
+		Expect(c.on("s")).To(HaveLen(3))
+	})
+
+	It("starts careful work only on workers that have shown their newest starts", func() {
+		c := newCell(1, small)
+		w := workload("c", configuration.Batch, 4, cpu(1))
+		w.Policy = configuration.Careful
+		c.declare(declared(w))
+		for range 50 {
+			c.now += 100 * time.Millisecond
+			for _, e := range c.core.Step(c.now, scheduler.Tick{}) {
+				w := e.(scheduler.WriteWorker)
+				Expect(len(w.Starts)).To(BeNumerically("<=", 1))
+				c.step(c.write(w))
+			}
+		}
+		Expect(c.on("c")).To(HaveKeyWithValue("w0000", 4))
+	})
+
+	It("spreads over racks before it shares one", func() {
+		c := newCell(15, small)
+		w := workload("s", configuration.Service, 3, cpu(1))
+		w.Spread = true
+		c.declare(declared(w))
+		c.run(5 * time.Second)
+		racks := map[string]bool{}
+		for name := range c.on("s") {
+			racks[c.workers[name].host.Rack] = true
+		}
+		Expect(racks).To(HaveLen(3))
+	})
+
+	It("keeps other work off what free accelerators need", func() {
+		c := newCell(3, mixed)
+		acc := workload("a", configuration.Batch, 3, resource.Vector{MilliCPU: 2000, MemoryMiB: 1024, Accelerators: 1})
+		c.declare(declared(acc))
+		c.run(5 * time.Second)
+		c.declare(declared(workload("p", configuration.Batch, 24, cpu(1))))
+		c.run(5 * time.Second)
+		Expect(total(c.on("a"))).To(Equal(3))
+		Expect(c.on("p")).NotTo(HaveKey("w0000"))
+		Expect(c.reasons("p")).To(ContainElement(placement.AcceleratorsKept))
+	})
+})
+
+var _ = Describe("Gangs", func() {
+	gang := func(name string, n int, size resource.Vector) configuration.Workload {
+		return workload(name, configuration.Gang, n, size)
+	}
+
+	It("start whole or not at all", func() {
+		c := newCell(2, small)
+		c.declare(declared(workload("b", configuration.Batch, 1, cpu(1))))
+		c.run(5 * time.Second)
+		c.declare(declared(gang("g", 8, cpu(1))))
+		c.run(5 * time.Second)
+		Expect(c.on("g")).To(BeEmpty())
+		c.finish("b", scheduler.Succeeded)
+		c.run(5 * time.Second)
+		Expect(total(c.on("g"))).To(Equal(8))
+	})
+
+	It("do not wait for each other", func() {
+		c := newCell(2, small)
+		c.declare(declared(gang("g", 6, cpu(1))), declared(gang("h", 6, cpu(1))))
+		c.run(5 * time.Second)
+		Expect(total(c.on("g")) + total(c.on("h"))).To(Equal(6))
+		c.finish("g", scheduler.Succeeded)
+		c.finish("h", scheduler.Succeeded)
+		c.run(5 * time.Second)
+		Expect(total(c.on("g")) + total(c.on("h"))).To(Equal(6))
+	})
+
+	It("stop whole and are retried whole when a member fails", func() {
+		c := newCell(2, small)
+		c.declare(declared(gang("g", 8, cpu(1))))
+		c.run(5 * time.Second)
+		first := c.started[0]
+		for _, w := range c.workers {
+			w.end(first.Attempt, scheduler.Failed)
+		}
+		c.run(2500 * time.Millisecond)
+		c.run(8 * time.Second)
+		Expect(total(c.on("g"))).To(Equal(8))
+		Expect(c.started).To(HaveLen(16))
+		Expect(c.orders).To(HaveLen(7))
+	})
+
+	It("are not starved by small work, which may fill in only until their start", func() {
+		c := newCell(2, small)
+		long := workload("long", configuration.Batch, 4, cpu(1))
+		long.RunMillis = 60000
+		c.declare(declared(long))
+		c.run(5 * time.Second)
+		c.declare(declared(gang("g", 8, cpu(1))))
+		c.run(time.Second)
+		short, late := workload("short", configuration.Batch, 2, cpu(1)), workload("late", configuration.Batch, 2, cpu(1))
+		short.RunMillis, late.RunMillis = 5000, 600000
+		c.declare(declared(short), declared(late))
+		c.run(3 * time.Second)
+		Expect(total(c.on("short"))).To(Equal(2))
+		Expect(c.on("late")).To(BeEmpty())
+		Expect(c.reasons("late")).To(ContainElement(placement.Reserved))
+		c.finish("long", scheduler.Succeeded)
+		c.finish("short", scheduler.Succeeded)
+		c.run(4 * time.Second)
+		Expect(total(c.on("g"))).To(Equal(8))
+	})
+
+	It("start even when run times are declared a tenth of the truth", func() {
+		c := newCell(2, small)
+		c.declare(declared(gang("g", 8, cpu(1))))
+		n := 0
+		for round := range 200 {
+			w := workload(fmt.Sprint("b", round), configuration.Batch, 2, cpu(1))
+			w.RunMillis = 2000
+			c.declare(declared(w))
+			c.run(time.Second)
+			if round >= 20 {
+				c.finish(fmt.Sprint("b", round-20), scheduler.Succeeded)
+			}
+			if n = total(c.on("g")); n > 0 && round > 25 {
+				break
+			}
+		}
+		Expect(n).To(Equal(8))
+	})
+})
+
+var _ = Describe("Urgency", func() {
+	It("makes room by checkpoints, from which the work goes on later", func() {
+		c := newCell(2, small)
+		low, normal := workload("low", configuration.Batch, 4, cpu(1)), workload("normal", configuration.Batch, 4, cpu(1))
+		low.Urgency = configuration.Low
+		c.declare(declared(low), declared(normal))
+		c.run(10 * time.Second)
+		urgent := workload("u", configuration.Batch, 2, cpu(2))
+		urgent.Urgency = configuration.Urgent
+		c.declare(declared(urgent))
+		Expect(total(c.on("u"))).To(Equal(2))
+		Expect(total(c.on("normal"))).To(Equal(4))
+		for _, o := range c.orders {
+			Expect(o.Kind).To(Equal(scheduler.Checkpoint))
+			Expect(o.Task).To(HavePrefix("low/"))
+		}
+		c.finish("u", scheduler.Succeeded)
+		c.run(5 * time.Second)
+		Expect(total(c.on("low"))).To(Equal(4))
+		Expect(c.started[len(c.started)-1].Checkpoint).To(BeNumerically(">", 0))
+	})
+
+	It("never stops work without a checkpoint for careful work", func() {
+		c := newCell(1, small)
+		c.run(5 * time.Second)
+		c.declare(declared(workload("b", configuration.Batch, 4, cpu(1))))
+		c.run(200 * time.Millisecond)
+		urgent := workload("u", configuration.Batch, 1, cpu(1))
+		urgent.Urgency, urgent.Policy = configuration.Urgent, configuration.Careful
+		c.declare(declared(urgent))
+		Expect(total(c.on("u"))).To(Equal(1))
+		Expect(c.orders).To(HaveLen(1))
+		Expect(c.orders[0].Kind).To(Equal(scheduler.Checkpoint))
+	})
+})
+
+var _ = Describe("Teams", func() {
+	team := func(name string, quota resource.Vector, weight int64) configuration.Op {
+		return configuration.Op{Team: &configuration.Team{Name: name, Quota: quota, Weight: weight}}
+	}
+	of := func(t string, w configuration.Workload) configuration.Op {
+		w.Team = t
+		return declared(w)
+	}
+
+	It("stay within their quota and are told so", func() {
+		c := newCell(2, small)
+		c.declare(team("t", cpu(3), 1), of("t", workload("b", configuration.Batch, 5, cpu(1))))
+		c.run(5 * time.Second)
+		Expect(total(c.on("b"))).To(Equal(3))
+		Expect(c.reasons("b")).To(ConsistOf(placement.Quota))
+		c.declare(team("t", cpu(4), 1))
+		c.run(time.Second)
+		Expect(total(c.on("b"))).To(Equal(4))
+	})
+
+	It("share by weight, and borrow what others leave idle", func() {
+		c := newCell(3, small)
+		c.declare(team("x", resource.Vector{}, 2), team("y", resource.Vector{}, 1), of("x", workload("a", configuration.Batch, 40, cpu(1))))
+		c.run(5 * time.Second)
+		Expect(total(c.on("a"))).To(Equal(12))
+		c.declare(of("y", workload("b", configuration.Batch, 40, cpu(1))))
+		for range 8 {
+			for _, w := range c.workers {
+				for a := range w.tasks {
+					w.end(a, scheduler.Stopped)
+				}
+			}
+			c.run(3 * time.Second)
+		}
+		Expect(total(c.on("a"))).To(BeNumerically("~", 8, 1))
+		Expect(total(c.on("b"))).To(BeNumerically("~", 4, 1))
+	})
+})
+
+var _ = Describe("Jobs", func() {
+	It("that could never run are refused at once with the reason", func() {
+		c := newCell(2, small)
+		c.run(3 * time.Second)
+		big, wide := workload("big", configuration.Batch, 1, cpu(5)), workload("wide", configuration.Gang, 9, cpu(1))
+		c.declare(declared(big), declared(wide))
+		Expect(c.reasons("big")).To(ConsistOf(placement.Impossible))
+		Expect(c.reasons("wide")).To(ConsistOf(placement.GangTooLarge))
+		Expect(c.core.Refusal(&big)).To(MatchError(ContainSubstring("no worker holds")))
+	})
+
+	It("take the larger of declared and observed size", func() {
+		c := newCell(1, small)
+		c.declare(declared(workload("b", configuration.Batch, 4, cpu(1))))
+		c.run(5 * time.Second)
+		w := c.workers["w0000"]
+		for i, s := range c.started {
+			t := w.tasks[s.Attempt]
+			t.Usage = cpu(2)
+			w.tasks[s.Attempt] = t
+			if i > 0 {
+				w.end(s.Attempt, scheduler.Stopped)
+			}
+		}
+		c.run(10 * time.Second)
+		Expect(total(c.on("b"))).To(Equal(2))
+		Expect(c.started[len(c.started)-1].Size).To(Equal(cpu(2)))
+	})
+
+	It("keep off a worker that fails everything, until a probe does well", func() {
+		c := newCell(2, small)
+		for i := range 4 {
+			c.declare(declared(workload(fmt.Sprint("b", i), configuration.Batch, 1, cpu(1))))
+		}
+		bad := true
+		for range 100 {
+			for _, t := range c.workers["w0000"].tasks {
+				if bad {
+					c.workers["w0000"].end(t.Attempt, scheduler.Failed)
+				}
+			}
+			c.run(500 * time.Millisecond)
+		}
+		Expect(c.running()).To(HaveLen(4))
+		for _, w := range c.running() {
+			Expect(w).To(Equal("w0001"))
+		}
+		bad = false
+		c.run(2 * time.Minute)
+		c.declare(declared(workload("n", configuration.Batch, 4, cpu(1))))
+		c.run(30 * time.Second)
+		Expect(c.on("n")).To(HaveKeyWithValue("w0000", 4))
+	})
+
+	It("are cancelled in a wave by one write a worker", func() {
+		c := newCell(2, small)
+		c.declare(declared(workload("a", configuration.Batch, 4, cpu(1))), declared(workload("b", configuration.Batch, 4, cpu(1))))
+		c.run(5 * time.Second)
+		writes := 0
+		cancel := configuration.Op{Cancel: &configuration.Cancel{Workloads: []string{"a", "b"}}}
+		data, err := configuration.Encode(configuration.Record{ID: "wave", Ops: []configuration.Op{cancel}})
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range c.core.Step(c.now, scheduler.LogRead{Records: []configuration.Numbered{{Offset: c.offset, Data: data}}}) {
+			if w, ok := e.(scheduler.WriteWorker); ok {
+				Expect(w.Orders).To(HaveLen(4))
+				writes++
+			}
+		}
+		Expect(writes).To(Equal(2))
+	})
+})
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -16,6 +16,10 @@
 	Reasons  map[string]placement.Reason `json:"reasons,omitempty"`
 }
 
+// everyWorker stands for all workers in a task's reasons, where the reason
+// lies with the task or its team.
+const everyWorker = "*"
+
 var phaseNames = map[taskPhase]string{waiting: "waiting", placed: "starting", live: "running", over: "ended"}
 
 // Tasks lists the domain's tasks by name.
@@ -40,6 +44,9 @@
 	if g == nil {
 		return nil
 	}
+	if g.blocked != "" && !g.awaitsRoom() {
+		return map[string]placement.Reason{everyWorker: g.blocked}
+	}
 	if _, ok := explained[t.workload]; !ok {
 		explained[t.workload] = c.cell.Explain(c.request(g, t)).Reasons
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/job"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 )
 
@@ -27,7 +28,12 @@
 	// members are all wanted tasks of the workload in this domain, by name.
 	members []*task
 	// racks counts the workload's bound tasks by rack.
-	racks map[string]int
+	racks   map[string]int
+	profile job.Profile
+	// stopping is set while a gang that lost a member is stopped whole.
+	stopping bool
+	// holds lists the room that is kept for the group.
+	holds []hold
 }
 
 // queue holds waiting tasks in three parts: active groups are tried in every
@@ -90,7 +96,7 @@
 		g.tasks = append(g.tasks, t)
 	}
 	g.sorted = false
-	if g.blocked == "" {
+	if g.blocked == "" || g.blocked == placement.GangWaits || g.spec.Urgency == configuration.Urgent {
 		c.queue.activate(g, "")
 	}
 }
@@ -187,6 +193,10 @@
 		t.backing = false
 		c.enqueue(t)
 	}
+	if c.now >= c.retryAt {
+		c.retryAt = c.now + reserveInterval
+		c.retry()
+	}
 	if len(q.unsure) == 0 || !c.allSeen() && c.now < c.term.HiddenUntil() {
 		return
 	}
@@ -198,24 +208,111 @@
 	}
 }
 
+// retry has urgent groups and the first of the others tried again, so that the
+// room kept for them follows what became known since.
+func (c *Core) retry() {
+	var first *group
+	for _, g := range slices.Clone(c.queue.blocked) {
+		if !g.awaitsRoom() || c.head(g) == nil {
+			continue
+		}
+		if g.spec.Urgency == configuration.Urgent {
+			c.queue.activate(g, "")
+		} else if first == nil || c.before(g, first) {
+			first = g
+		}
+	}
+	if first != nil {
+		c.queue.activate(first, "")
+	}
+	if r := c.reserved.holder; r != nil {
+		c.queue.activate(r, "")
+	}
+}
+
+// awaitsRoom reports whether capacity may let the blocked group through.
+func (g *group) awaitsRoom() bool {
+	switch g.blocked {
+	case placement.Quota, placement.Impossible, placement.GangTooLarge, placement.GangSplit, placement.GangWaits:
+		return false
+	}
+	return true
+}
+
+// activateAll has every blocked group tried again.
+func (q *queue) activateAll() {
+	for _, g := range slices.Clone(q.blocked) {
+		q.activate(g, "")
+	}
+}
+
+// wakeTeam lets groups through whose team holds less than before.
+func (c *Core) wakeTeam(team string) {
+	for _, g := range slices.Clone(c.queue.blocked) {
+		if g.spec.Team == team {
+			c.queue.activate(g, placement.Quota)
+		}
+	}
+}
+
+// guard keeps accelerators clear of other work while their own waits, and lets
+// that work through again after it.
+func (c *Core) guard() {
+	waiting := false
+	for _, list := range [][]*group{c.queue.active, c.queue.blocked} {
+		for _, g := range list {
+			if g.spec.Size.Accelerators > 0 && len(g.tasks) > 0 && (g.blocked == "" || g.awaitsRoom()) {
+				waiting = true
+			}
+		}
+	}
+	if c.cell.Guard.Waiting && !waiting {
+		for _, g := range slices.Clone(c.queue.blocked) {
+			c.queue.activate(g, placement.AcceleratorsKept)
+		}
+	}
+	c.cell.Guard.Waiting = waiting
+}
+
 // wakeFreed lets groups through that the capacity freed on a node can serve.
 func (c *Core) wakeFreed(n *placement.Node) {
 	for _, g := range slices.Clone(c.queue.blocked) {
-		if g.blocked != placement.Quota && g.blocked != placement.Impossible && c.mayHelp(g, n) {
+		if g.awaitsRoom() && c.mayHelp(g, n) {
 			c.queue.activate(g, "")
 		}
 	}
 }
 
-// before orders groups: the more urgent first, then the one that has waited longest.
+// shareStep is the difference of shares below which teams count as equal.
+const shareStep = 0.05
+
+// before orders groups: the more urgent first, then that of the team with the
+// least share, then the one that has waited longest.
 func (c *Core) before(a, b *group) bool {
+	if c.rulesOf(a).InOrder {
+		return a.first().before(b.first())
+	}
 	if x, y := urgencyRank(a.spec.Urgency), urgencyRank(b.spec.Urgency); x != y {
 		return x > y
 	}
-	if a.tasks[0].since != b.tasks[0].since {
-		return a.tasks[0].since < b.tasks[0].since
+	if a.spec.Team != b.spec.Team {
+		total := c.cell.Total()
+		x, y := int(c.ledger.Share(a.spec.Team, total)/shareStep), int(c.ledger.Share(b.spec.Team, total)/shareStep)
+		if x != y {
+			return x < y
+		}
+	}
+	return a.first().before(b.first())
+}
+
+// noTask stands for the first task of a group without any; it goes last.
+var noTask = &task{since: never}
+
+func (g *group) first() *task {
+	if len(g.tasks) == 0 {
+		return noTask
 	}
-	return a.workload < b.workload
+	return g.tasks[0]
 }
 
 // next returns the group to try first, or nil.
@@ -242,15 +339,30 @@
 // placeWaiting places what waits, in order.
 func (c *Core) placeWaiting() {
 	c.wakeTimed()
+	c.guard()
 	for range placeMost {
 		g := c.next()
 		if g == nil {
 			return
 		}
+		if c.heldBack(g) {
+			return
+		}
 		c.place(g, g.tasks[0])
 	}
 }
 
+// heldBack reports whether the rules keep work in order and an earlier group
+// found no place.
+func (c *Core) heldBack(g *group) bool {
+	if !c.rulesOf(g).InOrder {
+		return false
+	}
+	return slices.ContainsFunc(c.queue.blocked, func(b *group) bool {
+		return b.awaitsRoom() && c.head(b) != nil && b.first().before(g.first())
+	})
+}
+
 // urgencyRank orders urgencies; a higher rank goes first.
 func urgencyRank(u configuration.Urgency) int {
 	switch u {
--- /dev/null
+++ b/internal/scheduler/reconcile.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+)
+
+// reconcile brings what runs closer to what is wanted.
+func (c *Core) reconcile() {
+	if c.leaving {
+		c.settleAgenda()
+		c.publish()
+		return
+	}
+	if c.term.Held(c.now) {
+		c.collectLost()
+		c.mendGangs()
+		c.stopUnwanted()
+		for i := 0; i < len(c.touched); i++ {
+			c.refresh(c.touched[i])
+		}
+		c.wakeTeams()
+		c.placeWaiting()
+	}
+	c.writeDue()
+	c.refreshAbandoned()
+	c.settleAgenda()
+	c.publish()
+}
+
+// refreshAbandoned brings nodes up to date whose unsent starts a write dropped.
+func (c *Core) refreshAbandoned() {
+	for i := 0; i < len(c.touched); i++ {
+		if w := c.touched[i]; w.node.Unconfirmed != len(w.assumed) {
+			c.refresh(w)
+		}
+	}
+}
+
+// wakeTeams lets groups through whose team gave something back in this step.
+func (c *Core) wakeTeams() {
+	for _, name := range c.freedTeams {
+		c.wakeTeam(name)
+	}
+	c.freedTeams = c.freedTeams[:0]
+}
+
+// collectLost lets tasks wait again whose worker has been silent for so long
+// that their leases have surely run out.
+func (c *Core) collectLost() {
+	for i := 0; i < len(c.touched); i++ {
+		w := c.touched[i]
+		if len(w.bound) > 0 && !w.claim.Owned(c.now) && c.now >= w.renewedUntil {
+			c.forgetTasks(w)
+		}
+	}
+	for _, t := range c.orphans {
+		if t.isBound() && t.goneAt > 0 && c.now >= t.goneAt && c.workers[t.worker] == nil {
+			t.lose(c)
+		}
+	}
+}
+
+// lose makes a task wait whose lease has run out unseen.
+func (t *task) lose(c *Core) {
+	c.reasons["task-lost"]++
+	c.waitAnew(t)
+}
+
+// forgetTasks drops what was known of a silent worker's tasks, once the lease
+// of one of them has surely run out. Others are held back by mayStart.
+func (c *Core) forgetTasks(w *worker) {
+	sure := c.now >= c.term.HiddenUntil()
+	for _, t := range w.bound {
+		if c.now < t.goneAt {
+			return
+		}
+		sure = sure || t.term == c.term.Began()
+	}
+	if !sure {
+		return
+	}
+	for _, t := range w.bound {
+		t.lose(c)
+	}
+	clear(w.observed)
+	clear(w.assumed)
+	w.digest = 0
+	c.dirDirty = true
+}
+
+// stopUnwanted orders tasks to stop that no workload wants, and attempts that
+// are not the task's own.
+func (c *Core) stopUnwanted() {
+	for _, w := range c.touched {
+		if !w.claim.Owned(c.now) || w.claim.Pending() || len(w.orders) > 0 || w.orderedAt > 0 && c.now < w.orderedAt+orderRetry {
+			continue
+		}
+		for _, a := range slices.Sorted(maps.Keys(w.observed)) {
+			o := w.observed[a]
+			if kind, ok := c.orderFor(w, o); ok {
+				w.orders = append(w.orders, Order{Kind: kind, Task: o.Task, Attempt: o.Attempt})
+				w.orderedAt = c.now
+			}
+		}
+	}
+	for _, t := range c.discard {
+		if !t.wanted && !t.isBound() && c.tasks[t.name] == t {
+			delete(c.tasks, t.name)
+		}
+	}
+	c.discard = c.discard[:0]
+}
+
+// orderFor returns what a worker has to be told of a running task, if anything.
+func (c *Core) orderFor(w *worker, o ObservedTask) (OrderKind, bool) {
+	if o.State != Running {
+		return 0, false
+	}
+	if !c.wants(w, o) {
+		return Stop, true
+	}
+	t := c.tasks[o.Task]
+	return t.evict.orderKind(), t.evict != 0
+}
+
+func (c *Core) wants(w *worker, o ObservedTask) bool {
+	t := c.tasks[o.Task]
+	return t != nil && t.wanted && t.isBound() && t.attempt == o.Attempt && t.worker == w.name &&
+		(t.in == nil || !t.in.stopping)
+}
+
+// mayStart reports whether t is surely running nowhere.
+func (c *Core) mayStart(t *task) bool {
+	if t.known && t.term == c.term.Began() {
+		return true
+	}
+	return c.now >= c.term.HiddenUntil() || c.allSeen()
+}
+
+// allSeen reports whether every seat was seen while owned in this term.
+func (c *Core) allSeen() bool {
+	began := c.term.Began()
+	if c.seenAll && c.seenIn == began {
+		return true
+	}
+	for _, name := range c.order {
+		if c.workers[name].seenAt < began {
+			return false
+		}
+	}
+	c.seenAll, c.seenIn = true, began
+	return true
+}
