--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestRefuse(t *testing.T) {
-	shapes := job.Shapes{Domain: "d", Known: []resource.Vector{{MilliCPU: 4000, MemoryMiB: 100}, {MilliCPU: 2000, MemoryMiB: 400}}}
+	known := []resource.Vector{{MilliCPU: 4000, MemoryMiB: 100}, {MilliCPU: 2000, MemoryMiB: 400}}
 	for name, c := range map[string]struct {
 		kind    configuration.WorkloadKind
 		size    resource.Vector
@@ -25,7 +25,7 @@
 		"gang too large":        {configuration.Gang, resource.Vector{MilliCPU: 1000}, 0, []configuration.Home{{Domain: "d", Count: 7}}, job.GangTooLarge},
 		"gang split":            {configuration.Gang, resource.Vector{MilliCPU: 1000}, 1, []configuration.Home{{Domain: "d", Count: 1}, {Domain: "e", Count: 1}}, job.GangSplit},
 	} {
-		r := job.Refuse(&configuration.Workload{Name: "w", Kind: c.kind, Size: c.size, Homes: c.homes}, shapes)
+		r := job.Refuse(&configuration.Workload{Name: "w", Kind: c.kind, Size: c.size, Homes: c.homes}, job.Shapes{Domain: "d", Known: known, Unknown: c.unknown})
 		if got := r; (got == nil) != (c.want == "") || got != nil && got.Cause != c.want {
 			t.Errorf("%s: %v, want %q", name, got, c.want)
 		}
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -81,8 +81,9 @@
 // that is looked at first.
 func (c *Cell) Place(r *Request, rules *Rules) *Node {
 	size := len(c.nodes)
+	rotate := rules.Rotate && size > rules.Sample
 	start := 0
-	if rules.Rotate && size > 0 {
+	if rotate {
 		start = c.from % size
 	}
 	var best *Node
@@ -103,7 +104,7 @@
 			break
 		}
 	}
-	if rules.Rotate {
+	if rotate {
 		c.from = i
 	}
 	return best
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -19,7 +19,7 @@
 	Scorer Scorer
 	// Sample bounds the feasible nodes that are compared; 0 compares all.
 	Sample int
-	// Rotate begins each search where the last one ended.
+	// Rotate begins each search where the last one ended, in cells larger than the sample.
 	Rotate bool
 	// Linger is how long a start may wait to share a message to its worker.
 	Linger time.Duration
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/job"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 	"github.com/mimosaspool/mimosaspool/internal/team"
@@ -59,6 +60,7 @@
 // refresh brings a worker's node up to date and wakes groups that it may help.
 func (c *Core) refresh(w *worker) {
 	old := w.node
+	c.judgeProbe(w)
 	blocked := c.blocked(w)
 	now := placement.Node{
 		Name: w.name, Rack: w.rack, Capacity: w.capacity, Free: w.free(), Tasks: old.Tasks,
@@ -103,7 +105,7 @@
 		return placement.Leaving
 	case w.drained:
 		return placement.Draining
-	case c.now < w.health.until || c.judgeProbe(w):
+	case c.now < w.health.until || c.probeUnder(w):
 		return placement.Quarantined
 	}
 	return ""
@@ -229,6 +231,8 @@
 		w.flushAt = flush
 	}
 	w.starts = append(w.starts, s)
-	w.assumed[s.Attempt] = s
+	if !c.lacks(ownership.GuardAssumed) {
+		w.assumed[s.Attempt] = s
+	}
 	c.touch(w)
 }
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -45,19 +45,26 @@
 }
 
 // reasons returns the reasons for which tasks of a workload wait.
-func (c *cell) reasons(name string) []placement.Reason {
-	var list []placement.Reason
+func (c *cell) reasons(name string) []scheduler.WaitReason {
+	var list []scheduler.WaitReason
 	for _, t := range c.core.Tasks() {
-		if t.Workload == name {
-			for _, r := range t.Reasons {
-				list = append(list, r)
-			}
+		if t.Workload == name && t.Reason != "" {
+			list = append(list, t.Reason)
 		}
 	}
 	slices.Sort(list)
 	return slices.Compact(list)
 }
 
+// refused returns the reasons of the workers for a waiting task.
+func (c *cell) refused(task string) []placement.Reason {
+	var list []placement.Reason
+	for _, n := range c.core.ExplainTask(task).Nodes {
+		list = append(list, n.Reason)
+	}
+	return list
+}
+
 func (c *cell) finish(name string, state scheduler.TaskState) {
 	for _, w := range c.workers {
 		for a, t := range w.tasks {
@@ -134,7 +141,7 @@
 		c.run(5 * time.Second)
 		Expect(total(c.on("a"))).To(Equal(3))
 		Expect(c.on("p")).NotTo(HaveKey("w0000"))
-		Expect(c.reasons("p")).To(ContainElement(placement.AcceleratorsKept))
+		Expect(c.refused("p/2/9")).To(ContainElement(placement.AcceleratorsKept))
 	})
 })
 
@@ -195,7 +202,7 @@
 		c.run(3 * time.Second)
 		Expect(total(c.on("short"))).To(Equal(2))
 		Expect(c.on("late")).To(BeEmpty())
-		Expect(c.reasons("late")).To(ContainElement(placement.Reserved))
+		Expect(c.refused("late/3/0")).To(ContainElement(placement.Reserved))
 		c.finish("long", scheduler.Succeeded)
 		c.finish("short", scheduler.Succeeded)
 		c.run(4 * time.Second)
@@ -272,7 +279,7 @@
 		c.declare(team("t", cpu(3), 1), of("t", workload("b", configuration.Batch, 5, cpu(1))))
 		c.run(5 * time.Second)
 		Expect(total(c.on("b"))).To(Equal(3))
-		Expect(c.reasons("b")).To(ConsistOf(placement.Quota))
+		Expect(c.reasons("b")).To(ConsistOf(BeEquivalentTo(placement.Quota)))
 		c.declare(team("t", cpu(4), 1))
 		c.run(time.Second)
 		Expect(total(c.on("b"))).To(Equal(4))
@@ -303,8 +310,8 @@
 		c.run(3 * time.Second)
 		big, wide := workload("big", configuration.Batch, 1, cpu(5)), workload("wide", configuration.Gang, 9, cpu(1))
 		c.declare(declared(big), declared(wide))
-		Expect(c.reasons("big")).To(ConsistOf(placement.Impossible))
-		Expect(c.reasons("wide")).To(ConsistOf(placement.GangTooLarge))
+		Expect(c.reasons("big")).To(ConsistOf(BeEquivalentTo(placement.Impossible)))
+		Expect(c.reasons("wide")).To(ConsistOf(BeEquivalentTo(placement.GangTooLarge)))
 		Expect(c.core.Refusal(&big)).To(MatchError(ContainSubstring("no worker holds")))
 	})
 
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -36,7 +36,7 @@
 // failedOn takes note of a failed task on a worker.
 func (c *Core) failedOn(w *worker, workload string) {
 	h := &w.health
-	if c.settledSince(w, h.began) {
+	if h.failures > 0 && !h.probing && c.settledSince(w, h.began) {
 		h.succeed()
 	}
 	if h.failures == 0 {
@@ -70,7 +70,7 @@
 // settledSince reports whether a task that was bound after the given time runs well.
 func (c *Core) settledSince(w *worker, since time.Duration) bool {
 	for _, t := range w.bound {
-		if t.state == live && t.boundAt > since && c.now-t.boundAt >= probeSettled {
+		if t.state == live && t.boundAt >= since && c.now-t.boundAt >= probeSettled {
 			return true
 		}
 	}
@@ -80,22 +80,22 @@
 // succeed takes note of a task that did well.
 func (h *health) succeed() { *h = health{} }
 
-// judgeProbe lifts the quarantine when a probe has run for long enough, and
-// reports whether a probe is under way.
-func (c *Core) judgeProbe(w *worker) bool {
+// judgeProbe lifts the quarantine when a probe has run for long enough.
+func (c *Core) judgeProbe(w *worker) {
+	if w.health.probing && c.now >= w.health.until && c.settledSince(w, w.health.until) {
+		w.health.succeed()
+	}
+}
+
+// probeUnder reports whether a probe is under way.
+func (c *Core) probeUnder(w *worker) bool {
 	if !w.health.probing {
 		return false
 	}
-	under := false
 	for _, t := range w.bound {
-		if t.boundAt < w.health.until {
-			continue
-		}
-		under = true
-		if t.state == live && c.now-t.boundAt >= probeSettled {
-			w.health.succeed()
-			return false
+		if t.boundAt >= w.health.until {
+			return true
 		}
 	}
-	return under
+	return false
 }
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -108,6 +108,15 @@
 }
 
 var _ = Describe("Queue", func() {
+	It("takes the seats of a domain that the log's first record declares", func() {
+		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
+		c.Step(0, scheduler.LogRead{})
+		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{{Domain: &configuration.Domain{Name: "d", Workers: []string{"w"}}}}})
+		Expect(err).NotTo(HaveOccurred())
+		c.Step(0, scheduler.LogRead{Records: []configuration.Numbered{{Data: data}}})
+		Expect(c.Workers()).To(HaveLen(1))
+	})
+
 	It("starts a blocked task as soon as a report frees room for it", func() {
 		c := newCell(1, small)
 		c.declare(declared(workload("a", configuration.Batch, 4, resource.Vector{MilliCPU: 1000})))
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
 )
 
 // reconcile brings what runs closer to what is wanted.
@@ -50,7 +52,8 @@
 func (c *Core) collectLost() {
 	for i := 0; i < len(c.touched); i++ {
 		w := c.touched[i]
-		if len(w.bound) > 0 && !w.claim.Owned(c.now) && c.now >= w.renewedUntil {
+		lapsed := c.now >= w.renewedUntil || c.lacks(ownership.GuardRenewed)
+		if len(w.bound) > 0 && !w.claim.Owned(c.now) && lapsed {
 			c.forgetTasks(w)
 		}
 	}
