--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -74,8 +74,8 @@
 	agenda  agenda
 	// termStale is set when a claim was won or lost since the term was worked out.
 	termStale bool
-	// seatsVersion is the version of the domain whose seats are in place.
-	seatsVersion int64
+	// seats is the version of the domain's declaration whose seats are in place.
+	seats seatsVersion
 	placer
 }
 
@@ -93,8 +93,6 @@
 		applied: -1,
 		reasons: Counters{},
 		placer:  newPlacer(),
-
-		seatsVersion: -1,
 	}
 }
 
@@ -199,8 +197,9 @@
 
 // configure brings seats and wanted tasks in line with the catalog.
 func (c *Core) configure() {
-	if d := c.view.Catalog.Domains[c.set.Domain]; d.Version != c.seatsVersion {
-		c.seatsVersion = d.Version
+	d, declared := c.view.Catalog.Domains[c.set.Domain]
+	if seats := (seatsVersion{declared, d.Version}); seats != c.seats {
+		c.seats = seats
 		c.setSeats(d.Value.Workers)
 	}
 	c.setDrained()
@@ -209,6 +208,12 @@
 	c.dirDirty = true
 }
 
+// seatsVersion tells one declaration of the domain from another, and from none.
+type seatsVersion struct {
+	declared bool
+	version  int64
+}
+
 func (c *Core) setSeats(names []string) {
 	want := map[string]bool{}
 	for _, n := range names {
