entry: the program around the routing core; slots under leases

Cause: the entry forwarded one try per request, took every runner's 8 slots for itself and had no deadline, drain, retry or key handling. Change: one goroutine owns the routing core; callers' goroutines follow its verdicts. A send runs on its own goroutine, so an answer nobody waits for is still read to its end and its slot given back then. Bytes are counted on the connection, so that not sent is known rather than guessed. The transport's own repeats are ruled out by bodies without GetBody. Requests that may not be repeated use connections idle for at most a second. Directory.Sync carries grants; the scheduler keeps the ledger while its term surely holds. Entries store intents with each other and tell expected waits over twirp. Ruled out: reading an answer's first bytes on the caller's goroutine, which kept a caller past its deadline when a body stalled; relying on the transport's errors to tell whether a byte had left.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,150 +1,270 @@
-// Package entry carries callers' requests to runners.
+// Package entry carries callers' requests to runners. One goroutine owns the
+// routing core; callers' goroutines send it events and follow its verdicts.
 package entry
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
 
-	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/routing"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
 
 // Options configure an entry.
 type Options struct {
-	Host       string
-	Domain     string
+	Core       routing.Settings
 	Schedulers []string
-	Client     *http.Client
+	// Client is for control messages.
+	Client    *http.Client
+	Telemetry *telemetry.Telemetry
+	Logger    *logrus.Entry
 }
 
+// The pace of the core's goroutine.
+const (
+	tickInterval = 20 * time.Millisecond
+	// lookInterval is how often connections are looked at for progress.
+	lookInterval = 500 * time.Millisecond
+	eventBuffer  = 4096
+)
+
 // Entry is one entry host's request path.
 type Entry struct {
-	opt      Options
-	upstream *http.Transport
-	mu       sync.Mutex
-	version  int64
-	runners  map[string][]*runner
+	opt       Options
+	start     time.Time
+	inbox     chan message
+	stopped   chan struct{}
+	core      *routing.Core
+	calls     map[uint64]*call
+	ids       atomic.Uint64
+	upstreams *upstreams
+	answers   *answers
+	metrics   *metrics
+	// running counts the goroutines of sends and control messages.
+	running sync.WaitGroup
+	replies replies
+	ready   atomic.Bool
+	// open and held are the requests and slots in use, for the log.
+	open, held atomic.Int64
 }
 
-type runner struct {
-	endpoint *control.Endpoint
-	busy     int
+// message is what the core's goroutine takes: an event, with the call that it
+// begins, or a function to run there.
+type message struct {
+	ev   routing.Event
+	call *call
+	do   func(*routing.Core)
 }
 
-const (
-	runnerSlots       = 8
-	runnerConnections = 64
-	syncWait          = 2 * time.Second
-	syncRetry         = 300 * time.Millisecond
-)
-
 // New returns an entry that knows no runner.
-func New(opt Options) *Entry {
-	return &Entry{
-		opt:      opt,
-		upstream: &http.Transport{MaxConnsPerHost: runnerConnections, MaxIdleConnsPerHost: runnerSlots, DisableCompression: true},
-		runners:  map[string][]*runner{},
+func New(opt Options) (*Entry, error) {
+	m, err := newMetrics(opt.Telemetry)
+	if err != nil {
+		return nil, err
 	}
+	return &Entry{
+		opt:       opt,
+		start:     time.Now(),
+		inbox:     make(chan message, eventBuffer),
+		stopped:   make(chan struct{}),
+		core:      routing.New(opt.Core),
+		calls:     map[uint64]*call{},
+		upstreams: newUpstreams(),
+		answers:   newAnswers(),
+		metrics:   m,
+		replies:   newReplies(),
+	}, nil
 }
 
-// Run follows the domain's leader until ctx ends.
-func (e *Entry) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, url := range e.opt.Schedulers {
-			e.sync(ctx, url)
-		}
+// now is the core's local time.
+func (e *Entry) now() time.Duration { return time.Since(e.start) }
+
+// Start runs the entry's goroutines. The returned function ends them; requests
+// still in flight are then cut off.
+func (e *Entry) Start(ctx context.Context) (stop func()) {
+	working, stopWorking := context.WithCancel(ctx)
+	background, stopBackground := context.WithCancel(ctx)
+	go e.run(working)
+	e.running.Go(func() { (&follower{entry: e}).follow(background) })
+	e.followLoads(background)
+	return func() {
+		stopBackground()
+		stopWorking()
+		<-e.stopped
+		e.running.Wait()
 	}
 }
 
-func (e *Entry) sync(ctx context.Context, url string) {
-	client := control.NewDirectoryProtobufClient(url, e.opt.Client)
-	known := int64(-1)
-	for ctx.Err() == nil {
-		reply, err := client.Sync(ctx, &control.SyncRequest{Entry: e.opt.Host, KnownVersion: known, WaitMs: int32(syncWait.Milliseconds())})
-		if err != nil || !reply.Leader {
-			time.Sleep(syncRetry)
+// run owns the core until ctx ends.
+func (e *Entry) run(ctx context.Context) {
+	defer close(e.stopped)
+	tick, look := time.NewTicker(tickInterval), time.NewTicker(lookInterval)
+	defer tick.Stop()
+	defer look.Stop()
+	for {
+		select {
+		case m := <-e.inbox:
+			e.handle(ctx, m)
+		case <-tick.C:
+			e.tick(ctx)
+		case <-look.C:
+			e.look(ctx)
+		case <-ctx.Done():
 			return
 		}
-		known = reply.Version
-		e.apply(reply)
 	}
 }
 
-func (e *Entry) apply(reply *control.SyncReply) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	old := map[uint64]*runner{}
-	for _, list := range e.runners {
-		for _, r := range list {
-			old[r.endpoint.Attempt] = r
-		}
+func (e *Entry) handle(ctx context.Context, m message) {
+	if m.do != nil {
+		m.do(e.core)
+		return
 	}
-	next := map[string][]*runner{}
-	for _, ep := range reply.Endpoints {
-		r := old[ep.Attempt]
-		if r == nil {
-			r = &runner{}
-		}
-		r.endpoint = ep
-		next[ep.Service] = append(next[ep.Service], r)
+	if m.call != nil {
+		e.calls[m.call.id] = m.call
 	}
-	e.runners, e.version = next, reply.Version
+	e.settle(m.ev)
+	e.step(ctx, m.ev)
 }
 
-// Ready reports whether the entry knows its runners.
-func (e *Entry) Ready() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.version > 0
+// settle takes note that a send has ended.
+func (e *Entry) settle(ev routing.Event) {
+	switch ev := ev.(type) {
+	case routing.Answered:
+		e.sendEnded(ev.ID)
+	case routing.Refused:
+		e.sendEnded(ev.ID)
+	case routing.Failed:
+		e.sendEnded(ev.ID)
+	}
 }
 
-// Register adds the callers' routes.
-func (e *Entry) Register(r *mux.Router) { r.PathPrefix("/s/{service}").HandlerFunc(e.serve) }
+func (e *Entry) sendEnded(id uint64) {
+	if c := e.calls[id]; c != nil {
+		c.inFlight = false
+		e.forget(c)
+	}
+}
 
-func (e *Entry) serve(w http.ResponseWriter, req *http.Request) {
-	r := e.hold(mux.Vars(req)["service"])
-	if r == nil {
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "not run: no free slot", http.StatusServiceUnavailable)
-		return
+// forget drops a call that neither caller nor core has a use for.
+func (e *Entry) forget(c *call) {
+	if c.ended && !c.inFlight {
+		delete(e.calls, c.id)
 	}
-	defer e.free(r)
-	out := req.Clone(req.Context())
-	out.RequestURI, out.URL.Scheme, out.URL.Host = "", "http", r.endpoint.Address
-	resp, err := e.upstream.RoundTrip(out)
-	if err != nil {
-		http.Error(w, "outcome unknown", http.StatusBadGateway)
+}
+
+func (e *Entry) step(ctx context.Context, ev routing.Event) {
+	for _, eff := range e.core.Step(e.now(), ev) {
+		e.do(ctx, eff)
+	}
+}
+
+func (e *Entry) do(ctx context.Context, eff routing.Effect) {
+	switch eff := eff.(type) {
+	case routing.Send:
+		c := e.calls[eff.ID]
+		c.inFlight = true
+		c.verdicts <- eff
+	case routing.Finish:
+		e.metrics.ended(eff.Ending.Outcome)
+		c := e.calls[eff.ID]
+		c.verdicts <- eff
+		c.ended = true
+		e.forget(c)
+	case routing.GiveUp:
+		e.giveUp(eff)
+	case routing.DropAnswer:
+		e.answers.drop(eff.ID)
+	default:
+		e.control(ctx, eff)
+	}
+}
+
+// giveUp closes the connection of a send. A send that the caller's goroutine
+// has not begun yet is given up later, by the next look.
+func (e *Entry) giveUp(g routing.GiveUp) {
+	c := e.calls[g.ID]
+	if c == nil {
 		return
 	}
-	defer resp.Body.Close()
-	for k, v := range resp.Header {
-		w.Header()[k] = v
+	c.gaveUp = g.Send
+	if x := c.current.Load(); x != nil && x.send.Send == g.Send {
+		x.cancel()
 	}
-	w.WriteHeader(resp.StatusCode)
-	_, _ = io.Copy(w, resp.Body)
 }
 
-func (e *Entry) hold(service string) *runner {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var best *runner
-	for _, r := range e.runners[service] {
-		if !r.endpoint.Leaving && r.busy < runnerSlots && (best == nil || r.busy < best.busy) {
-			best = r
+func (e *Entry) tick(ctx context.Context) {
+	if at, ok := e.core.NextTimer(); ok && at <= e.now() {
+		e.step(ctx, routing.Tick{})
+	}
+}
+
+// look reports the sends whose connections moved bytes, and publishes counts.
+func (e *Entry) look(ctx context.Context) {
+	for id, c := range e.calls {
+		x := c.current.Load()
+		if x == nil || !c.inFlight {
+			continue
+		}
+		if c.gaveUp == x.send.Send {
+			x.cancel()
+		}
+		if n := x.bytes(); n != x.moved {
+			x.moved = n
+			e.step(ctx, routing.Progress{ID: id, Send: x.send.Send})
 		}
 	}
-	if best != nil {
-		best.busy++
+	open, held := e.core.InFlight()
+	e.open.Store(int64(open))
+	e.held.Store(int64(held))
+	e.ready.Store(e.core.Ready())
+	e.metrics.publish(e.core.Counters())
+	e.upstreams.sweep(time.Now())
+}
+
+// post hands an event to the core's goroutine.
+func (e *Entry) post(ev routing.Event) { e.put(message{ev: ev}) }
+
+// admit hands a new call to the core's goroutine.
+func (e *Entry) admit(c *call) { e.put(message{ev: c.admit, call: c}) }
+
+func (e *Entry) put(m message) {
+	select {
+	case e.inbox <- m:
+	case <-e.stopped:
+	}
+}
+
+// inspect runs f on the core's goroutine and waits for it. It returns false
+// when that goroutine has ended.
+func (e *Entry) inspect(f func(*routing.Core)) bool {
+	done := make(chan struct{})
+	e.put(message{do: func(c *routing.Core) { f(c); close(done) }})
+	select {
+	case <-done:
+		return true
+	case <-e.stopped:
+		return false
 	}
-	return best
 }
 
-func (e *Entry) free(r *runner) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r.busy--
+// take steps the core with an event and waits until it has.
+func (e *Entry) take(ev routing.Event) {
+	e.post(ev)
+	e.inspect(func(c *routing.Core) { e.ready.Store(c.Ready()) })
+}
+
+// Ready reports whether the entry knows its runners and takes requests.
+func (e *Entry) Ready() bool { return e.ready.Load() }
+
+// Register adds the callers' routes and what other entries call.
+func (e *Entry) Register(r *mux.Router) {
+	r.PathPrefix("/s/{service}").HandlerFunc(e.serve)
+	e.registerControl(r)
 }
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,372 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/routing"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Entry")
+}
+
+// leader is a fake scheduler that grants fixed slots.
+type leader struct {
+	mu      sync.Mutex
+	version int64
+	runners []*control.Endpoint
+}
+
+// Sync implements control.Directory.
+func (l *leader) Sync(_ context.Context, req *control.SyncRequest) (*control.SyncReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if req.KnownVersion == l.version {
+		time.Sleep(10 * time.Millisecond)
+		return &control.SyncReply{Leader: true, Version: l.version, Unchanged: true}, nil
+	}
+	return &control.SyncReply{Leader: true, Version: l.version, Endpoints: l.runners, Services: []*control.ServiceInfo{{Name: "s"}}}, nil
+}
+
+// host is an entry under test with its server.
+type host struct {
+	*Entry
+	server *httptest.Server
+	stop   func()
+}
+
+// startHost starts an entry; handler routes may be added before it is used.
+func startHost(l *leader, set routing.Settings) *host {
+	tel, err := telemetry.New("entry")
+	Expect(err).NotTo(HaveOccurred())
+	scheduler := httptest.NewServer(control.NewDirectoryServer(l))
+	scheduler.Config.SetKeepAlivesEnabled(false)
+	e, err := New(Options{
+		Core: set, Schedulers: []string{scheduler.URL}, Client: &http.Client{Timeout: time.Second},
+		Telemetry: tel, Logger: logrus.NewEntry(logrus.New()),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	e.Register(r)
+	h := &host{Entry: e, server: httptest.NewServer(r)}
+	stop := e.Start(context.Background())
+	h.stop = func() {
+		h.server.Close()
+		stop()
+		scheduler.Close()
+		Expect(tel.Close()).To(Succeed())
+	}
+	Eventually(e.Ready).Should(BeTrue())
+	return h
+}
+
+func settingsOf(name string) routing.Settings {
+	return routing.Settings{Host: name, Incarnation: "1", Domain: "d", Region: "r", Seed: 1, NewDomain: true, Timing: routing.DefaultTiming()}
+}
+
+var _ = ginkgo.Describe("Entry", func() {
+	var l *leader
+	var h *host
+	var runner *httptest.Server
+	var handler atomic.Pointer[http.HandlerFunc]
+	var runs atomic.Int64
+	serve := func(f http.HandlerFunc) { handler.Store(&f) }
+
+	ginkgo.BeforeEach(func() {
+		runs.Store(0)
+		runner = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			runs.Add(1)
+			(*handler.Load())(w, req)
+		}))
+		l = &leader{version: 1, runners: []*control.Endpoint{{Service: "s", Attempt: 1, Address: runner.Listener.Addr().String(), Slots: 8}}}
+		h = startHost(l, settingsOf("e1"))
+	})
+	ginkgo.AfterEach(func() {
+		runner.CloseClientConnections()
+		h.stop()
+		runner.Close()
+	})
+	do := func(method, path string, body io.Reader, headers ...string) *http.Response {
+		req, err := http.NewRequest(method, h.server.URL+path, body)
+		Expect(err).NotTo(HaveOccurred())
+		for i := 0; i < len(headers); i += 2 {
+			req.Header.Set(headers[i], headers[i+1])
+		}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(resp.Body.Close)
+		return resp
+	}
+	text := func(resp *http.Response) string {
+		data, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return string(data)
+	}
+
+	ginkgo.It("passes headers, path and both bodies whole", func() {
+		serve(func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("X-Seen", req.URL.RequestURI()+" "+req.Header.Get("Traceparent")+req.Header.Get("X-Hop"))
+			w.Header().Set("Trailer", "X-Sum")
+			n, _ := io.Copy(w, req.Body)
+			w.Header().Set("X-Sum", fmt.Sprint(n))
+		})
+		sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
+		resp := do("POST", "/s/s/a%2Fb//c?x=1", bytes.NewReader(sent), "Traceparent", "00-1-2-01", "Connection", "X-Hop", "X-Hop", "x")
+		got, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(got, sent)).To(BeTrue())
+		Expect(resp.Header.Get("X-Seen")).To(Equal("/a%2Fb//c?x=1 00-1-2-01"))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeAnswered))
+		Expect(resp.Trailer.Get("X-Sum")).To(Equal(fmt.Sprint(len(sent))))
+	})
+
+	ginkgo.It("passes a stream on piece by piece", func() {
+		more := make(chan bool)
+		serve(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "one")
+			w.(http.Flusher).Flush()
+			<-more
+			fmt.Fprint(w, "two")
+		})
+		resp := do("GET", "/s/s/", nil)
+		first := make([]byte, 3)
+		_, err := io.ReadFull(resp.Body, first)
+		Expect(err).NotTo(HaveOccurred())
+		close(more)
+		Expect(string(first) + text(resp)).To(Equal("onetwo"))
+	})
+
+	ginkgo.It("says unknown when the connection is lost after the request was sent, and sends it once", func() {
+		serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		resp := do("POST", "/s/s/", strings.NewReader("x"))
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeUnknown))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	ginkgo.It("never has the transport repeat a request by itself", func() {
+		serve(func(http.ResponseWriter, *http.Request) {})
+		for range 3 {
+			text(do("POST", "/s/s/", nil, headerIdempotent, "false", "X-Idempotency-Key", "k"))
+		}
+		runs.Store(0)
+		serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		resp := do("GET", "/s/s/", nil, headerIdempotent, "false", "X-Idempotency-Key", "k")
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeUnknown))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	ginkgo.It("retries an idempotent request with its whole body", func() {
+		serve(func(w http.ResponseWriter, req *http.Request) {
+			if runs.Load() == 1 {
+				_, _ = io.ReadAll(req.Body)
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.Copy(w, req.Body)
+		})
+		Expect(text(do("PUT", "/s/s/", strings.NewReader("whole")))).To(Equal("whole"))
+		Expect(runs.Load()).To(Equal(int64(2)))
+	})
+
+	ginkgo.It("says not run when the runner refused before starting, and when to come back", func() {
+		serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerNotStarted, "true")
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		resp := do("POST", "/s/s/", strings.NewReader("x"))
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeNotRun))
+		Expect(resp.Header.Get(headerReason)).To(Equal("runner-refused"))
+		Expect(resp.Header.Get("Retry-After")).To(Equal("2"))
+	})
+
+	ginkgo.It("passes a runner's own error on as its answer", func() {
+		serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, outcomeNotRun)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		resp := do("POST", "/s/s/", nil)
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeAnswered))
+	})
+
+	ginkgo.It("cuts the caller's connection when an answer breaks off", func() {
+		serve(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, strings.Repeat("x", 100<<10))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		_, err := io.ReadAll(do("GET", "/s/s/", nil).Body)
+		Expect(err).To(HaveOccurred())
+	})
+
+	ginkgo.It("answers at the deadline and keeps the slot until the runner has ended", func() {
+		release := make(chan bool)
+		serve(func(http.ResponseWriter, *http.Request) { <-release })
+		resp := do("GET", "/s/s/", nil, headerDeadline, "50ms")
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(resp.Header.Get(headerReason)).To(Equal("deadline"))
+		held := func() (slots int) {
+			h.inspect(func(c *routing.Core) { _, slots = c.InFlight() })
+			return slots
+		}
+		Expect(held()).To(Equal(1))
+		close(release)
+		Eventually(held).Should(Equal(0))
+	})
+
+	ginkgo.It("names the header that can't be used", func() {
+		resp := do("GET", "/s/s/", nil, headerDeadline, "soon")
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(text(resp)).To(ContainSubstring(headerDeadline))
+		Expect(resp.Header.Get(headerOutcome)).To(Equal(outcomeNotRun))
+	})
+
+	ginkgo.It("refuses new requests once it is leaving", func() {
+		h.take(routing.Leave{})
+		Expect(do("GET", "/s/s/", nil).Header.Get(headerReason)).To(Equal("entry-leaving"))
+	})
+
+	ginkgo.It("dials anew after a connection went silent", func() {
+		proxy := newMutable(runner.Listener.Addr().String())
+		ginkgo.DeferCleanup(proxy.close)
+		l.mu.Lock()
+		l.version, l.runners = 2, []*control.Endpoint{{Service: "s", Attempt: 2, Address: proxy.l.Addr().String(), Slots: 8}}
+		l.mu.Unlock()
+		serve(func(http.ResponseWriter, *http.Request) {})
+		Eventually(func() int64 {
+			text(do("GET", "/s/s/", nil))
+			return proxy.conns.Load()
+		}).Should(BeNumerically(">", 0))
+		for range 3 {
+			text(do("GET", "/s/s/", nil))
+		}
+		proxy.mute()
+		began := time.Now()
+		Expect(do("GET", "/s/s/", nil).StatusCode).To(Equal(200))
+		Expect(time.Since(began)).To(BeNumerically("<", 10*time.Second))
+	})
+})
+
+// mutable forwards connections until it is muted: then those that are open go
+// silent, and new ones work.
+type mutable struct {
+	l     net.Listener
+	to    string
+	mu    sync.Mutex
+	muted *atomic.Bool
+	conns atomic.Int64
+}
+
+func newMutable(to string) *mutable {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	m := &mutable{l: l, to: to, muted: &atomic.Bool{}}
+	go m.accept()
+	return m
+}
+
+func (m *mutable) accept() {
+	for {
+		in, err := m.l.Accept()
+		if err != nil {
+			return
+		}
+		m.conns.Add(1)
+		out, err := net.Dial("tcp", m.to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		m.mu.Lock()
+		muted := m.muted
+		m.mu.Unlock()
+		go pipe(in, out, muted)
+		go pipe(out, in, muted)
+	}
+}
+
+func pipe(from, to net.Conn, muted *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			to.Close()
+			return
+		}
+		if !muted.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+func (m *mutable) mute() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.muted.Store(true)
+	m.muted = &atomic.Bool{}
+}
+
+func (m *mutable) close() { m.l.Close() }
+
+var _ = ginkgo.Describe("Two entries", func() {
+	ginkgo.It("give a resent key the first one's answer, whichever entry it reaches", func() {
+		var runs atomic.Int64
+		runner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			fmt.Fprint(w, "run ", runs.Add(1))
+		}))
+		defer runner.Close()
+		var hosts []*host
+		var peers []routing.Peer
+		var listeners []net.Listener
+		for _, name := range []string{"e1", "e2"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			listeners = append(listeners, l)
+			peers = append(peers, routing.Peer{Host: name, Domain: "d", Region: "r", Address: l.Addr().String()})
+		}
+		for i, p := range peers {
+			set := settingsOf(p.Host)
+			set.Peers = peers
+			l := &leader{version: 1, runners: []*control.Endpoint{{Service: "s", Attempt: 1, Address: runner.Listener.Addr().String(), Slots: 4}}}
+			h := startHost(l, set)
+			go http.Serve(listeners[i], h.server.Config.Handler)
+			defer listeners[i].Close()
+			defer h.stop()
+			hosts = append(hosts, h)
+		}
+		for k := range 6 {
+			key := fmt.Sprint("d.", k)
+			for i, h := range []*host{hosts[0], hosts[1], hosts[0]} {
+				req, _ := http.NewRequest("POST", h.server.URL+"/s/s/", strings.NewReader("x"))
+				req.Header.Set(headerKey, key)
+				resp, err := http.DefaultClient.Do(req)
+				Expect(err).NotTo(HaveOccurred())
+				body, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				Expect(string(body)).To(Equal(fmt.Sprint("run ", k+1)))
+				Expect(resp.Header.Get(headerReplayed) == "true").To(Equal(i > 0))
+			}
+		}
+	})
+})
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -2,28 +2,48 @@
 
 import (
 	"context"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
 	"github.com/mimosaspool/mimosaspool/internal/platform"
+	"github.com/mimosaspool/mimosaspool/internal/routing"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
 
 // flags are the program's settings.
 type flags struct {
-	Host       string   `flag:"host" validate:"required"`
-	Region     string   `flag:"region" validate:"required"`
-	Domain     string   `flag:"domain" validate:"required"`
-	Listen     string   `flag:"listen" validate:"required,hostname_port"`
-	Schedulers []string `flag:"scheduler-urls" validate:"required,dive,url"`
+	Host       string        `flag:"host" validate:"required"`
+	Region     string        `flag:"region" validate:"required"`
+	Domain     string        `flag:"domain" validate:"required"`
+	Listen     string        `flag:"listen" validate:"required,hostname_port"`
+	Schedulers []string      `flag:"scheduler-urls" validate:"required,dive,url"`
+	Entries    []string      `flag:"entries"`
+	KeysSince  string        `flag:"keys-since" validate:"omitempty,datetime=2006-01-02T15:04:05Z07:00"`
+	Grace      time.Duration `flag:"grace" validate:"min=0"`
 }
 
-// callTimeout bounds a call to a scheduler; it is above the longest wait for news.
-const callTimeout = 5 * time.Second
+// The timeouts of the program.
+const (
+	// callTimeout bounds a control message; it is above the longest wait for news.
+	callTimeout = 5 * time.Second
+	// refuseWait is how long new requests are refused before the listener closes.
+	refuseWait = time.Second
+	drainLook  = 50 * time.Millisecond
+	// keysMargin is by how much a process must have started before the time
+	// given as keys-since for that to vouch for it, since clocks differ.
+	keysMargin = 2 * time.Second
+)
 
 // Main runs the program and returns its exit code.
 func Main() int {
@@ -33,10 +53,11 @@
 		Short: "Carry callers' requests to runners",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.Validate(f); err != nil {
+			core, err := f.core()
+			if err != nil {
 				return err
 			}
-			return run(cmd.Context(), f)
+			return run(cmd.Context(), f, core)
 		},
 	}
 	cmd.Flags().StringVar(&f.Host, "host", "", "name of this entry host")
@@ -44,16 +65,110 @@
 	cmd.Flags().StringVar(&f.Domain, "domain", "", "failure domain of this host")
 	cmd.Flags().StringVar(&f.Listen, "listen", "", "address to serve callers on, host:port")
 	cmd.Flags().StringSliceVar(&f.Schedulers, "scheduler-urls", nil, "base URLs of the domain's schedulers")
+	cmd.Flags().StringSliceVar(&f.Entries, "entries", nil, "all entries, each as HOST=REGION/DOMAIN/IP:PORT")
+	cmd.Flags().StringVar(&f.KeysSince, "keys-since", "", "time (RFC 3339) before which this domain took no request with an idempotency key")
+	cmd.Flags().DurationVar(&f.Grace, "grace", 3*time.Second, "how long a stopping entry goes on taking requests while not ready")
 	return settings.Execute(cmd)
 }
 
-func run(parent context.Context, f flags) error {
-	ctx, cancel := lifecycle.Signals(parent, func() { logrus.Warn("stopped at once; requests in flight were cut off") })
+// core checks all settings and returns the core's.
+func (f flags) core() (routing.Settings, error) {
+	started := time.Now()
+	set := routing.Settings{
+		Host: f.Host, Incarnation: strconv.FormatInt(started.UnixNano(), 36), Domain: f.Domain, Region: f.Region,
+		Seed: uint64(started.UnixNano()), Timing: routing.DefaultTiming(),
+	}
+	bad := &settings.Error{}
+	if err := settings.Validate(f); err != nil && !errors.As(err, &bad) {
+		return set, err
+	}
+	for _, text := range f.Entries {
+		p, ok := parsePeer(text)
+		if !ok {
+			bad.Problems = append(bad.Problems, settings.Problem{Flag: "entries", Value: text, Allowed: "must be HOST=REGION/DOMAIN/IP:PORT"})
+		}
+		set.Peers = append(set.Peers, p)
+	}
+	if len(set.Peers) > 0 && !slices.ContainsFunc(set.Peers, func(p routing.Peer) bool { return p.Host == f.Host && p.Domain == f.Domain }) {
+		bad.Problems = append(bad.Problems, settings.Problem{Flag: "entries", Value: strings.Join(f.Entries, ","), Allowed: "must contain this host in this domain"})
+	}
+	if since, err := time.Parse(time.RFC3339, f.KeysSince); err == nil {
+		set.NewDomain = started.Before(since.Add(-keysMargin))
+	}
+	if len(bad.Problems) > 0 {
+		return set, bad
+	}
+	return set, nil
+}
+
+func parsePeer(text string) (routing.Peer, bool) {
+	host, rest, ok := strings.Cut(text, "=")
+	parts := strings.Split(rest, "/")
+	if !ok || host == "" || len(parts) != 3 || parts[0] == "" || parts[1] == "" || !strings.Contains(parts[2], ":") {
+		return routing.Peer{}, false
+	}
+	return routing.Peer{Host: host, Region: parts[0], Domain: parts[1], Address: parts[2]}, true
+}
+
+func run(parent context.Context, f flags, set routing.Settings) error {
+	log := logrus.WithFields(logrus.Fields{"host": f.Host, "domain": f.Domain})
+	tel, err := telemetry.New("entry")
+	if err != nil {
+		return err
+	}
+	defer tel.Close()
+	e, err := New(Options{
+		Core: set, Schedulers: f.Schedulers, Client: platform.NewHTTPClient(callTimeout), Telemetry: tel, Logger: log,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := lifecycle.Signals(parent, e.cutOff)
 	defer cancel()
-	e := New(Options{Host: f.Host, Domain: f.Domain, Schedulers: f.Schedulers, Client: platform.NewHTTPClient(callTimeout)})
-	r := mux.NewRouter()
-	lifecycle.AddHealth(r, e.Ready)
+	return e.serveUntil(ctx, f.Listen, f.Grace, tel.Handler())
+}
+
+// serveUntil serves until ctx ends and everything in flight has.
+func (e *Entry) serveUntil(ctx context.Context, listen string, grace time.Duration, metrics http.Handler) error {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	lifecycle.AddHealth(r, func() bool { return e.Ready() && ctx.Err() == nil })
+	r.Handle("/metrics", metrics)
 	e.Register(r)
-	go e.Run(ctx)
-	return lifecycle.Serve(ctx, f.Listen, r)
+	base := context.WithoutCancel(ctx)
+	stop := e.Start(base)
+	serving, stopServing := context.WithCancel(base)
+	defer stopServing()
+	served := make(chan error, 1)
+	go func() { served <- lifecycle.Serve(serving, listen, r) }()
+	var err error
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		err = e.drain(grace, stopServing, served)
+	}
+	stop()
+	return err
+}
+
+// drain stops taking requests and waits for those in flight.
+func (e *Entry) drain(grace time.Duration, stopServing func(), served <-chan error) error {
+	e.opt.Logger.WithField("grace", grace.String()).Info("stopping: not ready, still taking requests")
+	time.Sleep(grace)
+	e.post(routing.Leave{})
+	time.Sleep(refuseWait)
+	stopServing()
+	err := <-served
+	for open := 1; open > 0; time.Sleep(drainLook) {
+		if !e.inspect(func(c *routing.Core) { open, _ = c.InFlight() }) {
+			break
+		}
+	}
+	e.opt.Logger.Info("stopped: nothing was in flight")
+	return err
+}
+
+// cutOff logs what a second signal ends.
+func (e *Entry) cutOff() {
+	e.opt.Logger.WithFields(logrus.Fields{"requests": e.open.Load(), "slots": e.held.Load()}).Warn("stopped at once; requests in flight were cut off")
+	_ = os.Stderr.Sync()
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -156,6 +156,18 @@
 // Ready reports whether the core knows its runners and takes new requests.
 func (c *Core) Ready() bool { return c.known && !c.leaving }
 
+// Leaving reports whether a planned stop has begun.
+func (c *Core) Leaving() bool { return c.leaving }
+
+// Waiting returns how many requests wait for a slot.
+func (c *Core) Waiting() int {
+	n := 0
+	for _, s := range c.services {
+		n += s.queue.size
+	}
+	return n
+}
+
 // InFlight returns how many requests have not ended here, and how many slots
 // are still held, for requests whose callers have been answered among them.
 func (c *Core) InFlight() (requests, slots int) {
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -164,13 +164,32 @@
 
 // watch arms the timer of a request that is sent.
 func (c *Core) watch(q *request) {
-	at := min(q.movedAt+c.set.Timing.Silence, q.sentAt+c.set.Timing.Longest)
+	at := min(q.movedAt+c.silence(q), q.sentAt+c.set.Timing.Longest)
 	if !q.begun && !q.ended {
 		at = min(at, q.Deadline)
 	}
 	c.arm(&q.timer, at)
 }
 
+// silenceMeans is how many mean run times a request that may be sent again
+// waits for a sign of life.
+const silenceMeans = 20
+
+// silence is how long the send may make no progress. A request that can't be
+// sent again gains nothing from being given up before an answer has begun.
+func (c *Core) silence(q *request) time.Duration {
+	t := c.set.Timing
+	switch {
+	case q.begun || q.target == ToDomain:
+		return t.Silence
+	case !q.Idempotent:
+		return t.Longest
+	case q.svc.mean == 0:
+		return t.Silence
+	}
+	return min(max(silenceMeans*q.svc.mean, t.Silence/5), t.Silence)
+}
+
 // fire acts on the request's time running out.
 func (q *request) fire(c *Core) {
 	switch q.phase {
@@ -197,7 +216,7 @@
 	if !q.ended && !q.begun && c.now >= q.Deadline {
 		c.tell(q, Ending{Outcome: OutcomeUnknown, Reason: ReasonDeadline})
 	}
-	if c.now >= q.movedAt+c.set.Timing.Silence || c.now >= q.sentAt+c.set.Timing.Longest {
+	if c.now >= q.movedAt+c.silence(q) || c.now >= q.sentAt+c.set.Timing.Longest {
 		q.gaveUp = ReasonSilent
 		c.emit(GiveUp{ID: q.ID, Send: q.send})
 		return
@@ -310,47 +329,6 @@
 	c.release(h)
 }
 
-// lost retries the request if that is allowed, or ends it.
-func (c *Core) lost(q *request, why Reason, after time.Duration, again bool) {
-	target := q.target
-	q.hold, q.why, q.after = nil, why, after
-	q.tries++
-	if q.ended || !again || target == ToHome || q.svc == nil {
-		c.endLost(q, why, after)
-		return
-	}
-	wait := c.backoff(q, target)
-	switch {
-	case q.tries >= maxTries || c.now+wait >= q.Deadline:
-		c.endLost(q, why, after)
-	case !q.svc.budget.spend():
-		c.endLost(q, ReasonRetryBudget, max(after, retrySoon))
-	default:
-		c.count(KindRetry, why)
-		q.phase = backingOff
-		c.arm(&q.timer, c.now+wait)
-	}
-}
-
-// backoff returns the wait before the next try: full jitter after a runner's
-// failure, none after a refusal elsewhere.
-func (c *Core) backoff(q *request, target Target) time.Duration {
-	if target != ToRunner {
-		return 0
-	}
-	t := c.set.Timing
-	return c.jitter(min(t.BackoffBase<<(q.tries-1), t.BackoffMax))
-}
-
-// endLost ends a request without an answer: not run where it surely did not.
-func (c *Core) endLost(q *request, why Reason, after time.Duration) {
-	if q.reached {
-		c.finish(q, Ending{Outcome: OutcomeUnknown, Reason: why})
-		return
-	}
-	c.finish(q, Ending{Outcome: OutcomeNotRun, Reason: why, RetryAfter: after})
-}
-
 // refuse ends a request that was never sent.
 func (c *Core) refuse(q *request, why Reason, after time.Duration) {
 	c.finish(q, Ending{Outcome: OutcomeNotRun, Reason: why, RetryAfter: after})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -57,6 +57,8 @@
 	hosts map[string]Host
 	// attempts numbers the starts of this incarnation.
 	attempts uint64
+	// termAttempts is the number that the present term began with.
+	termAttempts uint64
 	// election state: see election.go.
 	election election
 	ended    endings
@@ -154,6 +156,7 @@
 
 // beginTerm counts what was seen on the owned workers as known in the new term.
 func (c *Core) beginTerm() {
+	c.termAttempts = c.attempts
 	for _, name := range c.order {
 		if w := c.workers[name]; w.claim.Owned(c.now) && w.seenAt >= 0 {
 			c.confirm(w)
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 )
@@ -13,6 +14,13 @@
 	Leader    bool
 	Position  int64
 	Endpoints []Endpoint
+	Services  []ServiceInfo
+}
+
+// ServiceInfo is what entries need to know of a declared service.
+type ServiceInfo struct {
+	Name   string
+	Policy configuration.Policy
 }
 
 // Endpoint is a service's runner.
@@ -23,6 +31,23 @@
 	Address string
 	// Leaving runners take no new requests.
 	Leaving bool
+	// Fresh runners were started in the present unbroken term.
+	Fresh bool
+}
+
+// Term is the term that the core holds or last held.
+type Term struct {
+	Held bool
+	// Began and Until bound the unbroken term in local time.
+	Began, Until time.Duration
+}
+
+// At reports whether the term surely holds at the local time now.
+func (t Term) At(now time.Duration) bool { return t.Held && now < t.Until }
+
+// Term returns the newest term.
+func (c *Core) Term() Term {
+	return Term{Held: c.term.Held(c.now), Began: c.term.Began(), Until: c.term.Until()}
 }
 
 // Directory returns the newest directory.
@@ -44,6 +69,11 @@
 		}
 	}
 	sort.Slice(d.Endpoints, func(i, j int) bool { return d.Endpoints[i].Attempt < d.Endpoints[j].Attempt })
+	for _, name := range c.view.Catalog.WorkloadNames() {
+		if w := c.view.Catalog.Workloads[name].Value; w.Kind == configuration.Service {
+			d.Services = append(d.Services, ServiceInfo{Name: name, Policy: w.Policy})
+		}
+	}
 	c.dir = d
 }
 
@@ -54,5 +84,13 @@
 	_, drained := c.view.Catalog.Drained[w.name]
 	ep := Endpoint{Service: configuration.WorkloadOf(o.Task), Task: o.Task, Attempt: o.Attempt, Address: o.Address}
 	ep.Leaving = w.leaving || drained || !c.wants(w, o)
+	ep.Fresh = c.startedInTerm(o.Attempt)
 	return ep, true
 }
+
+// startedInTerm reports whether this process numbered the attempt since the
+// present term began.
+func (c *Core) startedInTerm(attempt uint64) bool {
+	base := attemptBase(c.set.Holder())
+	return c.held && attempt > base+c.termAttempts && attempt <= base+c.attempts
+}
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -66,6 +66,7 @@
 	leader  bool
 	leaving bool
 	next    int64
+	term    scheduler.Term
 }
 
 // New returns a daemon that has not started.
@@ -169,7 +170,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := d.core.NextOffset()
-	s := status{dir: d.core.Directory(), ready: d.core.Ready(), leader: d.core.Leader(), next: next}
+	s := status{dir: d.core.Directory(), ready: d.core.Ready(), leader: d.core.Leader(), next: next, term: d.core.Term()}
 	if s.leader != d.status.leader {
 		d.opt.Logger.WithField("leader", s.leader).Info("term changed")
 	}
--- /dev/null
+++ b/internal/schedulerd/directory.go
@@ -0,0 +1,149 @@
+package schedulerd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+	"github.com/mimosaspool/mimosaspool/internal/slots"
+)
+
+// directoryService tells entries the domain's runners and divides the runners'
+// slots among them while this scheduler holds the domain's term.
+type directoryService struct {
+	d  *Daemon
+	mu sync.Mutex
+	// ledger belongs to the term that began at its Began; nil before the first.
+	ledger *slots.Ledger
+	// version is that of the directory whose runners the ledger has.
+	version int64
+	// news is closed and replaced when grants may have changed.
+	news chan struct{}
+}
+
+func newDirectoryService(d *Daemon) *directoryService {
+	return &directoryService{d: d, news: make(chan struct{})}
+}
+
+// Sync implements control.Directory.
+func (s *directoryService) Sync(ctx context.Context, req *control.SyncRequest) (*control.SyncReply, error) {
+	timeout := time.After(time.Duration(req.WaitMs) * time.Millisecond)
+	ledger, standing := s.report(req)
+	switch {
+	case ledger == nil:
+		return &control.SyncReply{}, nil
+	case standing == slots.Greeted:
+		return &control.SyncReply{Leader: true, Greeting: true, Serial: ledger.Greeting()}, nil
+	case standing == slots.Ignored:
+		return nil, twirp.FailedPrecondition.Error("a newer query or process of this entry is known")
+	}
+	for last := false; ; {
+		reply, changed, news := s.reply(ledger, req, last)
+		if reply != nil {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-news:
+		case <-timeout:
+			last = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// report hands the query to the term's ledger; there is none without the term.
+func (s *directoryService) report(req *control.SyncRequest) (*slots.Ledger, slots.Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.d.start)
+	st, _ := s.d.snapshot()
+	if !s.lead(now, st) {
+		return nil, slots.Ignored
+	}
+	standing := s.ledger.Report(now, reportOf(req))
+	if standing == slots.Taken {
+		close(s.news)
+		s.news = make(chan struct{})
+	}
+	return s.ledger, standing
+}
+
+// lead brings the ledger in line with the term and the directory. It returns
+// false while the term isn't surely held.
+func (s *directoryService) lead(now time.Duration, st status) bool {
+	if !st.term.At(now) {
+		return false
+	}
+	if s.ledger == nil || s.ledger.Began() != st.term.Began {
+		s.ledger = slots.New(slots.DefaultTiming(), st.term.Began, time.Now().UnixNano())
+		s.version = -1
+	}
+	if s.version != st.dir.Version {
+		s.version = st.dir.Version
+		s.ledger.SetRunners(now, runnersOf(st.dir))
+	}
+	return true
+}
+
+// reply returns the answer to a query that the ledger has taken, or nil and
+// what to wait for. The last reply only renews the lease.
+func (s *directoryService) reply(ledger *slots.Ledger, req *control.SyncRequest, last bool) (*control.SyncReply, <-chan struct{}, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.d.start)
+	st, changed := s.d.snapshot()
+	if !s.lead(now, st) || s.ledger != ledger {
+		return &control.SyncReply{}, nil, nil
+	}
+	switch {
+	case st.dir.Version != req.KnownVersion || ledger.News(now, req.Holder, req.Applied):
+		return s.grant(now, st, req), nil, nil
+	case last:
+		ledger.Renew(now, req.Holder)
+		return &control.SyncReply{Version: st.dir.Version, Leader: true, Position: st.next, Serial: req.Applied, Unchanged: true}, nil, nil
+	}
+	return nil, changed, s.news
+}
+
+func (s *directoryService) grant(now time.Duration, st status, req *control.SyncRequest) *control.SyncReply {
+	grants, serial := s.ledger.Grants(now, req.Holder)
+	reply := &control.SyncReply{Version: st.dir.Version, Leader: true, Position: st.next, Serial: serial}
+	for _, e := range st.dir.Endpoints {
+		reply.Endpoints = append(reply.Endpoints, &control.Endpoint{
+			Service: e.Service, Task: e.Task, Attempt: e.Attempt, Address: e.Address, Leaving: e.Leaving,
+			Slots: int32(grants[e.Attempt]),
+		})
+	}
+	for _, i := range st.dir.Services {
+		reply.Services = append(reply.Services, &control.ServiceInfo{Name: i.Name, Policy: string(i.Policy)})
+	}
+	return reply
+}
+
+func runnersOf(dir scheduler.Directory) []slots.Runner {
+	list := make([]slots.Runner, 0, len(dir.Endpoints))
+	for _, e := range dir.Endpoints {
+		list = append(list, slots.Runner{Attempt: e.Attempt, Service: e.Service, Fresh: e.Fresh, Leaving: e.Leaving})
+	}
+	return list
+}
+
+func reportOf(req *control.SyncRequest) slots.Report {
+	rep := slots.Report{
+		Host: req.Entry, Holder: req.Holder, Sequence: req.Sequence, Applied: req.Applied, Leaving: req.Leaving,
+		Demands: map[string]int{},
+	}
+	for _, h := range req.Held {
+		rep.Held = append(rep.Held, slots.Held{Attempt: h.Attempt, Slots: int(h.Slots), Busy: int(h.Busy)})
+	}
+	for _, d := range req.Demands {
+		rep.Demands[d.Service] = int(d.Slots)
+	}
+	return rep
+}
--- a/internal/schedulerd/server.go
+++ b/internal/schedulerd/server.go
@@ -19,7 +19,7 @@
 func (d *Daemon) Register(handle func(prefix string, h http.Handler)) {
 	for _, s := range []control.TwirpServer{
 		control.NewPeerServer(peerService{d}),
-		control.NewDirectoryServer(directoryService{d}),
+		control.NewDirectoryServer(newDirectoryService(d)),
 		control.NewOperatorServer(operatorService{d}),
 	} {
 		handle(s.PathPrefix(), s)
@@ -42,36 +42,6 @@
 	return reply, nil
 }
 
-type directoryService struct{ d *Daemon }
-
-// Sync implements control.Directory.
-func (s directoryService) Sync(ctx context.Context, req *control.SyncRequest) (*control.SyncReply, error) {
-	timeout := time.After(time.Duration(req.WaitMs) * time.Millisecond)
-	for {
-		st, changed := s.d.snapshot()
-		if st.dir.Version != req.KnownVersion {
-			return syncReply(st), nil
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			return syncReply(st), nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-func syncReply(st status) *control.SyncReply {
-	reply := &control.SyncReply{Version: st.dir.Version, Leader: st.leader, Position: st.next}
-	for _, e := range st.dir.Endpoints {
-		reply.Endpoints = append(reply.Endpoints, &control.Endpoint{
-			Service: e.Service, Task: e.Task, Attempt: e.Attempt, Address: e.Address, Leaving: e.Leaving,
-		})
-	}
-	return reply
-}
-
 type operatorService struct{ d *Daemon }
 
 // Result is what a script came to, as JSON for the operators' tool.
--- a/internal/slots/ledger.go
+++ b/internal/slots/ledger.go
@@ -201,6 +201,9 @@
 	Greeted
 )
 
+// Began returns when the ledger's term began.
+func (l *Ledger) Began() time.Duration { return l.began }
+
 // Greeting is the serial that a process names in its first query of the term.
 func (l *Ledger) Greeting() int64 { return l.epoch + 1 }
 
@@ -306,9 +309,13 @@
 // Renew takes note that the process's lease is renewed as it stands.
 func (l *Ledger) Renew(now time.Duration, holder string) { l.holders[holder].repliedAt = now }
 
-// News reports whether Grants would return something other than last time.
-func (l *Ledger) News(now time.Duration, holder string) bool {
+// News reports whether Grants would return something other than the process
+// has applied.
+func (l *Ledger) News(now time.Duration, holder string, applied int64) bool {
 	h := l.holders[holder]
+	if applied != h.serial {
+		return true
+	}
 	for _, r := range l.order {
 		sent := 0
 		if g := h.grants[r.Attempt]; g != nil {
@@ -350,3 +357,8 @@
 	g.sent, g.bound = n, max(g.bound, n)
 	return n
 }
+
+// DefaultTiming is what entries and schedulers use.
+func DefaultTiming() Timing {
+	return Timing{Lease: 10 * time.Second, Longest: time.Minute, DriftPerMille: 5}
+}
