--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -159,7 +159,7 @@
 // started, or that another entry does not know its outcome.
 func (x *exchange) refusal(resp *http.Response) routing.Event {
 	if x.send.Target == routing.ToRunner {
-		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(headerNotStarted) != "true" {
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(headerNotStarted) == "" {
 			return nil
 		}
 		return x.refused(resp, routing.ReasonNone)
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -22,7 +22,7 @@
 	headerReason     = "Mimosaspool-Reason"
 	headerReplayed   = "Mimosaspool-Replayed"
 	// headerNotStarted marks a runner's answer that refuses a request before starting it.
-	headerNotStarted = "Mimosaspool-Not-Started"
+	headerNotStarted = "X-Not-Started"
 	// headerHop carries the name of the entry that passed a request on.
 	headerHop = "Mimosaspool-Hop"
 	ownPrefix = "Mimosaspool-"
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -45,8 +45,14 @@
 // At reports whether the term surely holds at the local time now.
 func (t Term) At(now time.Duration) bool { return t.Held && now < t.Until }
 
-// Term returns the newest term.
+// termAhead is how much of a term is left when its end is worked out anew.
+const termAhead = 2 * time.Second
+
+// Term returns the newest term. Its end is worked out anew only when it is near.
 func (c *Core) Term() Term {
+	if c.held && c.term.Until()-c.now < termAhead {
+		c.refreshTerm(c.now)
+	}
 	return Term{Held: c.term.Held(c.now), Began: c.term.Began(), Until: c.term.Until()}
 }
 
