Keys of a new domain wait for the time that vouches for it; the demo's entries know each other

Cause: a process restarted before the time given as keys-since would have taken itself for the first of its domain. No key is taken before that time now.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -68,15 +68,20 @@
 	platform  *platform
 	hosts     []*host
 	ports     ports
+	// keysSince is the time before which no entry takes an idempotency key.
+	keysSince string
 }
 
+// keysAfter is how long after the first process starts idempotency keys are taken.
+const keysAfter = 6 * time.Second
+
 // newCluster starts the stand-in and all entry hosts of a site.
 func newCluster(bin, site string) (*cluster, error) {
 	logs, err := os.MkdirTemp("", "mimosaspool-demo-")
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}}
+	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}, keysSince: time.Now().Add(keysAfter).Format(time.RFC3339)}
 	if err := c.startPlatform(site); err != nil {
 		c.close()
 		return nil, err
@@ -157,11 +162,16 @@
 			domainURLs = append(domainURLs, url)
 		}
 	}
+	entries := make([]string, 0, len(c.hosts))
+	for _, o := range c.hosts {
+		entries = append(entries, fmt.Sprintf("%s=%s/%s/%s", o.name, o.domain, o.domain, o.entryAddr))
+	}
 	common := []string{"--host", h.name, "--region", h.domain, "--domain", h.domain}
 	h.scheduler = &process{name: h.name + "-scheduler", logs: c.logs, args: append(common[:len(common):len(common)],
 		"--listen", h.schedulerAddr, "--platform-url", platformURL, "--peer-urls", strings.Join(peers, ","))}
 	h.entry = &process{name: h.name + "-entry", logs: c.logs, args: append(common[:len(common):len(common)],
-		"--listen", h.entryAddr, "--scheduler-urls", strings.Join(domainURLs, ","))}
+		"--listen", h.entryAddr, "--scheduler-urls", strings.Join(domainURLs, ","), "--entries", strings.Join(entries, ","),
+		"--keys-since", c.keysSince)}
 	return nil
 }
 
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -198,7 +198,7 @@
 func setHeaders(req *http.Request, q call) {
 	req.Header.Set("X-Request-Id", q.id)
 	req.Header.Set("X-Work-Ms", strconv.Itoa(q.workMs))
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set("Mimosaspool-Deadline", deadline.String())
 	if q.key != "" {
 		req.Header.Set("Idempotency-Key", q.key)
 	}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -94,6 +94,7 @@
 	}
 	if since, err := time.Parse(time.RFC3339, f.KeysSince); err == nil {
 		set.NewDomain = started.Before(since.Add(-keysMargin))
+		set.KeysFrom = max(0, since.Sub(started))
 	}
 	if len(bad.Problems) > 0 {
 		return set, bad
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -167,6 +167,8 @@
 		return
 	}
 	switch {
+	case c.now < c.set.KeysFrom:
+		c.refuse(q, ReasonKeysIncomplete, c.set.KeysFrom-c.now)
 	case !c.keys.complete:
 		c.refuse(q, ReasonKeysIncomplete, retrySoon)
 	case len(c.keys.known) >= maxKeys:
--- a/internal/routing/keys_test.go
+++ b/internal/routing/keys_test.go
@@ -93,6 +93,15 @@
 		Expect(end[0].Ending).To(Equal(routing.Ending{Outcome: routing.OutcomeUnknown, Reason: routing.ReasonKeyUnknown}))
 	})
 
+	It("takes no key before the time up to which a new domain is vouched for", func() {
+		set := settings("a1")
+		set.KeysFrom = 2 * time.Second
+		c = routing.New(set)
+		c.Step(0, directory(2, 8))
+		Expect(only[routing.Finish](c.Step(time.Second, keyed(1, key)))[0].Ending.RetryAfter).To(Equal(time.Second))
+		Expect(only[routing.StoreIntent](c.Step(2*time.Second, keyed(2, key)))).To(HaveLen(1))
+	})
+
 	It("doesn't let a late withdrawal take away a newer intent", func() {
 		peer := routing.New(settings("a2"))
 		old := routing.Intent{Key: key, Holder: "a1#1", ID: 1, State: routing.KeyWithdrawn}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -16,7 +16,9 @@
 	// NewDomain is set while it is certain that no earlier process of this
 	// host's domain has taken a request with a key.
 	NewDomain bool
-	Timing    Timing
+	// KeysFrom is the local time before which no request with a key is taken.
+	KeysFrom time.Duration
+	Timing   Timing
 }
 
 // Holder names this process among all that ever ran.
