--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SITE ?= tallowood
 SEED ?= 1
 
-.PHONY: build generate fmt lint test demo chaos
+.PHONY: build generate fmt lint test bench demo chaos proof measure slopes
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -26,8 +26,17 @@
 test:
 	.ci/test
 
+BENCH ?= .
+bench:
+	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 5000x ./internal/scheduler/...
+
 demo: build
 	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
 
 chaos: build
 	$(BIN)/mimosaspool-demo chaos --bin $(BIN) --site $(SITE) --seed $(SEED)
+
+# Plays generated histories under faults: SEEDS=1000 is the long form.
+SEEDS ?= 0
+proof:
+	$(GO) run ./internal/proof/prove --histories $(SEEDS)
