--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PROTOS := api/platform/platform.proto api/control/control.proto
 BIN := bin
 SITE ?= tallowood
+SEED ?= 1
 
 .PHONY: build generate fmt lint test bench demo chaos proof measure slopes
 
@@ -32,6 +33,9 @@
 demo: build
 	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
 
+chaos: build
+	$(BIN)/mimosaspool-demo chaos --bin $(BIN) --site $(SITE) --seed $(SEED)
+
 # Plays generated histories under faults: SEEDS=1000 is the long form.
 SEEDS ?= 0
 proof:
