Metrics of the scheduler, bounds of records, tests of the tool

A record of the log that no tool would write (no name, a count of thousands of millions) was applied, and its tasks' names alone could fill the memory; Decode refuses it now as malformed, which is counted and logged.

--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -173,8 +173,8 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Record{}, errors.Wrap(ErrMalformed, err.Error())
 	}
-	if r.ID == "" {
-		return Record{}, errors.Wrap(ErrMalformed, "no id")
+	if err := r.validate(); err != nil {
+		return Record{}, errors.Wrap(ErrMalformed, err.Error())
 	}
 	return r, nil
 }
--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/operator"
 	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
@@ -34,14 +36,18 @@
 func (e exitError) ExitCode() int { return e.code }
 
 // noAnswer tells that no scheduler answered. A change may have been taken over
-// all the same, so its id goes with it.
+// all the same, so its id goes with it; a script without one has none.
 type noAnswer struct {
 	id      string
 	reasons []string
 }
 
 func (e *noAnswer) Error() string {
-	return fmt.Sprintf("no scheduler answered:\n  %s\nA change may be or become accepted; ask again with --change-id %s", strings.Join(e.reasons, "\n  "), e.id)
+	text := "no scheduler answered:\n  " + strings.Join(e.reasons, "\n  ")
+	if e.id != "" {
+		text += "\nthe change may be or become accepted; ask again with --change-id " + e.id
+	}
+	return text
 }
 
 // ExitCode implements settings.ExitCoder.
@@ -103,11 +109,20 @@
 			if last != nil {
 				return *last, nil
 			}
+			if c.check || c.diff || !changes(c.text) {
+				req.ChangeId = ""
+			}
 			return operator.Result{}, &noAnswer{req.ChangeId, reasons}
 		}
 	}
 }
 
+// changes reports whether a text may change anything.
+func changes(text string) bool {
+	script, err := language.Parse(text)
+	return err == nil && slices.ContainsFunc(script.Statements, (*language.Statement).Changes)
+}
+
 func askOne(ctx context.Context, url string, req *control.ExecuteRequest) (operator.Result, error) {
 	var res operator.Result
 	client := control.NewOperatorProtobufClient(url, platform.NewHTTPClient(callTimeout))
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// renderTable writes a table without the columns that are empty throughout.
+// renderTable writes a table without the columns that say nothing throughout.
 func renderTable(w io.Writer, t *operator.Table) {
 	if len(t.Rows) == 0 {
 		fmt.Fprintln(w, "none")
@@ -145,7 +145,7 @@
 	var shown []int
 	for i := range t.Columns {
 		for _, row := range t.Rows {
-			if c := row[i]; c.Numeric && c.Number != 0 || !c.Numeric && c.Text != "" {
+			if tells(t.Columns[i], row[i]) {
 				shown = append(shown, i)
 				break
 			}
@@ -154,6 +154,15 @@
 	return shown
 }
 
+// tells reports whether a cell says anything. No accelerators and nothing ended
+// go without saying.
+func tells(column string, c operator.Cell) bool {
+	if c.Numeric {
+		return c.Number != 0 || column != "ended" && !strings.HasSuffix(column, "accelerators")
+	}
+	return c.Text != ""
+}
+
 func format(column string, c operator.Cell) string {
 	if c.Numeric && strings.HasSuffix(column, "memory") {
 		return language.FormatMemory(int64(c.Number))
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -87,6 +87,9 @@
 	return best
 }
 
+// Malformed counts the log's records that could not be decoded.
+func (c *Core) Malformed() int { return c.view.Malformed }
+
 // WorkerInfo is a worker as operators see it.
 type WorkerInfo struct {
 	Name, Rack, Address string
--- a/internal/schedulerd/main.go
+++ b/internal/schedulerd/main.go
@@ -14,6 +14,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
 
 // flags are the program's settings.
@@ -29,6 +30,9 @@
 // callTimeout bounds a call to the platform or a peer; it is above the longest wait for news.
 const callTimeout = 5 * time.Second
 
+// maxBody bounds the bytes of one request.
+const maxBody = 8 << 20
+
 // Main runs the program and returns its exit code.
 func Main() int {
 	var f flags
@@ -37,9 +41,6 @@
 		Short: "Place tasks on the workers of one failure domain",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.Validate(f); err != nil {
-				return err
-			}
 			return run(cmd.Context(), f)
 		},
 	}
@@ -49,13 +50,18 @@
 	cmd.Flags().StringVar(&f.Listen, "listen", "", "address to serve on, host:port")
 	cmd.Flags().StringVar(&f.Platform, "platform-url", "", "base URL of the platform's log and list of hosts")
 	cmd.Flags().StringSliceVar(&f.Peers, "peer-urls", nil, "base URLs of the other schedulers")
-	return settings.Execute(cmd)
+	return settings.Execute(cmd, &f)
 }
 
 func run(parent context.Context, f flags) error {
 	log := logrus.WithFields(logrus.Fields{"host": f.Host, "domain": f.Domain})
 	ctx, cancel := lifecycle.Signals(parent, func() { log.Warn("stopped at once; owned workers were not released") })
 	defer cancel()
+	t, err := telemetry.New("mimosaspool-scheduler")
+	if err != nil {
+		return err
+	}
+	defer t.Close()
 	client := platform.NewHTTPClient(callTimeout)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	d := New(Options{
@@ -67,12 +73,17 @@
 		Workers:  platform.NewWorkers(client),
 		Client:   client,
 		Logger:   log,
+		Count:    t.Count,
 	})
+	if err := observe(t, d); err != nil {
+		return err
+	}
 	r := mux.NewRouter()
 	lifecycle.AddHealth(r, d.Ready)
+	r.Handle("/metrics", t.Handler())
 	d.Register(func(prefix string, h http.Handler) { r.PathPrefix(prefix).Handler(h) })
 	served := make(chan error, 1)
-	go func() { served <- lifecycle.Serve(ctx, f.Listen, r); cancel() }()
+	go func() { served <- lifecycle.Serve(ctx, f.Listen, http.MaxBytesHandler(r, maxBody)); cancel() }()
 	d.Run(ctx)
 	return <-served
 }
--- a/internal/schedulerd/operator.go
+++ b/internal/schedulerd/operator.go
@@ -104,30 +104,3 @@
 	}
 	return res, errors.WithStack(json.Unmarshal(reply.ResultJson, &res))
 }
-
-// count passes on what the core's counters have grown by.
-func (d *Daemon) count() {
-	if d.counted == nil {
-		d.counted = scheduler.Counters{}
-	}
-	for reason, n := range d.core.Counters() {
-		if grown := n - d.counted[reason]; grown > 0 {
-			d.opt.Count(kindOfReason(reason), reason, grown)
-			d.counted[reason] = n
-		}
-	}
-}
-
-// reasonKinds tells which of the core's reasons are losses and retries; all
-// others are refusals.
-var reasonKinds = map[string]string{
-	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry",
-	"append-failed": "retry", "stale-reply": "retry", "worker-held": "retry",
-}
-
-func kindOfReason(reason string) string {
-	if k, ok := reasonKinds[reason]; ok {
-		return k
-	}
-	return "refusal"
-}
