--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
 PROTOS := api/platform/platform.proto api/control/control.proto
 BIN := bin
+SITE ?= tallowood
 
-.PHONY: build generate fmt lint test
+.PHONY: build generate fmt lint test bench demo chaos proof measure slopes
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -23,3 +24,15 @@
 
 test:
 	.ci/test
+
+BENCH ?= .
+bench:
+	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 5000x ./internal/scheduler/...
+
+demo: build
+	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
+
+# Plays generated histories under faults: SEEDS=1000 is the long form.
+SEEDS ?= 0
+proof:
+	$(GO) run ./internal/proof/prove --histories $(SEEDS)
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -39,37 +39,51 @@
 // Tasks lists the domain's tasks by name.
 func (c *Core) Tasks() []TaskInfo {
 	list := make([]TaskInfo, 0, len(c.tasks))
-	seen := c.allSeen()
+	explained := map[string]map[string]placement.Reason{}
 	for _, t := range c.tasks {
-		list = append(list, c.taskInfo(t, seen))
+		list = append(list, c.taskInfo(t, explained))
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
-func (c *Core) taskInfo(t *task, allSeen bool) TaskInfo {
+// whyWaiting returns the reason of each worker. Tasks of one workload share
+// their reasons, which are worked out once and kept in explained.
+func (c *Core) whyWaiting(t *task, explained map[string]map[string]placement.Reason) map[string]placement.Reason {
+	g := c.group(t.workload)
+	if g == nil {
+		return nil
+	}
+	if _, ok := explained[t.workload]; !ok {
+		explained[t.workload] = c.cell.Explain(c.request(g, t)).Reasons
+	}
+	return explained[t.workload]
+}
+
+func (c *Core) taskInfo(t *task, explained map[string]map[string]placement.Reason) TaskInfo {
 	info := TaskInfo{Name: t.name, Workload: t.workload, State: phaseNames[t.state], Worker: t.worker, Attempt: t.attempt}
 	if !t.wanted && t.state == live {
 		info.State = "stopping"
 	}
 	if t.state == waiting {
-		info.Reason = c.waitReason(t, allSeen)
+		info.Reason = c.waitReason(t, explained)
 	}
 	return info
 }
 
-func (c *Core) waitReason(t *task, allSeen bool) WaitReason {
+func (c *Core) waitReason(t *task, explained map[string]map[string]placement.Reason) WaitReason {
 	switch {
 	case !c.term.Held(c.now):
 		return WaitNoTerm
 	case c.now < t.notBefore:
 		return WaitBackoff
-	case !c.mayStart(t, allSeen):
+	case !c.mayStart(t):
 		return WaitUnseen
-	case t.why == nil:
-		return WaitQueued
 	}
-	return WaitNoFit + WaitReason(": "+commonest(t.why.Reasons))
+	if reasons := c.whyWaiting(t, explained); len(reasons) == len(c.order) {
+		return WaitNoFit + WaitReason(": "+commonest(reasons))
+	}
+	return WaitQueued
 }
 
 // commonest returns the reason that most workers give; ties go to the first by name.
@@ -161,7 +175,7 @@
 	if t == nil {
 		return nil
 	}
-	info := c.taskInfo(t, c.allSeen())
+	info := c.taskInfo(t, map[string]map[string]placement.Reason{})
 	e := &Explanation{}
 	e.fact("state", "%s", info.State)
 	e.fact("workload", "%s", t.workload)
@@ -191,19 +205,24 @@
 		e.change("an earlier attempt may still run on a worker that was not reached since this term began; it is placed once every worker has answered, or in %s at the latest", (c.term.HiddenUntil() - c.now).Round(claimRetry))
 	}
 	req := placement.Request{Task: t.name, Workload: spec, Size: spec.Size}
-	nodes := c.nodes()
-	for _, n := range nodes {
-		e.Nodes = append(e.Nodes, NodeFit{Worker: n.Name, Reason: placement.Feasible(req, n), Free: n.Free})
+	if g := c.group(t.workload); g != nil {
+		req = *c.request(g, t)
+	}
+	nodes := c.cell.Nodes()
+	for i := range nodes {
+		n := &nodes[i]
+		e.Nodes = append(e.Nodes, NodeFit{Worker: n.Name, Reason: placement.Feasible(&req, n), Free: n.Free})
 	}
 	suggest(e, req.Size, nodes, c.set.Domain)
 }
 
 // suggest adds what would make room for a task of the given size.
-func suggest(e *Explanation, size resource.Vector, nodes []*placement.Node, domain string) {
+func suggest(e *Explanation, size resource.Vector, nodes []placement.Node, domain string) {
 	var largest resource.Vector
 	var nearest *placement.Node
 	shaped := false
-	for i, n := range nodes {
+	for i := range nodes {
+		n := &nodes[i]
 		largest = largest.Max(n.Capacity)
 		if e.Nodes[i].Reason == "" {
 			e.change("nothing: it fits worker %s", n.Name)
