A domain declared at offset 0 gets its seats

A scheduler that read an empty log took version 0 for the version of its domain, which was not declared yet, and passed over the declaration at offset 0: it never placed anything.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -94,7 +94,7 @@
 		reasons: Counters{},
 		placer:  newPlacer(),
 
-		seatsVersion: -1,
+		seatsVersion: configuration.Absent,
 	}
 }
 
@@ -199,9 +199,9 @@
 
 // configure brings seats and wanted tasks in line with the catalog.
 func (c *Core) configure() {
-	if d := c.view.Catalog.Domains[c.set.Domain]; d.Version != c.seatsVersion {
-		c.seatsVersion = d.Version
-		c.setSeats(d.Value.Workers)
+	if v, _ := c.view.Catalog.Version(configuration.KindDomain, c.set.Domain); v != c.seatsVersion {
+		c.seatsVersion = v
+		c.setSeats(c.view.Catalog.Domains[c.set.Domain].Value.Workers)
 	}
 	c.setDrained()
 	c.setTasks()
