--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	statements "github.com/mimosaspool/mimosaspool/internal/operator"
 )
 
 // change is one change as an operator saw it.
@@ -30,7 +30,7 @@
 
 // do runs a command of the tool at a scheduler and returns what it printed.
 func (o *operator) do(h *host, args ...string) ([]byte, error) {
-	out, err := exec.Command(o.tool, append([]string{"--scheduler-url", "http://" + h.schedulerAddr}, args...)...).Output()
+	out, err := exec.Command(o.tool, append([]string{"--output", "json", "--scheduler-url", "http://" + h.schedulerAddr}, args...)...).Output()
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
 		return out, errors.Errorf("%s: %s", err, exit.Stderr)
@@ -42,21 +42,19 @@
 func (o *operator) change(h *host, args ...string) error {
 	c := change{text: args[len(args)-1], sent: time.Now()}
 	out, err := o.do(h, args...)
-	var reply struct {
-		Outcome *configuration.Outcome `json:"outcome"`
-	}
+	var reply statements.Result
 	if err == nil {
 		err = errors.Wrap(json.Unmarshal(out, &reply), "result")
 	}
 	if err != nil {
 		c.detail = err.Error()
-	} else if reply.Outcome != nil {
-		c.accepted, c.offset, c.detail = reply.Outcome.Accepted, reply.Outcome.Offset, reply.Outcome.Reason
+	} else if x := reply.Change; x != nil {
+		c.accepted, c.offset, c.detail = x.State == statements.Accepted, x.Offset, x.Reason
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = append(o.changes, c)
-	if err == nil && !c.accepted {
+	if err == nil && !c.accepted && (reply.Change == nil || reply.Change.State != statements.Unchanged) {
 		return errors.Errorf("refused: %s", c.detail)
 	}
 	return err
