--- a/internal/language/check.go
+++ b/internal/language/check.go
@@ -112,6 +112,9 @@
 	if !sized {
 		c.faults = append(c.faults, c.script.Fault(w.Name, "a size is missing: cpu, memory or accelerators"))
 	}
+	if w.Kind == "gang" && len(w.Homes) > 1 {
+		c.faults = append(c.faults, c.script.Fault(w.Homes[1].Domain, "the tasks of a gang start together, so they have one home"))
+	}
 	c.homes(w.Homes, count)
 }
 
--- a/internal/language/language_test.go
+++ b/internal/language/language_test.go
@@ -91,6 +91,7 @@
 	},
 		Entry("homes that don't add up", "declare service a cpu 1 count 3 homes d 1;", "the homes hold 1 of 3 tasks"),
 		Entry("a domain twice", "declare service a cpu 1 count 2 homes d 1, d 1;", "twice"),
+		Entry("a gang with two homes", "declare gang a cpu 1 count 2 homes d 1, e 1;", "one home"),
 		Entry("a bad name", "declare service a/b cpu 1;", "a name is made of"),
 		Entry("a reserved name", "declare team batch;", "a word of the language"),
 		Entry("a worker twice", "declare domain d region r workers w-[1-3], w-2 entries e;", "w-2 stands twice"),
--- a/internal/settings/programs_test.go
+++ b/internal/settings/programs_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,6 +52,20 @@
 		})
 	}
 
+	It("has each of its flags in docs/operators.md", func() {
+		page, err := os.ReadFile("../../docs/operators.md")
+		Expect(err).NotTo(HaveOccurred())
+		for name := range programs {
+			_, text := output(name, "--help")
+			_, check := output("mimosaspoolctl", "check", "--help")
+			for _, flag := range regexp.MustCompile(`(?m)^ .*?(--[a-z-]+)`).FindAllStringSubmatch(text+check, -1) {
+				if flag[1] != "--help" && flag[1] != "--version" {
+					Expect(string(page)).To(ContainSubstring("`"+flag[1]+"`"), name)
+				}
+			}
+		}
+	})
+
 	DescribeTable("names every bad setting at once", func(program string, args []string, flags ...string) {
 		code, text := output(program, args...)
 		Expect(code).To(Equal(settings.ExitSettings), text)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,9 @@
 		if _, done := f.Value.(checked); done || unset[f.Name] {
 			return
 		}
+		if f.DefValue == "[]" {
+			f.DefValue = ""
+		}
 		f.Usage += " [" + Variable(f.Name) + "]"
 		if f.Value.Type() != "bool" {
 			f.Value = checked{f.Value, f.Name, &r.problems}
