--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -73,15 +73,6 @@
 	return h
 }
 
-func (h *history) every(from, interval time.Duration, f func()) {
-	var again func()
-	again = func() {
-		f()
-		h.after(interval, again)
-	}
-	h.at(from, again)
-}
-
 func (h *history) suffix() string { return fmt.Sprintf("-%d", h.machines) }
 
 func (h *history) unheard(until time.Duration) {
--- a/internal/proof/prove/main.go
+++ b/internal/proof/prove/main.go
@@ -23,6 +23,12 @@
 		},
 	}
 	cmd.Flags().IntVar(&histories, "histories", 0, "number of histories; at least one for each combination of faults")
+	cmd.AddCommand(&cobra.Command{
+		Use:   "outages",
+		Short: "Measure what still runs and starts in each outage",
+		Args:  cobra.NoArgs,
+		Run:   func(*cobra.Command, []string) { proof.Outages(os.Stdout) },
+	})
 	if cmd.Execute() != nil {
 		os.Exit(2)
 	}
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -35,10 +35,15 @@
 	domains   []string
 	hosts     map[string][]scheduler.Host
 	listed    map[string][]scheduler.Host
-	// lastStart is when each task last started.
+	// lastStart is when each task last started; starts lists all starts.
 	lastStart map[string]time.Duration
-	Tasks     *checker.Tasks
-	Changes   *checker.Changes
+	starts    []time.Duration
+	// firstStart is when each task first started since the map was last cleared.
+	firstStart map[string]time.Duration
+	// lapsed counts tasks that ended because their lease was not renewed.
+	lapsed  int
+	Tasks   *checker.Tasks
+	Changes *checker.Changes
 	// Writes counts the messages to workers.
 	Writes int
 }
@@ -48,7 +53,7 @@
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 0)), timing: s.Timing, link: s.Link, cuts: map[route]time.Duration{},
 		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{},
-		lastStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(),
+		lastStart: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(),
 	}
 	w.log = &log{w: w}
 	rec := configuration.Record{ID: "site", Actor: "test"}
@@ -118,7 +123,13 @@
 	}
 }
 
-func (w *World) started(task string) { w.lastStart[task] = w.now }
+func (w *World) started(task string) {
+	w.lastStart[task] = w.now
+	w.starts = append(w.starts, w.now)
+	if _, ok := w.firstStart[task]; !ok {
+		w.firstStart[task] = w.now
+	}
+}
 
 func (w *World) lacks(g ownership.Guard) bool { return w.timing.Without&g != 0 }
 
