Scheduler: the end of one attempt doesn't make a task known

Cause: finished() took any ended attempt that a worker still lists as proof that the task runs nowhere in the present term. The former holder of the term may have restarted the task on a worker that its successor hasn't seen; the successor saw the former attempt's end and started the task a second time.

The line was in task.go; the task keeps what was known of it, so an attempt that this scheduler placed or saw in its term still restarts at once.

Histories now also let tasks end by themselves and take seats out and back.

--- a/internal/proof/fault.go
+++ b/internal/proof/fault.go
@@ -129,11 +129,11 @@
 	case 1:
 		m.dead = true
 		w.Tasks.Lost(m.name)
-		h.machines++
+		h.replaced++
 		w.addresses[host.Address] = w.newMachine(host.Name+h.suffix(), w.newClock(), w.upTo(time.Second), m.capacity)
 	case 2:
 		// The former machine goes on under its old address.
-		h.machines++
+		h.replaced++
 		address := host.Name + h.suffix()
 		w.addresses[address] = w.newMachine(address, w.newClock(), w.between(time.Second, time.Hour), m.capacity)
 		host.Address = address
--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 )
 
 // Times of a history.
@@ -37,8 +38,12 @@
 	*World
 	c        Case
 	declared map[string]configuration.Workload
-	changes  int
-	machines int
+	// effects holds what each record sets, by offset.
+	effects map[int64][]checker.Set
+	changes int
+	// short tells which domains lack their last seat now.
+	short    map[string]bool
+	replaced int
 	usage    int64
 	// platformUnheard is until when a scheduler may lack news of the platform.
 	platformUnheard time.Duration
@@ -59,12 +64,12 @@
 	timing := ownership.DefaultTiming()
 	timing.Without = c.Without
 	site := Site{
-		Domains: 1 + int(c.Seed%3), Schedulers: 2 + int(c.Seed/3%2), Workers: 3 + int(c.Seed/6%4),
+		Domains: 1 + int(c.Seed%3), Schedulers: 2 + int(c.Seed/3%2), Workers: 3 + int(c.Seed/6%5),
 		Capacity: resource.Vector{MilliCPU: 8000, MemoryMiB: 16384, Accelerators: 2},
 		Timing:   timing,
 		Link:     link{delay: 500 * time.Microsecond, jitter: 2 * time.Millisecond, lost: 3, twice: 10, held: 10, late: 20 * time.Second},
 	}
-	h := &history{World: NewWorld(c.Seed, site), c: c, declared: map[string]configuration.Workload{}}
+	h := &history{World: NewWorld(c.Seed, site), c: c, declared: map[string]configuration.Workload{}, effects: map[int64][]checker.Set{}, short: map[string]bool{}}
 	h.every(2*time.Second, changeEvery, h.change)
 	h.every(time.Second, lookEvery, h.look)
 	for _, f := range c.Faults {
@@ -73,7 +78,7 @@
 	return h
 }
 
-func (h *history) suffix() string { return fmt.Sprintf("-%d", h.machines) }
+func (h *history) suffix() string { return fmt.Sprintf("-%d", h.replaced) }
 
 func (h *history) unheard(until time.Duration) {
 	h.platformUnheard = max(h.platformUnheard, until)
@@ -86,6 +91,10 @@
 		h.drain()
 	case 1:
 		h.leave()
+	case 4:
+		h.endSome()
+	case 5:
+		h.reseat()
 	case 2, 3:
 		if name, ok := h.any(); ok {
 			h.cancel(configuration.Cancel{Workloads: []string{name}})
@@ -181,6 +190,36 @@
 	h.append("op1", configuration.Op{Drain: &configuration.Drain{Host: host.Name, Return: h.chance(500)}}, nil)
 }
 
+// endSome makes some running tasks end by themselves, mostly with a failure.
+func (h *history) endSome() {
+	for _, m := range h.machines {
+		for _, a := range slices.Sorted(maps.Keys(m.tasks)) {
+			if m.tasks[a].State == scheduler.Running && h.chance(300) {
+				m.end(a, pick(h.World, []scheduler.TaskState{scheduler.Failed, scheduler.Failed, scheduler.Stopped}))
+			}
+		}
+	}
+}
+
+// reseat takes a domain's last seat out of the configuration, or returns it.
+func (h *history) reseat() {
+	d := pick(h.World, h.domains)
+	domain := configuration.Domain{Name: d}
+	for _, p := range h.processes {
+		if p.domain == d {
+			domain.Entries = append(domain.Entries, p.host)
+		}
+	}
+	for _, host := range h.hosts[d] {
+		domain.Workers = append(domain.Workers, host.Name)
+	}
+	if n := len(domain.Workers); n > 4 && !h.short[d] {
+		domain.Workers = domain.Workers[:n-1]
+	}
+	h.short[d] = !h.short[d]
+	h.append("op1", configuration.Op{Domain: &domain}, nil)
+}
+
 // leave makes a worker leave by the list, or come back.
 func (h *history) leave() {
 	domain := pick(h.World, h.domains)
@@ -222,7 +261,12 @@
 // verdict reports what became of a change to the services that are watched.
 func (h *history) verdict(process, id string, cat *configuration.Catalog) {
 	out := cat.Applied[id]
-	h.Changes.Verdict(h.now, process, id, out.Accepted, out.Offset, h.sets(out.Offset))
+	sets, known := h.effects[out.Offset]
+	if !known {
+		sets = h.sets(out.Offset)
+		h.effects[out.Offset] = sets
+	}
+	h.Changes.Verdict(h.now, process, id, out.Accepted, out.Offset, sets)
 }
 
 // sets returns what the record at an offset sets.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -303,8 +303,9 @@
 	if o.Checkpoint != 0 {
 		t.checkpoint = o.Checkpoint
 	}
+	// Another attempt may run on a worker that wasn't seen in this term: the end
+	// of one attempt doesn't make the task known.
 	c.waitAnew(t)
-	t.known, t.term = true, c.term.Began()
 }
 
 func (c *Core) finite(t *task) bool {
