Scheduler: machines that leave their seat keep their tasks until leases ran out

Causes, each a breach of 'no task in two places' or a task that never came back: - A seat that left the configuration before this scheduler had seen it no longer counted in 'every seat was seen', so its tasks were started elsewhere at once (TestSeatRemovedUnseen: on d1-w01 while on d1-w06). - A seat that the platform's list showed at a new address was taken for the same machine: its tasks were missing there and were started elsewhere while the former machine ran them (TestSeatMoves: on d1-w02 while on d1-w01). - A task bound to a removed seat that came back stayed bound for good (TestSeatRemovedAndReturned: 5 of 6 tasks ran).

Change: a seat whose address changes is dropped and taken anew; a seat dropped unseen voids the short cut of having seen all seats until the term has lasted Detached + Task; tasks left behind are freed when their leases have run out, whether or not the seat came back.

A scheduler that starts after a seat moved or left can't know of it; see docs/design/proof.md.

--- a/internal/proof/scenario_test.go
+++ b/internal/proof/scenario_test.go
@@ -91,3 +91,80 @@
 	w.Run(90 * second)
 	w.expectHeld(t)
 }
+
+// TestSeenWhileHeldByAnother: a successor sees a task on a worker that the
+// former holder of the term still owns and renews, and then loses sight of it.
+func TestSeenWhileHeldByAnother(t *testing.T) {
+	w := small(2, 6)
+	leader := w.leader("d1")
+	m, _ := w.place("")
+	for _, o := range w.machines {
+		if o != m {
+			w.cutBoth(leader.host, o.name, 300*second)
+		}
+	}
+	w.cutBoth(leader.host, w.other(leader).host, 300*second)
+	for w.leader("d1") != w.other(leader) {
+		w.Run(w.now + second/10)
+	}
+	w.Run(w.now + 3*second)
+	w.cutBoth(w.other(leader).host, m.name, 300*second)
+	w.Run(120 * second)
+	w.expectHeld(t)
+}
+
+// seats declares the domain anew with the given seats.
+func (w *World) seats(id string, machines []*machine) {
+	d := configuration.Domain{Name: "d1"}
+	for _, p := range w.processes {
+		d.Entries = append(d.Entries, p.host)
+	}
+	for _, m := range machines {
+		d.Workers = append(d.Workers, m.name)
+	}
+	w.Append(configuration.Record{ID: id, Ops: []configuration.Op{{Domain: &d}}})
+}
+
+// TestSeatRemovedUnseen: a seat leaves the configuration before the successor
+// of a killed holder of the term has seen what runs there.
+func TestSeatRemovedUnseen(t *testing.T) {
+	w := small(3, 6)
+	leader := w.leader("d1")
+	last := w.machines[5]
+	w.cutBoth(w.other(leader).host, last.name, 300*second)
+	leader.kill()
+	w.seats("fewer", w.machines[:5])
+	w.Run(90 * second)
+	w.expectHeld(t)
+}
+
+// TestSeatRemovedAndReturned: a task that was on the seat runs again.
+func TestSeatRemovedAndReturned(t *testing.T) {
+	w := small(4, 6)
+	last := w.machines[5]
+	w.seats("fewer", w.machines[:5])
+	w.Run(22 * second)
+	last.restart()
+	w.seats("all", w.machines)
+	w.Run(120 * second)
+	w.expectHeld(t)
+	if n := w.Tasks.Running(); n != 6 {
+		t.Errorf("%d of 6 tasks run", n)
+	}
+}
+
+// TestSeatMoves: the list shows a seat at a new address while the former
+// machine goes on running its tasks.
+func TestSeatMoves(t *testing.T) {
+	w := small(5, 6)
+	m, _ := w.place("")
+	w.host(m).Address = "moved"
+	w.addresses["moved"] = w.newMachine("moved", w.newClock(), time.Hour, m.capacity)
+	w.publish("d1")
+	w.Run(120 * second)
+	w.expectHeld(t)
+	if n := w.Tasks.Running(); n != 6 {
+		t.Errorf("%d of 6 tasks run", n)
+	}
+}
+
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -72,6 +72,9 @@
 	// all by the time of their next look.
 	touched []*worker
 	agenda  agenda
+	// leftUnseen is set when a machine left its seat unseen in this term: until
+	// the term has lasted long enough, any unknown task may run there.
+	leftUnseen bool
 	// termStale is set when a claim was won or lost since the term was worked out.
 	termStale bool
 	// seatsVersion is the version of the domain whose seats are in place.
@@ -240,6 +243,18 @@
 }
 
 func (c *Core) applyHosts() {
+	moved := false
+	for _, n := range c.order {
+		if h, ok := c.hosts[n]; ok && c.workers[n].address != "" && c.workers[n].address != h.Address {
+			c.moveSeat(n)
+			moved = true
+		}
+	}
+	if moved {
+		c.reseat()
+		c.setDrained()
+		c.adoptOrphans()
+	}
 	c.touchAll()
 	for n, w := range c.workers {
 		h, ok := c.hosts[n]
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -223,18 +223,14 @@
 	}
 }
 
-// adoptOrphans keeps track of tasks whose seat left the configuration.
+// adoptOrphans keeps track of tasks that were left on a machine no longer
+// behind a seat. One that a returned seat shows again is bound anew.
 func (c *Core) adoptOrphans() {
 	c.orphans = c.orphans[:0]
 	for _, t := range c.tasks {
-		if !t.isBound() || t.goneAt == 0 {
-			continue
-		}
-		if w := c.workers[t.worker]; w != nil {
-			w.bound[t.name] = t
-			continue
+		if t.isBound() && t.goneAt > 0 {
+			c.orphans = append(c.orphans, t)
 		}
-		c.orphans = append(c.orphans, t)
 	}
 }
 
@@ -352,7 +348,7 @@
 		}
 	}
 	for _, t := range c.orphans {
-		if t.isBound() && t.goneAt > 0 && c.now >= t.goneAt && c.workers[t.worker] == nil {
+		if t.isBound() && t.goneAt > 0 && c.now >= t.goneAt {
 			t.lose(c)
 		}
 	}
@@ -418,12 +414,19 @@
 	if t.known && t.term == c.term.Began() {
 		return true
 	}
-	return c.now >= c.term.HiddenUntil() || c.allSeen()
+	if c.now >= c.term.HiddenUntil() {
+		c.leftUnseen = false
+		return true
+	}
+	return c.allSeen()
 }
 
 // allSeen reports whether every seat was seen while owned in this term.
 func (c *Core) allSeen() bool {
 	began := c.term.Began()
+	if c.leftUnseen {
+		return false
+	}
 	if c.seenAll && c.seenIn == began {
 		return true
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -274,15 +274,25 @@
 	}
 }
 
-// dropSeat forgets a seat that left the configuration. Its tasks stay bound to
-// it until their leases have surely run out.
+// moveSeat takes note that another machine is behind a seat. The former one
+// may run its tasks until their leases have run out.
+func (c *Core) moveSeat(name string) {
+	c.dropSeat(name)
+	c.workers[name] = newWorker(name, c.set.Timing)
+}
+
+// dropSeat forgets the machine behind a seat. Its tasks stay bound to it until
+// their leases have surely run out.
 func (c *Core) dropSeat(name string) {
 	w := c.workers[name]
+	if !c.term.Held(c.now) || w.seenAt < c.term.Began() {
+		c.leftUnseen = true
+	}
 	c.release(w)
 	delete(c.workers, name)
 	for _, t := range c.tasks {
 		if t.worker == name && t.state != waiting {
-			t.goneAt = w.renewedUntil
+			t.goneAt = max(w.renewedUntil, c.now, 1)
 		}
 	}
 }
