--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// adoptOrphans keeps track of tasks whose seat left the configuration.
+// adoptOrphans keeps track of tasks that were left on a machine no longer
+// behind a seat. One that a returned seat shows again is bound anew.
 func (c *Core) adoptOrphans() {
 	if !c.orphansStale {
 		return
@@ -105,14 +106,9 @@
 	c.orphansStale = false
 	c.orphans = c.orphans[:0]
 	for _, t := range c.tasks {
-		if !t.isBound() || t.goneAt == 0 {
-			continue
+		if t.isBound() && t.goneAt > 0 {
+			c.orphans = append(c.orphans, t)
 		}
-		if w := c.workers[t.worker]; w != nil {
-			w.bound[t.name] = t
-			continue
-		}
-		c.orphans = append(c.orphans, t)
 	}
 }
 
