A long body passes whole while its answer already comes back

Cause: an HTTP/1.1 server of net/http reads and drops up to 256 KiB of a request's body once the answer begins, unless told otherwise. The entry's caller side and the stand-in's runner both began answers before the body's end, so the rest of the body went missing and the answer was cut.

Ruled out: the entry's copying (an answer that begins after the body is whole), retries (one send in each case).

Change: both allow full duplex.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,6 +47,8 @@
 		refuse(w, http.StatusBadRequest, "bad-header", err.Error())
 		return
 	}
+	// Else the server takes a body's rest for itself once an answer begins.
+	_ = http.NewResponseController(w).EnableFullDuplex() // what is not HTTP/1.1 always is
 	a.ID = e.ids.Add(1)
 	began := e.now()
 	a.Deadline = began + within
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -187,6 +187,17 @@
 		Expect(runs.Load()).To(Equal(int64(2)))
 	})
 
+	ginkgo.It("passes a long body on while its answer already comes back", func() {
+		long := strings.Repeat("0123456789abcdef", 1<<14)
+		serve(func(w http.ResponseWriter, req *http.Request) {
+			Expect(http.NewResponseController(w).EnableFullDuplex()).To(Succeed())
+			_, _ = io.Copy(w, req.Body)
+		})
+		for range 20 {
+			Expect(text(do("POST", "/s/s/", strings.NewReader(long)))).To(Equal(long))
+		}
+	})
+
 	ginkgo.It("says not run when the runner refused before starting, and when to come back", func() {
 		serve(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(headerNotStarted, "1")
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -72,6 +72,7 @@
 // ServeHTTP answers one request.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	site := r.worker.site
+	_ = http.NewResponseController(w).EnableFullDuplex() // the answer begins before the body ends
 	if _, refuse := site.Faults.On(RunnerRefuse, r.names()...); refuse {
 		w.Header().Set(headerNotStarted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
