--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -401,9 +402,11 @@
 }
 
 // callTime measures this process's processor time for one renewal; both ends
-// run in it.
+// run in it, set up as lifecycle.TuneControl sets up the scheduler.
 func callTime(tasks int) (float64, error) {
 	const n = 3000
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
 	srv, write, err := remoteWorker(tasks)
 	if err != nil {
 		return 0, err
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -64,7 +64,7 @@
 	p.Int64Var(&f.IfVersion, "if-version", -1, "version that the changed objects must have; -1 for the one in force")
 	p.StringVar(&f.ChangeID, "change-id", "", "id of the change; give that of an earlier try to ask what became of it")
 	p.DurationVar(&f.Timeout, "timeout", defaultTimeout, "longest time to try for")
-	cmd.AddCommand(t.exec(), t.apply(), t.check(), t.diff(), t.list(), t.explain(), t.history(), t.shell(), t.version())
+	cmd.AddCommand(t.exec(), t.apply(), t.check(), t.diff(), t.list(), t.explain(), t.history(), t.shell(), t.version(), capacityCommand())
 	return cmd
 }
 
--- a/internal/schedulerd/main.go
+++ b/internal/schedulerd/main.go
@@ -54,6 +54,7 @@
 }
 
 func run(parent context.Context, f flags) error {
+	lifecycle.TuneControl()
 	log := logrus.WithFields(logrus.Fields{"host": f.Host, "domain": f.Domain})
 	ctx, cancel := lifecycle.Signals(parent, func() { log.Warn("stopped at once; owned workers were not released") })
 	defer cancel()
