--- /dev/null
+++ b/internal/measure/main.go
@@ -0,0 +1,54 @@
+package measure
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/mimosaspool/mimosaspool/internal/settings"
+)
+
+// Main runs the program and returns its exit code.
+func Main() int {
+	var seed uint64
+	var policies []string
+	var faults []bool
+	cmd := &cobra.Command{
+		Use:   "mimosaspool-measure TRACE...",
+		Short: "Replay recorded days of work under every policy",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			for _, path := range args {
+				t, err := load(path)
+				if err != nil {
+					return err
+				}
+				NewTable(t, policies, faults, seed).Print(cmd.OutOrStdout())
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of delays and faults")
+	cmd.Flags().StringSliceVar(&policies, "policy", Policies, "policies to run")
+	cmd.Flags().BoolSliceVar(&faults, "faults", []bool{false, true}, "run without faults, with them, or both")
+	generate := &cobra.Command{
+		Use:   "generate SITE",
+		Short: "Write a day of a site, tallowood or agency, from a seed",
+		Args:  cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"tallowood", "agency"},
+		RunE: func(cmd *cobra.Command, args []string) error { return Generate(args[0], seed).Write(cmd.OutOrStdout()) },
+	}
+	generate.Flags().Uint64Var(&seed, "seed", 1, "seed of the day")
+	cmd.AddCommand(generate)
+	return settings.Execute(cmd)
+}
+
+func load(path string) (*Trace, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer f.Close()
+	t, err := Read(f)
+	return t, errors.WithMessage(err, path)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,8 +39,6 @@
 type Guard struct {
 	// PerAccelerator is what accelerator work takes beside one accelerator.
 	PerAccelerator resource.Vector
-	// Waiting is set while accelerator work waits.
-	Waiting bool
 }
 
 // Request is one task to be placed.
@@ -55,6 +53,8 @@
 	Racks map[string]int
 	// Confirmed keeps off workers whose newest starts are not confirmed.
 	Confirmed bool
+	// Urgent work passes over reservations.
+	Urgent bool
 	// Expendable marks a task that may probe a worker under quarantine.
 	Expendable bool
 }
@@ -115,7 +115,7 @@
 		return Unconfirmed
 	case n.HeldFor != "" && n.HeldFor != r.Workload.Name && !r.Size.Fits(n.Free.Sub(n.Held)):
 		return Held
-	case n.ReservedFor != "" && n.ReservedFor != r.Workload.Name && r.Ends > n.ReservedFrom && !r.Size.Fits(n.Later):
+	case !r.Urgent && n.ReservedFor != "" && n.ReservedFor != r.Workload.Name && r.Ends > n.ReservedFrom && !r.Size.Fits(n.Later):
 		return Reserved
 	case r.Size.Accelerators == 0 && n.Capacity.Accelerators > 0 && n.strands(r.Size):
 		return AcceleratorsKept
@@ -136,16 +136,18 @@
 	return ""
 }
 
+// Usable returns what of the given free capacity a task of the given size may
+// take: work without accelerators leaves what the free ones need.
+func (n *Node) Usable(size, free resource.Vector) resource.Vector {
+	if n.guard == nil || size.Accelerators > 0 || free.Accelerators <= 0 {
+		return free
+	}
+	return free.Sub(n.guard.PerAccelerator.Scale(free.Accelerators))
+}
+
 // strands reports whether work that needs no accelerator would take what the
-// node's free accelerators need, or take any of it while accelerator work waits.
+// node's free accelerators need.
 func (n *Node) strands(size resource.Vector) bool {
-	if n.guard == nil || n.Free.Accelerators <= 0 {
-		return false
-	}
-	if n.guard.Waiting {
-		return true
-	}
-	keep := n.guard.PerAccelerator.Scale(n.Free.Accelerators)
-	rest := n.Free.Sub(size)
-	return keep.MilliCPU > rest.MilliCPU || keep.MemoryMiB > rest.MemoryMiB
+	left := n.Usable(size, n.Free)
+	return size.MilliCPU > left.MilliCPU || size.MemoryMiB > left.MemoryMiB
 }
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -149,7 +149,8 @@
 	per := resource.Vector{}
 	for _, g := range c.queue.groups {
 		if n := g.spec.Size.Accelerators; n > 0 && len(g.members) > 0 {
-			per = per.Max(resource.Vector{MilliCPU: g.spec.Size.MilliCPU / n, MemoryMiB: g.spec.Size.MemoryMiB / n})
+			size := c.sizeOf(g)
+			per = per.Max(resource.Vector{MilliCPU: size.MilliCPU / n, MemoryMiB: size.MemoryMiB / n})
 		}
 	}
 	if per != c.cell.Guard.PerAccelerator {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -198,6 +198,7 @@
 func (c *Core) request(g *group, t *task) *placement.Request {
 	r := &placement.Request{
 		Task: t.name, Workload: g.spec, Size: c.sizeOf(g), Ends: c.ends(g), Confirmed: c.rulesOf(g).Confirmed,
+		Urgent:     g.spec.Urgency == configuration.Urgent,
 		Expendable: g.spec.Kind == configuration.Batch && g.spec.Urgency != configuration.Urgent,
 	}
 	if g.spec.Spread {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -115,20 +115,20 @@
 	}
 	slices.SortFunc(list, moreExpendable)
 	count := 0
-	for ; count < len(list) && !req.Size.Fits(free); count++ {
+	for ; count < len(list) && !req.Size.Fits(n.Usable(req.Size, free)); count++ {
 		free = free.Add(list[count].size)
 	}
-	if !req.Size.Fits(free) {
+	if !req.Size.Fits(n.Usable(req.Size, free)) {
 		return nil
 	}
-	return spare(list[:count], free, req.Size)
+	return spare(list[:count], n, free, req.Size)
 }
 
 // spare takes those out of the victims that need not go after all.
-func spare(victims []*task, free, size resource.Vector) []*task {
+func spare(victims []*task, n *placement.Node, free, size resource.Vector) []*task {
 	out := []*task{}
 	for _, t := range victims {
-		if size.Fits(free.Sub(t.size)) {
+		if size.Fits(n.Usable(size, free.Sub(t.size))) {
 			free = free.Sub(t.size)
 			continue
 		}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -255,25 +255,6 @@
 	}
 }
 
-// guard keeps accelerators clear of other work while their own waits, and lets
-// that work through again after it.
-func (c *Core) guard() {
-	waiting := false
-	for _, list := range [][]*group{c.queue.active, c.queue.blocked} {
-		for _, g := range list {
-			if g.spec.Size.Accelerators > 0 && len(g.tasks) > 0 && (g.blocked == "" || g.awaitsRoom()) {
-				waiting = true
-			}
-		}
-	}
-	if c.cell.Guard.Waiting && !waiting {
-		for _, g := range slices.Clone(c.queue.blocked) {
-			c.queue.activate(g, placement.AcceleratorsKept)
-		}
-	}
-	c.cell.Guard.Waiting = waiting
-}
-
 // wakeFreed lets groups through that the capacity freed on a node can serve.
 func (c *Core) wakeFreed(n *placement.Node) {
 	for _, g := range slices.Clone(c.queue.blocked) {
@@ -339,7 +320,6 @@
 // placeWaiting places what waits, in order.
 func (c *Core) placeWaiting() {
 	c.wakeTimed()
-	c.guard()
 	for range placeMost {
 		g := c.next()
 		if g == nil {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -143,13 +143,13 @@
 		if n.Blocked != "" || n.Probe || !size.Fits(n.Capacity) {
 			continue
 		}
-		free, have := n.Free, job.Slots(size, n.Free, need)
+		free, have := n.Free, job.Slots(size, n.Usable(size, n.Free), need)
 		if have > 0 {
 			list = append(list, opening{c.now, n, have})
 		}
 		for _, t := range c.byEnd(c.workers[n.Name]) {
 			free = free.Add(t.size)
-			if slots := job.Slots(size, free, need); slots > have {
+			if slots := job.Slots(size, n.Usable(size, free), need); slots > have {
 				list = append(list, opening{c.endOf(t), n, slots - have})
 				have = slots
 			}
