Placement: urgency and shares count as waiting time

Cause: low work and the work of teams with a large share stood behind all other work however long they had waited, which made the p99 wait over all.

Change: only urgent work goes first by rank; low work counts as having come a minute later, and a team's share up to ten minutes.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -264,26 +264,40 @@
 	}
 }
 
-// shareStep is the difference of shares below which teams count as equal.
-const shareStep = 0.05
+// What the order of groups weighs against waiting time.
+const (
+	// lowPenalty is how much later low work counts as having come.
+	lowPenalty = time.Minute
+	// sharePenalty is the same for a team that holds all of the scarcest resource.
+	sharePenalty = 10 * time.Minute
+)
 
-// before orders groups: the more urgent first, then that of the team with the
-// least share, then the one that has waited longest.
+// before orders groups: urgent ones first, then the one that has waited longest,
+// where low work and that of teams with a large share count as having come later.
 func (c *Core) before(a, b *group) bool {
 	if c.rulesOf(a).InOrder {
 		return a.first().before(b.first())
 	}
-	if x, y := urgencyRank(a.spec.Urgency), urgencyRank(b.spec.Urgency); x != y {
-		return x > y
+	if x, y := a.spec.Urgency == configuration.Urgent, b.spec.Urgency == configuration.Urgent; x != y {
+		return x
 	}
-	if a.spec.Team != b.spec.Team {
-		total := c.cell.Total()
-		x, y := int(c.ledger.Share(a.spec.Team, total)/shareStep), int(c.ledger.Share(b.spec.Team, total)/shareStep)
-		if x != y {
-			return x < y
-		}
+	x, y := c.standing(a), c.standing(b)
+	if x != y {
+		return x < y
+	}
+	return a.workload < b.workload
+}
+
+// standing returns the time at which the group counts as having come.
+func (c *Core) standing(g *group) time.Duration {
+	at := g.first().since
+	if at == never {
+		return never
+	}
+	if g.spec.Urgency == configuration.Low {
+		at += lowPenalty
 	}
-	return a.first().before(b.first())
+	return at + time.Duration(c.ledger.Share(g.spec.Team, c.cell.Total())*float64(sharePenalty))
 }
 
 // noTask stands for the first task of a group without any; it goes last.
