Placement: fast work has workers polled while it waits for room

Cause: the end of a task is seen at the worker's next renewal, up to 2 s later, while others wait for its room. Also, the guard of accelerators kept the largest learned size for each, of which few tasks have need.

Change: while fast work waits for room, workers with tasks are written to every 500 ms (10 ms for each worker in larger cells). The guard keeps declared sizes.

--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -21,6 +21,8 @@
 	Sample int
 	// Rotate begins each search where the last one ended, in cells larger than the sample.
 	Rotate bool
+	// Poll has workers asked for news more often while work waits for room.
+	Poll bool
 	// Linger is how long a start may wait to share a message to its worker.
 	Linger time.Duration
 	// Confirmed keeps off workers whose newest starts are not confirmed.
@@ -52,7 +54,7 @@
 	case FirstFitBaseline:
 		return Rules{Scorer: Flat{}, Sample: 1, InOrder: true}
 	}
-	return Rules{Scorer: Spare{}, Sample: sampleSize, Rotate: true}
+	return Rules{Scorer: Spare{}, Sample: sampleSize, Rotate: true, Poll: true}
 }
 
 // Scorer rates a node that fits; higher is better.
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -155,7 +155,7 @@
 	case w.claim.Pending():
 		at = w.claim.SentAt() + c.set.Timing.Reply
 	case w.address != "" && c.election.claiming:
-		at = w.due
+		at = c.dueAt(w)
 		if len(w.starts) > 0 && w.claim.Owned(c.now) {
 			at = min(at, w.flushAt)
 		}
@@ -174,6 +174,23 @@
 	return max(at, c.now+1)
 }
 
+// Bounds of polling.
+const (
+	// pollLeast is the least time between two writes to a worker that only ask for news.
+	pollLeast = 500 * time.Millisecond
+	// pollShare spreads polls over workers: the time between two polls grows by it with each.
+	pollShare = 10 * time.Millisecond
+)
+
+// dueAt returns when the next write to w is due: at its renewal, or sooner
+// while work waits whose policy spends messages to learn early of tasks' ends.
+func (c *Core) dueAt(w *worker) time.Duration {
+	if !c.polling || len(w.bound) == 0 || !w.claim.Owned(c.now) {
+		return w.due
+	}
+	return min(w.due, w.claim.SentAt()+max(pollLeast, time.Duration(len(c.order))*pollShare))
+}
+
 // nextLoss returns when the tasks bound to a worker that isn't owned may next be lost.
 func (c *Core) nextLoss(w *worker) time.Duration {
 	if c.now < w.renewedUntil {
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -149,7 +149,7 @@
 	per := resource.Vector{}
 	for _, g := range c.queue.groups {
 		if n := g.spec.Size.Accelerators; n > 0 && len(g.members) > 0 {
-			size := c.sizeOf(g)
+			size := g.spec.Size
 			per = per.Max(resource.Vector{MilliCPU: size.MilliCPU / n, MemoryMiB: size.MemoryMiB / n})
 		}
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,6 +30,8 @@
 	ledger   *team.Ledger
 	// freedTeams lists teams that gave something back.
 	freedTeams []string
+	// polling is set while work waits for room whose policy has workers polled.
+	polling bool
 	// retryAt is when blocked groups that hold or want kept room are tried again.
 	retryAt time.Duration
 	// orphansStale is set when seats changed since orphans were listed.
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -23,6 +23,7 @@
 		}
 		c.wakeTeams()
 		c.placeWaiting()
+		c.setPolling()
 	}
 	c.writeDue()
 	c.refreshAbandoned()
@@ -30,6 +31,17 @@
 	c.publish()
 }
 
+// setPolling works out whether workers are to be polled for ends of tasks.
+func (c *Core) setPolling() {
+	polling := slices.ContainsFunc(c.queue.blocked, func(g *group) bool {
+		return c.rulesOf(g).Poll && g.awaitsRoom() && len(g.tasks) > 0
+	})
+	if polling && !c.polling {
+		c.touchAll()
+	}
+	c.polling = polling
+}
+
 // refreshAbandoned brings nodes up to date whose unsent starts a write dropped.
 func (c *Core) refreshAbandoned() {
 	for i := 0; i < len(c.touched); i++ {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		urgent := (len(w.orders) > 0 || len(w.starts) > 0 && c.now >= w.flushAt) && w.claim.Owned(c.now)
-		if c.now >= w.due || urgent {
+		if c.now >= c.dueAt(w) || urgent {
 			c.write(w)
 		}
 	}
