entry: an answer may begin before the request's body has ended; refuse at once without a grant

Cause: Go's HTTP/1 server swallows up to 256 KiB of an unread body once the answer begins, so that a runner got a cut body. The demo saw it as answers of 32768 bytes to requests of 262145. A test echoes 256 KiB + 1; it fails without EnableFullDuplex. Requests without a grant lease waited for their deadline; they are refused at once now, or passed on to another domain if idempotent.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,6 +47,9 @@
 		refuse(w, http.StatusBadRequest, "bad-header", err.Error())
 		return
 	}
+	// Without it the server swallows up to 256 KiB of the caller's body once the
+	// answer begins. HTTP/2 needs no such leave and says so.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	a.ID = e.ids.Add(1)
 	began := e.now()
 	a.Deadline = began + within
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -139,6 +139,17 @@
 		Expect(resp.Trailer.Get("X-Sum")).To(Equal(fmt.Sprint(len(sent))))
 	})
 
+	ginkgo.It("passes on an answer that begins before the request's body has ended", func() {
+		serve(func(w http.ResponseWriter, req *http.Request) {
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			_, _ = io.Copy(w, req.Body)
+		})
+		for range 20 {
+			sent := bytes.Repeat([]byte("x"), 256<<10+1)
+			Expect(text(do("PUT", "/s/s/", bytes.NewReader(sent)))).To(HaveLen(len(sent)))
+		}
+	})
+
 	ginkgo.It("passes a stream on piece by piece", func() {
 		more := make(chan bool)
 		serve(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -82,7 +82,12 @@
 	})
 
 	It("stops filling slots when the grant lease has run out", func() {
-		Expect(only[routing.Send](c.Step(10*time.Second, request(1)))).To(BeEmpty())
+		for id := uint64(1); id <= 3; id++ {
+			c.Step(9*time.Second, request(id))
+		}
+		end := c.Step(10*time.Second, request(4))
+		Expect(only[routing.Finish](end)[0].Ending.Reason).To(Equal(routing.ReasonNoGrant))
+		Expect(only[routing.Send](c.Step(10*time.Second, routing.Answered{ID: 1, Send: 4, Status: 200}))).To(BeEmpty())
 		Expect(only[routing.Send](c.Step(11*time.Second, routing.DirectoryRead{SentAt: 11 * time.Second, Unchanged: true}))).To(HaveLen(1))
 	})
 
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -310,6 +310,8 @@
 	ReasonNone           Reason = ""
 	ReasonNoService      Reason = "no-service"
 	ReasonNoRunner       Reason = "no-runner"
+	ReasonNoGrant        Reason = "no-grant"
+	ReasonNoSlot         Reason = "no-slot"
 	ReasonQueueFull      Reason = "queue-full"
 	ReasonDisplaced      Reason = "displaced"
 	ReasonDeadline       Reason = "deadline"
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -92,12 +92,12 @@
 		return
 	}
 	q.svc = s
-	if len(s.runners) == 0 || !c.granted() || s.slots == 0 {
-		if c.passOn(q, s, ReasonNoRunner) {
+	if why := c.unable(s); why != ReasonNone {
+		if c.passOn(q, s, why) {
 			return
 		}
-		if len(s.runners) == 0 {
-			c.refuse(q, ReasonNoRunner, retrySoon)
+		if why != ReasonNoSlot {
+			c.refuse(q, why, retrySoon)
 			return
 		}
 	}
@@ -119,6 +119,19 @@
 	c.enqueue(q)
 }
 
+// unable returns why the service can't be served here now.
+func (c *Core) unable(s *service) Reason {
+	switch {
+	case len(s.runners) == 0:
+		return ReasonNoRunner
+	case !c.granted():
+		return ReasonNoGrant
+	case s.slots == 0:
+		return ReasonNoSlot
+	}
+	return ReasonNone
+}
+
 // makeRoom displaces a request of the team that fills the queue, or refuses q.
 func (c *Core) makeRoom(q *request, wait time.Duration) bool {
 	worst := q.svc.queue.displaced(q.Team)
