--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,8 +47,9 @@
 		refuse(w, http.StatusBadRequest, "bad-header", err.Error())
 		return
 	}
-	// Else the server takes a body's rest for itself once an answer begins.
-	_ = http.NewResponseController(w).EnableFullDuplex() // what is not HTTP/1.1 always is
+	// Without it the server swallows up to 256 KiB of the caller's body once the
+	// answer begins. HTTP/2 needs no such leave and says so.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	a.ID = e.ids.Add(1)
 	began := e.now()
 	a.Deadline = began + within
