--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mimosaspool/mimosaspool/internal/standin"
 )
 
@@ -69,7 +71,7 @@
 	}
 	if err := r.configure(); err != nil {
 		c.close()
-		return nil, err
+		return nil, errors.WithMessagef(err, "output of the programs is in %s", c.logs)
 	}
 	return r, nil
 }
--- a/internal/demo/judge_test.go
+++ b/internal/demo/judge_test.go
@@ -43,3 +43,25 @@
 		Expect(list[0].Promise).To(Equal(promiseAnswer))
 	})
 })
+
+var _ = Describe("watch", func() {
+	changes := []change{
+		{text: "declare team a weight 1;", accepted: true, offset: 1},
+		{text: "declare team b weight 1;", accepted: true, offset: 2},
+		{text: "declare team c weight 1;", offset: 3},
+	}
+
+	DescribeTable("finds", func(want int, versions ...map[string]int64) {
+		w := newWatch(nil)
+		for _, v := range versions {
+			w.looks = append(w.looks, look{host: "e", versions: v})
+		}
+		Expect(w.judge(changes)).To(HaveLen(want))
+	},
+		Entry("nothing in a host that catches up", 0, map[string]int64{"a": 1}, map[string]int64{"a": 1, "b": 2}),
+		Entry("nothing in a later version", 0, map[string]int64{"a": 7, "b": 2}),
+		Entry("a host that goes back", 1, map[string]int64{"a": 7, "b": 2}, map[string]int64{"a": 1, "b": 2}),
+		Entry("a hole, which lasts to the end", 2, map[string]int64{"b": 2}),
+		Entry("a change that is never in force", 1, map[string]int64{"a": 1}),
+	)
+})
--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	ops "github.com/mimosaspool/mimosaspool/internal/operator"
 )
 
 // change is one change as an operator saw it.
@@ -17,7 +17,6 @@
 	sent     time.Time
 	accepted bool
 	offset   int64
-	detail   string
 }
 
 // operator sends statements with the operators' tool. Its methods may be called
@@ -41,23 +40,15 @@
 // change sends statements and notes whether they were accepted.
 func (o *operator) change(h *host, args ...string) error {
 	c := change{text: args[len(args)-1], sent: time.Now()}
-	out, err := o.do(h, args...)
+	out, err := o.do(h, append([]string{"--output", "json"}, args...)...)
 	var reply struct {
-		Outcome *configuration.Outcome `json:"outcome"`
+		Change *ops.Outcome `json:"change"`
 	}
-	if err == nil {
-		err = errors.Wrap(json.Unmarshal(out, &reply), "result")
-	}
-	if err != nil {
-		c.detail = err.Error()
-	} else if reply.Outcome != nil {
-		c.accepted, c.offset, c.detail = reply.Outcome.Accepted, reply.Outcome.Offset, reply.Outcome.Reason
+	if json.Unmarshal(out, &reply) == nil && reply.Change != nil {
+		c.accepted, c.offset = reply.Change.State == ops.Accepted, reply.Change.Offset
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = append(o.changes, c)
-	if err == nil && !c.accepted {
-		return errors.Errorf("refused: %s", c.detail)
-	}
 	return err
 }
