--- a/internal/demo/operator.go
+++ b/internal/demo/operator.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	ops "github.com/mimosaspool/mimosaspool/internal/operator"
+	statements "github.com/mimosaspool/mimosaspool/internal/operator"
 )
 
 // change is one change as an operator saw it.
@@ -17,6 +17,7 @@
 	sent     time.Time
 	accepted bool
 	offset   int64
+	detail   string
 }
 
 // operator sends statements with the operators' tool. Its methods may be called
@@ -29,7 +30,7 @@
 
 // do runs a command of the tool at a scheduler and returns what it printed.
 func (o *operator) do(h *host, args ...string) ([]byte, error) {
-	out, err := exec.Command(o.tool, append([]string{"--scheduler-url", "http://" + h.schedulerAddr}, args...)...).Output()
+	out, err := exec.Command(o.tool, append([]string{"--output", "json", "--scheduler-url", "http://" + h.schedulerAddr}, args...)...).Output()
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
 		return out, errors.Errorf("%s: %s", err, exit.Stderr)
@@ -40,15 +41,21 @@
 // change sends statements and notes whether they were accepted.
 func (o *operator) change(h *host, args ...string) error {
 	c := change{text: args[len(args)-1], sent: time.Now()}
-	out, err := o.do(h, append([]string{"--output", "json"}, args...)...)
-	var reply struct {
-		Change *ops.Outcome `json:"change"`
+	out, err := o.do(h, args...)
+	var reply statements.Result
+	if err == nil {
+		err = errors.Wrap(json.Unmarshal(out, &reply), "result")
 	}
-	if json.Unmarshal(out, &reply) == nil && reply.Change != nil {
-		c.accepted, c.offset = reply.Change.State == ops.Accepted, reply.Change.Offset
+	if err != nil {
+		c.detail = err.Error()
+	} else if x := reply.Change; x != nil {
+		c.accepted, c.offset, c.detail = x.State == statements.Accepted, x.Offset, x.Reason
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = append(o.changes, c)
+	if err == nil && !c.accepted && (reply.Change == nil || reply.Change.State != statements.Unchanged) {
+		return errors.Errorf("refused: %s", c.detail)
+	}
 	return err
 }
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -25,7 +25,8 @@
 type WaitReason string
 
 // The reasons. A placement that failed has the form "no-fit: REASON", with the
-// reason of most workers.
+// reason of most workers. Reasons that don't lie with the workers stand alone,
+// as placement names them: quota, impossible, gang-too-large, gang-split, gang-waits.
 const (
 	WaitNoTerm  WaitReason = "no-term"
 	WaitBackoff WaitReason = "backoff"
@@ -80,6 +81,14 @@
 	case !c.mayStart(t):
 		return WaitUnseen
 	}
+	if g := c.group(t.workload); g != nil && g.blocked != "" {
+		if !g.awaitsRoom() {
+			return WaitReason(g.blocked)
+		}
+		if g.isGang() {
+			return WaitNoFit + WaitReason(": "+g.blocked)
+		}
+	}
 	if reasons := c.whyWaiting(t, explained); len(reasons) == len(c.order) {
 		return WaitNoFit + WaitReason(": "+commonest(reasons))
 	}
@@ -101,6 +110,9 @@
 	return best
 }
 
+// Malformed counts the log's records that could not be decoded.
+func (c *Core) Malformed() int { return c.view.Malformed }
+
 // WorkerInfo is a worker as operators see it.
 type WorkerInfo struct {
 	Name, Rack, Address string
@@ -201,6 +213,7 @@
 	case WaitUnseen:
 		e.change("an earlier attempt may still run on a worker that was not reached since this term began; it is placed once every worker has answered, or in %s at the latest", (c.term.HiddenUntil() - c.now).Round(claimRetry))
 	}
+	c.explainGroup(e, why, spec)
 	req := placement.Request{Task: t.name, Workload: spec, Size: spec.Size}
 	if g := c.group(t.workload); g != nil {
 		req = *c.request(g, t)
@@ -213,6 +226,20 @@
 	suggest(e, req.Size, nodes, c.set.Domain)
 }
 
+// explainGroup adds what would have to change where no worker is the reason.
+func (c *Core) explainGroup(e *Explanation, why WaitReason, spec *configuration.Workload) {
+	switch placement.Reason(why) {
+	case placement.Quota:
+		e.fact("team holds", "%s", c.ledger.Used(spec.Team))
+		e.change("team %s must hold less in domain %s or get a larger quota", spec.Team, c.set.Domain)
+	case placement.GangWaits:
+		e.change("all tasks of the gang must be free to start; those that still run are stopped first")
+	}
+	if r := c.Refusal(spec); r != nil {
+		e.change("%s: cancel it and declare it anew", r.Detail)
+	}
+}
+
 // suggest adds what would make room for a task of the given size.
 func suggest(e *Explanation, size resource.Vector, nodes []placement.Node, domain string) {
 	var largest resource.Vector
