demo: callers use the documented headers; un-keyed requests are judged too

Cause: every second request had a key and all were POST, so at-most-once without a key was not judged; replies were told apart by their text. Change: idempotent, not idempotent and keyed requests in turn; replies are read by the outcome header; load begins when keys are taken.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -76,7 +76,7 @@
 	hosts     []*host
 	ports     ports
 	// keysSince is the time before which no entry takes an idempotency key.
-	keysSince string
+	keysSince time.Time
 }
 
 // keysAfter is how long after the first process starts idempotency keys are taken.
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}, keysSince: time.Now().Add(keysAfter).Format(time.RFC3339)}
+	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}, keysSince: time.Now().Add(keysAfter)}
 	if err := c.startPlatform(site); err != nil {
 		c.close()
 		return nil, err
@@ -178,7 +178,7 @@
 		"--listen", h.schedulerAddr, "--platform-url", platformURL, "--peer-urls", strings.Join(peers, ","))}
 	h.entry = &process{name: h.name + "-entry", logs: c.logs, args: append(common[:len(common):len(common)],
 		"--listen", h.entryAddr, "--scheduler-urls", strings.Join(domainURLs, ","), "--entries", strings.Join(entries, ","),
-		"--keys-since", c.keysSince)}
+		"--keys-since", c.keysSince.Format(time.RFC3339))}
 	return nil
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -91,6 +91,7 @@
 		return err
 	}
 	r.note("all entry hosts are ready")
+	time.Sleep(time.Until(r.cluster.keysSince))
 	return nil
 }
 
@@ -189,7 +190,7 @@
 	killed, other := r.hostOf("north", 0), r.hostOf("centre", 0)
 	for i, d := range domains {
 		r.declare(other, fmt.Sprintf("sweep-%s", d), r.batch("batch", fmt.Sprintf("sweep-%s", d), 40, d, "cpu 2 memory 4GiB run 4s"))
-		r.declare(other, fmt.Sprintf("model-%s", d), r.batch("gang", fmt.Sprintf("model-%s", d), 4+i, d, "cpu 8 memory 16GiB accelerators 4 run 4s"))
+		r.declare(other, fmt.Sprintf("model-%s", d), r.batch("gang", fmt.Sprintf("model-%s", d), 4+i, d, "cpu 8 memory 16GiB accelerators 3 run 4s"))
 	}
 	if !at(start + 5*scale) {
 		return
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -27,8 +27,10 @@
 // entry hosts were stopped as planned.
 func judge(results []result, ran []standin.Request, planned []span) []standin.Breach {
 	byID, byKey := map[string]standin.Request{}, map[string]standin.Request{}
+	runs := map[string]int{}
 	for _, q := range ran {
 		byID[q.ID] = q
+		runs[q.ID]++
 		if _, again := byKey[q.Key]; q.Key != "" && !again {
 			byKey[q.Key] = q
 		}
@@ -41,6 +43,9 @@
 		if q, did := byID[r.id]; did && q.Service != r.service {
 			add(promiseAnswer, r, fmt.Sprintf("sent to %s, but ran on %s", r.service, q.Task))
 		}
+		if n := runs[r.id]; r.once && r.key == "" && n > 1 {
+			add(standin.PromiseAtMostOnce, r, fmt.Sprintf("ran %d times", n))
+		}
 		switch r.outcome {
 		case notRun:
 			if q, did := byID[r.id]; did {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -30,9 +30,11 @@
 // result is one request as its caller saw it.
 type result struct {
 	id, key, service, entry string
-	sent, ended             time.Time
-	outcome                 outcome
-	detail                  string
+	// once is set on a request that may run at most once.
+	once        bool
+	sent, ended time.Time
+	outcome     outcome
+	detail      string
 }
 
 const (
@@ -75,6 +77,7 @@
 // call is a request before it is sent.
 type call struct {
 	id, key, service string
+	method           string
 	workMs           int
 	body             []byte
 	homes            []*host
@@ -95,13 +98,17 @@
 	}
 }
 
-// next makes up the nth request; every other one is not idempotent.
+// next makes up the nth request: in turn one that is idempotent, one that is
+// not, and one that is not and has a key.
 func (c *callers) next(n int) call {
-	q := call{id: fmt.Sprintf("r%d", n), service: c.services[0], workMs: int(c.rng.ExpFloat64() * meanWorkMs)}
+	q := call{id: fmt.Sprintf("r%d", n), service: c.services[0], method: http.MethodPost, workMs: int(c.rng.ExpFloat64() * meanWorkMs)}
 	if c.rng.IntN(4) == 0 {
 		q.service = c.services[1]
 	}
-	if n%2 == 1 {
+	switch n % 3 {
+	case 0:
+		q.method = http.MethodPut
+	case 2:
 		q.key = fmt.Sprintf("k%d", n)
 	}
 	size := c.rng.IntN(smallBody)
@@ -148,7 +155,7 @@
 
 // sendOnce tries the ready hosts in turn until a connection is made.
 func (c *callers) sendOnce(q call) result {
-	r := result{id: q.id, key: q.key, service: q.service, sent: time.Now(), outcome: notRun, detail: "no entry host took the connection"}
+	r := result{id: q.id, key: q.key, service: q.service, once: q.method == http.MethodPost, sent: time.Now(), outcome: notRun, detail: "no entry host took the connection"}
 	for _, h := range q.homes {
 		if !h.isReady() {
 			continue
@@ -167,7 +174,7 @@
 const refused = "connection refused"
 
 func (c *callers) try(h *host, q call) (outcome, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.entryAddr+"/s/"+q.service+"/", bytes.NewReader(q.body))
+	req, err := http.NewRequest(q.method, "http://"+h.entryAddr+"/s/"+q.service+"/", bytes.NewReader(q.body))
 	if err != nil {
 		return notRun, err.Error()
 	}
@@ -182,9 +189,9 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	o, detail := classify(resp, body)
-	if o != answered {
-		return o, detail
+	o, detail := classify(resp)
+	if o != answered || resp.StatusCode == http.StatusGone {
+		return o, detail // gone: answered before, and the answer was not kept
 	}
 	if err != nil {
 		return unknown, "answer cut off: " + err.Error()
@@ -204,15 +211,16 @@
 	}
 }
 
-// classify tells what an entry's reply means.
-func classify(resp *http.Response, body []byte) (outcome, string) {
-	switch {
-	case resp.Header.Get("X-Runner") != "":
+// classify tells what an entry's reply means; docs/callers.md describes it.
+func classify(resp *http.Response) (outcome, string) {
+	why := resp.Status + " " + resp.Header.Get("Mimosaspool-Reason")
+	switch resp.Header.Get("Mimosaspool-Outcome") {
+	case "answered":
 		return answered, ""
-	case bytes.Contains(body, []byte("not run")):
-		return notRun, string(bytes.TrimSpace(body))
+	case "not-run":
+		return notRun, why
 	default:
-		return unknown, resp.Status + " " + string(bytes.TrimSpace(body))
+		return unknown, why
 	}
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -183,7 +183,7 @@
 
 // reason drops what differs between like details: ports and addresses.
 func reason(detail string) string {
-	if i := strings.LastIndex(detail, ": "); strings.HasPrefix(detail, "Post ") && i > 0 {
+	if i := strings.LastIndex(detail, ": "); strings.HasPrefix(detail, "P") && i > 0 {
 		return detail[i+2:]
 	}
 	return detail
