Changes of seats step by step; teams and their workloads stay together

Two seat lists in a row may each share a quorum with the next while the first and the last share none: a term of the first, held by a host that is cut off, and one of the last could then both place. A change of seats is refused now until all entry hosts of the domain have the last one in force. Ruled out: a wait by time, since a cut-off holder renews its marks without end.

A workload's record expects its team's version, and a team or domain in use isn't removed, whichever of the two records comes first.

The room of other domains is waited for half a second at most, so that a declaration during a cut isn't held up for the two seconds of a query.

--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -114,7 +114,11 @@
 		}
 	}
 	for _, op := range r.Ops {
-		if reason := c.check(op); reason != "" {
+		reason := c.check(op)
+		if op.Remove != nil {
+			reason = c.checkRemove(op.Remove, r.Ops)
+		}
+		if reason != "" {
 			return Outcome{Offset: offset, Reason: reason}
 		}
 	}
@@ -146,6 +150,30 @@
 	return ""
 }
 
+// checkRemove returns why an object can't be removed by a record of the given
+// operations, or nothing.
+func (c *Catalog) checkRemove(r *Remove, ops []Op) string {
+	gone := map[string]bool{}
+	for _, op := range ops {
+		if op.Cancel != nil {
+			for _, name := range op.Cancel.Workloads {
+				gone[name] = true
+			}
+		}
+	}
+	for _, name := range c.WorkloadNames() {
+		if gone[name] {
+			continue
+		}
+		w := c.Workloads[name].Value
+		home := func(h Home) bool { return h.Domain == r.Name }
+		if r.Kind == KindTeam && w.Team == r.Name || r.Kind == KindDomain && slices.ContainsFunc(w.Homes, home) {
+			return fmt.Sprintf("%s %s: workload %s still belongs to it", r.Kind, r.Name, name)
+		}
+	}
+	return ""
+}
+
 // Version returns the version and last author of an object.
 func (c *Catalog) Version(kind Kind, name string) (int64, string) {
 	switch kind {
--- a/internal/operator/gather.go
+++ b/internal/operator/gather.go
@@ -4,15 +4,17 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 )
 
-// members asks every scheduler for an answer to text, this one included.
-func (s *Service) members(ctx context.Context, text string) []Result {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+// members asks every scheduler for an answer to text, this one included, and
+// waits for others up to the given time.
+func (s *Service) members(ctx context.Context, text string, wait time.Duration) []Result {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	own, err := s.Execute(ctx, Request{Text: text, Forwarded: true})
 	all := s.node.Ask(ctx, text)
@@ -33,12 +35,8 @@
 	return 0
 }
 
-// leaders returns the answers of the schedulers that hold their domain's term,
+// leadersOf keeps the answers of the schedulers that hold their domain's term,
 // one a domain.
-func (s *Service) leaders(ctx context.Context, text string) []Result {
-	return leadersOf(s.members(ctx, text))
-}
-
 func leadersOf(all []Result) []Result {
 	var list []Result
 	for _, r := range all {
@@ -256,7 +254,7 @@
 	if overLists[list] {
 		text = st.Text + ";"
 	}
-	all := s.members(ctx, text)
+	all := s.members(ctx, text, askTime)
 	out := missing(domainNames(domains), all)
 	switch list {
 	case "domains":
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 
@@ -93,6 +94,24 @@
 		Expect(exec(south, "declare service survey cpu 1 if absent;").Change.State).To(Equal(operator.Accepted))
 	})
 
+	It("refuses to part a workload from its team, whichever comes first", func() {
+		exec(south, "declare team guests; declare team others;")
+		south.appended = func() { south.appended = nil; exec(north, "declare service a team guests cpu 1;") }
+		Expect(exec(south, "remove team guests;").Change.Reason).To(ContainSubstring("workload a still belongs to it"))
+		Expect(exec(south, "cancel a; remove team guests;").Change.State).To(Equal(operator.Accepted))
+		south.appended = func() { south.appended = nil; exec(north, "remove team others;") }
+		Expect(exec(south, "declare service b team others cpu 1;").Change.Conflict.Name).To(Equal("others"))
+	})
+
+	It("changes seats only once the last change is in force on the domain's hosts", func() {
+		more := "declare domain north region west workers survey-north-01, imaging-north-01, %s entries entry-north-1;"
+		north.cut = true
+		Expect(messages(exec(south, fmt.Sprintf(more, "a")))).To(ConsistOf(ContainSubstring("entry-north-1 is not known to have")))
+		north.cut = false
+		Expect(exec(south, fmt.Sprintf(more, "a")).Change.State).To(Equal(operator.Accepted))
+		Expect(exec(south, fmt.Sprintf(more, "a, b")).Change.State).To(Equal(operator.Accepted))
+	})
+
 	It("refuses a version that is no longer in force, without an append", func() {
 		exec(south, "set count 6 for service survey;")
 		before := len(s.log)
@@ -100,6 +119,7 @@
 		Expect(exec(south, "declare service survey cpu 1 if absent;").Change.Conflict.Offset).To(BeEquivalentTo(1))
 		version := int64(0)
 		Expect(try(south, operator.Request{Text: "cancel survey;", IfVersion: &version}).Change.State).To(Equal(operator.Refused))
+		Expect(exec(south, "set count 7 for service survey; set policy fast for service survey if version 0;").Change.State).To(Equal(operator.Refused))
 		Expect(exec(south, "set count 7 for service survey if version 99;").Change.Reason).To(ContainSubstring("not known here yet"))
 		Expect(s.log).To(HaveLen(before))
 	})
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -43,14 +43,15 @@
 	next    int64
 	script  *language.Script
 	req     Request
-	rooms   map[string]*Room
+	at      surroundings
 
 	// Objects as the statements so far leave them.
 	domains   overlay[configuration.Domain]
 	teams     overlay[configuration.Team]
 	workloads overlay[configuration.Workload]
 	drained   overlay[configuration.Drain]
-	touched   map[object]bool
+	// relied holds the objects whose version in force the record expects.
+	relied map[object]bool
 
 	faults   language.Faults
 	record   configuration.Record
@@ -100,12 +101,12 @@
 	return slices.Sorted(maps.Keys(all))
 }
 
-func newPlan(c *configuration.Catalog, script *language.Script, req Request, rooms map[string]*Room) *plan {
+func newPlan(c *configuration.Catalog, script *language.Script, req Request, at surroundings) *plan {
 	return &plan{
-		catalog: c, next: c.Next, script: script, req: req, rooms: rooms,
+		catalog: c, next: c.Next, script: script, req: req, at: at,
 		domains: newOverlay(c.Domains), teams: newOverlay(c.Teams), workloads: newOverlay(c.Workloads), drained: newOverlay(c.Drained),
-		touched: map[object]bool{},
-		record:  configuration.Record{ID: req.ChangeID, Actor: req.Actor},
+		relied: map[object]bool{},
+		record: configuration.Record{ID: req.ChangeID, Actor: req.Actor},
 	}
 }
 
@@ -142,16 +143,13 @@
 func (p *plan) touch(st *language.Statement, kind configuration.Kind, name string, action Action, detail string) {
 	version, _ := p.catalog.Version(kind, name)
 	p.planned = append(p.planned, Planned{kind, name, action, detail, version})
-	if p.touched[object{kind, name}] {
-		return
-	}
-	p.touched[object{kind, name}] = true
 	want, given := st.Expected()
 	if !given && p.req.IfVersion != nil {
 		want, given = *p.req.IfVersion, true
 	}
 	if !given {
-		want = version
+		p.rely(kind, name)
+		return
 	}
 	p.record.Expect = append(p.record.Expect, configuration.Expectation{Kind: kind, Name: name, Version: want})
 	if want == version || p.conflict != nil {
@@ -167,6 +165,16 @@
 	p.reason = fmt.Sprintf("%s %s changed at offset %d", kind, name, winner.Offset)
 }
 
+// rely notes that the record rests on an object as it is in force here.
+func (p *plan) rely(kind configuration.Kind, name string) {
+	if name == "" || p.relied[object{kind, name}] {
+		return
+	}
+	p.relied[object{kind, name}] = true
+	version, _ := p.catalog.Version(kind, name)
+	p.record.Expect = append(p.record.Expect, configuration.Expectation{Kind: kind, Name: name, Version: version})
+}
+
 // do adds an operation to the record.
 func (p *plan) do(op configuration.Op) { p.record.Ops = append(p.record.Ops, op) }
 
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -51,7 +51,7 @@
 		hosts = append(hosts, e.Value.Entries...)
 	}
 	positions := map[string]int64{}
-	for _, r := range s.members(ctx, "") {
+	for _, r := range s.members(ctx, "", askTime) {
 		positions[r.Member.Host] = r.Member.Position
 		if !slices.Contains(hosts, r.Member.Host) {
 			hosts = append(hosts, r.Member.Host)
@@ -132,7 +132,7 @@
 	case forwarded:
 		return Answer{}, nil, nil
 	}
-	all := s.members(ctx, st.Text+";")
+	all := s.members(ctx, st.Text+";", askTime)
 	for _, r := range leadersOf(all) {
 		if len(r.Answers) == 1 && len(r.Answers[0].Facts) > 0 {
 			return r.Answers[0], nil, nil
@@ -192,7 +192,7 @@
 	if i < 0 {
 		return Answer{}, language.Faults{script.Unknown(o.Name, "failure domain", names)}, nil
 	}
-	all := s.members(ctx, "")
+	all := s.members(ctx, "", askTime)
 	a := Answer{Missing: missing(names[i:i+1], all)}
 	row := domainsTable(domains[i:i+1], all)
 	for k, c := range row.Columns {
@@ -233,7 +233,7 @@
 	if a.Facts == nil {
 		return Answer{}, language.Faults{script.Unknown(o.Name, o.Kind.Text, names)}, nil
 	}
-	all := s.members(ctx, fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text))
+	all := s.members(ctx, fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text), askTime)
 	a.Missing = missing(domains, all)
 	a.Table = summary(merge("tasks", all))
 	return a, nil, nil
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -131,6 +131,9 @@
 	settleTime = 5 * time.Second
 	// askTime bounds the wait for other schedulers.
 	askTime = 2 * time.Second
+	// roomTime bounds the wait for the room of other domains; one that doesn't
+	// answer in time counts as unknown.
+	roomTime = 500 * time.Millisecond
 	// appendRetry is the wait before a record is appended again.
 	appendRetry = 500 * time.Millisecond
 	maxID       = 128
@@ -194,7 +197,7 @@
 // against the catalog.
 func (s *Service) further(ctx context.Context, req Request, script *language.Script, faults language.Faults) language.Faults {
 	_ = s.onCore(ctx, func(c *scheduler.Core) {
-		p := newPlan(c.Catalog(), script, req, nil)
+		p := newPlan(c.Catalog(), script, req, surroundings{})
 		p.run()
 		for _, f := range p.faults {
 			if !script.Doubtful(f.Word) {
@@ -229,13 +232,13 @@
 	}
 	var p *plan
 	var prior *Outcome
-	rooms := s.rooms(ctx, script)
+	at := s.look(ctx, script)
 	err := s.onCore(ctx, func(c *scheduler.Core) {
 		if out, ok := c.Catalog().Applied[req.ChangeID]; ok {
 			prior = outcome(req.ChangeID, out)
 			return
 		}
-		p = newPlan(c.Catalog(), script, req, rooms)
+		p = newPlan(c.Catalog(), script, req, at)
 		p.run()
 	})
 	if err != nil {
--- a/internal/operator/workload.go
+++ b/internal/operator/workload.go
@@ -24,6 +24,9 @@
 		p.fault(d.Name, "too many of the %d workers change at once: a term of the old list must share a worker with every term of the new one; change fewer in one script, and wait until all hosts have it in force", len(old.Workers))
 		return
 	}
+	if there && !slices.Equal(old.Workers, v.Workers) && !p.inForce(d.Name, old) {
+		return
+	}
 	detail := configuration.DescribeDomain(old, v)
 	act := action(there, detail)
 	p.touch(st, configuration.KindDomain, v.Name, act, detail)
@@ -33,6 +36,19 @@
 	}
 }
 
+// inForce reports whether every entry host of a domain is known to have the
+// domain's last change in force, so that no term rests on an earlier list of seats.
+func (p *plan) inForce(w *language.Word, d configuration.Domain) bool {
+	version, _ := p.catalog.Version(configuration.KindDomain, d.Name)
+	for _, host := range d.Entries {
+		if at, ok := p.at.positions[host]; p.at.positions != nil && (!ok || at <= version) {
+			p.fault(w, "entry host %s is not known to have the domain's last change (offset %d) in force; workers can come and go once it has", host, version)
+			return false
+		}
+	}
+	return true
+}
+
 // sharesQuorum reports whether every quorum of one list of seats has a seat in
 // every quorum of the other.
 func sharesQuorum(before, after []string) bool {
@@ -99,7 +115,7 @@
 		return
 	}
 	for _, h := range v.Homes {
-		if room := p.rooms[h.Domain]; h.Count > 0 && !room.fits(v.Size) {
+		if room := p.at.rooms[h.Domain]; h.Count > 0 && !room.fits(v.Size) {
 			p.fault(w, "%s: no worker of domain %s is large enough for %s", v.Name, h.Domain, v.Size)
 			return
 		}
@@ -108,6 +124,7 @@
 	act := action(there, detail)
 	p.touch(st, configuration.KindWorkload, v.Name, act, detail)
 	if act != Keep {
+		p.rely(configuration.KindTeam, v.Team)
 		p.workloads.put(v.Name, v)
 		p.do(configuration.Op{Workload: &v})
 	}
