--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -63,6 +65,10 @@
 // scheduler settles a change.
 const callTimeout = 10 * time.Second
 
+// dialTimeout bounds the wait for a connection, so that a host that is gone
+// costs less than one that is slow.
+const dialTimeout = 2 * time.Second
+
 // retryWait is the wait before the schedulers are tried anew.
 const retryWait = time.Second
 
@@ -92,11 +98,11 @@
 	var last *operator.Result
 	for {
 		var reasons []string
-		for _, url := range t.flags.Schedulers {
-			res, err := askOne(ctx, url, req)
+		for _, base := range t.flags.Schedulers {
+			res, err := askOne(ctx, base, req)
 			switch {
 			case err != nil:
-				reasons = append(reasons, fmt.Sprintf("%s: %v", url, err))
+				reasons = append(reasons, fmt.Sprintf("%s: %v", base, err))
 			case res.Change != nil && res.Change.State == operator.Unknown:
 				last = &res
 			default:
@@ -123,9 +129,29 @@
 	return err == nil && slices.ContainsFunc(script.Statements, (*language.Statement).Changes)
 }
 
-func askOne(ctx context.Context, url string, req *control.ExecuteRequest) (operator.Result, error) {
+// reach finds out in a short time whether anything listens at a base URL.
+func reach(ctx context.Context, base string) error {
+	u, err := url.Parse(base)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	port := u.Port()
+	if port == "" {
+		port = u.Scheme
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", net.JoinHostPort(u.Hostname(), port))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(conn.Close())
+}
+
+func askOne(ctx context.Context, base string, req *control.ExecuteRequest) (operator.Result, error) {
 	var res operator.Result
-	client := control.NewOperatorProtobufClient(url, platform.NewHTTPClient(callTimeout))
+	if err := reach(ctx, base); err != nil {
+		return res, err
+	}
+	client := control.NewOperatorProtobufClient(base, platform.NewHTTPClient(callTimeout))
 	reply, err := client.Execute(ctx, req)
 	if err != nil {
 		var e twirp.Error
