explain: no advice on room where room isn't the reason; what a team holds

A task that waits for its team's quota was told that it fits a worker; one that a worker with room refuses was told to free nothing. Counters of quarantine and preemption have their own kinds.

--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -106,9 +106,21 @@
 	case "domain":
 		return s.explainDomain(ctx, script, o)
 	}
+	if forwarded {
+		return s.teamHere(ctx, o.Name.Text)
+	}
 	return s.explainDeclared(ctx, script, o)
 }
 
+// teamHere tells another scheduler what a team holds in this domain.
+func (s *Service) teamHere(ctx context.Context, team string) (Answer, language.Faults, error) {
+	var a Answer
+	err := s.onCore(ctx, func(c *scheduler.Core) {
+		a.Facts = []Fact{{"holds in " + s.node.Member().Domain, c.TeamHolds(team).String()}}
+	})
+	return a, nil, err
+}
+
 // explainPlaced explains a task or worker, which its domain's leader knows.
 func (s *Service) explainPlaced(ctx context.Context, script *language.Script, st *language.Statement, forwarded bool) (Answer, language.Faults, error) {
 	o := st.Explain
@@ -233,7 +245,16 @@
 	if a.Facts == nil {
 		return Answer{}, language.Faults{script.Unknown(o.Name, o.Kind.Text, names)}, nil
 	}
-	all := s.members(ctx, fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text), askTime)
+	text := fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text)
+	if column == "team" {
+		text += fmt.Sprintf("explain team %s;", o.Name.Text)
+	}
+	all := s.members(ctx, text, askTime)
+	for _, r := range leadersOf(all) {
+		if column == "team" && len(r.Answers) == 2 {
+			a.Facts = append(a.Facts, r.Answers[1].Facts...)
+		}
+	}
 	a.Missing = missing(domains, all)
 	a.Table = summary(merge("tasks", all))
 	return a, nil, nil
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
@@ -223,7 +224,12 @@
 		n := &nodes[i]
 		e.Nodes = append(e.Nodes, NodeFit{Worker: n.Name, Reason: placement.Feasible(&req, n), Free: n.Free})
 	}
-	suggest(e, req.Size, nodes, c.set.Domain)
+	if req.Size != spec.Size {
+		e.fact("counted as", "%s, since its tasks were seen to use as much", req.Size)
+	}
+	if why == WaitQueued || strings.HasPrefix(string(why), string(WaitNoFit)) {
+		suggest(e, req.Size, nodes, c.set.Domain)
+	}
 }
 
 // explainGroup adds what would have to change where no worker is the reason.
@@ -240,6 +246,9 @@
 	}
 }
 
+// TeamHolds returns what the team's tasks hold in this domain.
+func (c *Core) TeamHolds(team string) resource.Vector { return c.ledger.Used(team) }
+
 // suggest adds what would make room for a task of the given size.
 func suggest(e *Explanation, size resource.Vector, nodes []placement.Node, domain string) {
 	var largest resource.Vector
@@ -266,6 +275,8 @@
 	switch {
 	case !shaped && len(nodes) > 0:
 		e.change("no worker of domain %s is large enough for %s (the most of each resource is %s): declare a smaller size or another home", domain, size, largest)
+	case nearest != nil && size.Fits(nearest.Free):
+		e.change("worker %s has the room; see the reason that it refuses for", nearest.Name)
 	case nearest != nil:
 		e.change("free %s on worker %s", size.Sub(nearest.Free).Max(resource.Vector{}), nearest.Name)
 	}
--- a/internal/schedulerd/metrics.go
+++ b/internal/schedulerd/metrics.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// reasonKinds tells which of the core's reasons are losses and retries; all
-// others are refusals.
+// reasonKinds tells which of the core's reasons are not refusals.
 var reasonKinds = map[string]string{
-	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry",
+	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry", "gang-torn": "retry",
+	"quarantined": "quarantine", "preempted": "preemption",
 	"append-failed": "retry", "stale-reply": "retry", "worker-held": "retry",
 }
 
