--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,13 +4,11 @@
 	"context"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
@@ -53,11 +51,7 @@
 		Short: "Carry callers' requests to runners",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			core, err := f.core()
-			if err != nil {
-				return err
-			}
-			return run(cmd.Context(), f, core)
+			return run(cmd.Context(), f, f.core())
 		},
 	}
 	cmd.Flags().StringVar(&f.Host, "host", "", "name of this entry host")
@@ -68,38 +62,42 @@
 	cmd.Flags().StringSliceVar(&f.Entries, "entries", nil, "all entries, each as HOST=REGION/DOMAIN/IP:PORT")
 	cmd.Flags().StringVar(&f.KeysSince, "keys-since", "", "time (RFC 3339) before which this domain took no request with an idempotency key")
 	cmd.Flags().DurationVar(&f.Grace, "grace", 3*time.Second, "how long a stopping entry goes on taking requests while not ready")
-	return settings.Execute(cmd)
+	return settings.Execute(cmd, &f)
 }
 
-// core checks all settings and returns the core's.
-func (f flags) core() (routing.Settings, error) {
+// Check implements settings.Checker.
+func (f *flags) Check() []settings.Problem {
+	var bad []settings.Problem
+	here := len(f.Entries) == 0
+	for _, text := range f.Entries {
+		p, ok := parsePeer(text)
+		if !ok {
+			bad = append(bad, settings.Problem{Flag: "entries", Value: text, Allowed: "must be HOST=REGION/DOMAIN/IP:PORT"})
+		}
+		here = here || p.Host == f.Host && p.Domain == f.Domain
+	}
+	if !here {
+		bad = append(bad, settings.Problem{Flag: "entries", Value: strings.Join(f.Entries, ","), Allowed: "must contain this host in this domain"})
+	}
+	return bad
+}
+
+// core returns the core's settings.
+func (f flags) core() routing.Settings {
 	started := time.Now()
 	set := routing.Settings{
 		Host: f.Host, Incarnation: strconv.FormatInt(started.UnixNano(), 36), Domain: f.Domain, Region: f.Region,
 		Seed: uint64(started.UnixNano()), Timing: routing.DefaultTiming(),
 	}
-	bad := &settings.Error{}
-	if err := settings.Validate(f); err != nil && !errors.As(err, &bad) {
-		return set, err
-	}
 	for _, text := range f.Entries {
-		p, ok := parsePeer(text)
-		if !ok {
-			bad.Problems = append(bad.Problems, settings.Problem{Flag: "entries", Value: text, Allowed: "must be HOST=REGION/DOMAIN/IP:PORT"})
-		}
+		p, _ := parsePeer(text)
 		set.Peers = append(set.Peers, p)
 	}
-	if len(set.Peers) > 0 && !slices.ContainsFunc(set.Peers, func(p routing.Peer) bool { return p.Host == f.Host && p.Domain == f.Domain }) {
-		bad.Problems = append(bad.Problems, settings.Problem{Flag: "entries", Value: strings.Join(f.Entries, ","), Allowed: "must contain this host in this domain"})
-	}
 	if since, err := time.Parse(time.RFC3339, f.KeysSince); err == nil {
 		set.NewDomain = started.Before(since.Add(-keysMargin))
 		set.KeysFrom = max(0, since.Sub(started))
 	}
-	if len(bad.Problems) > 0 {
-		return set, bad
-	}
-	return set, nil
+	return set
 }
 
 func parsePeer(text string) (routing.Peer, bool) {
--- a/internal/settings/programs_test.go
+++ b/internal/settings/programs_test.go
@@ -74,7 +74,7 @@
 		}
 	},
 		Entry("scheduler", "mimosaspool-scheduler", []string{"--listen=x", "--peer-urls=y"}, "host", "region", "domain", "listen", "platform-url", "peer-urls[0]"),
-		Entry("entry", "mimosaspool-entry", []string{"--listen=x"}, "host", "region", "domain", "listen", "scheduler-urls"),
+		Entry("entry", "mimosaspool-entry", []string{"--listen=x", "--entries=a", "--grace=soon", "--keys-since=1"}, "host", "region", "domain", "listen", "scheduler-urls", "entries", "grace", "keys-since"),
 		Entry("standin", "mimosaspool-standin", []string{"--listen=x", "--site=y"}, "listen", "site"),
 		Entry("ctl", "mimosaspoolctl", []string{"list", "tasks", "--output=xml", "--timeout=soon", "--scheduler-url=z"}, "output", "timeout", "scheduler-url[0]"),
 	)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,12 @@
 	return "bad settings:\n  " + strings.Join(lines, "\n  ")
 }
 
+// Checker is an options struct with rules that validate tags can't express.
+type Checker interface {
+	// Check returns what breaks the rules.
+	Check() []Problem
+}
+
 // ExitCoder is an error that sets the program's exit code.
 type ExitCoder interface {
 	error
@@ -146,7 +152,11 @@
 		bad[p.Flag] = true
 	}
 	for _, o := range r.options {
-		for _, p := range invalid(o) {
+		found := invalid(o)
+		if c, ok := o.(Checker); ok {
+			found = append(found, c.Check()...)
+		}
+		for _, p := range found {
 			if !bad[p.Flag] {
 				r.problems = append(r.problems, p)
 			}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -46,6 +46,7 @@
 	"max":           "must be at most %s",
 	"lte":           "must be at most %s",
 	"lt":            "must be below %s",
+	"datetime":      "must be a time such as %s",
 	"unique":        "must not hold a value twice",
 	"ltfield":       "must be below %s",
 	"gtfield":       "must be above %s",
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -43,9 +43,6 @@
 		Short: "Serve a test stand-in for the platform",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.Validate(f); err != nil {
-				return err
-			}
 			return run(cmd.Context(), f)
 		},
 	}
@@ -56,7 +53,7 @@
 	cmd.Flags().IntVar(&f.Records, "log-records", 100000, "records that the log keeps; 0 keeps all")
 	cmd.Flags().DurationVar(&f.Age, "log-age", time.Hour, "how long the log keeps a record; 0 is for good")
 	cmd.Flags().DurationVar(&f.HostsLag, "hosts-lag", 2*time.Second, "how far the list of hosts lags")
-	return settings.Execute(cmd)
+	return settings.Execute(cmd, &f)
 }
 
 func run(parent context.Context, f flags) error {
