--- a/internal/configuration/history.go
+++ b/internal/configuration/history.go
@@ -17,8 +17,12 @@
 	Detail string `json:"detail"`
 }
 
-// historyLength bounds the changes that a catalog keeps.
-const historyLength = 1000
+// historyLength is the number of changes that a catalog keeps at least, and
+// historySlack by how many more it may have before the oldest are dropped.
+const (
+	historyLength = 1000
+	historySlack  = 200
+)
 
 // maxDetail bounds the bytes of a change's detail.
 const maxDetail = 160
@@ -63,8 +67,8 @@
 	case op.Remove != nil:
 		add(op.Remove.Kind, op.Remove.Name, "removed")
 	}
-	if extra := len(c.History) - historyLength; extra > 0 {
-		c.History = append([]Change(nil), c.History[extra:]...)
+	if len(c.History) >= historyLength+historySlack {
+		c.History = append([]Change(nil), c.History[len(c.History)-historyLength:]...)
 	}
 }
 
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -18,8 +18,13 @@
 	names int
 }
 
-// MaxText bounds the bytes of one script.
-const MaxText = 4 << 20
+// Bounds of one script.
+const (
+	// MaxText bounds its bytes.
+	MaxText = 4 << 20
+	// MaxFaults is the number of faults from which on no more are looked for.
+	MaxFaults = 100
+)
 
 var tokens = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "Comment", Pattern: `#[^\n]*`},
@@ -42,6 +47,9 @@
 	}
 	groups, faults := s.split(text)
 	for _, g := range groups {
+		if len(faults) >= MaxFaults {
+			break
+		}
 		st, err := s.parse(g)
 		var bad Faults
 		if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/operator"
 )
 
@@ -162,6 +164,28 @@
 		Expect(exec(south, "list tasks;").Answers[0].Table.Rows).To(HaveLen(4))
 	})
 
+	It("answers alike on a host that doesn't hold the term", func() {
+		follower := s.add("entry-south-2", "south", nil)
+		res := exec(follower, "list tasks; list domains; explain worker survey-south-01;")
+		Expect(res.Member.Leader).To(BeFalse())
+		Expect(res.Answers[0].Table.Rows).To(HaveLen(4))
+		Expect(res.Answers[1].Missing).To(BeEmpty())
+		Expect(res.Answers[2].Facts[0].Value).To(Equal("ready"))
+		Expect(exec(follower, "set count 6 for service survey;").Change.State).To(Equal(operator.Accepted))
+	})
+
+	It("bounds the record of a script and the faults that it names", func() {
+		var many, wrong strings.Builder
+		for i := range 9000 {
+			fmt.Fprintf(&many, "declare batch b%d cpu 1 memory 1GiB run 1m homes south 1;\n", i)
+			fmt.Fprintf(&wrong, "cancel x%d;\n", i)
+		}
+		before := len(s.log)
+		Expect(exec(south, many.String()).Change.Reason).To(ContainSubstring("divide the script"))
+		Expect(exec(south, wrong.String()).Faults).To(HaveLen(language.MaxFaults))
+		Expect(s.log).To(HaveLen(before))
+	})
+
 	It("explains tasks of other domains, and keeps tables through JSON", func() {
 		res := exec(south, "explain task survey/0/north/0; list workers where cpu >= 32 order by free-cpu desc limit 2;")
 		Expect(res.Answers[0].Facts[0]).To(Equal(operator.Fact{Name: "state", Value: "running"}))
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -66,10 +66,12 @@
 type overlay[T any] struct {
 	base    map[string]configuration.Entry[T]
 	changed map[string]*T
+	// sorted caches the names; nil when they may have changed.
+	sorted []string
 }
 
 func newOverlay[T any](base map[string]configuration.Entry[T]) overlay[T] {
-	return overlay[T]{base, map[string]*T{}}
+	return overlay[T]{base: base, changed: map[string]*T{}}
 }
 
 func (o *overlay[T]) get(name string) (T, bool) {
@@ -84,12 +86,15 @@
 	return e.Value, ok
 }
 
-func (o *overlay[T]) put(name string, v T) { o.changed[name] = &v }
+func (o *overlay[T]) put(name string, v T) { o.changed[name], o.sorted = &v, nil }
 
-func (o *overlay[T]) drop(name string) { o.changed[name] = nil }
+func (o *overlay[T]) drop(name string) { o.changed[name], o.sorted = nil, nil }
 
-// names returns the names of all objects in order.
+// names returns the names of all objects in order. Callers don't change the list.
 func (o *overlay[T]) names() []string {
+	if o.sorted != nil {
+		return o.sorted
+	}
 	all := map[string]bool{}
 	for n := range o.base {
 		all[n] = true
@@ -98,7 +103,8 @@
 		all[n] = v != nil
 	}
 	maps.DeleteFunc(all, func(_ string, there bool) bool { return !there })
-	return slices.Sorted(maps.Keys(all))
+	o.sorted = slices.Sorted(maps.Keys(all))
+	return o.sorted
 }
 
 func newPlan(c *configuration.Catalog, script *language.Script, req Request, at surroundings) *plan {
@@ -112,6 +118,9 @@
 
 func (p *plan) run() {
 	for _, st := range p.script.Statements {
+		if len(p.faults) >= language.MaxFaults {
+			return
+		}
 		p.statement(st)
 	}
 }
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -125,10 +125,9 @@
 func (s *Service) explainPlaced(ctx context.Context, script *language.Script, st *language.Statement, forwarded bool) (Answer, language.Faults, error) {
 	o := st.Explain
 	var e *scheduler.Explanation
-	var domains, known []string
+	var domains []string
 	err := s.onCore(ctx, func(c *scheduler.Core) {
 		domains = domainNames(domainEntries(c.Catalog()))
-		known = knownNames(c.Catalog(), o.Kind.Text)
 		if !c.Leader() {
 			return
 		}
@@ -151,6 +150,11 @@
 		}
 	}
 	out := missing(domains, all)
+	var known []string
+	err = s.onCore(ctx, func(c *scheduler.Core) { known = knownNames(c.Catalog(), o.Kind.Text) })
+	if err != nil {
+		return Answer{}, nil, err
+	}
 	if slices.Contains(known, o.Name.Text) || o.Kind.Text == "task" && len(out) > 0 {
 		return Answer{Missing: out}, nil, nil
 	}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -138,6 +138,8 @@
 	appendRetry = 500 * time.Millisecond
 	maxID       = 128
 	maxActor    = 128
+	// maxRecord bounds the bytes of a change's record in the log.
+	maxRecord = 1 << 20
 )
 
 // Execute runs a script. Its changes take effect all or none, then its queries
--- a/internal/operator/settle.go
+++ b/internal/operator/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,7 +29,16 @@
 	case len(p.record.Ops) == 0:
 		res.Change = &Outcome{ID: req.ChangeID, State: Unchanged, Offset: p.next - 1, Objects: p.planned}
 	default:
-		out, err := s.settle(ctx, p.record)
+		data, err := configuration.Encode(p.record)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if len(data) > maxRecord {
+			s.node.Count("refusal", "change-too-large")
+			res.Change = &Outcome{ID: req.ChangeID, State: Refused, Reason: fmt.Sprintf("the change is one record of %d bytes in the log, and at most %d are allowed: divide the script", len(data), maxRecord)}
+			return nil
+		}
+		out, err := s.settle(ctx, p.record.ID, data)
 		if err != nil {
 			return err
 		}
@@ -43,11 +53,7 @@
 // settle appends a record until its outcome is known here: a lost reply is
 // settled by the record's ID in the log, and an append that was repeated has
 // one effect.
-func (s *Service) settle(ctx context.Context, rec configuration.Record) (*Outcome, error) {
-	data, err := configuration.Encode(rec)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
+func (s *Service) settle(ctx context.Context, id string, data []byte) (*Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	appended := make(chan error, 1)
@@ -56,7 +62,7 @@
 	var again <-chan time.Time
 	for {
 		changed := s.node.Changed()
-		if out := s.known(ctx, rec.ID); out != nil {
+		if out := s.known(ctx, id); out != nil {
 			return out, nil
 		}
 		select {
@@ -71,7 +77,7 @@
 		case <-changed:
 		case <-ctx.Done():
 			s.node.Count("refusal", "change-unsettled")
-			return &Outcome{ID: rec.ID, State: Unknown, Reason: "the log did not show the change in time; it may be or become accepted: ask again with its id"}, nil
+			return &Outcome{ID: id, State: Unknown, Reason: "the log did not show the change in time; it may be or become accepted: ask again with its id"}, nil
 		}
 	}
 }
