Replies that make no sense count as none

A worker's reply with amounts below zero, unknown states or an attempt twice, and a page of the log out of order, went on to the core. The adapters refuse them; they are counted as reply-malformed, and calls to the platform and to peers that got no answer have counters too.

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -14,6 +14,7 @@
 // named finds reasons and metrics in the sources.
 var named = []*regexp.Regexp{
 	regexp.MustCompile(`Reason\s+=\s"([a-z-]+)"`),
+	regexp.MustCompile(`reason[A-Z]\w*\s+=\s"([a-z-]+)"`),
 	regexp.MustCompile(`reasons\["([a-z-]+)"\]`),
 	regexp.MustCompile(`Count\("[a-z]+", "([a-z-]+)"`),
 	regexp.MustCompile(`"(mimosaspool_[a-z_]+)"`),
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return LogPage{}, unavailable("read", err)
 	}
+	if err := checkPage(from, r); err != nil {
+		return LogPage{}, err
+	}
 	page := LogPage{First: r.First, Next: r.Next}
 	for _, rec := range r.Records {
 		page.Records = append(page.Records, configuration.Numbered{Offset: rec.Offset, TimeMillis: rec.TimeMs, Data: rec.Data})
@@ -98,6 +101,9 @@
 	}
 	hosts := make([]scheduler.Host, 0, len(r.Hosts))
 	for _, x := range r.Hosts {
+		if x.Name == "" {
+			continue
+		}
 		hosts = append(hosts, scheduler.Host{Name: x.Name, Domain: x.Domain, Rack: x.Rack, Address: x.Address, Leaving: x.Leaving, Entry: x.Entry})
 	}
 	return hosts, nil
@@ -116,6 +122,9 @@
 	if err != nil {
 		return scheduler.WriteReplied{}, unavailable("write worker", err)
 	}
+	if err := checkReply(r); err != nil {
+		return scheduler.WriteReplied{}, err
+	}
 	return writeReplied(eff, r), nil
 }
 
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -161,6 +161,7 @@
 	defer cancel()
 	reply, err := d.opt.Workers.Write(ctx, eff)
 	if err != nil {
+		d.unanswered("", err)
 		d.events <- scheduler.WriteFailed{Worker: eff.Worker, Write: eff.Write}
 		return
 	}
@@ -225,9 +226,11 @@
 func (d *Daemon) pollHosts(ctx context.Context) {
 	every(ctx, hostsInterval, func() {
 		hosts, err := d.opt.Hosts.List(ctx, d.opt.Settings.Domain)
-		if err == nil {
-			d.send(ctx, scheduler.HostsRead{Hosts: hosts})
+		if err != nil {
+			d.unanswered(reasonHosts, err)
+			return
 		}
+		d.send(ctx, scheduler.HostsRead{Hosts: hosts})
 	})
 }
 
@@ -236,6 +239,7 @@
 		s, _ := d.snapshot()
 		page, err := d.opt.Log.Read(ctx, s.next, readMost, readWait)
 		if err != nil {
+			d.unanswered(reasonLog, err)
 			sleep(ctx, retryWait)
 			continue
 		}
@@ -266,6 +270,7 @@
 	every(ctx, heartbeatInterval, func() {
 		reply, err := client.Heartbeat(ctx, &control.HeartbeatRequest{State: d.state()})
 		if err != nil {
+			d.unanswered(reasonPeer, err)
 			return
 		}
 		d.heard(ctx, reply.State)
--- a/internal/schedulerd/metrics.go
+++ b/internal/schedulerd/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
@@ -57,6 +58,25 @@
 	}
 }
 
+// The reasons of calls that got no answer that counts.
+const (
+	reasonLog       = "log-unanswered"
+	reasonHosts     = "hosts-unanswered"
+	reasonPeer      = "heartbeat-unanswered"
+	reasonMalformed = "reply-malformed"
+)
+
+// unanswered counts a call that failed. Without a reason it counts only what
+// makes no sense, since the core counts the rest.
+func (d *Daemon) unanswered(reason string, err error) {
+	switch {
+	case errors.Is(err, platform.ErrMalformed):
+		d.opt.Count("retry", reasonMalformed, 1)
+	case reason != "" && !errors.Is(err, context.Canceled):
+		d.opt.Count("retry", reason, 1)
+	}
+}
+
 // recordMalformed is the reason of records that could not be decoded.
 const recordMalformed = "record-malformed"
 
