--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,6 +30,8 @@
 	ledger   *team.Ledger
 	// freedTeams lists teams that gave something back.
 	freedTeams []string
+	// polling is set while work waits for room whose policy has workers polled.
+	polling bool
 	// retryAt is when blocked groups that hold or want kept room are tried again.
 	retryAt time.Duration
 	// orphansStale is set when seats changed since orphans were listed.
@@ -198,6 +200,7 @@
 func (c *Core) request(g *group, t *task) *placement.Request {
 	r := &placement.Request{
 		Task: t.name, Workload: g.spec, Size: c.sizeOf(g), Ends: c.ends(g), Confirmed: c.rulesOf(g).Confirmed,
+		Urgent:     g.spec.Urgency == configuration.Urgent,
 		Expendable: g.spec.Kind == configuration.Batch && g.spec.Urgency != configuration.Urgent,
 	}
 	if g.spec.Spread {
