--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -43,14 +43,15 @@
 	next    int64
 	script  *language.Script
 	req     Request
-	rooms   map[string]*Room
+	at      surroundings
 
 	// Objects as the statements so far leave them.
 	domains   overlay[configuration.Domain]
 	teams     overlay[configuration.Team]
 	workloads overlay[configuration.Workload]
 	drained   overlay[configuration.Drain]
-	touched   map[object]bool
+	// relied holds the objects whose version in force the record expects.
+	relied map[object]bool
 
 	faults   language.Faults
 	record   configuration.Record
@@ -65,10 +66,12 @@
 type overlay[T any] struct {
 	base    map[string]configuration.Entry[T]
 	changed map[string]*T
+	// sorted caches the names; nil when they may have changed.
+	sorted []string
 }
 
 func newOverlay[T any](base map[string]configuration.Entry[T]) overlay[T] {
-	return overlay[T]{base, map[string]*T{}}
+	return overlay[T]{base: base, changed: map[string]*T{}}
 }
 
 func (o *overlay[T]) get(name string) (T, bool) {
@@ -83,12 +86,15 @@
 	return e.Value, ok
 }
 
-func (o *overlay[T]) put(name string, v T) { o.changed[name] = &v }
+func (o *overlay[T]) put(name string, v T) { o.changed[name], o.sorted = &v, nil }
 
-func (o *overlay[T]) drop(name string) { o.changed[name] = nil }
+func (o *overlay[T]) drop(name string) { o.changed[name], o.sorted = nil, nil }
 
-// names returns the names of all objects in order.
+// names returns the names of all objects in order. Callers don't change the list.
 func (o *overlay[T]) names() []string {
+	if o.sorted != nil {
+		return o.sorted
+	}
 	all := map[string]bool{}
 	for n := range o.base {
 		all[n] = true
@@ -97,20 +103,24 @@
 		all[n] = v != nil
 	}
 	maps.DeleteFunc(all, func(_ string, there bool) bool { return !there })
-	return slices.Sorted(maps.Keys(all))
+	o.sorted = slices.Sorted(maps.Keys(all))
+	return o.sorted
 }
 
-func newPlan(c *configuration.Catalog, script *language.Script, req Request, rooms map[string]*Room) *plan {
+func newPlan(c *configuration.Catalog, script *language.Script, req Request, at surroundings) *plan {
 	return &plan{
-		catalog: c, next: c.Next, script: script, req: req, rooms: rooms,
+		catalog: c, next: c.Next, script: script, req: req, at: at,
 		domains: newOverlay(c.Domains), teams: newOverlay(c.Teams), workloads: newOverlay(c.Workloads), drained: newOverlay(c.Drained),
-		touched: map[object]bool{},
-		record:  configuration.Record{ID: req.ChangeID, Actor: req.Actor},
+		relied: map[object]bool{},
+		record: configuration.Record{ID: req.ChangeID, Actor: req.Actor},
 	}
 }
 
 func (p *plan) run() {
 	for _, st := range p.script.Statements {
+		if len(p.faults) >= language.MaxFaults {
+			return
+		}
 		p.statement(st)
 	}
 }
@@ -142,16 +152,13 @@
 func (p *plan) touch(st *language.Statement, kind configuration.Kind, name string, action Action, detail string) {
 	version, _ := p.catalog.Version(kind, name)
 	p.planned = append(p.planned, Planned{kind, name, action, detail, version})
-	if p.touched[object{kind, name}] {
-		return
-	}
-	p.touched[object{kind, name}] = true
 	want, given := st.Expected()
 	if !given && p.req.IfVersion != nil {
 		want, given = *p.req.IfVersion, true
 	}
 	if !given {
-		want = version
+		p.rely(kind, name)
+		return
 	}
 	p.record.Expect = append(p.record.Expect, configuration.Expectation{Kind: kind, Name: name, Version: want})
 	if want == version || p.conflict != nil {
@@ -167,6 +174,16 @@
 	p.reason = fmt.Sprintf("%s %s changed at offset %d", kind, name, winner.Offset)
 }
 
+// rely notes that the record rests on an object as it is in force here.
+func (p *plan) rely(kind configuration.Kind, name string) {
+	if name == "" || p.relied[object{kind, name}] {
+		return
+	}
+	p.relied[object{kind, name}] = true
+	version, _ := p.catalog.Version(kind, name)
+	p.record.Expect = append(p.record.Expect, configuration.Expectation{Kind: kind, Name: name, Version: version})
+}
+
 // do adds an operation to the record.
 func (p *plan) do(op configuration.Op) { p.record.Ops = append(p.record.Ops, op) }
 
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -51,7 +51,7 @@
 		hosts = append(hosts, e.Value.Entries...)
 	}
 	positions := map[string]int64{}
-	for _, r := range s.members(ctx, "") {
+	for _, r := range s.members(ctx, "", askTime) {
 		positions[r.Member.Host] = r.Member.Position
 		if !slices.Contains(hosts, r.Member.Host) {
 			hosts = append(hosts, r.Member.Host)
@@ -106,17 +106,28 @@
 	case "domain":
 		return s.explainDomain(ctx, script, o)
 	}
+	if forwarded {
+		return s.teamHere(ctx, o.Name.Text)
+	}
 	return s.explainDeclared(ctx, script, o)
 }
 
+// teamHere tells another scheduler what a team holds in this domain.
+func (s *Service) teamHere(ctx context.Context, team string) (Answer, language.Faults, error) {
+	var a Answer
+	err := s.onCore(ctx, func(c *scheduler.Core) {
+		a.Facts = []Fact{{"holds in " + s.node.Member().Domain, c.TeamHolds(team).String()}}
+	})
+	return a, nil, err
+}
+
 // explainPlaced explains a task or worker, which its domain's leader knows.
 func (s *Service) explainPlaced(ctx context.Context, script *language.Script, st *language.Statement, forwarded bool) (Answer, language.Faults, error) {
 	o := st.Explain
 	var e *scheduler.Explanation
-	var domains, known []string
+	var domains []string
 	err := s.onCore(ctx, func(c *scheduler.Core) {
 		domains = domainNames(domainEntries(c.Catalog()))
-		known = knownNames(c.Catalog(), o.Kind.Text)
 		if !c.Leader() {
 			return
 		}
@@ -132,13 +143,18 @@
 	case forwarded:
 		return Answer{}, nil, nil
 	}
-	all := s.members(ctx, st.Text+";")
+	all := s.members(ctx, st.Text+";", askTime)
 	for _, r := range leadersOf(all) {
 		if len(r.Answers) == 1 && len(r.Answers[0].Facts) > 0 {
 			return r.Answers[0], nil, nil
 		}
 	}
 	out := missing(domains, all)
+	var known []string
+	err = s.onCore(ctx, func(c *scheduler.Core) { known = knownNames(c.Catalog(), o.Kind.Text) })
+	if err != nil {
+		return Answer{}, nil, err
+	}
 	if slices.Contains(known, o.Name.Text) || o.Kind.Text == "task" && len(out) > 0 {
 		return Answer{Missing: out}, nil, nil
 	}
@@ -192,7 +208,7 @@
 	if i < 0 {
 		return Answer{}, language.Faults{script.Unknown(o.Name, "failure domain", names)}, nil
 	}
-	all := s.members(ctx, "")
+	all := s.members(ctx, "", askTime)
 	a := Answer{Missing: missing(names[i:i+1], all)}
 	row := domainsTable(domains[i:i+1], all)
 	for k, c := range row.Columns {
@@ -233,7 +249,16 @@
 	if a.Facts == nil {
 		return Answer{}, language.Faults{script.Unknown(o.Name, o.Kind.Text, names)}, nil
 	}
-	all := s.members(ctx, fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text))
+	text := fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text)
+	if column == "team" {
+		text += fmt.Sprintf("explain team %s;", o.Name.Text)
+	}
+	all := s.members(ctx, text, askTime)
+	for _, r := range leadersOf(all) {
+		if column == "team" && len(r.Answers) == 2 {
+			a.Facts = append(a.Facts, r.Answers[1].Facts...)
+		}
+	}
 	a.Missing = missing(domains, all)
 	a.Table = summary(merge("tasks", all))
 	return a, nil, nil
