--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -30,15 +30,22 @@
 	schedulerAddr, entryAddr     string
 	scheduler, entry             *process
 	schedulerBinary, entryBinary string
+	// faulty is held while a fault of the host's processes lasts.
+	faulty sync.Mutex
 	// ready is set by the balancer while the entry says it is ready.
 	mu    sync.Mutex
 	ready bool
 }
 
-// start starts both programs.
+// start starts the programs that don't live.
 func (h *host) start() error {
-	if err := h.scheduler.start(h.schedulerBinary); err != nil {
-		return err
+	if !h.scheduler.alive() {
+		if err := h.scheduler.start(h.schedulerBinary); err != nil {
+			return err
+		}
+	}
+	if h.entry.alive() {
+		return nil
 	}
 	return h.entry.start(h.entryBinary)
 }
@@ -65,18 +72,23 @@
 type cluster struct {
 	bin, logs string
 	standin   *process
-	platform  *platform
+	platform  *bench
 	hosts     []*host
 	ports     ports
+	// keysSince is the time before which no entry takes an idempotency key.
+	keysSince string
 }
 
+// keysAfter is how long after the first process starts idempotency keys are taken.
+const keysAfter = 6 * time.Second
+
 // newCluster starts the stand-in and all entry hosts of a site.
 func newCluster(bin, site string) (*cluster, error) {
 	logs, err := os.MkdirTemp("", "mimosaspool-demo-")
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}}
+	c := &cluster{bin: bin, logs: logs, ports: ports{map[int]bool{}}, keysSince: time.Now().Add(keysAfter).Format(time.RFC3339)}
 	if err := c.startPlatform(site); err != nil {
 		c.close()
 		return nil, err
@@ -99,7 +111,7 @@
 	if err := c.standin.start(c.binary("-standin")); err != nil {
 		return err
 	}
-	c.platform = newPlatform(addr)
+	c.platform = newBench(addr)
 	return until(readyWait, "the stand-in", func() bool { return healthy(addr, "/readyz") })
 }
 
@@ -157,11 +169,16 @@
 			domainURLs = append(domainURLs, url)
 		}
 	}
+	entries := make([]string, 0, len(c.hosts))
+	for _, o := range c.hosts {
+		entries = append(entries, fmt.Sprintf("%s=%s/%s/%s", o.name, o.domain, o.domain, o.entryAddr))
+	}
 	common := []string{"--host", h.name, "--region", h.domain, "--domain", h.domain}
 	h.scheduler = &process{name: h.name + "-scheduler", logs: c.logs, args: append(common[:len(common):len(common)],
 		"--listen", h.schedulerAddr, "--platform-url", platformURL, "--peer-urls", strings.Join(peers, ","))}
 	h.entry = &process{name: h.name + "-entry", logs: c.logs, args: append(common[:len(common):len(common)],
-		"--listen", h.entryAddr, "--scheduler-urls", strings.Join(domainURLs, ","))}
+		"--listen", h.entryAddr, "--scheduler-urls", strings.Join(domainURLs, ","), "--entries", strings.Join(entries, ","),
+		"--keys-since", c.keysSince)}
 	return nil
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -57,6 +57,8 @@
 	hosts map[string]Host
 	// attempts numbers the starts of this incarnation.
 	attempts uint64
+	// termAttempts is the number that the present term began with.
+	termAttempts uint64
 	// election state: see election.go.
 	election election
 	ended    endings
@@ -77,8 +79,8 @@
 	leftUnseen bool
 	// termStale is set when a claim was won or lost since the term was worked out.
 	termStale bool
-	// seatsVersion is the version of the domain whose seats are in place.
-	seatsVersion int64
+	// seats is the version of the domain's declaration whose seats are in place.
+	seats seatsVersion
 	placer
 }
 
@@ -96,8 +98,6 @@
 		applied: -1,
 		reasons: Counters{},
 		placer:  newPlacer(),
-
-		seatsVersion: -1,
 	}
 }
 
@@ -181,6 +181,7 @@
 
 // beginTerm counts what was seen on the owned workers as known in the new term.
 func (c *Core) beginTerm() {
+	c.termAttempts = c.attempts
 	for _, name := range c.order {
 		if w := c.workers[name]; w.claim.Owned(c.now) && w.seenAt >= 0 {
 			c.confirm(w)
@@ -202,8 +203,9 @@
 
 // configure brings seats and wanted tasks in line with the catalog.
 func (c *Core) configure() {
-	if d := c.view.Catalog.Domains[c.set.Domain]; d.Version != c.seatsVersion {
-		c.seatsVersion = d.Version
+	d, declared := c.view.Catalog.Domains[c.set.Domain]
+	if seats := (seatsVersion{declared, d.Version}); seats != c.seats {
+		c.seats = seats
 		c.setSeats(d.Value.Workers)
 	}
 	c.setDrained()
@@ -212,6 +214,12 @@
 	c.dirDirty = true
 }
 
+// seatsVersion tells one declaration of the domain from another, and from none.
+type seatsVersion struct {
+	declared bool
+	version  int64
+}
+
 func (c *Core) setSeats(names []string) {
 	want := map[string]bool{}
 	for _, n := range names {
