Writes name the start of the worker that they are meant for

Cause: a start, renewal or mark carries its expiry in the worker's clock. When another machine takes over the address, and its clock is behind, a write that was held up on its way still counts there: the start's expiry lies an hour ahead. Waiting a mark after the new machine's start doesn't help, since the late write may come at any time.

Ruled out: bounding clock differences between machines (the platform promises none); a wait at takeover (the delay has no bound).

Change: WriteRequest.boot_ms names the start that the sender knows; a worker that started at another time only answers. It was known to the sender already, and every effective write follows a reply, so nothing waits for it. Fakes, stand-in and adapter follow; 0 names none.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -232,5 +232,8 @@
 	return c.reading + c.timing.Task, now + c.timing.Lengthen(c.timing.Task)
 }
 
+// Boot returns the worker's time of its last start, 0 before it is known.
+func (c *Claim) Boot() time.Duration { return c.boot }
+
 // Reading returns the newest known time of the worker's clock.
 func (c *Claim) Reading() time.Duration { return c.reading }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -130,6 +130,7 @@
 		RenewExpiryMs: millis(eff.RenewExpiry),
 		Forget:        eff.Forget,
 		Digest:        eff.Digest,
+		BootMs:        millis(eff.Boot),
 	}
 	if eff.MarkExpiry < 0 {
 		req.MarkExpiryMs = -1
--- a/internal/proof/scenario_test.go
+++ b/internal/proof/scenario_test.go
@@ -168,3 +168,22 @@
 	}
 }
 
+// TestClockOfFormerMachine: a start that was held up on its way reaches
+// another machine under the same address, whose clock is behind.
+func TestClockOfFormerMachine(t *testing.T) {
+	w := small(6, 6)
+	leader := w.leader("d1")
+	m, a := w.place("")
+	task := m.tasks[a].Task
+	late := scheduler.WriteWorker{
+		Worker: m.name, Address: m.name, Holder: leader.host + "#1", Write: 1 << 40, Boot: m.boot,
+		Starts: []scheduler.Start{{Task: task, Attempt: 7, Size: resource.Vector{MilliCPU: 1000}, Expiry: m.now() + 5*second}},
+	}
+	m.dead = true
+	w.Tasks.Lost(m.name)
+	behind := w.newMachine("behind", clock{offset: m.clock.offset - time.Hour}, time.Second, m.capacity)
+	w.addresses[m.name] = behind
+	w.Run(40 * second)
+	behind.write(late)
+	w.expectHeld(t)
+}
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -59,10 +59,14 @@
 	m.w.Tasks.Lost(m.name)
 }
 
-// write takes one message of a scheduler and returns the answer.
+// write takes one message of a scheduler and returns the answer. A message
+// meant for another start of the machine has no effect.
 func (m *machine) write(eff scheduler.WriteWorker) scheduler.WriteReplied {
 	now := m.now()
 	m.sweep()
+	if eff.Boot != 0 && eff.Boot != m.boot && !m.w.lacks(ownership.GuardBoot) {
+		return m.reply(now, eff)
+	}
 	m.setMark(now, eff)
 	if eff.RenewExpiry > now {
 		m.renew(eff.RenewExpiry)
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -118,6 +118,9 @@
 	Address string
 	Holder  string
 	Write   uint64
+	// Boot is the worker's time of the start that the write is meant for. A
+	// worker that started at another time only answers it; 0 names none.
+	Boot time.Duration
 	// MarkExpiry is the new expiry of the mark; 0 leaves it, negative releases it.
 	MarkExpiry time.Duration
 	// RenewExpiry extends the leases of the worker's live tasks; 0 leaves them.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -94,7 +94,7 @@
 }
 
 func (c *Core) write(w *worker) {
-	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Digest: w.digest}
+	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Boot: w.claim.Boot(), Digest: w.digest}
 	if !w.claim.Owned(c.now) || !c.term.Held(c.now) {
 		c.abandon(w)
 	}
@@ -270,7 +270,7 @@
 	w.claim.Release()
 	w.detached = false
 	if quiet {
-		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), MarkExpiry: -1})
+		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Boot: w.claim.Boot(), MarkExpiry: -1})
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -89,6 +89,9 @@
 	w.use.Writes++
 	now := w.now()
 	w.sweep(now)
+	if req.BootMs != 0 && req.BootMs != w.boot {
+		return w.reply(now, req)
+	}
 	w.setMark(now, req)
 	if req.RenewExpiryMs > now {
 		w.renew(req.RenewExpiryMs)
