--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -9,7 +9,10 @@
 // process started.
 package ownership
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Timing holds the durations that the promises depend on. All schedulers of a
 // domain must use the same.
@@ -102,6 +105,8 @@
 	sentAt  time.Duration
 	basis   time.Duration
 	pending bool
+	// released counts the releases that the worker was told of.
+	released int
 }
 
 // NewClaim returns an idle claim.
@@ -184,11 +189,25 @@
 	}
 }
 
-// Release gives the claim up; the caller tells the worker.
-func (c *Claim) Release() {
+// Release gives the claim up. Told is whether the worker is told so; a release
+// that is told ends the holder's name.
+func (c *Claim) Release(told bool) {
 	c.lose()
 	c.write++
 	c.pending = false
+	if told {
+		c.released++
+	}
+}
+
+// Holder returns the name that the claim's marks carry, given the scheduler's.
+// A release that arrives late, or twice, takes no later mark away, since later
+// marks carry another name.
+func (c *Claim) Holder(scheduler string) string {
+	if c.released == 0 {
+		return scheduler
+	}
+	return scheduler + "/" + strconv.Itoa(c.released)
 }
 
 // Fail gives up the wait for the reply to the given write.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -94,7 +94,7 @@
 }
 
 func (c *Core) write(w *worker) {
-	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Boot: w.claim.Boot(), Digest: w.digest}
+	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: w.claim.Holder(c.set.Holder()), Boot: w.claim.Boot(), Digest: w.digest}
 	if !w.claim.Owned(c.now) || !c.term.Held(c.now) {
 		c.abandon(w)
 	}
@@ -267,11 +267,12 @@
 	}
 	c.abandon(w)
 	quiet := !w.claim.Pending() && len(w.assumed) == 0 || c.lacks(ownership.GuardQuiet)
-	w.claim.Release()
-	w.detached = false
 	if quiet {
-		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Boot: w.claim.Boot(), MarkExpiry: -1})
+		holder := w.claim.Holder(c.set.Holder())
+		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: holder, Boot: w.claim.Boot(), MarkExpiry: -1})
 	}
+	w.claim.Release(quiet)
+	w.detached = false
 }
 
 // moveSeat takes note that another machine is behind a seat. The former one
