A caller's connection outlives a body that no runner wanted

Cause: with full duplex, net/http meets the end of an unread body only after the handler and cuts the connection, which the next request on it finds out. A replayed answer to a key reads no body, so the second entry's next relayed request failed: "outcome unknown: connection-lost".

Ruled out: the runner's connection (one run of each key), the key's home.

Change: a request's handler reads the rest of a short body before it returns.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -11,6 +11,9 @@
 // replayLimit is how much of a request's body is kept for a retry.
 const replayLimit = 64 << 10
 
+// drainLimit is how much of a body is read that no runner wanted.
+const drainLimit = 256 << 10
+
 // errNotReplayable ends a try whose body is no longer at hand.
 var errNotReplayable = errors.New("body can't be sent again")
 
@@ -77,5 +80,16 @@
 	return n, err
 }
 
+// finish reads what is left of a short body, so that the caller's connection
+// can carry its next request: with full duplex the server takes a body whose
+// end it meets only after the handler for a misuse, and cuts the connection.
+func (b *requestBody) finish() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		_, b.err = io.CopyN(io.Discard, b.src, drainLimit)
+	}
+}
+
 // Close implements io.Closer. The source belongs to the caller's connection.
 func (t *bodyTry) Close() error { return nil }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -59,6 +59,7 @@
 	}
 	e.admit(c)
 	c.wait()
+	c.body.finish()
 	e.metrics.took(e.now() - began)
 }
 
