--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -30,7 +30,7 @@
 	}
 	n := 0
 	for _, j := range t.Jobs {
-		s := j.Spec.Size
+		s := j.taken()
 		size := amounts(s.MilliCPU, s.MemoryMiB, s.Accelerators)
 		for _, run := range j.Run {
 			if j.Spec.Kind == configuration.Service {
@@ -140,7 +140,7 @@
 		perDomain[w.Domain] = plus(perDomain[w.Domain], amounts(w.Capacity.MilliCPU, w.Capacity.MemoryMiB, w.Capacity.Accelerators), end)
 	}
 	for _, j := range t.Jobs {
-		s := j.Spec.Size
+		s := j.taken()
 		for _, run := range j.Run {
 			left := end - j.At.Seconds()
 			if run > 0 {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -18,7 +18,7 @@
 }
 
 // Packing is the share of each resource in use over the trace's length, by
-// declared sizes.
+// the larger of declared and used sizes.
 type Packing struct{ CPU, Memory, Accelerators float64 }
 
 // Row is the outcome of one policy on one trace.
--- a/internal/measure/simulate.go
+++ b/internal/measure/simulate.go
@@ -52,7 +52,7 @@
 	// first is when a task first started; running holds where it runs.
 	first   map[string]time.Duration
 	running map[string]*fakeWorker
-	// inUse adds up declared sizes; area is its integral over the trace's length.
+	// inUse adds up what tasks take; area is its integral over the trace's length.
 	inUse    resource.Vector
 	since    time.Duration
 	area     [3]float64
@@ -124,8 +124,7 @@
 	s.after(at, func() {
 		e := configuration.Entry[configuration.Workload]{Value: j.Spec, Created: s.offset, Version: s.offset}
 		for k, name := range configuration.Tasks(e, s.domain) {
-			use := resource.Vector{MilliCPU: j.Spec.Size.MilliCPU * j.Use / 100, MemoryMiB: j.Spec.Size.MemoryMiB * j.Use / 100, Accelerators: j.Spec.Size.Accelerators}
-			s.truth[name] = truth{at: s.now, run: j.Run[k], size: j.Spec.Size, use: use, class: Class{j.Spec.Kind, j.Spec.Urgency}}
+			s.truth[name] = truth{at: s.now, run: j.Run[k], size: j.taken(), use: j.use(), class: Class{j.Spec.Kind, j.Spec.Urgency}}
 		}
 		s.append(configuration.Record{ID: fmt.Sprint("job", i), Ops: []configuration.Op{{Workload: &j.Spec}}})
 	})
@@ -256,7 +255,7 @@
 	}
 }
 
-// count adds a task's declared size to, or takes it from, what is in use.
+// count adds what a task takes to, or takes it from, what is in use.
 func (s *simulation) count(_ *fakeWorker, size resource.Vector, times int64) {
 	s.integrate()
 	s.inUse = s.inUse.Add(size.Scale(times))
--- a/internal/measure/trace.go
+++ b/internal/measure/trace.go
@@ -41,6 +41,15 @@
 	Use int64
 }
 
+// use returns what one task truly uses.
+func (j *Job) use() resource.Vector {
+	s := j.Spec.Size
+	return resource.Vector{MilliCPU: s.MilliCPU * j.Use / 100, MemoryMiB: s.MemoryMiB * j.Use / 100, Accelerators: s.Accelerators}
+}
+
+// taken returns what one task takes of its worker: the larger of declared and used.
+func (j *Job) taken() resource.Vector { return j.Spec.Size.Max(j.use()) }
+
 // ErrTrace marks a line that can't be read.
 var ErrTrace = errors.New("malformed trace")
 
