--- a/internal/demo/judge_test.go
+++ b/internal/demo/judge_test.go
@@ -17,7 +17,7 @@
 
 var _ = Describe("judge", func() {
 	began := time.Unix(0, 0)
-	ran := []standin.Request{{ID: "a", Key: "ka", Service: "s", Task: "s/0/d/0"}, {ID: "b", Service: "s"}}
+	ran := []standin.Request{{ID: "a", Key: "ka", Service: "s", Task: "s/0/d/0"}, {ID: "b", Service: "s"}, {ID: "b", Service: "s"}}
 	planned := []span{{host: "e", from: began, to: began.Add(time.Second)}}
 
 	DescribeTable("finds", func(r result, want ...standin.Promise) {
@@ -33,6 +33,8 @@
 		Entry("nothing in an unknown one", result{id: "a", outcome: unknown, entry: "f"}),
 		Entry("one said not to have run that ran", result{id: "b", outcome: notRun}, promiseNotRun),
 		Entry("a key said not to have run that ran", result{id: "c", key: "ka", outcome: notRun}, promiseNotRun),
+		Entry("nothing in an idempotent request that ran twice", result{id: "b", outcome: answered}),
+		Entry("a request that ran twice", result{id: "b", outcome: answered, once: true}, standin.PromiseAtMostOnce),
 		Entry("another request's answer", result{id: "a", outcome: lost}, promiseAnswer),
 		Entry("a request cut off by a planned stop", result{id: "a", outcome: unknown, entry: "e"}, promiseGracefulEntry),
 	)
@@ -43,3 +45,25 @@
 		Expect(list[0].Promise).To(Equal(promiseAnswer))
 	})
 })
+
+var _ = Describe("watch", func() {
+	changes := []change{
+		{text: "declare team a weight 1;", accepted: true, offset: 1},
+		{text: "declare team b weight 1;", accepted: true, offset: 2},
+		{text: "declare team c weight 1;", offset: 3},
+	}
+
+	DescribeTable("finds", func(want int, versions ...map[string]int64) {
+		w := newWatch(nil)
+		for _, v := range versions {
+			w.looks = append(w.looks, look{host: "e", versions: v})
+		}
+		Expect(w.judge(changes)).To(HaveLen(want))
+	},
+		Entry("nothing in a host that catches up", 0, map[string]int64{"a": 1}, map[string]int64{"a": 1, "b": 2}),
+		Entry("nothing in a later version", 0, map[string]int64{"a": 7, "b": 2}),
+		Entry("a host that goes back", 1, map[string]int64{"a": 7, "b": 2}, map[string]int64{"a": 1, "b": 2}),
+		Entry("a hole, which lasts to the end", 2, map[string]int64{"b": 2}),
+		Entry("a change that is never in force", 1, map[string]int64{"a": 1}),
+	)
+})
