--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -11,8 +12,8 @@
 // replayLimit is how much of a request's body is kept for a retry.
 const replayLimit = 64 << 10
 
-// drainLimit is how much of a body is read that no runner wanted.
-const drainLimit = 256 << 10
+// skipLimit is more than the rest of a body for whose end a server waits.
+const skipLimit = 256<<10 + 1
 
 // errNotReplayable ends a try whose body is no longer at hand.
 var errNotReplayable = errors.New("body can't be sent again")
@@ -25,9 +26,10 @@
 	src  io.Reader
 	kept []byte
 	err  error
-	// total counts the bytes read; broken is set once the source has failed.
-	total  atomic.Int64
-	broken atomic.Bool
+	// total counts the bytes read; over is set once the source has ended, broken
+	// once it has failed.
+	total        atomic.Int64
+	over, broken atomic.Bool
 }
 
 // replayable reports whether a further try could send the whole body.
@@ -35,6 +37,20 @@
 	return b.total.Load() <= replayLimit && !b.broken.Load()
 }
 
+// ended reports whether the source has been read to its end or has failed.
+func (b *requestBody) ended() bool { return b.over.Load() }
+
+// skip reads up to n more bytes from the source and drops them.
+func (b *requestBody) skip(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		m, err := io.CopyN(io.Discard, b.src, n)
+		b.total.Add(replayLimit + 1 + m)
+		b.err = cmp.Or(err, errNotReplayable)
+	}
+}
+
 // try returns a reader of the body from its start.
 func (b *requestBody) try() *bodyTry { return &bodyTry{body: b} }
 
@@ -74,22 +90,10 @@
 	}
 	t.off += int64(n)
 	b.err = err
-	if err != nil && err != io.EOF {
-		b.broken.Store(true)
-	}
+	b.over.Store(err != nil)
+	b.broken.Store(err != nil && err != io.EOF)
 	return n, err
 }
 
-// finish reads what is left of a short body, so that the caller's connection
-// can carry its next request: with full duplex the server takes a body whose
-// end it meets only after the handler for a misuse, and cuts the connection.
-func (b *requestBody) finish() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.err == nil {
-		_, b.err = io.CopyN(io.Discard, b.src, drainLimit)
-	}
-}
-
 // Close implements io.Closer. The source belongs to the caller's connection.
 func (t *bodyTry) Close() error { return nil }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -150,6 +150,12 @@
 		}
 	})
 
+	ginkgo.It("keeps the caller's connection in order when a body was not read", func() {
+		for range 200 {
+			Expect(text(do("POST", "/s/none/", strings.NewReader("some body")))).To(ContainSubstring("no-service"))
+		}
+	})
+
 	ginkgo.It("passes a stream on piece by piece", func() {
 		more := make(chan bool)
 		serve(func(w http.ResponseWriter, _ *http.Request) {
