--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -14,6 +14,8 @@
 	// Created is the offset at which the object was declared anew.
 	Created int64  `json:"created"`
 	Actor   string `json:"actor"`
+	// Finished is set on finite work whose tasks have all ended.
+	Finished bool `json:"finished,omitempty"`
 }
 
 // Catalog is the state that the log's records add up to. It isn't safe for
@@ -26,6 +28,8 @@
 	Workloads map[string]Entry[Workload]  `json:"workloads,omitempty"`
 	Drained   map[string]Entry[Drain]     `json:"drained,omitempty"`
 	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
+	// Finished lists finished workloads, oldest first.
+	Finished []Finished `json:"finished,omitempty"`
 	// Applied keeps the outcome of recent records by ID.
 	Applied map[string]Outcome `json:"applied,omitempty"`
 	// Recent lists the IDs in Applied, oldest first.
@@ -229,11 +233,11 @@
 }
 
 func put[T any](m map[string]Entry[T], name string, v T, offset int64, actor string) {
-	created := offset
+	e := Entry[T]{Value: v, Version: offset, Created: offset, Actor: actor}
 	if old, ok := m[name]; ok {
-		created = old.Created
+		e.Created, e.Finished = old.Created, old.Finished
 	}
-	m[name] = Entry[T]{Value: v, Version: offset, Created: created, Actor: actor}
+	m[name] = e
 }
 
 func (c *Catalog) drop(workload string) {
@@ -254,17 +258,6 @@
 	}
 }
 
-func (c *Catalog) end(e Ended) {
-	workload := WorkloadOf(e.Task)
-	if _, ok := c.Workloads[workload]; !ok {
-		return
-	}
-	if c.Ended[workload] == nil {
-		c.Ended[workload] = map[string]Ended{}
-	}
-	c.Ended[workload][e.Task] = e
-}
-
 func (c *Catalog) remember(id string, out Outcome) {
 	c.Applied[id] = out
 	c.Recent = append(c.Recent, id)
@@ -276,9 +269,12 @@
 
 // Tasks returns the names of the tasks of a declared workload whose home is
 // domain. A workload that was cancelled and declared anew has new names, since
-// tasks of the former one may still run out of reach.
+// tasks of the former one may still run out of reach. A finished one has none.
 func Tasks(e Entry[Workload], domain string) []string {
 	var names []string
+	if e.Finished {
+		return nil
+	}
 	from := 0
 	for _, h := range e.Value.Homes {
 		for i := 0; h.Domain == domain && i < h.Count; i++ {
--- a/internal/configuration/view.go
+++ b/internal/configuration/view.go
@@ -1,6 +1,10 @@
 package configuration
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+)
 
 // Snapshot is a catalog as a record carries it.
 type Snapshot struct {
@@ -23,6 +27,8 @@
 	Catalog *Catalog
 	// Malformed counts the records that could not be decoded.
 	Malformed int
+	// Snapshots counts the snapshots passed in the log.
+	Snapshots int
 	complete  bool
 	// waiting holds consecutive records read before a usable snapshot.
 	waiting []Numbered
@@ -85,9 +91,23 @@
 		v.Catalog.Skip(n.Offset)
 		return nil
 	}
+	if r.Snapshot != nil {
+		v.Snapshots++
+	}
 	return []Outcome{v.Catalog.Apply(n.Offset, r)}
 }
 
+// Adopt takes the state of a complete view elsewhere, unless this one is
+// complete or knows more. It reports whether it did.
+func (v *View) Adopt(state *Catalog) bool {
+	if v.complete || state == nil || state.Next <= v.Catalog.Next {
+		return false
+	}
+	state.init()
+	v.Catalog, v.complete, v.waiting = state, true, nil
+	return true
+}
+
 // fromSnapshot completes the view when n carries a snapshot that the waiting
 // records reach back to.
 func (v *View) fromSnapshot(n Numbered) []Outcome {
@@ -111,6 +131,22 @@
 	return outs
 }
 
+// Freeze returns a copy that later records applied to c don't change. It shares
+// what is replaced whole, and costs little.
+func (c *Catalog) Freeze() *Catalog {
+	f := *c
+	f.Domains, f.Teams = maps.Clone(c.Domains), maps.Clone(c.Teams)
+	f.Workloads, f.Drained = maps.Clone(c.Workloads), maps.Clone(c.Drained)
+	f.Applied = maps.Clone(c.Applied)
+	f.Recent, f.History = slices.Clone(c.Recent), slices.Clone(c.History)
+	f.Finished = slices.Clone(c.Finished)
+	f.Ended = make(map[string]map[string]Ended, len(c.Ended))
+	for name, ended := range c.Ended {
+		f.Ended[name] = maps.Clone(ended)
+	}
+	return &f
+}
+
 // Clone returns a deep copy of c.
 func (c *Catalog) Clone() *Catalog {
 	data, err := json.Marshal(c)
--- a/internal/operator/gather.go
+++ b/internal/operator/gather.go
@@ -118,12 +118,20 @@
 func workloadRow(cat *configuration.Catalog, e configuration.Entry[configuration.Workload]) []Cell {
 	w := e.Value
 	return []Cell{
-		str(w.Name), str(w.Kind), str(w.Team), num(w.Count), num(len(cat.Ended[w.Name])),
+		str(w.Name), str(w.Kind), str(w.Team), num(w.Count), num(endedTasks(cat, e)),
 		num(float64(w.Size.MilliCPU) / 1000), num(w.Size.MemoryMiB), num(w.Size.Accelerators),
 		str(w.Policy), str(w.Urgency), str(configuration.FormatHomes(w.Homes)), num(e.Version), str(e.Actor),
 	}
 }
 
+// endedTasks counts the tasks of finite work that have ended.
+func endedTasks(cat *configuration.Catalog, e configuration.Entry[configuration.Workload]) int {
+	if e.Finished {
+		return e.Value.Count
+	}
+	return len(cat.Ended[e.Value.Name])
+}
+
 // declared answers a list from the catalog; false for other lists.
 func declared(cat *configuration.Catalog, list string) (*Table, bool) {
 	t := newTable(list)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -62,6 +62,7 @@
 	// election state: see election.go.
 	election election
 	ended    endings
+	snapshot snapshots
 	leaving  bool
 	// held is whether the term was held when it was last worked out.
 	held     bool
@@ -126,6 +127,7 @@
 	case Tick:
 		c.elect()
 		c.flushEnded()
+		c.takeSnapshot()
 	case LogRead:
 		c.readLog(ev)
 	case HostsRead:
@@ -190,11 +192,15 @@
 }
 
 func (c *Core) readLog(ev LogRead) {
+	c.view.Adopt(ev.State)
 	for _, o := range c.view.Feed(ev.First, ev.Records) {
 		if o.Conflict != nil {
 			c.reasons["config-conflict"]++
 		}
 	}
+	if c.view.Snapshots != c.snapshot.seen {
+		c.snapshot.seen, c.snapshot.at = c.view.Snapshots, c.now
+	}
 	if next := c.view.Catalog.Next; next != c.applied && c.view.Complete() {
 		c.applied = next
 		c.configure()
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -60,4 +60,35 @@
 		Expect(starts).To(HaveLen(2))
 		Expect(starts["s/0/d/0"]).NotTo(Equal(starts["s/0/d/1"]))
 	})
+
+	It("appends a snapshot when the log has had none for long", func() {
+		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
+		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{
+			{Domain: &configuration.Domain{Name: "d", Workers: []string{"w1"}, Entries: []string{"h1"}}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		queue := c.Step(0, scheduler.HostsRead{Hosts: []scheduler.Host{{Name: "w1", Address: "a1"}}})
+		queue = append(queue, c.Step(0, scheduler.LogRead{Records: []configuration.Numbered{{Data: data}}})...)
+		var snapshots []time.Duration
+		for now := time.Millisecond; now < 2*time.Hour; now += 500 * time.Millisecond {
+			queue = append(queue, c.Step(now, scheduler.Tick{})...)
+			for len(queue) > 0 {
+				eff := queue[0]
+				queue = queue[1:]
+				switch eff := eff.(type) {
+				case scheduler.WriteWorker:
+					queue = append(queue, c.Step(now, answer(now, eff))...)
+				case scheduler.AppendRecord:
+					Expect(eff.Record.Snapshot.Catalog.Next).To(Equal(int64(1 + len(snapshots))))
+					snapshots = append(snapshots, now)
+					data, err := configuration.Encode(eff.Record)
+					Expect(err).NotTo(HaveOccurred())
+					n := configuration.Numbered{Offset: int64(len(snapshots)), Data: data}
+					queue = append(queue, c.Step(now, scheduler.AppendDone{ID: eff.Record.ID})...)
+					queue = append(queue, c.Step(now, scheduler.LogRead{Records: []configuration.Numbered{n}})...)
+				}
+			}
+		}
+		Expect(snapshots).To(HaveLen(3))
+	})
 })
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -26,7 +26,7 @@
 	var changed []string
 	for name, e := range cat.Workloads {
 		g := c.group(name)
-		if g == nil || g.version != e.Version || g.ended != len(cat.Ended[name]) {
+		if g == nil || g.version != e.Version || g.ended != len(cat.Ended[name]) || g.finished != e.Finished {
 			changed = append(changed, name)
 		}
 	}
@@ -53,9 +53,9 @@
 		g = &group{workload: name, racks: map[string]int{}}
 		c.queue.groups[name] = g
 	}
-	if g.version != e.Version || g.spec == nil {
+	if g.version != e.Version || g.finished != e.Finished || g.spec == nil {
 		c.unwant(g)
-		g.version, g.spec = e.Version, &e.Value
+		g.version, g.finished, g.spec = e.Version, e.Finished, &e.Value
 		g.members = g.members[:0]
 		for _, n := range configuration.Tasks(e, c.set.Domain) {
 			g.members = append(g.members, c.want(n, name))
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -29,7 +29,7 @@
 // note takes an ended attempt; only success of finite work is recorded.
 func (e *endings) note(cat *configuration.Catalog, o ObservedTask) {
 	spec, ok := cat.Workloads[configuration.WorkloadOf(o.Task)]
-	if !ok || spec.Value.Kind == configuration.Service || o.State != Succeeded {
+	if !ok || spec.Finished || spec.Value.Kind == configuration.Service || o.State != Succeeded {
 		return
 	}
 	if _, done := cat.Ended[spec.Value.Name][o.Task]; !done {
@@ -47,9 +47,9 @@
 func (e *endings) settle(cat *configuration.Catalog) {
 	for task := range e.open {
 		workload := configuration.WorkloadOf(task)
-		_, wanted := cat.Workloads[workload]
+		spec, wanted := cat.Workloads[workload]
 		_, done := cat.Ended[workload][task]
-		if done || !wanted {
+		if done || !wanted || spec.Finished {
 			delete(e.open, task)
 		}
 	}
@@ -74,11 +74,17 @@
 }
 
 func (c *Core) appended(ev AppendDone) {
-	if ev.ID == c.ended.sending {
-		c.ended.sending = ""
+	if ev.ID == c.snapshot.sending {
+		c.snapshot.sending, c.snapshot.next = "", c.now+snapshotRetry
 	}
 	if ev.Failed {
 		c.reasons["append-failed"]++
+	}
+	if ev.ID != c.ended.sending {
+		return
+	}
+	c.ended.sending = ""
+	if ev.Failed {
 		c.ended.next = c.now + 5*endedInterval
 	}
 }
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -19,6 +19,8 @@
 	// First is the offset of the oldest record that the log still has.
 	First   int64
 	Records []configuration.Numbered
+	// State is a peer's whole state, for a scheduler that has none; or nil.
+	State *configuration.Catalog
 	// Relayed is set on records that a peer passed on.
 	Relayed bool
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -17,8 +17,9 @@
 	workload string
 	spec     *configuration.Workload
 	// version and ended tell what of the catalog the group was made from.
-	version int64
-	ended   int
+	version  int64
+	finished bool
+	ended    int
 	// tasks are in order of waiting time once sorted. A task that no longer
 	// waits is dropped when it comes up.
 	tasks  []*task
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	control "github.com/mimosaspool/mimosaspool/api/control"
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
@@ -66,12 +65,11 @@
 
 // status is what other goroutines may know of the core; it is replaced whole.
 type status struct {
-	dir     scheduler.Directory
-	ready   bool
-	leader  bool
-	leaving bool
-	next    int64
-	term    scheduler.Term
+	dir    scheduler.Directory
+	ready  bool
+	leader bool
+	next   int64
+	term   scheduler.Term
 }
 
 // New returns a daemon that has not started.
@@ -100,6 +98,7 @@
 	}
 	d.loop(ctx, io)
 	d.step(io, scheduler.Leave{})
+	d.goodbye(io)
 	done := make(chan struct{})
 	go func() { d.wg.Wait(); close(done) }()
 	d.drain(io, done)
@@ -265,38 +264,6 @@
 	d.send(ctx, scheduler.LogRead{First: first, Records: records, Relayed: relayed})
 }
 
-func (d *Daemon) heartbeat(ctx context.Context, url string) {
-	client := control.NewPeerProtobufClient(url, d.opt.Client)
-	every(ctx, heartbeatInterval, func() {
-		reply, err := client.Heartbeat(ctx, &control.HeartbeatRequest{State: d.state()})
-		if err != nil {
-			d.unanswered(reasonPeer, err)
-			return
-		}
-		d.heard(ctx, reply.State)
-		var records []configuration.Numbered
-		for _, r := range reply.Records {
-			records = append(records, configuration.Numbered{Offset: r.Offset, TimeMillis: r.TimeMs, Data: r.Data})
-		}
-		if len(records) > 0 {
-			d.learn(ctx, -1, records, true)
-		}
-	})
-}
-
-func (d *Daemon) heard(ctx context.Context, s *control.SchedulerState) {
-	if s.GetDomain() != d.opt.Settings.Domain {
-		return
-	}
-	d.send(ctx, scheduler.PeerHeard{Host: s.Host, Holder: s.Holder, Position: s.Position, Leader: s.Leader, Leaving: s.Leaving})
-}
-
-func (d *Daemon) state() *control.SchedulerState {
-	s, _ := d.snapshot()
-	set := d.opt.Settings
-	return &control.SchedulerState{Host: set.Host, Holder: set.Holder(), Domain: set.Domain, Position: s.next, Leader: s.leader, Leaving: s.leaving}
-}
-
 func (d *Daemon) send(ctx context.Context, ev scheduler.Event) {
 	select {
 	case d.events <- ev:
