--- a/internal/operator/gather.go
+++ b/internal/operator/gather.go
@@ -72,7 +72,7 @@
 func merge(list string, all []Result) *Table {
 	t := newTable(list)
 	for _, r := range leadersOf(all) {
-		if len(r.Answers) > 0 && r.Answers[0].Table != nil && slices.Equal(r.Answers[0].Table.Columns, t.Columns) {
+		if len(r.Answers) == 1 && r.Answers[0].Table != nil && slices.Equal(r.Answers[0].Table.Columns, t.Columns) {
 			t.Rows = append(t.Rows, r.Answers[0].Table.Rows...)
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -186,6 +186,13 @@
 		Expect(s.log).To(HaveLen(before))
 	})
 
+	It("explains by the right kind only, and counts tasks where they are", func() {
+		Expect(messages(exec(south, "explain batch survey;"))).To(ConsistOf("it is declared as service, not as batch"))
+		res := exec(south, "explain team crews;")
+		Expect(res.Answers[0].Table.Rows).To(HaveLen(2))
+		Expect(res.Answers[0].Facts).To(ContainElement(operator.Fact{Name: "holds in north", Value: "8 cpu"}))
+	})
+
 	It("explains tasks of other domains, and keeps tables through JSON", func() {
 		res := exec(south, "explain task survey/0/north/0; list workers where cpu >= 32 order by free-cpu desc limit 2;")
 		Expect(res.Answers[0].Facts[0]).To(Equal(operator.Fact{Name: "state", Value: "running"}))
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -107,16 +107,33 @@
 		return s.explainDomain(ctx, script, o)
 	}
 	if forwarded {
-		return s.teamHere(ctx, o.Name.Text)
+		return s.declaredHere(ctx, o)
 	}
-	return s.explainDeclared(ctx, script, o)
+	return s.explainDeclared(ctx, script, st)
 }
 
-// teamHere tells another scheduler what a team holds in this domain.
-func (s *Service) teamHere(ctx context.Context, team string) (Answer, language.Faults, error) {
+// listed returns the list that a declared object stands in, and the column of
+// the list of tasks that names it.
+func listed(o *language.Object) (list, column string) {
+	if o.Kind.Text == "team" {
+		return "teams", "team"
+	}
+	return "workloads", "workload"
+}
+
+// declaredHere tells another scheduler of the tasks of a workload or team in
+// this domain.
+func (s *Service) declaredHere(ctx context.Context, o *language.Object) (Answer, language.Faults, error) {
 	var a Answer
+	_, column := listed(o)
 	err := s.onCore(ctx, func(c *scheduler.Core) {
-		a.Facts = []Fact{{"holds in " + s.node.Member().Domain, c.TeamHolds(team).String()}}
+		tasks := s.local(c, "tasks")
+		i := tasks.index(column)
+		tasks.Rows = slices.DeleteFunc(tasks.Rows, func(row []Cell) bool { return row[i].Text != o.Name.Text })
+		a.Table = summary(tasks)
+		if column == "team" {
+			a.Facts = []Fact{{"holds in " + s.node.Member().Domain, c.TeamHolds(o.Name.Text).String()}}
+		}
 	})
 	return a, nil, err
 }
@@ -221,11 +238,9 @@
 }
 
 // explainDeclared explains a workload or team by its tasks in all domains.
-func (s *Service) explainDeclared(ctx context.Context, script *language.Script, o *language.Object) (Answer, language.Faults, error) {
-	list, column := "workloads", "workload"
-	if o.Kind.Text == "team" {
-		list, column = "teams", "team"
-	}
+func (s *Service) explainDeclared(ctx context.Context, script *language.Script, st *language.Statement) (Answer, language.Faults, error) {
+	o := st.Explain
+	list, _ := listed(o)
 	var table *Table
 	var domains []string
 	err := s.onCore(ctx, func(c *scheduler.Core) {
@@ -240,6 +255,9 @@
 	var a Answer
 	for _, row := range table.Rows {
 		names = append(names, row[0].Text)
+		if kind := kinds[o.Kind.Text]; row[0].Text == o.Name.Text && kind != "" && row[1].Text != string(kind) {
+			return Answer{}, language.Faults{script.Fault(o.Name, "it is declared as %s, not as %s", row[1].Text, kind)}, nil
+		}
 		for k, c := range table.Columns {
 			if row[0].Text == o.Name.Text {
 				a.Facts = append(a.Facts, fact(c, row[k]))
@@ -249,18 +267,16 @@
 	if a.Facts == nil {
 		return Answer{}, language.Faults{script.Unknown(o.Name, o.Kind.Text, names)}, nil
 	}
-	text := fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text)
-	if column == "team" {
-		text += fmt.Sprintf("explain team %s;", o.Name.Text)
-	}
-	all := s.members(ctx, text, askTime)
+	all := s.members(ctx, st.Text+";", askTime)
+	a.Missing = missing(domains, all)
+	a.Table = summary(newTable("tasks"))
 	for _, r := range leadersOf(all) {
-		if column == "team" && len(r.Answers) == 2 {
-			a.Facts = append(a.Facts, r.Answers[1].Facts...)
+		if len(r.Answers) == 1 && r.Answers[0].Table != nil {
+			a.Facts = append(a.Facts, r.Answers[0].Facts...)
+			a.Table.Rows = append(a.Table.Rows, r.Answers[0].Table.Rows...)
 		}
 	}
-	a.Missing = missing(domains, all)
-	a.Table = summary(merge("tasks", all))
+	a.Table.order(nil)
 	return a, nil, nil
 }
 
