--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 // replayLimit is how much of a request's body is kept for a retry.
 const replayLimit = 64 << 10
 
+// skipLimit is more than the rest of a body for whose end a server waits.
+const skipLimit = 256<<10 + 1
+
 // errNotReplayable ends a try whose body is no longer at hand.
 var errNotReplayable = errors.New("body can't be sent again")
 
@@ -22,9 +26,10 @@
 	src  io.Reader
 	kept []byte
 	err  error
-	// total counts the bytes read; broken is set once the source has failed.
-	total  atomic.Int64
-	broken atomic.Bool
+	// total counts the bytes read; over is set once the source has ended, broken
+	// once it has failed.
+	total        atomic.Int64
+	over, broken atomic.Bool
 }
 
 // replayable reports whether a further try could send the whole body.
@@ -32,6 +37,20 @@
 	return b.total.Load() <= replayLimit && !b.broken.Load()
 }
 
+// ended reports whether the source has been read to its end or has failed.
+func (b *requestBody) ended() bool { return b.over.Load() }
+
+// skip reads up to n more bytes from the source and drops them.
+func (b *requestBody) skip(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		m, err := io.CopyN(io.Discard, b.src, n)
+		b.total.Add(replayLimit + 1 + m)
+		b.err = cmp.Or(err, errNotReplayable)
+	}
+}
+
 // try returns a reader of the body from its start.
 func (b *requestBody) try() *bodyTry { return &bodyTry{body: b} }
 
@@ -71,9 +90,8 @@
 	}
 	t.off += int64(n)
 	b.err = err
-	if err != nil && err != io.EOF {
-		b.broken.Store(true)
-	}
+	b.over.Store(err != nil)
+	b.broken.Store(err != nil && err != io.EOF)
 	return n, err
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,9 +47,6 @@
 		refuse(w, http.StatusBadRequest, "bad-header", err.Error())
 		return
 	}
-	// Without it the server swallows up to 256 KiB of the caller's body once the
-	// answer begins. HTTP/2 needs no such leave and says so.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	a.ID = e.ids.Add(1)
 	began := e.now()
 	a.Deadline = began + within
@@ -57,11 +54,36 @@
 		entry: e, id: a.ID, admit: a, due: a.Deadline, w: w, req: req,
 		body: &requestBody{src: req.Body}, verdicts: make(chan routing.Effect, maxVerdicts),
 	}
+	duplex := c.allowDuplex()
 	e.admit(c)
 	c.wait()
+	if duplex {
+		c.finishBody()
+	}
 	e.metrics.took(e.now() - began)
 }
 
+// allowDuplex lets the answer begin before the request's body has ended: else
+// an HTTP/1.1 server takes up to 256 KiB of a body's rest for itself then. It
+// does not where the caller waits to be told to go on.
+func (c *call) allowDuplex() bool {
+	if c.req.ProtoMajor != 1 || c.req.ContentLength == 0 || c.req.Header.Get("Expect") != "" {
+		return false
+	}
+	return http.NewResponseController(c.w).EnableFullDuplex() == nil
+}
+
+// finishBody reads what is left of a short body after the answer. The server
+// would do so itself, but with full duplex its watch for the caller's leaving
+// then gets in the way of the connection's next request.
+func (c *call) finishBody() {
+	if c.body.ended() {
+		return
+	}
+	_ = http.NewResponseController(c.w).Flush()
+	c.body.skip(skipLimit)
+}
+
 // wait follows the core's verdicts until the request has ended.
 func (c *call) wait() {
 	left := c.req.Context().Done()
