Scheduler: a task's first lease is renewed before it runs out

Ruled out: a longer first lease (its bound is what makes a start safe that is late on the wire).

Change: after a write with starts the next one is due a reply's timeout before the confirmed mark runs out. Thrifty starts ride on renewals; urgent ones never wait.

--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
@@ -74,11 +76,13 @@
 	low, high := 0.0, longestWait
 	for range bisectSteps {
 		mid := (low + high) / 2
-		late := 0
+		var late atomic.Int64
+		var wg sync.WaitGroup
 		for d, list := range byDomain {
-			late += lateTasks(list, total[d], length, mid)
+			wg.Go(func() { late.Add(int64(lateTasks(list, total[d], length, mid))) })
 		}
-		if late > drop {
+		wg.Wait()
+		if late.Load() > int64(drop) {
 			low = mid
 		} else {
 			high = mid
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -39,7 +39,7 @@
 const sampleSize = 64
 
 // thriftyLinger is how long a thrifty start waits for the worker's next message.
-const thriftyLinger = 400 * time.Millisecond
+const thriftyLinger = 2 * time.Second
 
 // RulesOf returns the rules of a policy; an unknown or empty one is fast. The
 // random baseline draws from the given source.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -229,7 +229,10 @@
 	if g.spec.Kind == configuration.Service {
 		s.Service = g.spec.Name
 	}
-	flush := c.now + c.rulesOf(g).Linger
+	flush := c.now
+	if g.spec.Urgency != configuration.Urgent {
+		flush += c.rulesOf(g).Linger
+	}
 	if len(w.starts) == 0 || flush < w.flushAt {
 		w.flushAt = flush
 	}
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -117,6 +117,18 @@
 		Expect(c.Workers()).To(HaveLen(1))
 	})
 
+	It("renews a task before its first lease runs out, whenever it starts", func() {
+		for phase := range 25 {
+			c := newCell(3, small)
+			c.run(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+			w := workload("t", configuration.Batch, 2, resource.Vector{MilliCPU: 1000})
+			w.Policy = configuration.Thrifty
+			c.declare(declared(w))
+			c.run(10 * time.Second)
+			Expect(c.started).To(HaveLen(2))
+		}
+	})
+
 	It("starts a blocked task as soon as a report frees room for it", func() {
 		c := newCell(1, small)
 		c.declare(declared(workload("a", configuration.Batch, 4, resource.Vector{MilliCPU: 1000})))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -104,9 +104,19 @@
 	m := w.claim.Send(c.now)
 	eff.Write, eff.MarkExpiry = m.Write, m.Expiry
 	w.due = c.now + c.set.Timing.Renew
+	if len(eff.Starts) > 0 {
+		w.due = min(w.due, c.firstRenewal(w))
+	}
 	c.out = append(c.out, eff)
 }
 
+// firstRenewal returns when the lease of a task that is started now has to be
+// renewed: early enough for one more write before the confirmed mark runs out,
+// which bounds the lease.
+func (c *Core) firstRenewal(w *worker) time.Duration {
+	return max(w.claim.ValidUntil()-c.set.Timing.Reply, c.now+claimRetry)
+}
+
 // fill adds to a write to an owned worker what only its owner may send.
 func (c *Core) fill(w *worker, eff *WriteWorker) {
 	if c.mayRenew(w) {
