--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/twitchtv/twirp"
 
 	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/operator"
 	"github.com/mimosaspool/mimosaspool/internal/platform"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
@@ -34,14 +38,18 @@
 func (e exitError) ExitCode() int { return e.code }
 
 // noAnswer tells that no scheduler answered. A change may have been taken over
-// all the same, so its id goes with it.
+// all the same, so its id goes with it; a script without one has none.
 type noAnswer struct {
 	id      string
 	reasons []string
 }
 
 func (e *noAnswer) Error() string {
-	return fmt.Sprintf("no scheduler answered:\n  %s\nA change may be or become accepted; ask again with --change-id %s", strings.Join(e.reasons, "\n  "), e.id)
+	text := "no scheduler answered:\n  " + strings.Join(e.reasons, "\n  ")
+	if e.id != "" {
+		text += "\nthe change may be or become accepted; ask again with --change-id " + e.id
+	}
+	return text
 }
 
 // ExitCode implements settings.ExitCoder.
@@ -57,6 +65,10 @@
 // scheduler settles a change.
 const callTimeout = 10 * time.Second
 
+// dialTimeout bounds the wait for a connection, so that a host that is gone
+// costs less than one that is slow.
+const dialTimeout = 2 * time.Second
+
 // retryWait is the wait before the schedulers are tried anew.
 const retryWait = time.Second
 
@@ -86,11 +98,11 @@
 	var last *operator.Result
 	for {
 		var reasons []string
-		for _, url := range t.flags.Schedulers {
-			res, err := askOne(ctx, url, req)
+		for _, base := range t.flags.Schedulers {
+			res, err := askOne(ctx, base, req)
 			switch {
 			case err != nil:
-				reasons = append(reasons, fmt.Sprintf("%s: %v", url, err))
+				reasons = append(reasons, fmt.Sprintf("%s: %v", base, err))
 			case res.Change != nil && res.Change.State == operator.Unknown:
 				last = &res
 			default:
@@ -103,14 +115,43 @@
 			if last != nil {
 				return *last, nil
 			}
+			if c.check || c.diff || !changes(c.text) {
+				req.ChangeId = ""
+			}
 			return operator.Result{}, &noAnswer{req.ChangeId, reasons}
 		}
 	}
 }
 
-func askOne(ctx context.Context, url string, req *control.ExecuteRequest) (operator.Result, error) {
+// changes reports whether a text may change anything.
+func changes(text string) bool {
+	script, err := language.Parse(text)
+	return err == nil && slices.ContainsFunc(script.Statements, (*language.Statement).Changes)
+}
+
+// reach finds out in a short time whether anything listens at a base URL.
+func reach(ctx context.Context, base string) error {
+	u, err := url.Parse(base)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	port := u.Port()
+	if port == "" {
+		port = u.Scheme
+	}
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", net.JoinHostPort(u.Hostname(), port))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(conn.Close())
+}
+
+func askOne(ctx context.Context, base string, req *control.ExecuteRequest) (operator.Result, error) {
 	var res operator.Result
-	client := control.NewOperatorProtobufClient(url, platform.NewHTTPClient(callTimeout))
+	if err := reach(ctx, base); err != nil {
+		return res, err
+	}
+	client := control.NewOperatorProtobufClient(base, platform.NewHTTPClient(callTimeout))
 	reply, err := client.Execute(ctx, req)
 	if err != nil {
 		var e twirp.Error
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -27,8 +27,10 @@
 // entry hosts were stopped as planned.
 func judge(results []result, ran []standin.Request, planned []span) []standin.Breach {
 	byID, byKey := map[string]standin.Request{}, map[string]standin.Request{}
+	runs := map[string]int{}
 	for _, q := range ran {
 		byID[q.ID] = q
+		runs[q.ID]++
 		if _, again := byKey[q.Key]; q.Key != "" && !again {
 			byKey[q.Key] = q
 		}
@@ -41,6 +43,9 @@
 		if q, did := byID[r.id]; did && q.Service != r.service {
 			add(promiseAnswer, r, fmt.Sprintf("sent to %s, but ran on %s", r.service, q.Task))
 		}
+		if n := runs[r.id]; r.once && r.key == "" && n > 1 {
+			add(standin.PromiseAtMostOnce, r, fmt.Sprintf("ran %d times", n))
+		}
 		switch r.outcome {
 		case notRun:
 			if q, did := byID[r.id]; did {
@@ -60,3 +65,27 @@
 	}
 	return out
 }
+
+// drainGrace is how long after an accepted drain a worker may still receive work.
+const drainGrace = 5 * time.Second
+
+// judgeDrains finds work for drained workers whose domain was not cut off.
+func judgeDrains(drains []span, s seen) []standin.Breach {
+	var out []standin.Breach
+	for _, d := range drains {
+		check := func(at time.Time, worker, what string) {
+			from := d.from.Add(drainGrace)
+			if worker != d.host || at.Before(from) || at.After(d.to) || cutOff(s.faults, domainOf(worker), d.from, at) {
+				return
+			}
+			out = append(out, standin.Breach{Time: at, Promise: promiseDrained, Subject: worker, Detail: fmt.Sprintf("%s %s after the drain was accepted", what, at.Sub(d.from))})
+		}
+		for _, q := range s.requests {
+			check(q.Time, q.Worker, "request "+q.ID)
+		}
+		for _, st := range s.starts {
+			check(st.Time, st.Worker, "task "+st.Task)
+		}
+	}
+	return out
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -57,6 +57,8 @@
 	hosts map[string]Host
 	// attempts numbers the starts of this incarnation.
 	attempts uint64
+	// termAttempts is the number that the present term began with.
+	termAttempts uint64
 	// election state: see election.go.
 	election election
 	ended    endings
@@ -72,6 +74,9 @@
 	// all by the time of their next look.
 	touched []*worker
 	agenda  agenda
+	// leftUnseen is set when a machine left its seat unseen in this term: until
+	// the term has lasted long enough, any unknown task may run there.
+	leftUnseen bool
 	// termStale is set when a claim was won or lost since the term was worked out.
 	termStale bool
 	// seats is the version of the domain's declaration whose seats are in place.
@@ -176,6 +181,7 @@
 
 // beginTerm counts what was seen on the owned workers as known in the new term.
 func (c *Core) beginTerm() {
+	c.termAttempts = c.attempts
 	for _, name := range c.order {
 		if w := c.workers[name]; w.claim.Owned(c.now) && w.seenAt >= 0 {
 			c.confirm(w)
@@ -245,6 +251,18 @@
 }
 
 func (c *Core) applyHosts() {
+	moved := false
+	for _, n := range c.order {
+		if h, ok := c.hosts[n]; ok && c.workers[n].address != "" && c.workers[n].address != h.Address {
+			c.moveSeat(n)
+			moved = true
+		}
+	}
+	if moved {
+		c.reseat()
+		c.setDrained()
+		c.adoptOrphans()
+	}
 	c.touchAll()
 	for n, w := range c.workers {
 		h, ok := c.hosts[n]
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -70,7 +70,7 @@
 		}
 	}
 	for _, t := range c.orphans {
-		if t.isBound() && t.goneAt > 0 && c.now >= t.goneAt && c.workers[t.worker] == nil {
+		if t.isBound() && t.goneAt > 0 && c.now >= t.goneAt {
 			t.lose(c)
 		}
 	}
@@ -150,12 +150,19 @@
 	if t.known && t.term == c.term.Began() {
 		return true
 	}
-	return c.now >= c.term.HiddenUntil() || c.allSeen()
+	if c.now >= c.term.HiddenUntil() {
+		c.leftUnseen = false
+		return true
+	}
+	return c.allSeen()
 }
 
 // allSeen reports whether every seat was seen while owned in this term.
 func (c *Core) allSeen() bool {
 	began := c.term.Began()
+	if c.leftUnseen {
+		return false
+	}
 	if c.seenAll && c.seenIn == began {
 		return true
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -94,7 +94,7 @@
 }
 
 func (c *Core) write(w *worker) {
-	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), Digest: w.digest}
+	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: w.claim.Holder(c.set.Holder()), Boot: w.claim.Boot(), Digest: w.digest}
 	if !w.claim.Owned(c.now) || !c.term.Held(c.now) {
 		c.abandon(w)
 	}
@@ -277,22 +277,33 @@
 	}
 	c.abandon(w)
 	quiet := !w.claim.Pending() && len(w.assumed) == 0 || c.lacks(ownership.GuardQuiet)
-	w.claim.Release()
-	w.detached = false
 	if quiet {
-		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: c.set.Holder(), MarkExpiry: -1})
+		holder := w.claim.Holder(c.set.Holder())
+		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: holder, Boot: w.claim.Boot(), MarkExpiry: -1})
 	}
+	w.claim.Release(quiet)
+	w.detached = false
 }
 
-// dropSeat forgets a seat that left the configuration. Its tasks stay bound to
-// it until their leases have surely run out.
+// moveSeat takes note that another machine is behind a seat. The former one
+// may run its tasks until their leases have run out.
+func (c *Core) moveSeat(name string) {
+	c.dropSeat(name)
+	c.workers[name] = newWorker(name, c.set.Timing)
+}
+
+// dropSeat forgets the machine behind a seat. Its tasks stay bound to it until
+// their leases have surely run out.
 func (c *Core) dropSeat(name string) {
 	w := c.workers[name]
+	if !c.term.Held(c.now) || w.seenAt < c.term.Began() {
+		c.leftUnseen = true
+	}
 	c.release(w)
 	delete(c.workers, name)
 	for _, t := range c.tasks {
 		if t.worker == name && t.state != waiting {
-			t.goneAt = w.renewedUntil
+			t.goneAt = max(w.renewedUntil, c.now, 1)
 		}
 	}
 }
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -71,6 +71,7 @@
 	leader  bool
 	leaving bool
 	next    int64
+	term    scheduler.Term
 }
 
 // New returns a daemon that has not started.
@@ -160,6 +161,7 @@
 	defer cancel()
 	reply, err := d.opt.Workers.Write(ctx, eff)
 	if err != nil {
+		d.unanswered("", err)
 		d.events <- scheduler.WriteFailed{Worker: eff.Worker, Write: eff.Write}
 		return
 	}
@@ -178,7 +180,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := d.core.NextOffset()
-	s := status{dir: d.core.Directory(), ready: d.core.Ready(), leader: d.core.Leader(), next: next}
+	s := status{dir: d.core.Directory(), ready: d.core.Ready(), leader: d.core.Leader(), next: next, term: d.core.Term()}
 	if s.leader != d.status.leader {
 		d.opt.Logger.WithField("leader", s.leader).Info("term changed")
 	}
@@ -224,9 +226,11 @@
 func (d *Daemon) pollHosts(ctx context.Context) {
 	every(ctx, hostsInterval, func() {
 		hosts, err := d.opt.Hosts.List(ctx, d.opt.Settings.Domain)
-		if err == nil {
-			d.send(ctx, scheduler.HostsRead{Hosts: hosts})
+		if err != nil {
+			d.unanswered(reasonHosts, err)
+			return
 		}
+		d.send(ctx, scheduler.HostsRead{Hosts: hosts})
 	})
 }
 
@@ -235,6 +239,7 @@
 		s, _ := d.snapshot()
 		page, err := d.opt.Log.Read(ctx, s.next, readMost, readWait)
 		if err != nil {
+			d.unanswered(reasonLog, err)
 			sleep(ctx, retryWait)
 			continue
 		}
@@ -265,6 +270,7 @@
 	every(ctx, heartbeatInterval, func() {
 		reply, err := client.Heartbeat(ctx, &control.HeartbeatRequest{State: d.state()})
 		if err != nil {
+			d.unanswered(reasonPeer, err)
 			return
 		}
 		d.heard(ctx, reply.State)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,12 @@
 	return "bad settings:\n  " + strings.Join(lines, "\n  ")
 }
 
+// Checker is an options struct with rules that validate tags can't express.
+type Checker interface {
+	// Check returns what breaks the rules.
+	Check() []Problem
+}
+
 // ExitCoder is an error that sets the program's exit code.
 type ExitCoder interface {
 	error
@@ -120,6 +126,9 @@
 		if _, done := f.Value.(checked); done || unset[f.Name] {
 			return
 		}
+		if f.DefValue == "[]" {
+			f.DefValue = ""
+		}
 		f.Usage += " [" + Variable(f.Name) + "]"
 		if f.Value.Type() != "bool" {
 			f.Value = checked{f.Value, f.Name, &r.problems}
@@ -143,7 +152,11 @@
 		bad[p.Flag] = true
 	}
 	for _, o := range r.options {
-		for _, p := range invalid(o) {
+		found := invalid(o)
+		if c, ok := o.(Checker); ok {
+			found = append(found, c.Check()...)
+		}
+		for _, p := range found {
 			if !bad[p.Flag] {
 				r.problems = append(r.problems, p)
 			}
