--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,8 @@
 BENCH ?= .
 bench:
 	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 5000x ./internal/scheduler/...
+	$(GO) test -run '^$$' -bench '$(BENCH)' ./internal/routing
+	GOMAXPROCS=4 $(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 100000x ./internal/entry
 
 demo: build
 	$(BIN)/mimosaspool-demo run --bin $(BIN) --site $(SITE)
--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gorilla/mux"
+	"github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	control "github.com/mimosaspool/mimosaspool/api/control"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
+)
+
+// The load of the benchmark.
+const (
+	benchRunners = 12
+	benchCallers = 64
+	benchAim     = 20_000
+)
+
+// BenchmarkEntry sends requests through one entry on loopback and straight to
+// the runners, so that the entry's own part can be told from the rest. Callers,
+// entry and runners share the processors.
+func BenchmarkEntry(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	l := &leader{version: 1}
+	var direct []string
+	for i := range benchRunners {
+		runner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+		defer runner.Close()
+		addr := runner.Listener.Addr().String()
+		direct = append(direct, addr)
+		l.runners = append(l.runners, &control.Endpoint{Service: "s", Attempt: uint64(i + 1), Address: addr, Slots: 8})
+	}
+	url, rest := benchEntry(b, l)
+	for _, load := range []struct {
+		name string
+		urls []string
+		rate int
+	}{
+		{"direct/half", direct, benchAim / 2}, {"entry/half", []string{url}, benchAim / 2},
+		{"direct/full", direct, 0}, {"entry/full", []string{url}, 0},
+	} {
+		b.Run(load.name, func(b *testing.B) { drive(b, load.urls, load.rate) })
+	}
+	b.Logf("heap and stacks of the entry before load: %d MiB", rest>>20)
+}
+
+// benchEntry starts an entry and returns its address and its memory at rest.
+func benchEntry(b *testing.B, l *leader) (string, uint64) {
+	tel, err := telemetry.New("entry")
+	if err != nil {
+		b.Fatal(err)
+	}
+	scheduler := httptest.NewServer(control.NewDirectoryServer(l))
+	e, err := New(Options{
+		Core: settingsOf("e1"), Schedulers: []string{scheduler.URL}, Client: http.DefaultClient,
+		Telemetry: tel, Logger: logrus.NewEntry(logrus.New()),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	e.Register(r)
+	server := httptest.NewServer(r)
+	stop := e.Start(context.Background())
+	b.Cleanup(func() { server.Close(); stop(); scheduler.Close() })
+	for !e.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return server.Listener.Addr().String() + "/s/s", m.HeapInuse + m.StackInuse
+}
+
+// drive sends b.N requests from a fixed number of connections, evenly spaced
+// over time at the given rate, or as fast as they go.
+func drive(b *testing.B, addrs []string, rate int) {
+	latency := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	began := time.Now()
+	for c := range benchCallers {
+		wg.Go(func() {
+			mine := hdrhistogram.New(1, int64(time.Minute), 3)
+			caller := newRawCaller(b, addrs[c%len(addrs)])
+			defer caller.close()
+			for i := c; i < b.N; i += benchCallers {
+				at := time.Now()
+				if rate > 0 {
+					at = began.Add(time.Duration(i) * time.Second / time.Duration(rate))
+					time.Sleep(time.Until(at))
+				}
+				caller.get(b)
+				_ = mine.RecordValue(int64(time.Since(at)))
+			}
+			mu.Lock()
+			latency.Merge(mine)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "req/s")
+	b.ReportMetric(float64(latency.ValueAtQuantile(50))/1e3, "p50-us")
+	b.ReportMetric(float64(latency.ValueAtQuantile(99))/1e3, "p99-us")
+}
+
+// rawCaller is a caller that spends as little as possible itself.
+type rawCaller struct {
+	conn net.Conn
+	text []byte
+	buf  []byte
+}
+
+func newRawCaller(b *testing.B, addr string) *rawCaller {
+	host, path := addr, "/"
+	for i := range addr {
+		if addr[i] == '/' {
+			host, path = addr[:i], addr[i:]+"/"
+			break
+		}
+	}
+	conn, err := net.Dial("tcp", host)
+	if err != nil {
+		b.Error(err)
+	}
+	return &rawCaller{conn, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path), make([]byte, 4096)}
+}
+
+// get sends one request and reads an answer that ends in "ok".
+func (c *rawCaller) get(b *testing.B) {
+	if _, err := c.conn.Write(c.text); err != nil {
+		b.Error(err)
+	}
+	n, err := c.conn.Read(c.buf)
+	for err == nil && string(c.buf[max(0, n-2):n]) != "ok" {
+		var m int
+		if m, err = c.conn.Read(c.buf[n:]); m == 0 && err == nil {
+			err = io.ErrNoProgress
+		}
+		n += m
+	}
+	if err != nil {
+		b.Error(err)
+	}
+}
+
+func (c *rawCaller) close() { c.conn.Close() }
