Placement: room is kept for a single task only after 30 s

Cause: the first group that found no room got the reservation at once, so it went from one small task to the next while gangs waited behind them.

--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -24,6 +24,9 @@
 	nodes []*placement.Node
 }
 
+// reserveAfter is how long a single task waits before room is kept for it.
+const reserveAfter = 30 * time.Second
+
 // reserveInterval is the least time between two workings-out of the reservation.
 const reserveInterval = time.Second
 
@@ -50,6 +53,9 @@
 // reserve gives the group the reservation unless one that goes first has it.
 func (c *Core) reserve(g *group) {
 	r := &c.reserved
+	if !g.isGang() && c.now-g.first().since < reserveAfter {
+		return
+	}
 	if r.holder != nil && r.holder != g && !c.before(g, r.holder) {
 		return
 	}
