Ownership: a term goes on with a majority of the seats

Cause: a term needed more than three fifths of the seats at every moment. With 7 of 16 workers out of reach the domain started nothing for the whole outage, and the tasks on the 9 others lapsed for want of renewal: two racks are enough.

Argument: a worker has one owner at a time. While one scheduler owns more than half of the seats no other can own more than three fifths, so no second term can begin; only the beginning needs the quorum. Ruled out: going on with n - quorum + 1 seats, which holds longer but leaves no room for lists that differ.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -89,6 +89,16 @@
 	t.leaving[machine] = from
 }
 
+// Unheard tells that news of leaving may not arrive now: what is not known yet
+// need not be known before the given time.
+func (t *Tasks) Unheard(now, until time.Duration) {
+	for machine, from := range t.leaving {
+		if from > now {
+			t.leaving[machine] = max(from, until)
+		}
+	}
+}
+
 // Started tells that an attempt began to run.
 func (t *Tasks) Started(at time.Duration, machine, task string, attempt uint64, size resource.Vector) {
 	if t.running[machine] == nil {
--- a/internal/operator/workload.go
+++ b/internal/operator/workload.go
@@ -20,7 +20,7 @@
 		}
 	}
 	old, there := p.domains.get(v.Name)
-	if there && !sharesQuorum(old.Workers, v.Workers) {
+	if there && len(old.Workers) > 0 && !ownership.Compatible(old.Workers, v.Workers) {
 		p.fault(d.Name, "too many of the %d workers change at once: a term of the old list must share a worker with every term of the new one; change fewer in one script, and wait until all hosts have it in force", len(old.Workers))
 		return
 	}
@@ -33,19 +33,6 @@
 	}
 }
 
-// sharesQuorum reports whether every quorum of one list of seats has a seat in
-// every quorum of the other.
-func sharesQuorum(before, after []string) bool {
-	if len(before) == 0 {
-		return true
-	}
-	union := map[string]bool{}
-	for _, n := range append(slices.Clone(before), after...) {
-		union[n] = true
-	}
-	return ownership.Quorum(len(before))+ownership.Quorum(len(after)) > len(union)
-}
-
 func (p *plan) declareWorkload(st *language.Statement, w *language.Workload) {
 	v := w.Value()
 	old, there := p.workloads.get(v.Name)
--- a/internal/ownership/term.go
+++ b/internal/ownership/term.go
@@ -5,13 +5,32 @@
 	"time"
 )
 
-// Quorum returns how many of n worker seats a term needs: more than three
-// fifths. Quorums of two seat lists that differ in fewer than a fifth of their
-// seats always share a seat.
+// Quorum returns how many of n worker seats a term needs to begin: more than
+// three fifths.
 func Quorum(n int) int { return n*3/5 + 1 }
 
-// Term tells whether a scheduler may place its domain's tasks. It holds while
-// the scheduler owns a quorum of the domain's seats.
+// Majority returns how many of n worker seats a term needs to go on: more than
+// half. A worker has one owner at a time, so while one scheduler owns a
+// majority no other owns a quorum. A domain that loses up to half of its workers
+// thereby goes on with the rest.
+func Majority(n int) int { return n/2 + 1 }
+
+// Compatible reports whether a scheduler that knows one list of seats and one
+// that knows the other can't hold the term at once: any majority of either
+// list shares a seat with any quorum of the other.
+func Compatible(a, b []string) bool {
+	union := len(a)
+	for _, seat := range b {
+		if !slices.Contains(a, seat) {
+			union++
+		}
+	}
+	return Quorum(len(a))+Majority(len(b)) > union && Quorum(len(b))+Majority(len(a)) > union
+}
+
+// Term tells whether a scheduler may place its domain's tasks. It begins with
+// a quorum of the domain's seats, and holds without a break while the scheduler
+// owns a majority of them.
 type Term struct {
 	timing Timing
 	// until is the local time up to which the term surely holds.
@@ -34,6 +53,9 @@
 		}
 	}
 	need := Quorum(len(claims))
+	if t.Held(now) {
+		need = Majority(len(claims))
+	}
 	if len(claims) == 0 || len(untils) < need {
 		t.held = false
 		return
--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -82,6 +82,7 @@
 
 func (h *history) unheard(until time.Duration) {
 	h.platformUnheard = max(h.platformUnheard, until)
+	h.Tasks.Unheard(h.now, until+listLag+leavingGrace)
 }
 
 // change lets an operator do one thing at random.
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -40,10 +40,8 @@
 	starts    []time.Duration
 	// firstStart is when each task first started since the map was last cleared.
 	firstStart map[string]time.Duration
-	// lapsed counts tasks that ended because their lease was not renewed.
-	lapsed  int
-	Tasks   *checker.Tasks
-	Changes *checker.Changes
+	Tasks      *checker.Tasks
+	Changes    *checker.Changes
 	// Writes counts the messages to workers.
 	Writes int
 }
