--- a/internal/operator/gather.go
+++ b/internal/operator/gather.go
@@ -4,15 +4,17 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 )
 
-// members asks every scheduler for an answer to text, this one included.
-func (s *Service) members(ctx context.Context, text string) []Result {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+// members asks every scheduler for an answer to text, this one included, and
+// waits for others up to the given time.
+func (s *Service) members(ctx context.Context, text string, wait time.Duration) []Result {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	own, err := s.Execute(ctx, Request{Text: text, Forwarded: true})
 	all := s.node.Ask(ctx, text)
@@ -33,12 +35,8 @@
 	return 0
 }
 
-// leaders returns the answers of the schedulers that hold their domain's term,
+// leadersOf keeps the answers of the schedulers that hold their domain's term,
 // one a domain.
-func (s *Service) leaders(ctx context.Context, text string) []Result {
-	return leadersOf(s.members(ctx, text))
-}
-
 func leadersOf(all []Result) []Result {
 	var list []Result
 	for _, r := range all {
@@ -120,12 +118,20 @@
 func workloadRow(cat *configuration.Catalog, e configuration.Entry[configuration.Workload]) []Cell {
 	w := e.Value
 	return []Cell{
-		str(w.Name), str(w.Kind), str(w.Team), num(w.Count), num(len(cat.Ended[w.Name])),
+		str(w.Name), str(w.Kind), str(w.Team), num(w.Count), num(endedTasks(cat, e)),
 		num(float64(w.Size.MilliCPU) / 1000), num(w.Size.MemoryMiB), num(w.Size.Accelerators),
 		str(w.Policy), str(w.Urgency), str(configuration.FormatHomes(w.Homes)), num(e.Version), str(e.Actor),
 	}
 }
 
+// endedTasks counts the tasks of finite work that have ended.
+func endedTasks(cat *configuration.Catalog, e configuration.Entry[configuration.Workload]) int {
+	if e.Finished {
+		return e.Value.Count
+	}
+	return len(cat.Ended[e.Value.Name])
+}
+
 // declared answers a list from the catalog; false for other lists.
 func declared(cat *configuration.Catalog, list string) (*Table, bool) {
 	t := newTable(list)
@@ -256,7 +262,7 @@
 	if overLists[list] {
 		text = st.Text + ";"
 	}
-	all := s.members(ctx, text)
+	all := s.members(ctx, text, askTime)
 	out := missing(domainNames(domains), all)
 	switch list {
 	case "domains":
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -10,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/language"
 	"github.com/mimosaspool/mimosaspool/internal/operator"
 )
 
@@ -93,6 +96,24 @@
 		Expect(exec(south, "declare service survey cpu 1 if absent;").Change.State).To(Equal(operator.Accepted))
 	})
 
+	It("refuses to part a workload from its team, whichever comes first", func() {
+		exec(south, "declare team guests; declare team others;")
+		south.appended = func() { south.appended = nil; exec(north, "declare service a team guests cpu 1;") }
+		Expect(exec(south, "remove team guests;").Change.Reason).To(ContainSubstring("workload a still belongs to it"))
+		Expect(exec(south, "cancel a; remove team guests;").Change.State).To(Equal(operator.Accepted))
+		south.appended = func() { south.appended = nil; exec(north, "remove team others;") }
+		Expect(exec(south, "declare service b team others cpu 1;").Change.Conflict.Name).To(Equal("others"))
+	})
+
+	It("changes seats only once the last change is in force on the domain's hosts", func() {
+		more := "declare domain north region west workers survey-north-01, imaging-north-01, %s entries entry-north-1;"
+		north.cut = true
+		Expect(messages(exec(south, fmt.Sprintf(more, "a")))).To(ConsistOf(ContainSubstring("entry-north-1 is not known to have")))
+		north.cut = false
+		Expect(exec(south, fmt.Sprintf(more, "a")).Change.State).To(Equal(operator.Accepted))
+		Expect(exec(south, fmt.Sprintf(more, "a, b")).Change.State).To(Equal(operator.Accepted))
+	})
+
 	It("refuses a version that is no longer in force, without an append", func() {
 		exec(south, "set count 6 for service survey;")
 		before := len(s.log)
@@ -100,6 +121,7 @@
 		Expect(exec(south, "declare service survey cpu 1 if absent;").Change.Conflict.Offset).To(BeEquivalentTo(1))
 		version := int64(0)
 		Expect(try(south, operator.Request{Text: "cancel survey;", IfVersion: &version}).Change.State).To(Equal(operator.Refused))
+		Expect(exec(south, "set count 7 for service survey; set policy fast for service survey if version 0;").Change.State).To(Equal(operator.Refused))
 		Expect(exec(south, "set count 7 for service survey if version 99;").Change.Reason).To(ContainSubstring("not known here yet"))
 		Expect(s.log).To(HaveLen(before))
 	})
@@ -142,6 +164,35 @@
 		Expect(exec(south, "list tasks;").Answers[0].Table.Rows).To(HaveLen(4))
 	})
 
+	It("answers alike on a host that doesn't hold the term", func() {
+		follower := s.add("entry-south-2", "south", nil)
+		res := exec(follower, "list tasks; list domains; explain worker survey-south-01;")
+		Expect(res.Member.Leader).To(BeFalse())
+		Expect(res.Answers[0].Table.Rows).To(HaveLen(4))
+		Expect(res.Answers[1].Missing).To(BeEmpty())
+		Expect(res.Answers[2].Facts[0].Value).To(Equal("ready"))
+		Expect(exec(follower, "set count 6 for service survey;").Change.State).To(Equal(operator.Accepted))
+	})
+
+	It("bounds the record of a script and the faults that it names", func() {
+		var many, wrong strings.Builder
+		for i := range 9000 {
+			fmt.Fprintf(&many, "declare batch b%d cpu 1 memory 1GiB run 1m homes south 1;\n", i)
+			fmt.Fprintf(&wrong, "cancel x%d;\n", i)
+		}
+		before := len(s.log)
+		Expect(exec(south, many.String()).Change.Reason).To(ContainSubstring("divide the script"))
+		Expect(exec(south, wrong.String()).Faults).To(HaveLen(language.MaxFaults))
+		Expect(s.log).To(HaveLen(before))
+	})
+
+	It("explains by the right kind only, and counts tasks where they are", func() {
+		Expect(messages(exec(south, "explain batch survey;"))).To(ConsistOf("it is declared as service, not as batch"))
+		res := exec(south, "explain team crews;")
+		Expect(res.Answers[0].Table.Rows).To(HaveLen(2))
+		Expect(res.Answers[0].Facts).To(ContainElement(operator.Fact{Name: "holds in north", Value: "8 cpu"}))
+	})
+
 	It("explains tasks of other domains, and keeps tables through JSON", func() {
 		res := exec(south, "explain task survey/0/north/0; list workers where cpu >= 32 order by free-cpu desc limit 2;")
 		Expect(res.Answers[0].Facts[0]).To(Equal(operator.Fact{Name: "state", Value: "running"}))
@@ -187,6 +238,8 @@
 		tries := 0
 		n.lossy = true
 		n.appended = func() {
+			n.site.mu.Lock()
+			defer n.site.mu.Unlock()
 			if tries++; tries > 1 {
 				n.behind = false
 			}
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -51,7 +51,7 @@
 		hosts = append(hosts, e.Value.Entries...)
 	}
 	positions := map[string]int64{}
-	for _, r := range s.members(ctx, "") {
+	for _, r := range s.members(ctx, "", askTime) {
 		positions[r.Member.Host] = r.Member.Position
 		if !slices.Contains(hosts, r.Member.Host) {
 			hosts = append(hosts, r.Member.Host)
@@ -106,17 +106,45 @@
 	case "domain":
 		return s.explainDomain(ctx, script, o)
 	}
-	return s.explainDeclared(ctx, script, o)
+	if forwarded {
+		return s.declaredHere(ctx, o)
+	}
+	return s.explainDeclared(ctx, script, st)
+}
+
+// listed returns the list that a declared object stands in, and the column of
+// the list of tasks that names it.
+func listed(o *language.Object) (list, column string) {
+	if o.Kind.Text == "team" {
+		return "teams", "team"
+	}
+	return "workloads", "workload"
+}
+
+// declaredHere tells another scheduler of the tasks of a workload or team in
+// this domain.
+func (s *Service) declaredHere(ctx context.Context, o *language.Object) (Answer, language.Faults, error) {
+	var a Answer
+	_, column := listed(o)
+	err := s.onCore(ctx, func(c *scheduler.Core) {
+		tasks := s.local(c, "tasks")
+		i := tasks.index(column)
+		tasks.Rows = slices.DeleteFunc(tasks.Rows, func(row []Cell) bool { return row[i].Text != o.Name.Text })
+		a.Table = summary(tasks)
+		if column == "team" {
+			a.Facts = []Fact{{"holds in " + s.node.Member().Domain, c.TeamHolds(o.Name.Text).String()}}
+		}
+	})
+	return a, nil, err
 }
 
 // explainPlaced explains a task or worker, which its domain's leader knows.
 func (s *Service) explainPlaced(ctx context.Context, script *language.Script, st *language.Statement, forwarded bool) (Answer, language.Faults, error) {
 	o := st.Explain
 	var e *scheduler.Explanation
-	var domains, known []string
+	var domains []string
 	err := s.onCore(ctx, func(c *scheduler.Core) {
 		domains = domainNames(domainEntries(c.Catalog()))
-		known = knownNames(c.Catalog(), o.Kind.Text)
 		if !c.Leader() {
 			return
 		}
@@ -132,13 +160,18 @@
 	case forwarded:
 		return Answer{}, nil, nil
 	}
-	all := s.members(ctx, st.Text+";")
+	all := s.members(ctx, st.Text+";", askTime)
 	for _, r := range leadersOf(all) {
 		if len(r.Answers) == 1 && len(r.Answers[0].Facts) > 0 {
 			return r.Answers[0], nil, nil
 		}
 	}
 	out := missing(domains, all)
+	var known []string
+	err = s.onCore(ctx, func(c *scheduler.Core) { known = knownNames(c.Catalog(), o.Kind.Text) })
+	if err != nil {
+		return Answer{}, nil, err
+	}
 	if slices.Contains(known, o.Name.Text) || o.Kind.Text == "task" && len(out) > 0 {
 		return Answer{Missing: out}, nil, nil
 	}
@@ -192,7 +225,7 @@
 	if i < 0 {
 		return Answer{}, language.Faults{script.Unknown(o.Name, "failure domain", names)}, nil
 	}
-	all := s.members(ctx, "")
+	all := s.members(ctx, "", askTime)
 	a := Answer{Missing: missing(names[i:i+1], all)}
 	row := domainsTable(domains[i:i+1], all)
 	for k, c := range row.Columns {
@@ -205,11 +238,9 @@
 }
 
 // explainDeclared explains a workload or team by its tasks in all domains.
-func (s *Service) explainDeclared(ctx context.Context, script *language.Script, o *language.Object) (Answer, language.Faults, error) {
-	list, column := "workloads", "workload"
-	if o.Kind.Text == "team" {
-		list, column = "teams", "team"
-	}
+func (s *Service) explainDeclared(ctx context.Context, script *language.Script, st *language.Statement) (Answer, language.Faults, error) {
+	o := st.Explain
+	list, _ := listed(o)
 	var table *Table
 	var domains []string
 	err := s.onCore(ctx, func(c *scheduler.Core) {
@@ -224,6 +255,9 @@
 	var a Answer
 	for _, row := range table.Rows {
 		names = append(names, row[0].Text)
+		if kind := kinds[o.Kind.Text]; row[0].Text == o.Name.Text && kind != "" && row[1].Text != string(kind) {
+			return Answer{}, language.Faults{script.Fault(o.Name, "it is declared as %s, not as %s", row[1].Text, kind)}, nil
+		}
 		for k, c := range table.Columns {
 			if row[0].Text == o.Name.Text {
 				a.Facts = append(a.Facts, fact(c, row[k]))
@@ -233,9 +267,16 @@
 	if a.Facts == nil {
 		return Answer{}, language.Faults{script.Unknown(o.Name, o.Kind.Text, names)}, nil
 	}
-	all := s.members(ctx, fmt.Sprintf("list tasks where %s = %s;", column, o.Name.Text))
+	all := s.members(ctx, st.Text+";", askTime)
 	a.Missing = missing(domains, all)
-	a.Table = summary(merge("tasks", all))
+	a.Table = summary(newTable("tasks"))
+	for _, r := range leadersOf(all) {
+		if len(r.Answers) == 1 && r.Answers[0].Table != nil {
+			a.Facts = append(a.Facts, r.Answers[0].Facts...)
+			a.Table.Rows = append(a.Table.Rows, r.Answers[0].Table.Rows...)
+		}
+	}
+	a.Table.order(nil)
 	return a, nil, nil
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -17,8 +17,9 @@
 	workload string
 	spec     *configuration.Workload
 	// version and ended tell what of the catalog the group was made from.
-	version int64
-	ended   int
+	version  int64
+	finished bool
+	ended    int
 	// tasks are in order of waiting time once sorted. A task that no longer
 	// waits is dropped when it comes up.
 	tasks  []*task
@@ -255,25 +256,6 @@
 	}
 }
 
-// guard keeps accelerators clear of other work while their own waits, and lets
-// that work through again after it.
-func (c *Core) guard() {
-	waiting := false
-	for _, list := range [][]*group{c.queue.active, c.queue.blocked} {
-		for _, g := range list {
-			if g.spec.Size.Accelerators > 0 && len(g.tasks) > 0 && (g.blocked == "" || g.awaitsRoom()) {
-				waiting = true
-			}
-		}
-	}
-	if c.cell.Guard.Waiting && !waiting {
-		for _, g := range slices.Clone(c.queue.blocked) {
-			c.queue.activate(g, placement.AcceleratorsKept)
-		}
-	}
-	c.cell.Guard.Waiting = waiting
-}
-
 // wakeFreed lets groups through that the capacity freed on a node can serve.
 func (c *Core) wakeFreed(n *placement.Node) {
 	for _, g := range slices.Clone(c.queue.blocked) {
@@ -283,26 +265,40 @@
 	}
 }
 
-// shareStep is the difference of shares below which teams count as equal.
-const shareStep = 0.05
+// What the order of groups weighs against waiting time.
+const (
+	// lowPenalty is how much later low work counts as having come.
+	lowPenalty = time.Minute
+	// sharePenalty is the same for a team that holds all of the scarcest resource.
+	sharePenalty = 10 * time.Minute
+)
 
-// before orders groups: the more urgent first, then that of the team with the
-// least share, then the one that has waited longest.
+// before orders groups: urgent ones first, then the one that has waited longest,
+// where low work and that of teams with a large share count as having come later.
 func (c *Core) before(a, b *group) bool {
 	if c.rulesOf(a).InOrder {
 		return a.first().before(b.first())
 	}
-	if x, y := urgencyRank(a.spec.Urgency), urgencyRank(b.spec.Urgency); x != y {
-		return x > y
+	if x, y := a.spec.Urgency == configuration.Urgent, b.spec.Urgency == configuration.Urgent; x != y {
+		return x
 	}
-	if a.spec.Team != b.spec.Team {
-		total := c.cell.Total()
-		x, y := int(c.ledger.Share(a.spec.Team, total)/shareStep), int(c.ledger.Share(b.spec.Team, total)/shareStep)
-		if x != y {
-			return x < y
-		}
+	x, y := c.standing(a), c.standing(b)
+	if x != y {
+		return x < y
+	}
+	return a.workload < b.workload
+}
+
+// standing returns the time at which the group counts as having come.
+func (c *Core) standing(g *group) time.Duration {
+	at := g.first().since
+	if at == never {
+		return never
+	}
+	if g.spec.Urgency == configuration.Low {
+		at += lowPenalty
 	}
-	return a.first().before(b.first())
+	return at + time.Duration(c.ledger.Share(g.spec.Team, c.cell.Total())*float64(sharePenalty))
 }
 
 // noTask stands for the first task of a group without any; it goes last.
@@ -339,7 +335,6 @@
 // placeWaiting places what waits, in order.
 func (c *Core) placeWaiting() {
 	c.wakeTimed()
-	c.guard()
 	for range placeMost {
 		g := c.next()
 		if g == nil {
