Configuration: outcomes are kept of operators' changes only

Cause: the 4,096 outcomes by which a lost reply is settled were shared with the records of ended tasks, up to one a second a domain: at the target an operator's change could be asked for only some minutes. Past the bound every record copied the whole list of IDs.

Change: records without operations leave no outcome, as what they say has no further effect when repeated; the list is shortened 512 at a time.

Seen: the tests of configuration, operator, proof and scheduler pass; no measurement was made.

--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -30,7 +30,8 @@
 	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
 	// Finished lists finished workloads, oldest first.
 	Finished []Finished `json:"finished,omitempty"`
-	// Applied keeps the outcome of recent records by ID.
+	// Applied keeps the outcome of recent records with operations by ID. What
+	// other records say has no further effect when it is said twice.
 	Applied map[string]Outcome `json:"applied,omitempty"`
 	// Recent lists the IDs in Applied, oldest first.
 	Recent []string `json:"recent,omitempty"`
@@ -56,8 +57,13 @@
 	Offset int64  `json:"offset"`
 }
 
-// recentOutcomes bounds the outcomes that a catalog keeps.
-const recentOutcomes = 4096
+// recentOutcomes is the number of operators' changes whose outcomes a catalog
+// keeps at least, and recentSlack by how many more it may have before the
+// oldest are dropped.
+const (
+	recentOutcomes = 4096
+	recentSlack    = 512
+)
 
 // NewCatalog returns the empty catalog.
 func NewCatalog() *Catalog {
@@ -101,7 +107,9 @@
 	if out.Accepted {
 		c.change(offset, r)
 	}
-	c.remember(r.ID, out)
+	if len(r.Ops) > 0 {
+		c.remember(r.ID, out)
+	}
 	return out
 }
 
@@ -263,10 +271,13 @@
 func (c *Catalog) remember(id string, out Outcome) {
 	c.Applied[id] = out
 	c.Recent = append(c.Recent, id)
-	if len(c.Recent) > recentOutcomes {
-		delete(c.Applied, c.Recent[0])
-		c.Recent = slices.Clone(c.Recent[1:])
+	if len(c.Recent) < recentOutcomes+recentSlack {
+		return
+	}
+	for _, old := range c.Recent[:recentSlack] {
+		delete(c.Applied, old)
 	}
+	c.Recent = slices.Clone(c.Recent[recentSlack:])
 }
 
 // Tasks returns the names of the tasks of a declared workload whose home is
