--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -38,6 +38,7 @@
 // The bounds on callers' headers.
 const (
 	defaultDeadline = 30 * time.Second
+	maxDeadline     = time.Hour
 	maxTeam         = 128
 	maxKey          = 256
 )
@@ -70,7 +71,7 @@
 	if err != nil || d <= 0 {
 		return 0, errors.Wrapf(ErrBadHeader, "%s: %q is no duration above zero such as 1500ms or 20s", headerDeadline, value)
 	}
-	return d, nil
+	return min(d, maxDeadline), nil
 }
 
 // idempotent goes by the method where the header says nothing.
--- a/internal/entry/headers_test.go
+++ b/internal/entry/headers_test.go
@@ -21,7 +21,7 @@
 			}
 			return
 		}
-		if within <= 0 || len(a.Key) > maxKey || len(a.Team) > maxTeam {
+		if within <= 0 || within > maxDeadline || len(a.Key) > maxKey || len(a.Team) > maxTeam {
 			t.Fatalf("admitted %+v within %v", a, within)
 		}
 	})
