--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -14,6 +14,8 @@
 	// Created is the offset at which the object was declared anew.
 	Created int64  `json:"created"`
 	Actor   string `json:"actor"`
+	// Finished is set on finite work whose tasks have all ended.
+	Finished bool `json:"finished,omitempty"`
 }
 
 // Catalog is the state that the log's records add up to. It isn't safe for
@@ -26,12 +28,16 @@
 	Workloads map[string]Entry[Workload]  `json:"workloads,omitempty"`
 	Drained   map[string]Entry[Drain]     `json:"drained,omitempty"`
 	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
+	// Finished lists finished workloads, oldest first.
+	Finished []Finished `json:"finished,omitempty"`
 	// Applied keeps the outcome of recent records by ID.
 	Applied map[string]Outcome `json:"applied,omitempty"`
 	// Recent lists the IDs in Applied, oldest first.
 	Recent []string `json:"recent,omitempty"`
 	// History holds the last changes of declared objects, oldest first.
 	History []Change `json:"history,omitempty"`
+	// repeat is set by tests to see what becomes of records appended twice.
+	repeat bool
 }
 
 // Outcome tells what became of one record.
@@ -88,7 +94,7 @@
 		return c.Applied[r.ID]
 	}
 	c.Next = offset + 1
-	if prior, ok := c.Applied[r.ID]; ok {
+	if prior, ok := c.Applied[r.ID]; ok && !c.repeat {
 		return prior
 	}
 	out := c.admit(offset, r)
@@ -229,11 +235,11 @@
 }
 
 func put[T any](m map[string]Entry[T], name string, v T, offset int64, actor string) {
-	created := offset
+	e := Entry[T]{Value: v, Version: offset, Created: offset, Actor: actor}
 	if old, ok := m[name]; ok {
-		created = old.Created
+		e.Created, e.Finished = old.Created, old.Finished
 	}
-	m[name] = Entry[T]{Value: v, Version: offset, Created: created, Actor: actor}
+	m[name] = e
 }
 
 func (c *Catalog) drop(workload string) {
@@ -254,17 +260,6 @@
 	}
 }
 
-func (c *Catalog) end(e Ended) {
-	workload := WorkloadOf(e.Task)
-	if _, ok := c.Workloads[workload]; !ok {
-		return
-	}
-	if c.Ended[workload] == nil {
-		c.Ended[workload] = map[string]Ended{}
-	}
-	c.Ended[workload][e.Task] = e
-}
-
 func (c *Catalog) remember(id string, out Outcome) {
 	c.Applied[id] = out
 	c.Recent = append(c.Recent, id)
@@ -276,9 +271,12 @@
 
 // Tasks returns the names of the tasks of a declared workload whose home is
 // domain. A workload that was cancelled and declared anew has new names, since
-// tasks of the former one may still run out of reach.
+// tasks of the former one may still run out of reach. A finished one has none.
 func Tasks(e Entry[Workload], domain string) []string {
 	var names []string
+	if e.Finished {
+		return nil
+	}
 	from := 0
 	for _, h := range e.Value.Homes {
 		for i := 0; h.Domain == domain && i < h.Count; i++ {
