chaos: a resend that did not run says nothing of an earlier request that begins later

Requests by id are judged as before. Conclusion: docs/callers.md should say of every not-run that it speaks of this request only.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -254,6 +254,8 @@
 		taskWaits(served, s.starts), taskWaits(finite, s.starts))
 	fmt.Fprintf(r.out, "packing: %s\n", r.packing.String())
 	fmt.Fprintf(r.out, "control: %s\n", controlCost(s, d))
+	fmt.Fprintf(r.out, "not judged: %d requests not run whose key ran under an earlier request, %d requests that began after their deadline\n",
+		ownOnly(r.callers.results, s.requests), late(r.callers.results, s.requests))
 	printReasons(r.out, r.callers.results)
 	printBreaches(r.out, r.began, r.breaches)
 	return len(r.breaches), nil
