--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,12 @@
 # Remakes the measurements and tables of docs/CAPACITY.md.
 slopes:
 	$(GO) run ./cmd/mimosaspool-slopes
+
+# Replays the traces of the schedulers, and writes the generated ones anew after
+# the core's decisions have changed on purpose.
+TRACE := $(GO) run ./internal/proof/prove trace
+.PHONY: traces
+traces:
+	$(TRACE) --seed 7 --faults "process killed,log down" --host d1-h2 > test/traces/takeover-log-down.jsonl
+	$(TRACE) --seed 12 --faults "paused past its lease,host replaced" --host d1-h1 > test/traces/paused-host-replaced.jsonl
+	for t in test/traces/*.jsonl; do $(GO) run ./cmd/mimosaspool-replay $$t > $${t%.jsonl}.outcome.json || exit 1; done
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -22,6 +22,7 @@
 	w      *World
 	host   string
 	domain string
+	set    scheduler.Settings
 	core   *scheduler.Core
 	clock  clock
 	began  time.Duration
@@ -45,9 +46,9 @@
 	p.up, p.paused, p.held, p.recent, p.ticked = true, false, nil, nil, false
 	p.clock = p.w.newClock()
 	p.began, p.awake = p.w.now, p.w.now
-	set := scheduler.DefaultSettings(p.host, fmt.Sprint(p.life), p.domain)
-	set.Timing = p.w.timing
-	p.core = scheduler.New(set)
+	p.set = scheduler.DefaultSettings(p.host, fmt.Sprint(p.life), p.domain)
+	p.set.Timing = p.w.timing
+	p.core = scheduler.New(p.set)
 	p.every(tickInterval, p.tick)
 	p.every(hostsInterval, p.pollHosts)
 	p.every(heartbeatInterval, p.heartbeat)
--- a/internal/proof/prove/main.go
+++ b/internal/proof/prove/main.go
@@ -29,7 +29,30 @@
 		Args:  cobra.NoArgs,
 		Run:   func(*cobra.Command, []string) { proof.Outages(os.Stdout) },
 	})
+	cmd.AddCommand(generate())
 	if cmd.Execute() != nil {
 		os.Exit(2)
 	}
 }
+
+// generate returns the command that writes a trace.
+func generate() *cobra.Command {
+	var c proof.Case
+	var faults []string
+	var host string
+	cmd := &cobra.Command{
+		Use:   "trace",
+		Short: "Write the trace of one scheduler of a generated history",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			for _, f := range faults {
+				c.Faults = append(c.Faults, proof.Fault(f))
+			}
+			return proof.Generate(os.Stdout, c, host)
+		},
+	}
+	cmd.Flags().Uint64Var(&c.Seed, "seed", 0, "seed of the history")
+	cmd.Flags().StringSliceVar(&faults, "faults", nil, "faults that strike")
+	cmd.Flags().StringVar(&host, "host", "d1-h1", "host whose scheduler is traced")
+	return cmd
+}
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -29,6 +29,8 @@
 	// Count adds to the counter of a kind (refusal, retry, loss) and reason.
 	// It may be called concurrently.
 	Count func(kind, reason string, n int64)
+	// Record, where set, takes every step of the core.
+	Record func(at time.Duration, ev scheduler.Event, effects []scheduler.Effect)
 }
 
 // The pace of the daemon's loops.
@@ -139,7 +141,12 @@
 }
 
 func (d *Daemon) step(io context.Context, ev scheduler.Event) {
-	for _, eff := range d.core.Step(time.Since(d.start), ev) {
+	now := time.Since(d.start)
+	effects := d.core.Step(now, ev)
+	if d.opt.Record != nil {
+		d.opt.Record(now, ev, effects)
+	}
+	for _, eff := range effects {
 		d.do(io, eff)
 	}
 	d.count()
--- a/internal/schedulerd/main.go
+++ b/internal/schedulerd/main.go
@@ -25,6 +25,7 @@
 	Listen   string   `flag:"listen" validate:"required,hostname_port"`
 	Platform string   `flag:"platform-url" validate:"required,url"`
 	Peers    []string `flag:"peer-urls" validate:"dive,url"`
+	Record   string   `flag:"record"`
 }
 
 // callTimeout bounds a call to the platform or a peer; it is above the longest wait for news.
@@ -50,6 +51,7 @@
 	cmd.Flags().StringVar(&f.Listen, "listen", "", "address to serve on, host:port")
 	cmd.Flags().StringVar(&f.Platform, "platform-url", "", "base URL of the platform's log and list of hosts")
 	cmd.Flags().StringSliceVar(&f.Peers, "peer-urls", nil, "base URLs of the other schedulers")
+	cmd.Flags().StringVar(&f.Record, "record", "", "file to record the core's events in, for mimosaspool-replay")
 	return settings.Execute(cmd, &f)
 }
 
@@ -65,8 +67,15 @@
 	defer t.Close()
 	client := platform.NewHTTPClient(callTimeout)
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
+	set := scheduler.DefaultSettings(f.Host, incarnation, f.Domain)
+	record, closeRecord, err := recorder(f.Record, set)
+	if err != nil {
+		return err
+	}
+	defer closeRecord()
 	d := New(Options{
-		Settings: scheduler.DefaultSettings(f.Host, incarnation, f.Domain),
+		Settings: set,
+		Record:   record,
 		Region:   f.Region,
 		Peers:    f.Peers,
 		Log:      platform.NewLog(f.Platform, client),
