A key that may have run is never called "not run"

Refusals made without the key's home (leaving, deadline, home out of reach, keys not yet recalled) spoke of the resend only, which a caller can't tell from its request.

Ruled out: asking the home before every refusal (a refusal for want of the home is the case); remembering refused keys (a retry after a true "not run" has to run, and can't be told from a late first request).

Change: a request with a key is "not run" only where its home vouched that it knows no earlier one; else its outcome is unknown, with reason and Retry-After, and the home's reason comes through the entry that passed the request on.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -132,13 +132,13 @@
 
 // conclude tells the caller an ending that is not an answer being passed on.
 func (c *call) conclude(end routing.Ending) {
+	if end.RetryAfter > 0 {
+		c.w.Header().Set("Retry-After", seconds(end.RetryAfter))
+	}
 	switch end.Outcome {
 	case routing.OutcomeAnswered:
 		c.replay(end)
 	case routing.OutcomeNotRun:
-		if end.RetryAfter > 0 {
-			c.w.Header().Set("Retry-After", seconds(end.RetryAfter))
-		}
 		refuse(c.w, notRunStatus(end.Reason), string(end.Reason), "not run")
 	case routing.OutcomeUnknown:
 		tell(c.w, http.StatusBadGateway, outcomeUnknown, string(end.Reason), "outcome unknown")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -170,7 +170,10 @@
 	case outcomeAnswered:
 		return nil
 	}
-	return routing.Failed{ID: x.send.ID, Send: x.send.Send, Reached: true, Unknown: true}
+	return routing.Failed{
+		ID: x.send.ID, Send: x.send.Send, Reached: true, Unknown: true,
+		Reason: routing.Reason(resp.Header.Get(headerReason)), RetryAfter: retryAfter(resp.Header),
+	}
 }
 
 func (x *exchange) refused(resp *http.Response, why routing.Reason) routing.Event {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -62,8 +62,11 @@
 	Begun bool
 	// Replayable is set when the whole request can be sent again.
 	Replayable bool
-	// Unknown is set when another entry answered that the outcome is unknown.
-	Unknown bool
+	// Unknown is set when another entry answered that the outcome is unknown,
+	// with its reason and when to come back.
+	Unknown    bool
+	Reason     Reason
+	RetryAfter time.Duration
 }
 
 // DirectoryRead brings the domain's runners and the slots granted to this entry.
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -172,8 +172,10 @@
 	case !c.keys.complete:
 		c.refuse(q, ReasonKeysIncomplete, retrySoon)
 	case len(c.keys.known) >= maxKeys:
+		q.vouched = true
 		c.refuse(q, ReasonTooManyKeys, retrySoon)
 	case len(entries) < 2:
+		q.vouched = true
 		c.refuse(q, ReasonNoSecond, retrySoon)
 	default:
 		c.intend(q, entries[1:])
@@ -195,6 +197,7 @@
 
 // intend has the intent stored at a second entry before the request is queued.
 func (c *Core) intend(q *request, seconds []Peer) {
+	q.vouched = true
 	k := c.remember(Intent{Key: q.Key, Holder: c.set.Holder(), ID: q.ID})
 	k.run, k.seconds, q.key, q.phase = q, seconds, k, recording
 	c.arm(&q.timer, q.Deadline)
--- a/internal/routing/keys_test.go
+++ b/internal/routing/keys_test.go
@@ -85,7 +85,10 @@
 		set.Incarnation, set.NewDomain = "2", false
 		c = routing.New(set)
 		c.Step(0, directory(2, 8))
-		Expect(only[routing.Finish](c.Step(time.Second, keyed(1, key)))[0].Ending.Reason).To(Equal(routing.ReasonKeysIncomplete))
+		early := only[routing.Finish](c.Step(time.Second, keyed(1, key)))[0].Ending
+		Expect(early.Outcome).To(Equal(routing.OutcomeUnknown))
+		Expect(early.Reason).To(Equal(routing.ReasonKeysIncomplete))
+		Expect(early.RetryAfter).To(BeNumerically(">", 0))
 		Expect(only[routing.Recall](c.Step(9*time.Second, routing.Tick{}))).To(BeEmpty())
 		Expect(only[routing.Recall](c.Step(12*time.Second, routing.Tick{}))).To(HaveLen(1))
 		c.Step(12*time.Second, routing.Recalled{Host: "a2", Complete: told.Complete, Intents: told.Intents})
--- a/internal/routing/once_test.go
+++ b/internal/routing/once_test.go
@@ -202,7 +202,7 @@
 	case e.Outcome == routing.OutcomeNotRun:
 		d.step(p, routing.Refused{ID: s.ID, Send: s.Send, Reason: e.Reason})
 	default:
-		d.step(p, routing.Failed{ID: s.ID, Send: s.Send, Reached: true, Unknown: true})
+		d.step(p, routing.Failed{ID: s.ID, Send: s.Send, Reached: true, Unknown: true, Reason: e.Reason, RetryAfter: e.RetryAfter})
 	}
 }
 
@@ -219,6 +219,9 @@
 		if e.Outcome == routing.OutcomeNotRun && d.ran[caller] {
 			d.t.Fatalf("request %d ran and is called not run: %s", caller, e.Reason)
 		}
+		if e.Outcome == routing.OutcomeNotRun && d.runs[key] > 0 {
+			d.t.Fatalf("key %s ran before and is called not run: %s", key, e.Reason)
+		}
 		if e.Outcome == routing.OutcomeAnswered && d.runs[key] != 1 {
 			d.t.Fatalf("key %s is called answered and ran %d times", key, d.runs[key])
 		}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -49,6 +49,9 @@
 	why   Reason
 	after time.Duration
 	key   *key
+	// vouched is set once the key's home has said that no earlier request with
+	// the key is known.
+	vouched bool
 }
 
 func (q *request) place() *int { return &q.queuePos }
@@ -290,6 +293,7 @@
 		c.lost(q, ReasonRefused, after, ev.Replayable && q.Idempotent)
 		return
 	}
+	q.vouched = q.vouched || q.target == ToHome
 	why := ev.Reason
 	if why == ReasonNone {
 		why = ReasonRemote
@@ -312,13 +316,15 @@
 	q.reached = q.reached || ev.Reached
 	q.begun = q.begun || ev.Begun
 	again := ev.Replayable && !ev.Begun && !ev.Unknown && (!ev.Reached || q.Idempotent)
-	c.lost(q, why, 0, again)
+	c.lost(q, why, min(ev.RetryAfter, c.set.Timing.RetryAfterMax), again)
 }
 
 func (c *Core) whyFailed(q *request, ev Failed) Reason {
 	switch {
 	case q.gaveUp != ReasonNone:
 		return q.gaveUp
+	case ev.Unknown && ev.Reason != ReasonNone:
+		return ev.Reason
 	case ev.Reached:
 		return ReasonLost
 	case q.target == ToHome:
@@ -347,8 +353,18 @@
 	c.finish(q, Ending{Outcome: OutcomeNotRun, Reason: why, RetryAfter: after})
 }
 
+// truthful turns "not run" into "unknown" for a request with a key whose home
+// has not vouched for it: it may be the resend of one that ran.
+func (q *request) truthful(e Ending) Ending {
+	if e.Outcome == OutcomeNotRun && q.Key != "" && !q.Idempotent && !q.vouched {
+		e.Outcome = OutcomeUnknown
+	}
+	return e
+}
+
 // finish ends the request for good.
 func (c *Core) finish(q *request, e Ending) {
+	e = q.truthful(e)
 	c.disarm(&q.timer)
 	delete(c.requests, q.ID)
 	c.settleKey(q, e)
@@ -361,6 +377,7 @@
 		return
 	}
 	q.ended = true
+	e = q.truthful(e)
 	switch e.Outcome {
 	case OutcomeNotRun:
 		c.count(KindRefusal, e.Reason)
