A replaced entry takes keys again as soon as its predecessor's lease has run out

Change: the holder of the term tells a process how long an earlier one of its host may still send. Ruled out: a process that left cleanly telling its host's next one, which has no way to hear it. Ruled out as well: second entries in other domains, since two hosts that restart together anywhere would then wait for each other until the retention is over.

--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -87,6 +87,10 @@
 
 func directoryOf(sentAt time.Duration, reply *control.SyncReply) routing.DirectoryRead {
 	ev := routing.DirectoryRead{SentAt: sentAt, Unchanged: reply.Unchanged}
+	if reply.FormerMs != nil {
+		former := time.Duration(*reply.FormerMs) * time.Millisecond
+		ev.Former = &former
+	}
 	for _, e := range reply.Endpoints {
 		ev.Runners = append(ev.Runners, routing.Runner{
 			Attempt: e.Attempt, Service: e.Service, Task: e.Task, Address: e.Address, Slots: int(e.Slots), Leaving: e.Leaving,
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -72,8 +72,11 @@
 	SentAt time.Duration
 	// Unchanged renews the lease and leaves all else as it is.
 	Unchanged bool
-	Runners   []Runner
-	Services  []Service
+	// Former is how long an earlier process of this host may still send under a
+	// grant; nil where that wasn't told.
+	Former   *time.Duration
+	Runners  []Runner
+	Services []Service
 }
 
 // Runner is a service's runner with the slots that this entry may fill.
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -39,6 +39,9 @@
 	// heard holds the peers that have told all their keys.
 	heard map[string]bool
 	peers []Peer
+	// told is set once the holder of the term has told how long an earlier
+	// process may send.
+	told  bool
 	timer timer
 }
 
@@ -59,6 +62,18 @@
 	}
 }
 
+// hearFormer lets the peers be asked as soon as no earlier process can send.
+func (c *Core) hearFormer(former *time.Duration) {
+	k := &c.keys
+	if former == nil || k.told || k.complete {
+		return
+	}
+	k.told = true
+	if at := c.now + c.lengthen(*former); at < k.timer.at {
+		c.arm(&k.timer, at)
+	}
+}
+
 // recall asks the peers for their keys.
 type recall struct{}
 
--- a/internal/routing/once_test.go
+++ b/internal/routing/once_test.go
@@ -33,13 +33,16 @@
 
 // process is one incarnation of an entry.
 type process struct {
-	core    *routing.Core
-	name    string
-	base    time.Duration
-	dead    bool
-	paused  bool
-	backlog []func()
-	ids     uint64
+	core *routing.Core
+	name string
+	base time.Duration
+	// leasedAt is when the process last got a lease; former is when that of the
+	// earlier process of its host has run out.
+	leasedAt, former time.Duration
+	dead             bool
+	paused           bool
+	backlog          []func()
+	ids              uint64
 	// ends tells who waits for a request's end, and asked which caller it is of.
 	ends    map[uint64]func(routing.Ending)
 	asked   map[uint64]asked
@@ -58,7 +61,12 @@
 func (d *domain) start(name string, first bool) {
 	set := settings(name)
 	set.Peers, set.NewDomain, set.Incarnation = threeEntries, first, fmt.Sprint(d.now)
+	former := time.Duration(0)
+	if old := d.entries[name]; old != nil {
+		former = old.leasedAt + 10*time.Second + 50*time.Millisecond
+	}
 	d.entries[name] = &process{
+		leasedAt: d.now, former: former,
 		core: routing.New(set), name: name, base: d.now, ends: map[uint64]func(routing.Ending){},
 		asked: map[uint64]asked{}, replies: map[uint64]func(routing.Effect){},
 	}
@@ -231,6 +239,8 @@
 		p := d.entries[e.Host]
 		ev := directory(2, 4)
 		ev.SentAt = d.now - p.base
+		former := max(0, p.former-d.now)
+		p.leasedAt, ev.Former = d.now, &former
 		d.step(p, ev)
 	}
 	d.after(500*time.Millisecond, d.tick)
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -79,6 +79,7 @@
 // readDirectory takes over the runners and grants of the domain.
 func (c *Core) readDirectory(ev DirectoryRead) {
 	c.known = true
+	c.hearFormer(ev.Former)
 	c.grantUntil = max(c.grantUntil, ev.SentAt+c.shorten(c.set.Timing.Lease))
 	if !ev.Unchanged {
 		c.setServices(ev.Services)
--- a/internal/schedulerd/directory.go
+++ b/internal/schedulerd/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	control "github.com/mimosaspool/mimosaspool/api/control"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
@@ -114,6 +115,7 @@
 func (s *directoryService) grant(now time.Duration, st status, req *control.SyncRequest) *control.SyncReply {
 	grants, serial := s.ledger.Grants(now, req.Holder)
 	reply := &control.SyncReply{Version: st.dir.Version, Leader: true, Position: st.next, Serial: serial}
+	reply.FormerMs = proto.Int64(roundUp(s.ledger.Former(now, req.Holder)))
 	for _, e := range st.dir.Endpoints {
 		reply.Endpoints = append(reply.Endpoints, &control.Endpoint{
 			Service: e.Service, Task: e.Task, Attempt: e.Attempt, Address: e.Address, Leaving: e.Leaving,
@@ -126,6 +128,9 @@
 	return reply
 }
 
+// roundUp returns d in milliseconds.
+func roundUp(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 func runnersOf(dir scheduler.Directory) []slots.Runner {
 	list := make([]slots.Runner, 0, len(dir.Endpoints))
 	for _, e := range dir.Endpoints {
--- a/internal/slots/ledger.go
+++ b/internal/slots/ledger.go
@@ -306,6 +306,18 @@
 	return out, h.serial
 }
 
+// Former returns how long an earlier process of the holder's host may still send
+// under a grant: of this ledger, or of the former term's.
+func (l *Ledger) Former(now time.Duration, holder string) time.Duration {
+	last := l.began
+	for name, h := range l.holders {
+		if name != holder && h.host == l.holders[holder].host {
+			last = max(last, h.repliedAt)
+		}
+	}
+	return max(0, last+l.timing.Lease+l.timing.Lease*time.Duration(l.timing.DriftPerMille)/1000-now)
+}
+
 // Renew takes note that the process's lease is renewed as it stands.
 func (l *Ledger) Renew(now time.Duration, holder string) { l.holders[holder].repliedAt = now }
 
--- a/internal/slots/ledger_test.go
+++ b/internal/slots/ledger_test.go
@@ -223,6 +223,20 @@
 	g.Expect(s.entries[0].slots).To(Equal(map[uint64]int{1: 8, 2: 8}))
 }
 
+func TestANewProcessIsToldHowLongTheFormerMaySend(t *testing.T) {
+	g := NewWithT(t)
+	l := slots.New(timing, 0, 0)
+	ask := func(now time.Duration, holder string) time.Duration {
+		g.Expect(l.Report(now, slots.Report{Host: "e", Holder: holder, Sequence: 1, Applied: 1})).To(Equal(slots.Taken))
+		l.Grants(now, holder)
+		return l.Former(now, holder)
+	}
+	lease := timing.Lease + timing.Lease*5/1000
+	g.Expect(ask(4*time.Second, "e#1")).To(Equal(lease - 4*time.Second))
+	g.Expect(ask(20*time.Second, "e#2")).To(BeZero())
+	g.Expect(ask(23*time.Second, "e#3")).To(Equal(lease - 3*time.Second))
+}
+
 func TestAnOlderProcessOfAHostGetsNothingMore(t *testing.T) {
 	g := NewWithT(t)
 	l := slots.New(timing, 0, 0)
