Request path measured; bodyless requests go without a reader

Cause: an empty reader has the transport start a goroutine for each request. Change: http.NoBody, and the transport's own repeat is ruled out where it gets its second connection; the test of hidden repeats fails without that. Ruled out: GOGC=400, no difference outside the noise.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -23,6 +23,8 @@
 	// passed on it before the send.
 	conn                    atomic.Pointer[countedConn]
 	startWritten, startRead atomic.Int64
+	// sentBefore is set once an earlier connection took bytes of the request.
+	sentBefore atomic.Bool
 	// moved is what the last look at the connection's counters showed.
 	moved int64
 	// answers hands the response to the caller's goroutine; gone is closed when
@@ -92,13 +94,16 @@
 }
 
 // gotConn notes the connection before the first byte is written. A send that
-// comes too late gets a connection that takes no byte.
+// comes too late, and one that the transport would repeat by itself after bytes
+// had left, get a connection that takes no byte.
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn.(*countedConn)
+	again := x.reached()
+	x.sentBefore.Store(again)
 	x.startWritten.Store(conn.written.Load())
 	x.startRead.Store(conn.read.Load())
 	x.conn.Store(conn)
-	if x.entry.now() >= x.send.NotAfter {
+	if again || x.entry.now() >= x.send.NotAfter {
 		conn.Close()
 		x.cancel()
 	}
@@ -106,6 +111,9 @@
 
 // reached reports whether a byte of the request may have left.
 func (x *exchange) reached() bool {
+	if x.sentBefore.Load() {
+		return true
+	}
 	conn := x.conn.Load()
 	return conn != nil && conn.written.Load() > x.startWritten.Load()
 }
@@ -195,7 +203,7 @@
 		ContentLength: in.ContentLength,
 		Body:          x.body.try(),
 	}
-	if in.ContentLength == 0 && in.Header.Get(headerKey) == "" && sendsBody(in.Method) {
+	if in.ContentLength == 0 {
 		out.Body = http.NoBody
 	}
 	out.URL.Scheme, out.URL.Host = "http", x.send.Address
@@ -220,7 +228,3 @@
 	}
 	h.Set("X-Forwarded-For", strings.Join(append(h.Values("X-Forwarded-For"), host), ", "))
 }
-
-func sendsBody(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -96,15 +96,19 @@
 // passed returns a copy of h without the headers that concern one connection.
 func passed(h http.Header) http.Header {
 	out := h.Clone()
+	dropHopByHop(out)
+	return out
+}
+
+func dropHopByHop(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
 	for _, name := range hopByHop {
-		delete(out, name)
+		delete(h, name)
 	}
-	return out
 }
 
 // dropOwn removes the headers that only entries set.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -103,11 +103,12 @@
 // header writes status and headers of a runner's or another entry's answer.
 func (c *call) header(resp *http.Response) {
 	h := c.w.Header()
-	for name, values := range passed(resp.Header) {
+	replayed := resp.Header.Get(headerReplayed)
+	dropHopByHop(resp.Header)
+	dropOwn(resp.Header)
+	for name, values := range resp.Header {
 		h[name] = values
 	}
-	replayed := resp.Header.Get(headerReplayed)
-	dropOwn(h)
 	if replayed != "" {
 		h.Set(headerReplayed, replayed)
 	}
