Proof: entries, runners and callers, for the promises on requests

Routing cores run beside the scheduler cores on the same event queue, killed and paused with their hosts; runners refuse, answer, are slow, or are cut off; callers resend requests with a key.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -124,6 +124,17 @@
 	}
 }
 
+// Served tells that a runner on the machine got a request.
+func (t *Tasks) Served(at time.Duration, machine, runner string) {
+	if from, ok := t.leaving[machine]; ok && at >= from+GrantLease {
+		t.breach(Leaving, at, runner, fmt.Sprintf("got a request; leaving was known from %s on", from))
+	}
+}
+
+// GrantLease is how long an entry that hears nothing goes on filling the
+// slots that it was granted.
+const GrantLease = 10 * time.Second
+
 // Ended tells that an attempt runs no longer.
 func (t *Tasks) Ended(machine string, attempt uint64) {
 	r, ok := t.running[machine][attempt]
--- a/internal/proof/fault.go
+++ b/internal/proof/fault.go
@@ -49,10 +49,13 @@
 		h.kill(h.victim(), for_/3)
 	case PausedPast:
 		p := h.victim()
-		life := p.life
+		number := p.number
 		p.pause()
+		if h.chance(700) {
+			h.pauseEntry(p.host+entrySuffix, until)
+		}
 		w.after(for_, func() {
-			if p.life == life {
+			if p.number == number {
 				p.resume()
 			}
 		})
@@ -102,14 +105,45 @@
 	return pick(w, w.processes)
 }
 
+// killEntry ends the entry of a host, mostly together with its scheduler.
+func (h *history) killEntry(host string, down time.Duration) {
+	e := h.entryAt(host)
+	if e == nil || h.chance(300) {
+		return
+	}
+	e.kill()
+	number := e.number
+	h.after(down, func() {
+		if e.number == number {
+			e.boot(false)
+		}
+	})
+}
+
+// pauseEntry stops the entry of a host for a time.
+func (h *history) pauseEntry(host string, until time.Duration) {
+	e := h.entryAt(host)
+	if e == nil {
+		return
+	}
+	number := e.number
+	e.pause()
+	h.at(until, func() {
+		if e.number == number {
+			e.resume()
+		}
+	})
+}
+
 func (h *history) kill(p *process, down time.Duration) {
 	if !p.up {
 		return
 	}
+	h.killEntry(p.host+entrySuffix, down)
 	p.kill()
-	life := p.life
+	number := p.number
 	h.World.after(down, func() {
-		if p.life == life {
+		if p.number == number {
 			p.boot()
 		}
 	})
@@ -128,7 +162,7 @@
 		m.restart()
 	case 1:
 		m.dead = true
-		w.Tasks.Lost(m.name)
+		m.lose()
 		h.replaced++
 		w.addresses[host.Address] = w.newMachine(host.Name+h.suffix(), w.newClock(), w.upTo(time.Second), m.capacity)
 	case 2:
@@ -157,6 +191,7 @@
 		for _, b := range h.World.processes {
 			if a.domain != b.domain {
 				h.World.cutBoth(a.host, b.host, until)
+				h.World.cutBoth(a.host+entrySuffix, b.host+entrySuffix, until)
 			}
 		}
 	}
@@ -170,6 +205,7 @@
 	if kind == 0 || kind == 3 {
 		for _, o := range w.processes {
 			w.cutBoth(p.host, o.host, until)
+			w.cutBoth(p.host+entrySuffix, o.host+entrySuffix, until)
 		}
 	}
 	if kind == 1 || kind == 3 {
@@ -181,6 +217,7 @@
 		for _, host := range w.hosts[p.domain] {
 			if w.chance(share) {
 				w.cutBoth(p.host, host.Address, until)
+				w.cutBoth(p.host+entrySuffix, host.Address, until)
 			}
 		}
 	}
@@ -197,6 +234,12 @@
 				from, to = to, from
 			}
 			w.cut(from, to, until)
+			if from == p.host {
+				from += entrySuffix
+			} else {
+				to += entrySuffix
+			}
+			w.cut(from, to, until)
 		}
 	}
 }
--- a/internal/proof/generate.go
+++ b/internal/proof/generate.go
@@ -26,9 +26,9 @@
 		if err != nil {
 			return err
 		}
-		life := p.life
+		number := p.number
 		p.record = func(now time.Duration, ev scheduler.Event, effects []scheduler.Effect) {
-			if p.life == life {
+			if p.number == number {
 				w.Record(now, ev, effects)
 			}
 		}
--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -25,6 +25,9 @@
 	inForce      = 6 * time.Second
 )
 
+// watched is the number of services.
+const watched = 4
+
 // Case names one generated history.
 type Case struct {
 	Seed   uint64
@@ -33,6 +36,9 @@
 	Without ownership.Guard
 }
 
+// entrySuffix tells the name of an entry's end of a link from its host's scheduler.
+const entrySuffix = "-entry"
+
 // history is a world with operators who change things and faults that happen.
 type history struct {
 	*World
@@ -44,6 +50,7 @@
 	// short tells which domains lack their last seat now.
 	short    map[string]bool
 	replaced int
+	requests uint64
 	usage    int64
 	// platformUnheard is until when a scheduler may lack news of the platform.
 	platformUnheard time.Duration
@@ -57,7 +64,7 @@
 }
 
 func (h *history) breaches() []checker.Breach {
-	return slices.Concat(h.Tasks.Breaches, h.Changes.Breaches)
+	return slices.Concat(h.Tasks.Breaches, h.Changes.Breaches, h.Requests.Breaches)
 }
 
 func newHistory(c Case) *history {
@@ -70,6 +77,20 @@
 		Link:     link{delay: 500 * time.Microsecond, jitter: 2 * time.Millisecond, lost: 3, twice: 10, held: 10, late: 20 * time.Second},
 	}
 	h := &history{World: NewWorld(c.Seed, site), c: c, declared: map[string]configuration.Workload{}, effects: map[int64][]checker.Set{}, short: map[string]bool{}}
+	for _, p := range h.processes {
+		h.entries = append(h.entries, &entry{life: life{w: h.World, host: p.host + entrySuffix, domain: p.domain}})
+	}
+	for _, e := range h.entries {
+		e.boot(true)
+	}
+	for _, d := range h.domains {
+		h.callers(d)
+	}
+	h.at(time.Second, func() {
+		for range 2 * watched {
+			h.declare(h.workload())
+		}
+	})
 	h.every(2*time.Second, changeEvery, h.change)
 	h.every(time.Second, lookEvery, h.look)
 	for _, f := range c.Faults {
@@ -115,10 +136,14 @@
 
 // workload draws a service or batch work; services may change one that exists.
 func (h *history) workload() configuration.Workload {
-	n := h.rand.IntN(4)
+	n := h.rand.IntN(watched)
 	w := configuration.Workload{
 		Name: fmt.Sprintf("svc%d", n), Kind: configuration.Service, Size: h.size(),
 	}
+	if n == 0 {
+		// One service stays small, so that requests find runners.
+		w.Size = resource.Vector{MilliCPU: 500, MemoryMiB: 512}
+	}
 	if h.chance(400) {
 		h.changes++
 		w.Name, w.Kind = fmt.Sprintf("job%d", h.changes), configuration.Batch
@@ -191,12 +216,12 @@
 	h.append("op1", configuration.Op{Drain: &configuration.Drain{Host: host.Name, Return: h.chance(500)}}, nil)
 }
 
-// endSome makes some running tasks end by themselves, mostly with a failure.
+// endSome makes some running tasks fail.
 func (h *history) endSome() {
 	for _, m := range h.machines {
 		for _, a := range slices.Sorted(maps.Keys(m.tasks)) {
 			if m.tasks[a].State == scheduler.Running && h.chance(300) {
-				m.end(a, pick(h.World, []scheduler.TaskState{scheduler.Failed, scheduler.Failed, scheduler.Stopped}))
+				m.end(a, scheduler.Failed)
 			}
 		}
 	}
@@ -241,11 +266,12 @@
 			continue
 		}
 		cat := p.core.Catalog()
-		process := fmt.Sprintf("%s#%d", p.host, p.life)
+		process := fmt.Sprintf("%s#%d", p.host, p.number)
 		for _, id := range cat.Recent {
 			h.verdict(process, id, cat)
 		}
-		for _, name := range []string{"svc0", "svc1", "svc2", "svc3"} {
+		for i := range watched {
+			name := fmt.Sprint("svc", i)
 			h.Changes.Read(h.now, process, cat.Next, name, value(cat, name), h.due(p))
 		}
 	}
--- a/internal/proof/matrix.go
+++ b/internal/proof/matrix.go
@@ -25,7 +25,7 @@
 }
 
 // Covered lists the promises that the histories put to the test.
-var Covered = []checker.Promise{checker.Capacity, checker.OnePlace, checker.Leaving, checker.Configuration}
+var Covered = checker.Promises
 
 // Cell is what came of all histories with one combination of faults.
 type Cell struct {
--- a/internal/proof/network.go
+++ b/internal/proof/network.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// stream carries one message of an open connection: it arrives once or, where
+// the connection is silent, never.
+func (w *World) stream(from, to string, arrive func()) {
+	if w.now >= w.cuts[route{from, to}] {
+		w.after(w.link.delay+w.upTo(w.link.jitter), arrive)
+	}
+}
+
 func (w *World) delay() time.Duration {
 	d := w.link.delay + w.upTo(w.link.jitter)
 	if w.chance(w.link.held) {
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -16,25 +16,11 @@
 	retryWait         = 500 * time.Millisecond
 )
 
-// process runs one core as the scheduler's program does. It may be paused at
-// any point, also between a decision and its message.
+// process runs one core as the scheduler's program does.
 type process struct {
-	w      *World
-	host   string
-	domain string
+	life
 	set    scheduler.Settings
 	core   *scheduler.Core
-	clock  clock
-	began  time.Duration
-	// awake is when the process last started or resumed.
-	awake time.Duration
-	// life numbers the processes of the host; what belongs to an earlier life is void.
-	life   int
-	up     bool
-	paused bool
-	// held waits for the end of a pause.
-	held   []func()
-	ticked bool
 	recent []configuration.Numbered
 	// record takes what the core gets and returns, where it is wanted.
 	record func(now time.Duration, ev scheduler.Event, effects []scheduler.Effect)
@@ -42,11 +28,9 @@
 
 // boot starts the host's next process, which knows nothing.
 func (p *process) boot() {
-	p.life++
-	p.up, p.paused, p.held, p.recent, p.ticked = true, false, nil, nil, false
-	p.clock = p.w.newClock()
-	p.began, p.awake = p.w.now, p.w.now
-	p.set = scheduler.DefaultSettings(p.host, fmt.Sprint(p.life), p.domain)
+	p.start()
+	p.recent = nil
+	p.set = scheduler.DefaultSettings(p.host, fmt.Sprint(p.number), p.domain)
 	p.set.Timing = p.w.timing
 	p.core = scheduler.New(p.set)
 	p.every(tickInterval, p.tick)
@@ -55,59 +39,6 @@
 	p.readLog()
 }
 
-// kill ends the process; nothing is released.
-func (p *process) kill() {
-	p.life++
-	p.up, p.paused, p.held = false, false, nil
-}
-
-// pause stops the process as it is.
-func (p *process) pause() { p.paused = p.up }
-
-// resume lets a paused process go on: what was on its way out goes out, and
-// what came in meanwhile is taken then.
-func (p *process) resume() {
-	if !p.paused {
-		return
-	}
-	p.paused, p.awake = false, p.w.now
-	held := p.held
-	p.held = nil
-	for _, f := range held {
-		f()
-	}
-}
-
-// run does f in the life that asked for it, when the process isn't paused.
-func (p *process) run(life int, f func()) {
-	switch {
-	case life != p.life:
-	case p.paused:
-		p.held = append(p.held, func() { p.run(life, f) })
-	default:
-		f()
-	}
-}
-
-// every runs f at intervals while this life lasts.
-func (p *process) every(interval time.Duration, f func()) {
-	life := p.life
-	var again func()
-	again = func() {
-		if life != p.life {
-			return
-		}
-		if !p.paused {
-			f()
-		}
-		p.w.after(interval, again)
-	}
-	p.w.after(p.w.upTo(interval), again)
-}
-
-// local is the time since the process started, by its own clock.
-func (p *process) local() time.Duration { return p.clock.read(p.w.now) - p.clock.read(p.began) }
-
 func (p *process) tick() { p.step(scheduler.Tick{}) }
 
 func (p *process) step(ev scheduler.Event) {
@@ -124,13 +55,13 @@
 // do carries an effect out. A moment passes between decision and message, in
 // which the process may be paused.
 func (p *process) do(eff scheduler.Effect) {
-	life := p.life
+	number := p.number
 	hold := p.w.upTo(time.Millisecond)
 	if p.w.chance(p.w.link.held) {
 		hold += p.w.upTo(p.w.link.late)
 	}
 	p.w.after(hold, func() {
-		p.run(life, func() {
+		p.run(number, func() {
 			switch eff := eff.(type) {
 			case scheduler.WriteWorker:
 				p.write(eff)
@@ -141,31 +72,6 @@
 	})
 }
 
-// call sends a request and runs what comes back, or fail after the limit. A
-// late answer is void.
-func (p *process) call(to string, limit time.Duration, serve func(answer func(func())), fail func()) {
-	life, done := p.life, false
-	answer := func(f func()) {
-		p.w.pass(to, p.host, func() {
-			p.run(life, func() {
-				if !done {
-					done = true
-					f()
-				}
-			})
-		})
-	}
-	p.w.pass(p.host, to, func() { serve(answer) })
-	p.w.after(limit, func() {
-		p.run(life, func() {
-			if !done {
-				done = true
-				fail()
-			}
-		})
-	})
-}
-
 func (p *process) write(eff scheduler.WriteWorker) {
 	p.w.Writes++
 	p.call(eff.Address, p.w.timing.Reply, func(answer func(func())) {
@@ -204,11 +110,6 @@
 	}, again)
 }
 
-func (p *process) later(d time.Duration, f func()) {
-	life := p.life
-	p.w.after(d, func() { p.run(life, f) })
-}
-
 // recentMost bounds the records kept for peers.
 const recentMost = 5000
 
@@ -243,7 +144,7 @@
 func (p *process) greet(o *process) {
 	mine, position := p.state(), p.core.NextOffset()
 	p.call(o.host, callLimit, func(answer func(func())) {
-		o.run(o.life, func() {
+		o.run(o.number, func() {
 			if !o.up {
 				return
 			}
@@ -273,6 +174,6 @@
 
 func (p *process) state() scheduler.PeerHeard {
 	return scheduler.PeerHeard{
-		Host: p.host, Holder: fmt.Sprintf("%s#%d", p.host, p.life), Position: p.core.NextOffset(), Leader: p.core.Leader(),
+		Host: p.host, Holder: fmt.Sprintf("%s#%d", p.host, p.number), Position: p.core.NextOffset(), Leader: p.core.Leader(),
 	}
 }
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -54,9 +54,18 @@
 // restart loses marks and tasks.
 func (m *machine) restart() {
 	m.boot = m.now()
+	m.lose()
+}
+
+// lose ends all that runs here at once.
+func (m *machine) lose() {
+	for _, a := range slices.Sorted(maps.Keys(m.tasks)) {
+		if m.tasks[a].State == scheduler.Running {
+			m.end(a, scheduler.Lapsed)
+		}
+	}
 	clear(m.marks)
 	clear(m.tasks)
-	m.w.Tasks.Lost(m.name)
 }
 
 // write takes one message of a scheduler and returns the answer. A message
@@ -122,6 +131,9 @@
 func (m *machine) end(attempt uint64, state scheduler.TaskState) {
 	m.tasks[attempt].State = state
 	m.w.Tasks.Ended(m.name, attempt)
+	if r := m.w.runners[m.tasks[attempt].Address]; r != nil {
+		r.close()
+	}
 }
 
 func (m *machine) renew(expiry time.Duration) {
@@ -137,6 +149,9 @@
 	if o.ValidUntil <= now || t == nil || t.State != scheduler.Running {
 		return
 	}
+	if r := m.w.runners[t.Address]; r != nil && (o.Kind == scheduler.Stop || o.Kind == scheduler.Checkpoint) {
+		r.stopped()
+	}
 	switch o.Kind {
 	case scheduler.Stop:
 		m.end(o.Attempt, scheduler.Stopped)
@@ -169,7 +184,8 @@
 		t.endsAt, t.ending = now+failAfter, scheduler.Failed
 	}
 	if s.Service != "" {
-		t.Address = fmt.Sprintf("%s:%d", m.name, s.Attempt%10000)
+		t.Address = fmt.Sprintf("%s:%d", m.name, s.Attempt)
+		m.w.runners[t.Address] = &runner{m: m, address: t.Address, open: map[uint64]openRequest{}}
 	}
 	m.tasks[s.Attempt] = t
 	m.w.sweepAll()
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/checker"
@@ -30,6 +31,8 @@
 	cuts      map[route]time.Duration
 	log       *log
 	processes []*process
+	entries   []*entry
+	runners   map[string]*runner
 	machines  []*machine
 	addresses map[string]*machine
 	domains   []string
@@ -42,6 +45,7 @@
 	firstStart map[string]time.Duration
 	Tasks      *checker.Tasks
 	Changes    *checker.Changes
+	Requests   *checker.Requests
 	// Writes counts the messages to workers.
 	Writes int
 }
@@ -51,7 +55,7 @@
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 0)), timing: s.Timing, link: s.Link, cuts: map[route]time.Duration{},
 		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{},
-		lastStart: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(),
+		lastStart: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(), Requests: checker.NewRequests(), runners: map[string]*runner{},
 	}
 	w.log = &log{w: w}
 	rec := configuration.Record{ID: "site", Actor: "test"}
@@ -59,7 +63,7 @@
 		domain := configuration.Domain{Name: fmt.Sprintf("d%d", d+1)}
 		w.domains = append(w.domains, domain.Name)
 		for i := range s.Schedulers {
-			p := &process{w: w, host: fmt.Sprintf("%s-h%d", domain.Name, i+1), domain: domain.Name}
+			p := &process{life: life{w: w, host: fmt.Sprintf("%s-h%d", domain.Name, i+1), domain: domain.Name}}
 			w.processes = append(w.processes, p)
 			domain.Entries = append(domain.Entries, p.host)
 		}
@@ -129,6 +133,12 @@
 	}
 }
 
+// hostOf returns the machine whose runner has the address.
+func (w *World) hostOf(address string) string {
+	machine, _, _ := strings.Cut(address, ":")
+	return machine
+}
+
 func (w *World) lacks(g ownership.Guard) bool { return w.timing.Without&g != 0 }
 
 // leader returns the domain's scheduler that holds its term, or nil.
