Scheduler: a task whose attempt has changed is taken over, not started again

Cause: a scheduler had once seen attempt 1 of a task. The holder of the term restarted the task as attempt 2 and was paused. The successor's next list showed only attempt 2: it passed that over, since it took the task for bound to attempt 1, then found attempt 1 gone and let the task wait. Once it had seen every seat it started the task a third time, beside attempt 2. The attempts may also be on two workers.

Change: running attempts that are not their tasks' own are remembered, and a task that loses its attempt takes one of them over. Also, a task seen on a worker that another scheduler owns counts as known only once the worker is owned: its owner may renew it for longer than the wait that was allowed for.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -75,6 +75,8 @@
 	// all by the time of their next look.
 	touched []*worker
 	agenda  agenda
+	// strays holds running attempts that are not their tasks' own, by task.
+	strays map[string][]stray
 	// leftUnseen is set when a machine left its seat unseen in this term: until
 	// the term has lasted long enough, any unknown task may run there.
 	leftUnseen bool
@@ -93,6 +95,7 @@
 		term:    ownership.NewTerm(set.Timing),
 		workers: map[string]*worker{},
 		tasks:   map[string]*task{},
+		strays:  map[string][]stray{},
 		peers:   map[string]peer{},
 		hosts:   map[string]Host{},
 		ended:   newEndings(),
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
@@ -54,12 +55,43 @@
 		return
 	}
 	if t.state == waiting || t.isBound() && t.attempt == o.Attempt {
-		t.size = o.Size.Max(o.Usage)
-		c.bind(t, w, live, o.Attempt)
-		if t.in != nil {
-			t.in.profile.Uses(o.Usage)
+		c.adopt(t, w, o)
+		return
+	}
+	if s := (stray{w, o.Attempt}); !slices.Contains(c.strays[t.name], s) {
+		c.strays[t.name] = append(c.strays[t.name], s)
+	}
+}
+
+// adopt binds a task to an attempt that a worker shows running.
+func (c *Core) adopt(t *task, w *worker, o ObservedTask) {
+	t.size = o.Size.Max(o.Usage)
+	c.bind(t, w, live, o.Attempt)
+	if t.in != nil {
+		t.in.profile.Uses(o.Usage)
+	}
+}
+
+// stray is an attempt that was seen running while its task was bound to
+// another one, of which this scheduler had heard before.
+type stray struct {
+	worker  *worker
+	attempt uint64
+}
+
+// adoptStray binds a task that lost its attempt to another one that runs.
+func (c *Core) adoptStray(t *task) bool {
+	list := c.strays[t.name]
+	delete(c.strays, t.name)
+	for i, s := range list {
+		o, ok := s.worker.observed[s.attempt]
+		if ok && o.State == Running && c.workers[s.worker.name] == s.worker {
+			c.strays[t.name] = list[i+1:]
+			c.adopt(t, s.worker, o)
+			return true
 		}
 	}
+	return false
 }
 
 // finished takes note that an attempt ended.
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -122,6 +122,7 @@
 	for _, t := range c.discard {
 		if !t.wanted && !t.isBound() && c.tasks[t.name] == t {
 			delete(c.tasks, t.name)
+			delete(c.strays, t.name)
 		}
 	}
 	c.discard = c.discard[:0]
--- /dev/null
+++ b/internal/scheduler/stray_test.go
@@ -0,0 +1,48 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/configuration"
+	"github.com/mimosaspool/mimosaspool/internal/ownership"
+	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+)
+
+var _ = Describe("A successor", func() {
+	// A scheduler saw attempt 1; its holder has restarted the task as attempt 2
+	// and is gone. The next list shows attempt 2 only.
+	It("takes over a task whose attempt has changed since it last looked", func() {
+		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
+		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{
+			{Domain: &configuration.Domain{Name: "d", Workers: []string{"w1"}, Entries: []string{"h1"}}},
+			{Workload: &configuration.Workload{
+				Name: "s", Kind: configuration.Service, Count: 1, Size: resource.Vector{MilliCPU: 1000},
+				Homes: []configuration.Home{{Domain: "d", Count: 1}},
+			}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		c.Step(0, scheduler.HostsRead{Hosts: []scheduler.Host{{Name: "w1", Address: "a1"}}})
+		effects := c.Step(0, scheduler.LogRead{Records: []configuration.Numbered{{Data: data}}})
+		attempt := uint64(1)
+		for now := time.Millisecond; now < 70*time.Second; now += 100 * time.Millisecond {
+			queue := append(effects, c.Step(now, scheduler.Tick{})...)
+			effects = nil
+			for len(queue) > 0 {
+				w := queue[0].(scheduler.WriteWorker)
+				queue = queue[1:]
+				Expect(w.Starts).To(BeEmpty())
+				Expect(w.Orders).To(BeEmpty())
+				ev := scheduler.WriteReplied{Worker: "w1", Digest: attempt, Capacity: resource.Vector{MilliCPU: 8000}}
+				ev.Reply = ownership.Reply{Write: w.Write, Now: now + time.Hour, Boot: time.Minute, Expiry: w.MarkExpiry, Since: now + time.Hour}
+				ev.Tasks = []scheduler.ObservedTask{{Task: "s/0/d/0", Attempt: attempt, Expiry: now + 2*time.Hour}}
+				attempt = 2
+				queue = append(queue, c.Step(now, ev)...)
+			}
+		}
+		Expect(c.Leader()).To(BeTrue())
+	})
+})
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -70,6 +70,13 @@
 // bind ties a task to an attempt on a worker.
 func (c *Core) bind(t *task, w *worker, state taskPhase, attempt uint64) {
 	evict := t.evict
+	if state == placed {
+		t.known, t.term = true, c.term.Began()
+	} else if !t.isBound() || t.attempt != attempt {
+		// Where it was seen on a worker of another owner, that one may renew it:
+		// the task counts as known in this term once its worker is owned.
+		t.known, t.term = false, -1
+	}
 	if !t.isBound() || t.attempt != attempt {
 		evict = 0
 		if state == live {
@@ -78,7 +85,6 @@
 	}
 	c.unbind(t)
 	t.state, t.worker, t.attempt, t.goneAt, t.evict = state, w.name, attempt, 0, evict
-	t.known, t.term = true, c.term.Began()
 	w.bound[t.name] = t
 	t.rack = w.rack
 	c.count(t)
@@ -128,6 +134,9 @@
 func (c *Core) wait(t *task) {
 	c.unbind(t)
 	t.state, t.worker, t.attempt, t.goneAt = waiting, "", 0, 0
+	if c.adoptStray(t) {
+		return
+	}
 	c.enqueue(t)
 	c.tear(t)
 	c.mayDiscard(t)
