Scheduler: a service's task is stopped only when no request can be in flight

Change: the directory shows the task as leaving, and the stop follows after the lease of entries' grants and the longest request (75 s in all). The slots' ledger knows earlier when a runner is idle; telling the core would shorten the wait, and is left to do.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -188,7 +188,9 @@
 func (c *Core) beginTerm() {
 	c.termAttempts = c.attempts
 	for _, name := range c.order {
-		if w := c.workers[name]; w.claim.Owned(c.now) && w.seenAt >= 0 {
+		w := c.workers[name]
+		clear(w.unwanted)
+		if w.claim.Owned(c.now) && w.seenAt >= 0 {
 			c.confirm(w)
 		}
 	}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -16,6 +16,7 @@
 // observe takes over a worker's list of tasks.
 func (c *Core) observe(w *worker, ev WriteReplied) {
 	before := w.observed
+	c.settleUnwanted(w, ev.Tasks)
 	w.observed = make(map[uint64]ObservedTask, len(ev.Tasks))
 	for _, o := range ev.Tasks {
 		w.observed[o.Attempt] = o
@@ -32,6 +33,20 @@
 	}
 }
 
+// settleUnwanted forgets the unwanted attempts that a worker no longer runs.
+func (c *Core) settleUnwanted(w *worker, list []ObservedTask) {
+	if len(w.unwanted) == 0 {
+		return
+	}
+	left := map[uint64]time.Duration{}
+	for _, o := range list {
+		if since, ok := w.unwanted[o.Attempt]; ok && o.State == Running {
+			left[o.Attempt] = since
+		}
+	}
+	w.unwanted = left
+}
+
 // endpoint returns the address at which the task serves requests, if any.
 func (o ObservedTask) endpoint() string {
 	if o.State != Running {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
 )
@@ -134,12 +135,33 @@
 		return 0, false
 	}
 	if !c.wants(w, o) {
-		return Stop, true
+		return Stop, c.idle(w, o)
 	}
+	delete(w.unwanted, o.Attempt)
 	t := c.tasks[o.Task]
 	return t.evict.orderKind(), t.evict != 0
 }
 
+// serviceDrain is how long a service's task that nobody wants goes on: the
+// directory shows it as leaving, entries fill its slots for at most the lease of
+// their grants (10 s), and give a request a minute from its send.
+const serviceDrain = 75 * time.Second
+
+// idle reports whether an unwanted task may be stopped: a service's task surely
+// has no request in flight then. It takes note of when the task became unwanted.
+func (c *Core) idle(w *worker, o ObservedTask) bool {
+	if o.Address == "" {
+		return true
+	}
+	since, ok := w.unwanted[o.Attempt]
+	if !ok {
+		w.unwanted[o.Attempt] = c.now
+		c.dirDirty = true
+		return false
+	}
+	return c.now >= since+serviceDrain
+}
+
 func (c *Core) wants(w *worker, o ObservedTask) bool {
 	t := c.tasks[o.Task]
 	return t != nil && t.wanted && t.isBound() && t.attempt == o.Attempt && t.worker == w.name &&
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -31,6 +31,8 @@
 	renewedUntil time.Duration
 	// endedAt holds the worker's time at which an ended attempt was first seen.
 	endedAt map[uint64]time.Duration
+	// unwanted holds when a service's running attempt was first not wanted.
+	unwanted map[uint64]time.Duration
 	// detached is set while the claim has held without a break since a term
 	// that is over: its tasks are renewed for a bounded time.
 	detached   bool
@@ -49,6 +51,7 @@
 		observed: map[uint64]ObservedTask{},
 		assumed:  map[uint64]Start{},
 		endedAt:  map[uint64]time.Duration{},
+		unwanted: map[uint64]time.Duration{},
 		seenAt:   -1,
 
 		attention: attention{bound: map[string]*task{}},
