scheduler: a new directory only when entries would learn something from it

Cause: each log record made a new version of the directory, and each entry of the domain then got the whole of it. Change: a directory equal to the last in runners, services and leader is not published.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -61,6 +61,40 @@
 		Expect(starts["s/0/d/0"]).NotTo(Equal(starts["s/0/d/1"]))
 	})
 
+	It("makes a new directory only when entries would learn something from it", func() {
+		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
+		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{
+			{Domain: &configuration.Domain{Name: "d", Workers: []string{"w1"}, Entries: []string{"h1"}}},
+			{Workload: &configuration.Workload{Name: "s", Kind: configuration.Service, Count: 1, Homes: []configuration.Home{{Domain: "d", Count: 1}}}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		queue := c.Step(0, scheduler.HostsRead{Hosts: []scheduler.Host{{Name: "w1", Address: "a1"}}})
+		queue = append(queue, c.Step(0, scheduler.LogRead{Records: []configuration.Numbered{{Data: data}}})...)
+		var tasks []scheduler.ObservedTask
+		versions := map[int64]bool{}
+		for now := time.Millisecond; now < 12*time.Second; now += 100 * time.Millisecond {
+			queue = append(queue, c.Step(now, scheduler.Tick{})...)
+			for ; len(queue) > 0; queue = queue[1:] {
+				reply := answer(now, queue[0].(scheduler.WriteWorker))
+				tasks = append(tasks, reply.Tasks...)
+				reply.Tasks = nil
+				for _, t := range tasks {
+					t.Address, t.Usage.MilliCPU, t.Expiry = "r", int64(now), now+2*time.Hour
+					reply.Tasks = append(reply.Tasks, t)
+				}
+				queue = append(queue, c.Step(now, reply)...)
+			}
+			if now > 6*time.Second {
+				data, err := configuration.Encode(configuration.Record{ID: now.String(), Ops: []configuration.Op{{Team: &configuration.Team{Name: "t", Weight: int64(now)}}}})
+				Expect(err).NotTo(HaveOccurred())
+				queue = append(queue, c.Step(now, scheduler.LogRead{Records: []configuration.Numbered{{Offset: c.NextOffset(), Data: data}}})...)
+				versions[c.Directory().Version] = true
+			}
+		}
+		Expect(c.Directory().Endpoints).To(HaveLen(1))
+		Expect(versions).To(HaveLen(1))
+	})
+
 	It("appends a snapshot when the log has had none for long", func() {
 		c := scheduler.New(scheduler.DefaultSettings("h1", "1", "d"))
 		data, err := configuration.Encode(configuration.Record{ID: "a", Ops: []configuration.Op{
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -80,7 +81,14 @@
 			d.Services = append(d.Services, ServiceInfo{Name: name, Policy: w.Policy})
 		}
 	}
-	c.dir = d
+	if !d.same(c.dir) {
+		c.dir = d
+	}
+}
+
+// same reports whether entries would learn nothing new from d.
+func (d Directory) same(o Directory) bool {
+	return d.Leader == o.Leader && slices.Equal(d.Endpoints, o.Endpoints) && slices.Equal(d.Services, o.Services)
 }
 
 func (c *Core) endpoint(w *worker, o ObservedTask) (Endpoint, bool) {
