--- a/internal/slots/ledger.go
+++ b/internal/slots/ledger.go
@@ -42,7 +42,7 @@
 	// Fresh runners were started in the present term, so that nobody else can
 	// have granted their slots.
 	Fresh bool
-	// Leaving runners keep their grants as they are.
+	// Leaving runners are granted to nobody: what was granted is taken back.
 	Leaving bool
 }
 
@@ -335,7 +335,10 @@
 		sent, count = g.sent, g.count()
 	}
 	target := r.targets[h]
-	if r.Leaving || target == sent {
+	if r.Leaving {
+		target = 0
+	}
+	if target == sent {
 		return sent
 	}
 	if target < sent {
