Tasks leave their worker without a cut: checkpoint, end of requests, turns

Cause: drained and leaving workers got nothing new but kept their tasks for good, and a runner that was no longer wanted was stopped at once, with requests on it.

Change: batch work on a drained or leaving worker gets a checkpoint order, and a gang one for every member, so that it goes on whole. A service's runner is shown to entries as leaving, and is stopped when the slot ledger says, by the new event SlotsIdle, that no entry can fill a slot of it any more, or at the bound slots.Timing.Silent. The word counts only for the term and directory in which the runner was leaving. At most a quarter of a service's runners move off drained workers at a time; one whose turn has not come still serves. Those on workers that the platform shows as leaving are shown so at once, without turns, as they may get nothing new. The core looks only at touched workers.

Ruled out: publishing all runners of a drained worker as leaving at once with turns for their moves only; a drained rack would then take a service down.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -23,6 +23,10 @@
 	orders  []scheduler.Order
 	// mute workers get no write.
 	mute map[string]bool
+	// serving gives every service task an address.
+	serving bool
+	// onStop is called with each runner that is told to stop, before it does.
+	onStop func(attempt uint64)
 }
 
 type fakeWorker struct {
@@ -93,6 +97,9 @@
 	w.renew(eff.RenewExpiry)
 	for _, o := range eff.Orders {
 		c.orders = append(c.orders, o)
+		if c.onStop != nil {
+			c.onStop(o.Attempt)
+		}
 		w.end(o.Attempt, map[scheduler.OrderKind]scheduler.TaskState{scheduler.Stop: scheduler.Stopped, scheduler.Checkpoint: scheduler.Checkpointed}[o.Kind])
 	}
 	for _, a := range eff.Forget {
@@ -101,7 +108,11 @@
 	}
 	for _, s := range eff.Starts {
 		c.started = append(c.started, s)
-		w.tasks[s.Attempt] = scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: s.Expiry}
+		t := scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: s.Expiry}
+		if c.serving && s.Service != "" {
+			t.Address = fmt.Sprint("a", s.Attempt)
+		}
+		w.tasks[s.Attempt] = t
 		w.digest++
 	}
 	return w.reply(eff, now)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -83,6 +83,7 @@
 	// seats is the version of the domain's declaration whose seats are in place.
 	seats seatsVersion
 	placer
+	departures
 }
 
 // New returns a core that knows nothing.
@@ -99,6 +100,8 @@
 		applied: -1,
 		reasons: Counters{},
 		placer:  newPlacer(),
+
+		departures: departures{moves: map[string][]move{}},
 	}
 }
 
@@ -140,6 +143,8 @@
 		c.peers[ev.Host] = peer{PeerHeard: ev, at: c.now}
 	case AppendDone:
 		c.appended(ev)
+	case SlotsIdle:
+		c.takeIdle(ev)
 	case Leave:
 		c.leave()
 	}
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -161,6 +161,7 @@
 		c.unreserve()
 	}
 	c.dropHolds(g, true)
+	delete(c.moves, g.workload)
 	for _, t := range g.members {
 		if t.in == g {
 			c.uncount(t)
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -87,9 +87,8 @@
 	if o.State != Running || o.Address == "" {
 		return Endpoint{}, false
 	}
-	_, drained := c.view.Catalog.Drained[w.name]
 	ep := Endpoint{Service: configuration.WorkloadOf(o.Task), Task: o.Task, Attempt: o.Attempt, Address: o.Address}
-	ep.Leaving = w.leaving || drained || !c.wants(w, o)
+	ep.Leaving = w.leaving || w.departures[o.Attempt] != nil || !c.wants(w, o)
 	ep.Fresh = c.startedInTerm(o.Attempt)
 	return ep, true
 }
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -98,6 +98,16 @@
 	Failed bool
 }
 
+// SlotsIdle brings the leaving runners of which no entry can fill a slot any
+// more, as worked out in the term that began at Began with the directory of
+// the given version.
+type SlotsIdle struct {
+	Began   time.Duration
+	Version int64
+	// Attempts are in order.
+	Attempts []uint64
+}
+
 // Leave begins a planned stop: the core gives up what it owns.
 type Leave struct{}
 
@@ -108,6 +118,7 @@
 func (WriteFailed) event()  {}
 func (PeerHeard) event()    {}
 func (AppendDone) event()   {}
+func (SlotsIdle) event()    {}
 func (Leave) event()        {}
 
 // Effect is something that the core wants done outside.
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -41,7 +41,7 @@
 		}
 		s := c.gangState(g)
 		if s.bound == 0 {
-			g.stopping = false
+			g.stopping, g.parting = false, false
 			c.queue.activate(g, placement.GangWaits)
 			continue
 		}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -33,6 +33,8 @@
 	profile job.Profile
 	// stopping is set while a gang that lost a member is stopped whole.
 	stopping bool
+	// parting is set while a gang is stopped because it leaves a worker.
+	parting bool
 	// holds lists the room that is kept for the group.
 	holds []hold
 }
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
@@ -104,14 +103,17 @@
 	c.dirDirty = true
 }
 
-// stopUnwanted orders tasks to stop that no workload wants, and attempts that
-// are not the task's own.
+// stopUnwanted orders tasks to stop that no workload wants, attempts that are
+// not the task's own, and tasks that have to leave their worker.
 func (c *Core) stopUnwanted() {
-	for _, w := range c.touched {
+	c.inOrder()
+	for i := 0; i < len(c.touched); i++ {
+		w := c.touched[i]
+		c.depart(w)
 		if !w.claim.Owned(c.now) || w.claim.Pending() || len(w.orders) > 0 || w.orderedAt > 0 && c.now < w.orderedAt+orderRetry {
 			continue
 		}
-		for _, a := range slices.Sorted(maps.Keys(w.observed)) {
+		for _, a := range w.attempts() {
 			o := w.observed[a]
 			if kind, ok := c.orderFor(w, o); ok {
 				w.orders = append(w.orders, Order{Kind: kind, Task: o.Task, Attempt: o.Attempt})
@@ -127,18 +129,6 @@
 	c.discard = c.discard[:0]
 }
 
-// orderFor returns what a worker has to be told of a running task, if anything.
-func (c *Core) orderFor(w *worker, o ObservedTask) (OrderKind, bool) {
-	if o.State != Running {
-		return 0, false
-	}
-	if !c.wants(w, o) {
-		return Stop, true
-	}
-	t := c.tasks[o.Task]
-	return t.evict.orderKind(), t.evict != 0
-}
-
 func (c *Core) wants(w *worker, o ObservedTask) bool {
 	t := c.tasks[o.Task]
 	return t != nil && t.wanted && t.isBound() && t.attempt == o.Attempt && t.worker == w.name &&
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,6 +39,8 @@
 	due time.Duration
 	// seenAt is when the worker's tasks were last told while it was owned.
 	seenAt time.Duration
+	// departures holds the serving runners that have to leave, by attempt.
+	departures map[uint64]*departure
 	attention
 }
 
@@ -51,6 +53,8 @@
 		endedAt:  map[uint64]time.Duration{},
 		seenAt:   -1,
 
+		departures: map[uint64]*departure{},
+
 		attention: attention{bound: map[string]*task{}},
 	}
 }
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -49,9 +49,10 @@
 	start  time.Time
 	events chan scheduler.Event
 	// calls run on the core's goroutine.
-	calls chan func(*scheduler.Core)
-	core  *scheduler.Core
-	wg    sync.WaitGroup
+	calls     chan func(*scheduler.Core)
+	core      *scheduler.Core
+	directory *directoryService
+	wg        sync.WaitGroup
 	// counted holds the core's counters as last passed on.
 	counted scheduler.Counters
 
@@ -77,7 +78,7 @@
 	if opt.Count == nil {
 		opt.Count = func(string, string, int64) {}
 	}
-	return &Daemon{
+	d := &Daemon{
 		opt:     opt,
 		start:   time.Now(),
 		events:  make(chan scheduler.Event, 1024),
@@ -85,12 +86,14 @@
 		core:    scheduler.New(opt.Settings),
 		changed: make(chan struct{}),
 	}
+	d.directory = newDirectoryService(d)
+	return d
 }
 
 // Run steps the core until ctx ends, then gives up its workers.
 func (d *Daemon) Run(ctx context.Context) {
 	io, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){d.followLog, d.pollHosts, d.tick} {
+	for _, loop := range []func(context.Context){d.followLog, d.pollHosts, d.tick, d.directory.watchIdle} {
 		d.wg.Go(func() { loop(ctx) })
 	}
 	for _, url := range d.opt.Peers {
--- a/internal/schedulerd/metrics.go
+++ b/internal/schedulerd/metrics.go
@@ -94,6 +94,7 @@
 var reasonKinds = map[string]string{
 	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry", "gang-torn": "retry",
 	"quarantined": "quarantine", "preempted": "preemption",
+	"task-moved": "drain", "stop-overdue": "drain",
 	"append-failed": "retry", "stale-reply": "retry", "worker-held": "retry",
 }
 
--- a/internal/schedulerd/server.go
+++ b/internal/schedulerd/server.go
@@ -10,7 +10,7 @@
 func (d *Daemon) Register(handle func(prefix string, h http.Handler)) {
 	for _, s := range []control.TwirpServer{
 		control.NewPeerServer(peerService{d}),
-		control.NewDirectoryServer(newDirectoryService(d)),
+		control.NewDirectoryServer(d.directory),
 		control.NewOperatorServer(newOperatorService(d)),
 	} {
 		handle(s.PathPrefix(), s)
