--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -62,8 +62,11 @@
 	Begun bool
 	// Replayable is set when the whole request can be sent again.
 	Replayable bool
-	// Unknown is set when another entry answered that the outcome is unknown.
-	Unknown bool
+	// Unknown is set when another entry answered that the outcome is unknown,
+	// with its reason and when to come back.
+	Unknown    bool
+	Reason     Reason
+	RetryAfter time.Duration
 }
 
 // DirectoryRead brings the domain's runners and the slots granted to this entry.
@@ -72,8 +75,11 @@
 	SentAt time.Duration
 	// Unchanged renews the lease and leaves all else as it is.
 	Unchanged bool
-	Runners   []Runner
-	Services  []Service
+	// Former is how long an earlier process of this host may still send under a
+	// grant; nil where that wasn't told.
+	Former   *time.Duration
+	Runners  []Runner
+	Services []Service
 }
 
 // Runner is a service's runner with the slots that this entry may fill.
--- a/internal/routing/keys.go
+++ b/internal/routing/keys.go
@@ -39,6 +39,9 @@
 	// heard holds the peers that have told all their keys.
 	heard map[string]bool
 	peers []Peer
+	// told is set once the holder of the term has told how long an earlier
+	// process may send.
+	told  bool
 	timer timer
 }
 
@@ -59,6 +62,18 @@
 	}
 }
 
+// hearFormer lets the peers be asked as soon as no earlier process can send.
+func (c *Core) hearFormer(former *time.Duration) {
+	k := &c.keys
+	if former == nil || k.told || k.complete {
+		return
+	}
+	k.told = true
+	if at := c.now + c.lengthen(*former); at < k.timer.at {
+		c.arm(&k.timer, at)
+	}
+}
+
 // recall asks the peers for their keys.
 type recall struct{}
 
@@ -172,8 +187,10 @@
 	case !c.keys.complete:
 		c.refuse(q, ReasonKeysIncomplete, retrySoon)
 	case len(c.keys.known) >= maxKeys:
+		q.vouched = true
 		c.refuse(q, ReasonTooManyKeys, retrySoon)
 	case len(entries) < 2:
+		q.vouched = true
 		c.refuse(q, ReasonNoSecond, retrySoon)
 	default:
 		c.intend(q, entries[1:])
@@ -195,6 +212,7 @@
 
 // intend has the intent stored at a second entry before the request is queued.
 func (c *Core) intend(q *request, seconds []Peer) {
+	q.vouched = true
 	k := c.remember(Intent{Key: q.Key, Holder: c.set.Holder(), ID: q.ID})
 	k.run, k.seconds, q.key, q.phase = q, seconds, k, recording
 	c.arm(&q.timer, q.Deadline)
