--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -47,6 +47,7 @@
 	for _, ev := range []scheduler.Event{
 		scheduler.Tick{}, scheduler.LogRead{}, scheduler.HostsRead{}, scheduler.WriteReplied{},
 		scheduler.WriteFailed{}, scheduler.PeerHeard{}, scheduler.AppendDone{}, scheduler.Leave{},
+		scheduler.SlotsIdle{},
 	} {
 		t := reflect.TypeOf(ev)
 		events[t.Name()] = t
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -68,3 +69,22 @@
 		}
 	}
 }
+
+// TestEveryEventIsReplayed checks that a recorded trace may hold each event of
+// the core: the scheduler's package declares which types are events.
+func TestEveryEventIsReplayed(t *testing.T) {
+	source, err := os.ReadFile("../scheduler/events.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := regexp.MustCompile(`(?m)^func \((\w+)\) event\(\)`).FindAllSubmatch(source, -1)
+	if len(found) < 9 {
+		t.Fatalf("%d events found", len(found))
+	}
+	for _, m := range found {
+		text := `{"trace":1}` + "\n" + `{"at":1,"event":"` + string(m[1]) + `","payload":{},"effects":0}` + "\n"
+		if _, err := trace.Replay(strings.NewReader(text)); err != nil {
+			t.Errorf("%s: %v", m[1], err)
+		}
+	}
+}
