--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -31,8 +31,6 @@
 	renewedUntil time.Duration
 	// endedAt holds the worker's time at which an ended attempt was first seen.
 	endedAt map[uint64]time.Duration
-	// unwanted holds when a service's running attempt was first not wanted.
-	unwanted map[uint64]time.Duration
 	// detached is set while the claim has held without a break since a term
 	// that is over: its tasks are renewed for a bounded time.
 	detached   bool
@@ -41,6 +39,8 @@
 	due time.Duration
 	// seenAt is when the worker's tasks were last told while it was owned.
 	seenAt time.Duration
+	// departures holds the serving runners that have to leave, by attempt.
+	departures map[uint64]*departure
 	attention
 }
 
@@ -51,9 +51,10 @@
 		observed: map[uint64]ObservedTask{},
 		assumed:  map[uint64]Start{},
 		endedAt:  map[uint64]time.Duration{},
-		unwanted: map[uint64]time.Duration{},
 		seenAt:   -1,
 
+		departures: map[uint64]*departure{},
+
 		attention: attention{bound: map[string]*task{}},
 	}
 }
