--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -114,7 +114,7 @@
 	for _, g := range c.queue.groups {
 		g.holds = nil
 	}
-	c.reserved = reservation{}
+	c.reserved = [2]reservation{}
 	c.queue.activateAll()
 }
 
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -170,8 +170,10 @@
 // the time: the time of each step that starts a task, and the core's time in all
 // for each task started, renewals included.
 func BenchmarkPlacement(b *testing.B) {
-	for _, n := range []int{140, 1100} {
-		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) { benchmarkPlacement(b, n) })
+	for _, waiting := range []int{0, 300} {
+		for _, n := range []int{140, 1100} {
+			b.Run(fmt.Sprintf("workers=%d/waiting=%d", n, waiting), func(b *testing.B) { benchmarkPlacement(b, n, waiting) })
+		}
 	}
 }
 
@@ -181,7 +183,8 @@
 // benchWorkloads divides the tasks.
 const benchWorkloads = 50
 
-func benchmarkPlacement(b *testing.B, n int) {
+// benchmarkPlacement has as many workloads wait, each with more tasks than fit.
+func benchmarkPlacement(b *testing.B, n, waiting int) {
 	c := newCell(n, func(int) resource.Vector { return resource.Vector{MilliCPU: 16000, MemoryMiB: 65536} })
 	c.stagger()
 	tasks := int(float64(n)*tasksPerWorker) / benchWorkloads
@@ -193,6 +196,12 @@
 	for len(c.running()) < tasks*benchWorkloads {
 		c.run(time.Second)
 	}
+	ops = nil
+	for i := range waiting {
+		ops = append(ops, declared(workload(fmt.Sprintf("w%03d", i), configuration.Batch, n, resource.Vector{MilliCPU: 1000, MemoryMiB: 2048})))
+	}
+	c.declare(ops...)
+	c.run(10 * time.Second)
 	m := &stepTimes{}
 	seq := 0
 	b.ResetTimer()
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -157,9 +157,7 @@
 
 // dropGroup forgets a group whose workload is gone.
 func (c *Core) dropGroup(g *group) {
-	if c.reserved.holder == g {
-		c.unreserve()
-	}
+	c.giveUp(g)
 	c.dropHolds(g, true)
 	for _, t := range g.members {
 		if t.in == g {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -74,6 +74,10 @@
 
 // placeGang places all members that have work to do, or none.
 func (c *Core) placeGang(g *group) {
+	if r := c.Refusal(g.spec); r != nil {
+		c.refuse(g, r)
+		return
+	}
 	s := c.gangState(g)
 	if s.bound > 0 || s.ready < s.waiting {
 		c.awaitGang(g, s)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -25,8 +25,9 @@
 	// discard lists tasks that may have to be forgotten.
 	discard []*task
 	// torn lists gangs to be looked at since a member waits again.
-	torn     []*group
-	reserved reservation
+	torn []*group
+	// reserved holds a reservation for work with accelerators and one for other work.
+	reserved [2]reservation
 	ledger   *team.Ledger
 	// freedTeams lists teams that gave something back.
 	freedTeams []string
@@ -153,8 +154,7 @@
 func (c *Core) noFit(g *group, t *task) {
 	c.reasons["no-fit"]++
 	if r := c.Refusal(g.spec); r != nil {
-		c.reasons["impossible"]++
-		c.setAside(g, placement.Reason(r.Cause))
+		c.refuse(g, r)
 		return
 	}
 	c.setAside(g, c.cell.Why(c.request(g, t)))
@@ -164,19 +164,23 @@
 	}
 }
 
+// refuse sets a group aside that could never run.
+func (c *Core) refuse(g *group, r *job.Refusal) {
+	c.reasons["impossible"]++
+	c.setAside(g, placement.Reason(r.Cause))
+}
+
 // setAside blocks a group. One that does not wait for room gives up its reservation.
 func (c *Core) setAside(g *group, why placement.Reason) {
 	c.queue.block(g, why)
-	if c.reserved.holder == g && !g.awaitsRoom() {
-		c.unreserve()
+	if !g.awaitsRoom() {
+		c.giveUp(g)
 	}
 }
 
 // placedGroup gives up what was kept for a group that needs it no more.
 func (c *Core) placedGroup(g *group) {
-	if c.reserved.holder == g {
-		c.unreserve()
-	}
+	c.giveUp(g)
 	if len(g.holds) > 0 && g.waitingCount() == 0 {
 		c.dropHolds(g, true)
 	}
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -312,6 +312,10 @@
 		c.declare(declared(big), declared(wide))
 		Expect(c.reasons("big")).To(ConsistOf(BeEquivalentTo(placement.Impossible)))
 		Expect(c.reasons("wide")).To(ConsistOf(BeEquivalentTo(placement.GangTooLarge)))
+		split := workload("split", configuration.Gang, 2, cpu(1))
+		split.Count, split.Homes = 4, append(split.Homes, configuration.Home{Domain: "e", Count: 2})
+		c.declare(declared(split))
+		Expect(c.reasons("split")).To(ConsistOf(BeEquivalentTo(placement.GangSplit)))
 		Expect(c.core.Refusal(&big)).To(MatchError(ContainSubstring("no worker holds")))
 	})
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -225,8 +225,10 @@
 	if first != nil {
 		c.queue.activate(first, "")
 	}
-	if r := c.reserved.holder; r != nil {
-		c.queue.activate(r, "")
+	for i := range c.reserved {
+		if holder := c.reserved[i].holder; holder != nil {
+			c.queue.activate(holder, "")
+		}
 	}
 }
 
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -52,7 +52,7 @@
 
 // reserve gives the group the reservation unless one that goes first has it.
 func (c *Core) reserve(g *group) {
-	r := &c.reserved
+	r := c.reservationFor(g)
 	if !g.isGang() && c.now-g.first().since < reserveAfter {
 		return
 	}
@@ -74,8 +74,26 @@
 	if r.holder != g {
 		first = 0
 	}
-	c.unreserve()
-	c.plan(g, first)
+	c.unreserve(r)
+	c.plan(g, r, first)
+}
+
+// reservationFor returns the reservation that the group may hold. Work with
+// accelerators has its own, so that neither kind waits for the other's room.
+func (c *Core) reservationFor(g *group) *reservation {
+	if g.spec.Size.Accelerators > 0 {
+		return &c.reserved[1]
+	}
+	return &c.reserved[0]
+}
+
+// giveUp drops the reservation if the group holds it.
+func (c *Core) giveUp(g *group) {
+	for i := range c.reserved {
+		if c.reserved[i].holder == g {
+			c.unreserve(&c.reserved[i])
+		}
+	}
 }
 
 // holds reports whether all nodes still take work.
@@ -83,15 +101,15 @@
 	return len(nodes) > 0 && !slices.ContainsFunc(nodes, func(n *placement.Node) bool { return n.Blocked != "" })
 }
 
-// unreserve drops the reservation and has those tried again that it held back.
-func (c *Core) unreserve() {
-	if c.reserved.holder == nil {
+// unreserve drops a reservation and has those tried again that it held back.
+func (c *Core) unreserve(r *reservation) {
+	if r.holder == nil {
 		return
 	}
-	for _, n := range c.reserved.nodes {
+	for _, n := range r.nodes {
 		n.ReservedFor, n.ReservedFrom, n.Later = "", 0, resource.Vector{}
 	}
-	c.reserved = reservation{}
+	*r = reservation{}
 	for _, g := range slices.Clone(c.queue.blocked) {
 		c.queue.activate(g, placement.Reserved)
 	}
@@ -106,7 +124,7 @@
 
 // plan finds the earliest time at which the group fits, by the expected ends of
 // what runs, and reserves the room.
-func (c *Core) plan(g *group, first time.Duration) {
+func (c *Core) plan(g *group, r *reservation, first time.Duration) {
 	need := 1
 	if g.isGang() {
 		need = c.gangState(g).waiting
@@ -133,7 +151,7 @@
 	if first == 0 {
 		first = at
 	}
-	c.reserved = reservation{holder: g, first: first, made: c.now, nodes: order}
+	*r = reservation{holder: g, first: first, made: c.now, nodes: order}
 	for _, n := range order {
 		n.ReservedFor, n.ReservedFrom = g.workload, at
 		n.Later = c.freeAt(n, at).Sub(size.Scale(int64(slots[n])))
@@ -146,7 +164,7 @@
 	var list []opening
 	for i := range c.cell.Nodes() {
 		n := &c.cell.Nodes()[i]
-		if n.Blocked != "" || n.Probe || !size.Fits(n.Capacity) {
+		if n.Blocked != "" || n.Probe || n.ReservedFor != "" || !size.Fits(n.Capacity) {
 			continue
 		}
 		free, have := n.Free, job.Slots(size, n.Usable(size, n.Free), need)
