Scheduler: freed room wakes the one group that goes first

Cause: each freed worker woke every blocked group that would fit there; one got the room and all others searched every worker again.

Change: freed workers are listed, and the first blocked group in order that fits one of them is tried; what found no place in a step isn't tried again in it. The search keeps the reason closest to a placement, so it is not repeated to learn it; impossible work is told from the rest once for each change of shapes. A group for which room was cleared passes the accelerators' guard there: the guard rose when other tasks ended meanwhile, and urgent tasks waited up to 1.6 s.

--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -10,6 +10,8 @@
 	total, free resource.Vector
 	// from is where the next sampled search begins.
 	from int
+	// closest is the reason closest to a placement in the last search.
+	closest Reason
 }
 
 // Reset forgets all nodes and makes room for n.
@@ -88,13 +90,17 @@
 	}
 	var best *Node
 	var top float64
-	found, i := 0, start
+	found, i, near := 0, start, -1
+	c.closest = NotOwned
 	for range size {
 		n := &c.nodes[i]
 		if i++; i == size {
 			i = 0
 		}
-		if Feasible(r, n) != "" {
+		if why := Feasible(r, n); why != "" {
+			if rank := closeness(why); rank > near {
+				c.closest, near = why, rank
+			}
 			continue
 		}
 		if score := rules.Scorer.Score(r, n, c); best == nil || score > top {
@@ -110,18 +116,10 @@
 	return best
 }
 
-// Why returns the reason that stands closest to a placement of r: one that
-// other work's moves can lift comes before a lack of capacity.
-func (c *Cell) Why(r *Request) Reason {
-	best, top := NotOwned, -1
-	for i := range c.nodes {
-		why := Feasible(r, &c.nodes[i])
-		if rank := closeness(why); rank > top {
-			best, top = why, rank
-		}
-	}
-	return best
-}
+// Closest returns the reason of the last search that found no node: the one
+// that stands closest to a placement. What other work's moves can lift comes
+// before a lack of capacity.
+func (c *Cell) Closest() Reason { return c.closest }
 
 func closeness(why Reason) int {
 	switch why {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -117,7 +117,7 @@
 		return Held
 	case !r.Urgent && n.ReservedFor != "" && n.ReservedFor != r.Workload.Name && r.Ends > n.ReservedFrom && !r.Size.Fits(n.Later):
 		return Reserved
-	case r.Size.Accelerators == 0 && n.Capacity.Accelerators > 0 && n.strands(r.Size):
+	case r.Size.Accelerators == 0 && n.Capacity.Accelerators > 0 && n.HeldFor != r.Workload.Name && n.strands(r.Size):
 		return AcceleratorsKept
 	}
 	return ""
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -115,6 +115,8 @@
 		g.holds = nil
 	}
 	c.reserved = [2]reservation{}
+	c.freed = c.freed[:0]
+	c.shapes++
 	c.queue.activateAll()
 }
 
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -74,8 +74,7 @@
 
 // placeGang places all members that have work to do, or none.
 func (c *Core) placeGang(g *group) {
-	if r := c.Refusal(g.spec); r != nil {
-		c.refuse(g, r)
+	if !c.isPossible(g) {
 		return
 	}
 	s := c.gangState(g)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -33,6 +33,12 @@
 	freedTeams []string
 	// polling is set while work waits for room whose policy has workers polled.
 	polling bool
+	// freed lists nodes that may take more than before; steps numbers the steps
+	// in which tasks are placed, and shapes the changes of workers' capacities.
+	freed         []*placement.Node
+	steps, shapes uint64
+	// probe is the request that nodes are tried with.
+	probe placement.Request
 	// retryAt is when blocked groups that hold or want kept room are tried again.
 	retryAt time.Duration
 	// orphansStale is set when seats changed since orphans were listed.
@@ -84,6 +90,7 @@
 	opened, reshaped := opens(old, &now), old.Capacity != now.Capacity
 	c.cell.Set(old, now)
 	if reshaped {
+		c.shapes++
 		c.limit = c.limit.Max(now.Capacity)
 		c.queue.activateAll()
 	} else if opened {
@@ -153,21 +160,30 @@
 // bring its start nearer: a reservation, or room cleared of less urgent work.
 func (c *Core) noFit(g *group, t *task) {
 	c.reasons["no-fit"]++
-	if r := c.Refusal(g.spec); r != nil {
-		c.refuse(g, r)
+	g.triedIn = c.steps
+	if !c.isPossible(g) {
 		return
 	}
-	c.setAside(g, c.cell.Why(c.request(g, t)))
+	c.setAside(g, c.cell.Closest())
 	if !c.rulesOf(g).InOrder {
 		c.preempt(g, t)
 		c.reserve(g)
 	}
 }
 
-// refuse sets a group aside that could never run.
-func (c *Core) refuse(g *group, r *job.Refusal) {
-	c.reasons["impossible"]++
-	c.setAside(g, placement.Reason(r.Cause))
+// isPossible reports whether the group could run on the workers as they are
+// known, and refuses it otherwise.
+func (c *Core) isPossible(g *group) bool {
+	if g.possible == c.shapes {
+		return true
+	}
+	if r := c.Refusal(g.spec); r != nil {
+		c.reasons["impossible"]++
+		c.setAside(g, placement.Reason(r.Cause))
+		return false
+	}
+	g.possible = c.shapes
+	return true
 }
 
 // setAside blocks a group. One that does not wait for room gives up its reservation.
@@ -202,7 +218,12 @@
 
 // request describes a task of the group to placement.
 func (c *Core) request(g *group, t *task) *placement.Request {
-	r := &placement.Request{
+	r := c.requestOf(g, t)
+	return &r
+}
+
+func (c *Core) requestOf(g *group, t *task) placement.Request {
+	r := placement.Request{
 		Task: t.name, Workload: g.spec, Size: c.sizeOf(g), Ends: c.ends(g), Confirmed: c.rulesOf(g).Confirmed,
 		Urgent:     g.spec.Urgency == configuration.Urgent,
 		Expendable: g.spec.Kind == configuration.Batch && g.spec.Urgency != configuration.Urgent,
@@ -217,9 +238,10 @@
 func (c *Core) mayHelp(g *group, n *placement.Node) bool {
 	t := c.head(g)
 	if t == nil {
-		return true
+		return false
 	}
-	return placement.Feasible(c.request(g, t), n) == ""
+	c.probe = c.requestOf(g, t)
+	return placement.Feasible(&c.probe, n) == ""
 }
 
 // sizeOf returns what a task of the group takes.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -30,6 +30,9 @@
 	// racks counts the workload's bound tasks by rack.
 	racks   map[string]int
 	profile job.Profile
+	// triedIn is the number of the step in which the group last found no place,
+	// and possible that of the shapes for which its tasks were found to be possible.
+	triedIn, possible uint64
 	// stopping is set while a gang that lost a member is stopped whole.
 	stopping bool
 	// holds lists the room that is kept for the group.
@@ -250,20 +253,39 @@
 
 // wakeTeam lets groups through whose team holds less than before.
 func (c *Core) wakeTeam(team string) {
-	for _, g := range slices.Clone(c.queue.blocked) {
-		if g.spec.Team == team {
+	for i := 0; i < len(c.queue.blocked); {
+		if g := c.queue.blocked[i]; g.blocked == placement.Quota && g.spec.Team == team {
 			c.queue.activate(g, placement.Quota)
+			continue
 		}
+		i++
 	}
 }
 
-// wakeFreed lets groups through that the capacity freed on a node can serve.
+// wakeFreed notes that a node may take something that it did not take before.
 func (c *Core) wakeFreed(n *placement.Node) {
-	for _, g := range slices.Clone(c.queue.blocked) {
-		if g.awaitsRoom() && c.mayHelp(g, n) {
-			c.queue.activate(g, "")
+	c.freed = append(c.freed, n)
+}
+
+// nextFreed returns the first of the blocked groups whose next task a freed
+// node can take, or nil when there is none for any freed node. A group that
+// found no place in this step isn't tried again in it.
+func (c *Core) nextFreed() *group {
+	for len(c.freed) > 0 {
+		n := c.freed[len(c.freed)-1]
+		var best *group
+		for _, g := range c.queue.blocked {
+			if g.triedIn != c.steps && g.awaitsRoom() && (best == nil || c.before(g, best)) && c.mayHelp(g, n) {
+				best = g
+			}
+		}
+		if best != nil {
+			c.queue.activate(best, "")
+			return best
 		}
+		c.freed = c.freed[:len(c.freed)-1]
 	}
+	return nil
 }
 
 // What the order of groups weighs against waiting time.
@@ -338,6 +360,9 @@
 	c.wakeTimed()
 	for range placeMost {
 		g := c.next()
+		if g == nil {
+			g = c.nextFreed()
+		}
 		if g == nil {
 			return
 		}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -15,6 +15,7 @@
 		return
 	}
 	if c.term.Held(c.now) {
+		c.steps++
 		c.collectLost()
 		c.mendGangs()
 		c.stopUnwanted()
@@ -53,7 +54,8 @@
 
 // wakeTeams lets groups through whose team gave something back in this step.
 func (c *Core) wakeTeams() {
-	for _, name := range c.freedTeams {
+	slices.Sort(c.freedTeams)
+	for _, name := range slices.Compact(c.freedTeams) {
 		c.wakeTeam(name)
 	}
 	c.freedTeams = c.freedTeams[:0]
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -27,8 +27,12 @@
 // reserveAfter is how long a single task waits before room is kept for it.
 const reserveAfter = 30 * time.Second
 
-// reserveInterval is the least time between two workings-out of the reservation.
-const reserveInterval = time.Second
+// reserveInterval is the least time between two workings-out of a reservation
+// for the same group, and replanLeast that for any.
+const (
+	reserveInterval = time.Second
+	replanLeast     = 200 * time.Millisecond
+)
 
 // ends returns the time at which a task of the group ends if it starts now.
 func (c *Core) ends(g *group) time.Duration {
@@ -59,7 +63,7 @@
 	if r.holder != nil && r.holder != g && !c.before(g, r.holder) {
 		return
 	}
-	if r.holder == g && c.now-r.made < reserveInterval {
+	if since := c.now - r.made; r.made > 0 && (since < replanLeast || r.holder == g && since < reserveInterval) {
 		return
 	}
 	keep := r.holder == g && c.now >= r.first && c.holds(r.nodes)
@@ -75,6 +79,7 @@
 		first = 0
 	}
 	c.unreserve(r)
+	r.made = c.now
 	c.plan(g, r, first)
 }
 
@@ -101,18 +106,16 @@
 	return len(nodes) > 0 && !slices.ContainsFunc(nodes, func(n *placement.Node) bool { return n.Blocked != "" })
 }
 
-// unreserve drops a reservation and has those tried again that it held back.
+// unreserve drops a reservation; its nodes are open to others again.
 func (c *Core) unreserve(r *reservation) {
 	if r.holder == nil {
 		return
 	}
 	for _, n := range r.nodes {
 		n.ReservedFor, n.ReservedFrom, n.Later = "", 0, resource.Vector{}
+		c.wakeFreed(n)
 	}
-	*r = reservation{}
-	for _, g := range slices.Clone(c.queue.blocked) {
-		c.queue.activate(g, placement.Reserved)
-	}
+	*r = reservation{made: r.made}
 }
 
 // opening is a time at which a node gets room for more tasks of a group.
