--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -14,6 +14,8 @@
 	// Created is the offset at which the object was declared anew.
 	Created int64  `json:"created"`
 	Actor   string `json:"actor"`
+	// Finished is set on finite work whose tasks have all ended.
+	Finished bool `json:"finished,omitempty"`
 }
 
 // Catalog is the state that the log's records add up to. It isn't safe for
@@ -26,12 +28,17 @@
 	Workloads map[string]Entry[Workload]  `json:"workloads,omitempty"`
 	Drained   map[string]Entry[Drain]     `json:"drained,omitempty"`
 	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
-	// Applied keeps the outcome of recent records by ID.
+	// Finished lists finished workloads, oldest first.
+	Finished []Finished `json:"finished,omitempty"`
+	// Applied keeps the outcome of recent records with operations by ID. What
+	// other records say has no further effect when it is said twice.
 	Applied map[string]Outcome `json:"applied,omitempty"`
 	// Recent lists the IDs in Applied, oldest first.
 	Recent []string `json:"recent,omitempty"`
 	// History holds the last changes of declared objects, oldest first.
 	History []Change `json:"history,omitempty"`
+	// repeat is set by tests to see what becomes of records appended twice.
+	repeat bool
 }
 
 // Outcome tells what became of one record.
@@ -50,8 +57,13 @@
 	Offset int64  `json:"offset"`
 }
 
-// recentOutcomes bounds the outcomes that a catalog keeps.
-const recentOutcomes = 4096
+// recentOutcomes is the number of operators' changes whose outcomes a catalog
+// keeps at least, and recentSlack by how many more it may have before the
+// oldest are dropped.
+const (
+	recentOutcomes = 4096
+	recentSlack    = 512
+)
 
 // NewCatalog returns the empty catalog.
 func NewCatalog() *Catalog {
@@ -88,14 +100,16 @@
 		return c.Applied[r.ID]
 	}
 	c.Next = offset + 1
-	if prior, ok := c.Applied[r.ID]; ok {
+	if prior, ok := c.Applied[r.ID]; ok && !c.repeat {
 		return prior
 	}
 	out := c.admit(offset, r)
 	if out.Accepted {
 		c.change(offset, r)
 	}
-	c.remember(r.ID, out)
+	if len(r.Ops) > 0 {
+		c.remember(r.ID, out)
+	}
 	return out
 }
 
@@ -229,11 +243,11 @@
 }
 
 func put[T any](m map[string]Entry[T], name string, v T, offset int64, actor string) {
-	created := offset
+	e := Entry[T]{Value: v, Version: offset, Created: offset, Actor: actor}
 	if old, ok := m[name]; ok {
-		created = old.Created
+		e.Created, e.Finished = old.Created, old.Finished
 	}
-	m[name] = Entry[T]{Value: v, Version: offset, Created: created, Actor: actor}
+	m[name] = e
 }
 
 func (c *Catalog) drop(workload string) {
@@ -254,31 +268,26 @@
 	}
 }
 
-func (c *Catalog) end(e Ended) {
-	workload := WorkloadOf(e.Task)
-	if _, ok := c.Workloads[workload]; !ok {
-		return
-	}
-	if c.Ended[workload] == nil {
-		c.Ended[workload] = map[string]Ended{}
-	}
-	c.Ended[workload][e.Task] = e
-}
-
 func (c *Catalog) remember(id string, out Outcome) {
 	c.Applied[id] = out
 	c.Recent = append(c.Recent, id)
-	if len(c.Recent) > recentOutcomes {
-		delete(c.Applied, c.Recent[0])
-		c.Recent = slices.Clone(c.Recent[1:])
+	if len(c.Recent) < recentOutcomes+recentSlack {
+		return
 	}
+	for _, old := range c.Recent[:recentSlack] {
+		delete(c.Applied, old)
+	}
+	c.Recent = slices.Clone(c.Recent[recentSlack:])
 }
 
 // Tasks returns the names of the tasks of a declared workload whose home is
 // domain. A workload that was cancelled and declared anew has new names, since
-// tasks of the former one may still run out of reach.
+// tasks of the former one may still run out of reach. A finished one has none.
 func Tasks(e Entry[Workload], domain string) []string {
 	var names []string
+	if e.Finished {
+		return nil
+	}
 	from := 0
 	for _, h := range e.Value.Homes {
 		for i := 0; h.Domain == domain && i < h.Count; i++ {
