--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,8 @@
 	$(TRACE) --seed 7 --faults "process killed,log down" --host d1-h2 > test/traces/takeover-log-down.jsonl
 	$(TRACE) --seed 12 --faults "paused past its lease,host replaced" --host d1-h1 > test/traces/paused-host-replaced.jsonl
 	for t in test/traces/*.jsonl; do $(GO) run ./cmd/mimosaspool-replay $$t > $${t%.jsonl}.outcome.json || exit 1; done
+
+# Replays the recorded days under every policy, without faults and with them.
+TRACES ?= test/traces/tallowood-day.trace test/traces/agency-day.trace
+measure:
+	$(GO) run ./cmd/mimosaspool-measure $(TRACES)
