--- a/internal/measure/bound.go
+++ b/internal/measure/bound.go
@@ -65,6 +65,8 @@
 	bisectSteps   = 14
 	longestWait   = 3600.0
 	windowsBeyond = 1.5
+	// tolerance keeps rounding from making the bound too high.
+	tolerance = 1e-6
 )
 
 // leastWait returns a wait, in seconds, below which no schedule starts all tasks
@@ -117,6 +119,7 @@
 			sum += in
 		}
 	}
+	room *= 1 + tolerance
 	if sum <= room {
 		return 0
 	}
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -181,7 +181,7 @@
 	// pollLeast is the least time between two writes to a worker that only ask for news.
 	pollLeast = 500 * time.Millisecond
 	// pollShare spreads polls over workers: the time between two polls grows by it with each.
-	pollShare = 10 * time.Millisecond
+	pollShare = 20 * time.Millisecond
 )
 
 // dueAt returns when the next write to w is due: at its renewal, or sooner
