--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -276,7 +276,10 @@
 		n := c.freed[len(c.freed)-1]
 		var best *group
 		for _, g := range c.queue.blocked {
-			if g.triedIn != c.steps && g.awaitsRoom() && (best == nil || c.before(g, best)) && c.mayHelp(g, n) {
+			if g.triedIn == c.steps || !g.awaitsRoom() || best != nil && !c.before(g, best) {
+				continue
+			}
+			if c.mayHelp(g, n) && !c.heldBack(g) {
 				best = g
 			}
 		}
@@ -361,15 +364,12 @@
 	c.wakeTimed()
 	for range placeMost {
 		g := c.next()
-		if g == nil {
+		if g == nil || c.heldBack(g) {
 			g = c.nextFreed()
 		}
 		if g == nil {
 			return
 		}
-		if c.heldBack(g) {
-			return
-		}
 		c.place(g, g.tasks[0])
 	}
 }
