--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -27,8 +27,12 @@
 // reserveAfter is how long a single task waits before room is kept for it.
 const reserveAfter = 30 * time.Second
 
-// reserveInterval is the least time between two workings-out of the reservation.
-const reserveInterval = time.Second
+// reserveInterval is the least time between two workings-out of a reservation
+// for the same group, and replanLeast that for any.
+const (
+	reserveInterval = time.Second
+	replanLeast     = 200 * time.Millisecond
+)
 
 // ends returns the time at which a task of the group ends if it starts now.
 func (c *Core) ends(g *group) time.Duration {
@@ -52,14 +56,14 @@
 
 // reserve gives the group the reservation unless one that goes first has it.
 func (c *Core) reserve(g *group) {
-	r := &c.reserved
+	r := c.reservationFor(g)
 	if !g.isGang() && c.now-g.first().since < reserveAfter {
 		return
 	}
 	if r.holder != nil && r.holder != g && !c.before(g, r.holder) {
 		return
 	}
-	if r.holder == g && c.now-r.made < reserveInterval {
+	if since := c.now - r.made; r.made > 0 && (since < replanLeast || r.holder == g && since < reserveInterval) {
 		return
 	}
 	keep := r.holder == g && c.now >= r.first && c.holds(r.nodes)
@@ -74,8 +78,27 @@
 	if r.holder != g {
 		first = 0
 	}
-	c.unreserve()
-	c.plan(g, first)
+	c.unreserve(r)
+	r.made = c.now
+	c.plan(g, r, first)
+}
+
+// reservationFor returns the reservation that the group may hold. Work with
+// accelerators has its own, so that neither kind waits for the other's room.
+func (c *Core) reservationFor(g *group) *reservation {
+	if g.spec.Size.Accelerators > 0 {
+		return &c.reserved[1]
+	}
+	return &c.reserved[0]
+}
+
+// giveUp drops the reservation if the group holds it.
+func (c *Core) giveUp(g *group) {
+	for i := range c.reserved {
+		if c.reserved[i].holder == g {
+			c.unreserve(&c.reserved[i])
+		}
+	}
 }
 
 // holds reports whether all nodes still take work.
@@ -83,18 +106,16 @@
 	return len(nodes) > 0 && !slices.ContainsFunc(nodes, func(n *placement.Node) bool { return n.Blocked != "" })
 }
 
-// unreserve drops the reservation and has those tried again that it held back.
-func (c *Core) unreserve() {
-	if c.reserved.holder == nil {
+// unreserve drops a reservation; its nodes are open to others again.
+func (c *Core) unreserve(r *reservation) {
+	if r.holder == nil {
 		return
 	}
-	for _, n := range c.reserved.nodes {
+	for _, n := range r.nodes {
 		n.ReservedFor, n.ReservedFrom, n.Later = "", 0, resource.Vector{}
+		c.wakeFreed(n)
 	}
-	c.reserved = reservation{}
-	for _, g := range slices.Clone(c.queue.blocked) {
-		c.queue.activate(g, placement.Reserved)
-	}
+	*r = reservation{made: r.made}
 }
 
 // opening is a time at which a node gets room for more tasks of a group.
@@ -106,7 +127,7 @@
 
 // plan finds the earliest time at which the group fits, by the expected ends of
 // what runs, and reserves the room.
-func (c *Core) plan(g *group, first time.Duration) {
+func (c *Core) plan(g *group, r *reservation, first time.Duration) {
 	need := 1
 	if g.isGang() {
 		need = c.gangState(g).waiting
@@ -133,7 +154,7 @@
 	if first == 0 {
 		first = at
 	}
-	c.reserved = reservation{holder: g, first: first, made: c.now, nodes: order}
+	*r = reservation{holder: g, first: first, made: c.now, nodes: order}
 	for _, n := range order {
 		n.ReservedFor, n.ReservedFrom = g.workload, at
 		n.Later = c.freeAt(n, at).Sub(size.Scale(int64(slots[n])))
@@ -146,7 +167,7 @@
 	var list []opening
 	for i := range c.cell.Nodes() {
 		n := &c.cell.Nodes()[i]
-		if n.Blocked != "" || n.Probe || !size.Fits(n.Capacity) {
+		if n.Blocked != "" || n.Probe || n.ReservedFor != "" || !size.Fits(n.Capacity) {
 			continue
 		}
 		free, have := n.Free, job.Slots(size, n.Usable(size, n.Free), need)
