--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,6 +85,7 @@
 	// seats is the version of the domain's declaration whose seats are in place.
 	seats seatsVersion
 	placer
+	departures
 }
 
 // New returns a core that knows nothing.
@@ -102,6 +103,8 @@
 		applied: -1,
 		reasons: Counters{},
 		placer:  newPlacer(),
+
+		departures: departures{moves: map[string][]move{}},
 	}
 }
 
@@ -143,6 +146,8 @@
 		c.peers[ev.Host] = peer{PeerHeard: ev, at: c.now}
 	case AppendDone:
 		c.appended(ev)
+	case SlotsIdle:
+		c.takeIdle(ev)
 	case Leave:
 		c.leave()
 	}
@@ -189,7 +194,6 @@
 	c.termAttempts = c.attempts
 	for _, name := range c.order {
 		w := c.workers[name]
-		clear(w.unwanted)
 		if w.claim.Owned(c.now) && w.seenAt >= 0 {
 			c.confirm(w)
 		}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -41,7 +41,7 @@
 		}
 		s := c.gangState(g)
 		if s.bound == 0 {
-			g.stopping = false
+			g.stopping, g.parting = false, false
 			c.queue.activate(g, placement.GangWaits)
 			continue
 		}
@@ -74,6 +74,9 @@
 
 // placeGang places all members that have work to do, or none.
 func (c *Core) placeGang(g *group) {
+	if !c.isPossible(g) {
+		return
+	}
 	s := c.gangState(g)
 	if s.bound > 0 || s.ready < s.waiting {
 		c.awaitGang(g, s)
