slots: lapsed grants are not reported; replies carry only the grants that changed

Cause: an entry that had been silent for longer than lease and longest request reported its old grants when it came back. The ledger had given the slots to others, or a new one took the report for truth: 12 and 16 requests on a runner. Change: an entry drops grants that may be others' by its own clock, and asks for all of them anew; an account opened so late in a term that its process can hold nothing starts from nothing; serials are unique over a ledger's processes. Replies repeat only changed grants while the directory stays the same.

--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -65,6 +65,12 @@
 
 func (f *follower) request() *control.SyncRequest {
 	f.sequence++
+	f.entry.take(routing.Tick{}) // the core's time is now
+	f.entry.inspect(func(c *routing.Core) {
+		if c.DropLapsed() {
+			f.version = -1
+		}
+	})
 	set := f.entry.opt.Core
 	req := &control.SyncRequest{
 		Entry: set.Host, Holder: set.Holder(), KnownVersion: f.version, Applied: f.applied, Sequence: f.sequence,
@@ -86,7 +92,7 @@
 }
 
 func directoryOf(sentAt time.Duration, reply *control.SyncReply) routing.DirectoryRead {
-	ev := routing.DirectoryRead{SentAt: sentAt, Unchanged: reply.Unchanged}
+	ev := routing.DirectoryRead{SentAt: sentAt, Unchanged: reply.Unchanged, Partial: reply.Partial}
 	if reply.FormerMs != nil {
 		former := time.Duration(*reply.FormerMs) * time.Millisecond
 		ev.Former = &former
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -30,11 +30,13 @@
 	changed []*service
 	// grantUntil is the local time up to which granted slots may be filled.
 	grantUntil time.Duration
-	known      bool
-	leaving    bool
-	remotes    remotes
-	keys       keys
-	counters   map[Counter]int64
+	// reservedUntil is the local time before which nobody else is granted them.
+	reservedUntil time.Duration
+	known         bool
+	leaving       bool
+	remotes       remotes
+	keys          keys
+	counters      map[Counter]int64
 }
 
 // Counter names one count of refusals, retries or losses.
@@ -188,6 +190,21 @@
 	Busy  int
 }
 
+// DropLapsed drops the grants once they may have been given to others, and
+// reports whether it did. A query must not report such grants as held.
+func (c *Core) DropLapsed() bool {
+	if c.now < c.reservedUntil {
+		return false
+	}
+	for _, r := range c.order {
+		r.Slots = 0
+	}
+	for _, s := range c.services {
+		s.recount(c.now)
+	}
+	return true
+}
+
 // Held reports the runners on which the entry has a grant or holds a slot.
 func (c *Core) Held() []Held {
 	list := make([]Held, 0, len(c.order))
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -171,6 +171,23 @@
 		}
 	})
 
+	It("drops grants that may be others' by now, and not before", func() {
+		c.Step(70*time.Second-400*time.Millisecond, routing.Tick{})
+		Expect(c.DropLapsed()).To(BeFalse())
+		c.Step(70*time.Second, routing.Tick{})
+		Expect(c.DropLapsed()).To(BeTrue())
+		Expect(c.Held()).To(BeEmpty())
+	})
+
+	It("takes over changed grants and leaves all else as it is", func() {
+		c.Step(0, directory(2, 8))
+		c.Step(0, routing.DirectoryRead{Partial: true, Runners: []routing.Runner{{Attempt: 1, Slots: 0}, {Attempt: 9, Slots: 8}}})
+		for id := uint64(1); id <= 8; id++ {
+			Expect(only[routing.Send](c.Step(0, request(id)))[0].Attempt).To(Equal(uint64(2)))
+		}
+		Expect(only[routing.Send](c.Step(0, request(9)))).To(BeEmpty())
+	})
+
 	It("passes an idempotent request on when its domain has no runner", func() {
 		c.Step(0, directory(0, 0))
 		c.Step(0, routing.PeerLoad{Host: "b1", Services: []routing.ServiceLoad{{Service: "s"}}})
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -75,6 +75,8 @@
 	SentAt time.Duration
 	// Unchanged renews the lease and leaves all else as it is.
 	Unchanged bool
+	// Partial brings only the runners whose grants changed; all else stays.
+	Partial bool
 	// Former is how long an earlier process of this host may still send under a
 	// grant; nil where that wasn't told.
 	Former   *time.Duration
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -80,8 +80,14 @@
 func (c *Core) readDirectory(ev DirectoryRead) {
 	c.known = true
 	c.hearFormer(ev.Former)
-	c.grantUntil = max(c.grantUntil, ev.SentAt+c.shorten(c.set.Timing.Lease))
-	if !ev.Unchanged {
+	t := c.set.Timing
+	c.grantUntil = max(c.grantUntil, ev.SentAt+c.shorten(t.Lease))
+	c.reservedUntil = max(c.reservedUntil, ev.SentAt+c.shorten(t.Lease+t.Longest))
+	switch {
+	case ev.Unchanged:
+	case ev.Partial:
+		c.setGrants(ev.Runners)
+	default:
 		c.setServices(ev.Services)
 		c.setRunners(ev.Runners)
 	}
@@ -123,6 +129,16 @@
 	c.sortRunners()
 }
 
+// setGrants takes over changed grants of runners that are listed.
+func (c *Core) setGrants(list []Runner) {
+	for _, d := range list {
+		if r := c.runners[d.Attempt]; r != nil {
+			r.Slots = d.Slots
+			r.svc.recount(c.now)
+		}
+	}
+}
+
 // forgetGone drops the runners that have long been missing and hold nothing.
 func (c *Core) forgetGone() {
 	for a, r := range c.runners {
--- a/internal/schedulerd/directory.go
+++ b/internal/schedulerd/directory.go
@@ -113,15 +113,26 @@
 }
 
 func (s *directoryService) grant(now time.Duration, st status, req *control.SyncRequest) *control.SyncReply {
+	partial := st.dir.Version == req.KnownVersion && s.ledger.InStep(req.Holder, req.Applied)
+	told := map[uint64]int{}
+	for _, e := range st.dir.Endpoints {
+		told[e.Attempt] = s.ledger.Told(req.Holder, e.Attempt)
+	}
 	grants, serial := s.ledger.Grants(now, req.Holder)
-	reply := &control.SyncReply{Version: st.dir.Version, Leader: true, Position: st.next, Serial: serial}
+	reply := &control.SyncReply{Version: st.dir.Version, Leader: true, Position: st.next, Serial: serial, Partial: partial}
 	reply.FormerMs = proto.Int64(roundUp(s.ledger.Former(now, req.Holder)))
 	for _, e := range st.dir.Endpoints {
+		if partial && grants[e.Attempt] == told[e.Attempt] {
+			continue
+		}
 		reply.Endpoints = append(reply.Endpoints, &control.Endpoint{
 			Service: e.Service, Task: e.Task, Attempt: e.Attempt, Address: e.Address, Leaving: e.Leaving,
 			Slots: int32(grants[e.Attempt]),
 		})
 	}
+	if partial {
+		return reply
+	}
 	for _, i := range st.dir.Services {
 		reply.Services = append(reply.Services, &control.ServiceInfo{Name: i.Name, Policy: string(i.Policy)})
 	}
--- a/internal/slots/ledger.go
+++ b/internal/slots/ledger.go
@@ -74,7 +74,9 @@
 	// began is when the term began, as local time.
 	began time.Duration
 	// epoch is below the serials of this ledger and above those of earlier ones.
-	epoch   int64
+	epoch int64
+	// serial is that of the newest reply to anyone.
+	serial  int64
 	runners map[uint64]*runner
 	order   []*runner
 	holders map[string]*holder
@@ -99,6 +101,10 @@
 	host, name string
 	serial     int64
 	sequence   int64
+	// since is the newest serial when the account was opened, where that was so
+	// late that the process can hold no grant: what it reports before it has
+	// applied a later one has lapsed.
+	since      int64
 	reportedAt time.Duration
 	// repliedAt is when the process last got a reply; its lease began no later.
 	repliedAt time.Duration
@@ -123,6 +129,7 @@
 		timing:  t,
 		began:   began,
 		epoch:   epoch,
+		serial:  epoch + 1,
 		runners: map[uint64]*runner{},
 		holders: map[string]*holder{},
 		current: map[string]*holder{},
@@ -215,9 +222,7 @@
 	}
 	h := l.holders[rep.Holder]
 	if h == nil {
-		h = &holder{host: rep.Host, name: rep.Holder, serial: l.Greeting(), grants: map[uint64]*grant{}, demands: map[string]int{}}
-		l.holders[rep.Holder] = h
-		l.current[rep.Host] = h
+		h = l.open(now, rep)
 	}
 	if rep.Sequence <= h.sequence {
 		return Ignored
@@ -233,10 +238,24 @@
 	return Taken
 }
 
+// open begins the account of a process.
+func (l *Ledger) open(now time.Duration, rep Report) *holder {
+	h := &holder{host: rep.Host, name: rep.Holder, serial: l.Greeting(), grants: map[uint64]*grant{}, demands: map[string]int{}}
+	if now-l.began >= l.timing.Silent() {
+		h.since = l.serial
+	}
+	l.holders[rep.Holder] = h
+	l.current[rep.Host] = h
+	return h
+}
+
 // settle brings a process's account in line with its report.
 func (l *Ledger) settle(h *holder, rep Report) {
 	reported := make(map[uint64]Held, len(rep.Held))
 	for _, held := range rep.Held {
+		if rep.Applied <= h.since {
+			held.Slots = 0
+		}
 		reported[held.Attempt] = held
 		if h.grants[held.Attempt] == nil {
 			h.grants[held.Attempt] = &grant{sent: held.Slots}
@@ -293,6 +312,19 @@
 	return PerRunner - unknown - l.counted(r.Attempt)
 }
 
+// Told returns what the process was last granted of a runner.
+func (l *Ledger) Told(holder string, attempt uint64) int {
+	if g := l.holders[holder].grants[attempt]; g != nil {
+		return g.sent
+	}
+	return 0
+}
+
+// InStep reports whether the process has applied the last reply to it.
+func (l *Ledger) InStep(holder string, applied int64) bool {
+	return l.holders[holder].serial == applied
+}
+
 // Grants returns the slots of an entry process by runner, with a new serial.
 // What it returns counts as told to the process.
 func (l *Ledger) Grants(now time.Duration, holder string) (map[uint64]int, int64) {
@@ -301,8 +333,8 @@
 	for _, r := range l.order {
 		out[r.Attempt] = l.grant(now, h, r)
 	}
-	h.serial++
-	h.repliedAt = now
+	l.serial++
+	h.serial, h.repliedAt = l.serial, now
 	return out, h.serial
 }
 
--- a/internal/slots/ledger_test.go
+++ b/internal/slots/ledger_test.go
@@ -33,6 +33,10 @@
 	sequence     int64
 	slots        map[uint64]int
 	until        time.Duration
+	// reserved is when the granting ledger may give the slots to others.
+	reserved time.Duration
+	// whole asks for all grants, since those held have been dropped.
+	whole bool
 	// ends holds when each running request ends, by runner.
 	ends map[uint64][]time.Duration
 	dead bool
@@ -42,7 +46,11 @@
 	return &entry{host: host, holder: holder, slots: map[uint64]int{}, ends: map[uint64][]time.Duration{}}
 }
 
-func (e *entry) report(demand int) slots.Report {
+func (e *entry) report(now time.Duration, demand int) slots.Report {
+	if now >= e.reserved {
+		clear(e.slots)
+		e.whole = true
+	}
 	e.sequence++
 	rep := slots.Report{Host: e.host, Holder: e.holder, Sequence: e.sequence, Applied: e.applied, Demands: map[string]int{"s": demand}}
 	for a := uint64(1); a <= runnerCount; a++ {
@@ -83,7 +91,7 @@
 
 // sync carries out one query; how tells what is lost.
 func (s *site) sync(e *entry, demand int, how string) {
-	rep := e.report(demand)
+	rep := e.report(s.now, demand)
 	s.late = append(s.late, rep)
 	if how == "query lost" {
 		return
@@ -92,16 +100,24 @@
 	case slots.Ignored:
 		return
 	case slots.Greeted:
-		e.applied = s.ledger.Greeting()
+		e.applied, e.whole = s.ledger.Greeting(), true
 		s.sync(e, demand, how)
 		return
 	}
+	partial, told := s.ledger.InStep(e.holder, rep.Applied) && !e.whole, map[uint64]int{}
+	for a := uint64(1); a <= runnerCount; a++ {
+		told[a] = s.ledger.Told(e.holder, a)
+	}
 	grants, serial := s.ledger.Grants(s.now, e.holder)
 	if how == "reply lost" {
 		return
 	}
-	e.applied, e.until = serial, s.now+timing.Lease-timing.Lease*5/1000
+	e.applied, e.until, e.whole = serial, s.now+timing.Lease-timing.Lease*5/1000, false
+	e.reserved = s.now + (timing.Lease+timing.Longest)*995/1000
 	for a, n := range grants {
+		if partial && n == told[a] {
+			continue // as in a reply with the changed grants only
+		}
 		e.slots[a] = n
 	}
 }
@@ -178,7 +194,7 @@
 					e.ends[a] = ends[:len(ends)/2]
 				}
 			case "pass":
-				s.pass(time.Duration(rapid.IntRange(1, 30000).Draw(t, "ms")) * time.Millisecond)
+				s.pass(time.Duration(rapid.SampledFrom([]int{1, 1000, 11000, 30000, 75000}).Draw(t, "ms")) * time.Millisecond)
 			case "replace":
 				s.replace(i)
 			case "elect":
