chaos: a request that ended at its own deadline was not cut off by a stop

Change: an outcome of a request is held against a planned stop unless it is the request's own deadline, reached in full. One cut off before it is still a breach, and a test shows both. At the same time the exception for "not run" answers that spoke of the resend only is gone, as entries no longer give them: its test now expects the breach.

--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -52,14 +51,14 @@
 		case notRun:
 			if q, did := byID[r.id]; did {
 				add(promiseNotRun, r, r.contradicted(q))
-			} else if q, did := byKey[r.key]; did && r.key != "" && q.Time.Before(r.ended) && !r.speaksOfItself() {
+			} else if q, did := byKey[r.key]; did && r.key != "" && q.Time.Before(r.ended) {
 				add(promiseNotRun, r, r.contradicted(q))
 			}
 		case lost:
 			add(promiseAnswer, r, r.detail)
 		case unknown:
 			for _, s := range planned {
-				if s.host == r.entry && r.sent.Before(s.to) && r.ended.After(s.from) {
+				if s.host == r.entry && r.sent.Before(s.to) && r.ended.After(s.from) && !r.timedOut() {
 					add(promiseGracefulEntry, r, r.detail)
 				}
 			}
@@ -68,22 +67,20 @@
 	return out
 }
 
+// timedOut reports whether the request ended unanswered at its own deadline,
+// with or without a stop.
+func (r result) timedOut() bool {
+	return strings.HasSuffix(r.detail, "deadline") && r.ended.Sub(r.sent) >= deadline
+}
+
 // contradicted describes a request that was said not to have run.
 func (r result) contradicted(q standin.Request) string {
 	return fmt.Sprintf("%s at %s said %q %.2f s after it was sent; %s ran on %s %.2f s after that answer",
 		r.service, r.entry, r.detail, r.ended.Sub(r.sent).Seconds(), q.ID, q.Task, q.Time.Sub(r.ended).Seconds())
 }
 
-// speaksOfItself reports whether the reason for not running is one that, by
-// docs/callers.md, says nothing of earlier requests with the same key.
-func (r result) speaksOfItself() bool {
-	return slices.ContainsFunc([]string{"home-unreachable", "keys-incomplete", "not-home"}, func(why string) bool {
-		return strings.HasSuffix(r.detail, " "+why)
-	})
-}
-
 // ownOnly counts the requests that were said not to have run although another
-// one with their key ran: one that began later, or of which the reason says nothing.
+// one with their key ran: one that began later.
 func ownOnly(results []result, ran []standin.Request) int {
 	byKey := map[string]standin.Request{}
 	for _, q := range ran {
--- a/internal/demo/judge_test.go
+++ b/internal/demo/judge_test.go
@@ -21,7 +21,10 @@
 	planned := []span{{host: "e", from: began, to: began.Add(time.Second)}}
 
 	DescribeTable("finds", func(r result, want ...standin.Promise) {
-		r.service, r.sent, r.ended = "s", began, began.Add(time.Second)
+		r.service, r.sent = "s", began
+		if r.ended.IsZero() {
+			r.ended = began.Add(time.Second)
+		}
 		var got []standin.Promise
 		for _, b := range judge([]result{r}, ran, planned) {
 			got = append(got, b.Promise)
@@ -36,9 +39,11 @@
 		Entry("nothing in an idempotent request that ran twice", result{id: "b", outcome: answered}),
 		Entry("a request that ran twice", result{id: "b", outcome: answered, once: true}, standin.PromiseAtMostOnce),
 		Entry("nothing where the key ran under an earlier request afterwards", result{id: "c", key: "kd", outcome: notRun}),
-		Entry("nothing where only the resend is spoken of", result{id: "c", key: "ka", outcome: notRun, detail: "503 home-unreachable"}),
+		Entry("a key said not to have run without asking its home", result{id: "c", key: "ka", outcome: notRun, detail: "503 home-unreachable"}, promiseNotRun),
 		Entry("another request's answer", result{id: "a", outcome: lost}, promiseAnswer),
 		Entry("a request cut off by a planned stop", result{id: "a", outcome: unknown, entry: "e"}, promiseGracefulEntry),
+		Entry("one cut off before its deadline", result{id: "a", outcome: unknown, entry: "e", detail: "502 deadline", ended: began.Add(deadline - time.Millisecond)}, promiseGracefulEntry),
+		Entry("nothing in one that ended at its own deadline", result{id: "a", outcome: unknown, entry: "e", detail: "502 deadline", ended: began.Add(deadline)}),
 	)
 
 	It("finds a request that ran in another service", func() {
