Runners of a drained worker are all shown as leaving at once; only moves take turns

Now every runner on a drained or leaving worker is shown as leaving at once, and a quarter of a service's runners at a time is stopped to run elsewhere; the others serve again when their worker returns.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -13,8 +13,8 @@
 // then no entry's lease on its slots is left, and the longest request has ended.
 var drainBound = slots.DefaultTiming().Silent()
 
-// moveShare bounds the runners of a service that move off drained workers at
-// the same time, as a divisor of the service's runners in the domain.
+// moveShare bounds the runners of a service that move off their workers at the
+// same time, as a divisor of the service's runners in the domain.
 const moveShare = 4
 
 // departure is a serving runner that has to leave its worker. The directory
@@ -26,8 +26,8 @@
 	overdue      bool
 }
 
-// move is a service's task that leaves a drained worker. It lasts until the
-// task serves elsewhere.
+// move is a service's task that is stopped to run on another worker. It lasts
+// until the task serves there.
 type move struct {
 	task *task
 	from uint64
@@ -62,14 +62,11 @@
 			c.dirDirty = true
 		}
 	}
-	for _, a := range w.attempts() {
-		o, d := w.observed[a], w.departures[a]
+	for a, o := range w.observed {
+		d := w.departures[a]
 		if o.endpoint() == "" || d != nil && d.began == c.term.Began() || !c.mustLeave(w, o) {
 			continue
 		}
-		if d == nil && c.wants(w, o) {
-			c.reasons["task-moved"]++
-		}
 		w.departures[a] = &departure{version: c.dir.Version + 1, since: c.now, began: c.term.Began()}
 		c.dirDirty = true
 	}
@@ -78,13 +75,11 @@
 // attempts returns the observed attempts in order.
 func (w *worker) attempts() []uint64 { return slices.Sorted(maps.Keys(w.observed)) }
 
-// mustLeave reports whether a service's runner has to leave the worker now.
-func (c *Core) mustLeave(w *worker, o ObservedTask) bool {
-	return w.leaving || !c.wants(w, o) || w.drained && c.takesTurn(c.tasks[o.Task])
-}
+// mustLeave reports whether a task has to leave the worker.
+func (c *Core) mustLeave(w *worker, o ObservedTask) bool { return w.mustGo() || !c.wants(w, o) }
 
-// takesTurn reports whether a service's task may leave its drained worker: it
-// does so already, or few enough others do.
+// takesTurn reports whether a service's task may be stopped to run elsewhere:
+// its move is under way, or those of few enough others are.
 func (c *Core) takesTurn(t *task) bool {
 	g := t.in
 	if g == nil {
@@ -94,6 +89,7 @@
 	turn := slices.ContainsFunc(list, func(m move) bool { return m.task == t && m.from == t.attempt })
 	if !turn && len(list) < max(1, len(g.members)/moveShare) {
 		turn, list = true, append(list, move{t, t.attempt})
+		c.reasons["task-moved"]++
 	}
 	c.moves[g.workload] = list
 	return turn
@@ -114,17 +110,24 @@
 	return w.observed[t.attempt].endpoint() == ""
 }
 
-// atRest reports whether no request can be cut off when the runner is stopped,
-// or it was left to them for long enough.
-func (c *Core) atRest(attempt uint64, d *departure) bool {
+// isIdle reports whether no request can be cut off when the runner is stopped.
+func (c *Core) isIdle(attempt uint64, d *departure) bool {
 	_, idle := slices.BinarySearch(c.idle.Attempts, attempt)
-	if idle && c.idle.Began == d.began && c.idle.Version >= d.version {
-		return true
+	return idle && c.idle.Began == d.began && c.idle.Version >= d.version
+}
+
+// mayStop reports whether a serving runner may be stopped: its requests have
+// ended, or it was left to them for long enough, and a wanted one has its turn.
+func (c *Core) mayStop(w *worker, o ObservedTask) bool {
+	d := w.departures[o.Attempt]
+	if d == nil {
+		return false
 	}
-	if c.now < d.since+drainBound {
+	idle := c.isIdle(o.Attempt, d)
+	if !idle && c.now < d.since+drainBound || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
 		return false
 	}
-	if !d.overdue {
+	if !idle && !d.overdue {
 		c.reasons["stop-overdue"]++
 		d.overdue = true
 	}
@@ -138,8 +141,7 @@
 	case o.State != Running:
 		return 0, false
 	case o.endpoint() != "":
-		d := w.departures[o.Attempt]
-		return Stop, d != nil && c.atRest(o.Attempt, d)
+		return Stop, c.mayStop(w, o)
 	case !c.wants(w, o):
 		return c.stopKind(t, o), true
 	case t.evict != 0:
@@ -164,7 +166,7 @@
 	switch g := t.in; {
 	case g.spec.Kind == configuration.Service:
 		// It doesn't serve yet.
-		return Stop, w.leaving || c.takesTurn(t)
+		return Stop, c.takesTurn(t)
 	case g.isGang():
 		c.reasons["task-moved"] += int64(c.gangState(g).bound)
 		g.parting = true
