A scheduler that starts after a seat left waits before it starts unknown tasks

Cause: the wait for tasks on seats that left the configuration was kept by processes that saw them leave.

Change: the catalog keeps the offset of the last change that took a seat out; a new process that finds one counts its first term as having an unseen seat, so tasks that it sees nowhere wait for Detached + Task. Tasks that it sees run on. Ruled out: comparing the log's times, since the former holder may have lagged.

--- a/internal/proof/platform.go
+++ b/internal/proof/platform.go
@@ -88,5 +88,11 @@
 // publish makes the present hosts of a domain visible in the list, after a lag.
 func (w *World) publish(domain string) {
 	hosts := append([]scheduler.Host(nil), w.hosts[domain]...)
-	w.after(w.between(listLag/2, listLag), func() { w.listed[domain] = hosts })
+	w.published[domain]++
+	n := w.published[domain]
+	w.after(w.between(listLag/2, listLag), func() {
+		if n > w.shown[domain] {
+			w.shown[domain], w.listed[domain] = n, hosts
+		}
+	})
 }
--- a/internal/proof/scenario_test.go
+++ b/internal/proof/scenario_test.go
@@ -187,3 +187,21 @@
 	behind.write(late)
 	w.expectHeld(t)
 }
+
+// TestSeatRemovedBeforeStart: a scheduler that starts after a seat was taken
+// out takes over from one that is killed.
+func TestSeatRemovedBeforeStart(t *testing.T) {
+	w := small(7, 6)
+	leader := w.leader("d1")
+	w.other(leader).kill()
+	w.seats("fewer", w.machines[:5])
+	w.Run(21 * second)
+	leader.kill()
+	w.Run(22 * second)
+	w.other(leader).boot()
+	w.Run(120 * second)
+	w.expectHeld(t)
+	if n := w.Tasks.Running(); n != 6 {
+		t.Errorf("%d of 6 tasks run", n)
+	}
+}
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -38,6 +38,8 @@
 	domains   []string
 	hosts     map[string][]scheduler.Host
 	listed    map[string][]scheduler.Host
+	// published counts the lists of a domain; shown is the number of the one listed.
+	published, shown map[string]int
 	// lastStart is when each task last started; starts lists all starts.
 	lastStart map[string]time.Duration
 	starts    []time.Duration
@@ -54,7 +56,7 @@
 func NewWorld(seed uint64, s Site) *World {
 	w := &World{
 		rand: rand.New(rand.NewPCG(seed, 0)), timing: s.Timing, link: s.Link, cuts: map[route]time.Duration{},
-		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{},
+		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{}, published: map[string]int{}, shown: map[string]int{},
 		lastStart: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(), Requests: checker.NewRequests(), runners: map[string]*runner{},
 	}
 	w.log = &log{w: w}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -216,6 +216,10 @@
 func (c *Core) configure() {
 	d, declared := c.view.Catalog.Domains[c.set.Domain]
 	if seats := (seatsVersion{declared, d.Version}); seats != c.seats {
+		if _, shrunk := c.view.Catalog.Shrunk[c.set.Domain]; shrunk && c.seats == (seatsVersion{}) {
+			// What runs on the seats that left is not known to a new process.
+			c.leftUnseen = true
+		}
 		c.seats = seats
 		c.setSeats(d.Value.Workers)
 	}
