--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -23,6 +23,10 @@
 	orders  []scheduler.Order
 	// mute workers get no write.
 	mute map[string]bool
+	// serving gives every service task an address.
+	serving bool
+	// onStop is called with each runner that is told to stop, before it does.
+	onStop func(attempt uint64)
 }
 
 type fakeWorker struct {
@@ -93,6 +97,9 @@
 	w.renew(eff.RenewExpiry)
 	for _, o := range eff.Orders {
 		c.orders = append(c.orders, o)
+		if c.onStop != nil {
+			c.onStop(o.Attempt)
+		}
 		w.end(o.Attempt, map[scheduler.OrderKind]scheduler.TaskState{scheduler.Stop: scheduler.Stopped, scheduler.Checkpoint: scheduler.Checkpointed}[o.Kind])
 	}
 	for _, a := range eff.Forget {
@@ -101,7 +108,11 @@
 	}
 	for _, s := range eff.Starts {
 		c.started = append(c.started, s)
-		w.tasks[s.Attempt] = scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: s.Expiry}
+		t := scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: s.Expiry}
+		if c.serving && s.Service != "" {
+			t.Address = fmt.Sprint("a", s.Attempt)
+		}
+		w.tasks[s.Attempt] = t
 		w.digest++
 	}
 	return w.reply(eff, now)
@@ -170,8 +181,10 @@
 // the time: the time of each step that starts a task, and the core's time in all
 // for each task started, renewals included.
 func BenchmarkPlacement(b *testing.B) {
-	for _, n := range []int{140, 1100} {
-		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) { benchmarkPlacement(b, n) })
+	for _, waiting := range []int{0, 300} {
+		for _, n := range []int{140, 1100} {
+			b.Run(fmt.Sprintf("workers=%d/waiting=%d", n, waiting), func(b *testing.B) { benchmarkPlacement(b, n, waiting) })
+		}
 	}
 }
 
@@ -181,7 +194,8 @@
 // benchWorkloads divides the tasks.
 const benchWorkloads = 50
 
-func benchmarkPlacement(b *testing.B, n int) {
+// benchmarkPlacement has as many workloads wait, each with more tasks than fit.
+func benchmarkPlacement(b *testing.B, n, waiting int) {
 	c := newCell(n, func(int) resource.Vector { return resource.Vector{MilliCPU: 16000, MemoryMiB: 65536} })
 	c.stagger()
 	tasks := int(float64(n)*tasksPerWorker) / benchWorkloads
@@ -193,6 +207,12 @@
 	for len(c.running()) < tasks*benchWorkloads {
 		c.run(time.Second)
 	}
+	ops = nil
+	for i := range waiting {
+		ops = append(ops, declared(workload(fmt.Sprintf("w%03d", i), configuration.Batch, n, resource.Vector{MilliCPU: 1000, MemoryMiB: 2048})))
+	}
+	c.declare(ops...)
+	c.run(10 * time.Second)
 	m := &stepTimes{}
 	seq := 0
 	b.ResetTimer()
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -1,9 +1,7 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
-	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
 )
@@ -16,6 +14,7 @@
 		return
 	}
 	if c.term.Held(c.now) {
+		c.steps++
 		c.collectLost()
 		c.mendGangs()
 		c.stopUnwanted()
@@ -54,7 +53,8 @@
 
 // wakeTeams lets groups through whose team gave something back in this step.
 func (c *Core) wakeTeams() {
-	for _, name := range c.freedTeams {
+	slices.Sort(c.freedTeams)
+	for _, name := range slices.Compact(c.freedTeams) {
 		c.wakeTeam(name)
 	}
 	c.freedTeams = c.freedTeams[:0]
@@ -105,14 +105,17 @@
 	c.dirDirty = true
 }
 
-// stopUnwanted orders tasks to stop that no workload wants, and attempts that
-// are not the task's own.
+// stopUnwanted orders tasks to stop that no workload wants, attempts that are
+// not the task's own, and tasks that have to leave their worker.
 func (c *Core) stopUnwanted() {
-	for _, w := range c.touched {
+	c.inOrder()
+	for i := 0; i < len(c.touched); i++ {
+		w := c.touched[i]
+		c.depart(w)
 		if !w.claim.Owned(c.now) || w.claim.Pending() || len(w.orders) > 0 || w.orderedAt > 0 && c.now < w.orderedAt+orderRetry {
 			continue
 		}
-		for _, a := range slices.Sorted(maps.Keys(w.observed)) {
+		for _, a := range w.attempts() {
 			o := w.observed[a]
 			if kind, ok := c.orderFor(w, o); ok {
 				w.orders = append(w.orders, Order{Kind: kind, Task: o.Task, Attempt: o.Attempt})
@@ -129,39 +132,6 @@
 	c.discard = c.discard[:0]
 }
 
-// orderFor returns what a worker has to be told of a running task, if anything.
-func (c *Core) orderFor(w *worker, o ObservedTask) (OrderKind, bool) {
-	if o.State != Running {
-		return 0, false
-	}
-	if !c.wants(w, o) {
-		return Stop, c.idle(w, o)
-	}
-	delete(w.unwanted, o.Attempt)
-	t := c.tasks[o.Task]
-	return t.evict.orderKind(), t.evict != 0
-}
-
-// serviceDrain is how long a service's task that nobody wants goes on: the
-// directory shows it as leaving, entries fill its slots for at most the lease of
-// their grants (10 s), and give a request a minute from its send.
-const serviceDrain = 75 * time.Second
-
-// idle reports whether an unwanted task may be stopped: a service's task surely
-// has no request in flight then. It takes note of when the task became unwanted.
-func (c *Core) idle(w *worker, o ObservedTask) bool {
-	if o.Address == "" {
-		return true
-	}
-	since, ok := w.unwanted[o.Attempt]
-	if !ok {
-		w.unwanted[o.Attempt] = c.now
-		c.dirDirty = true
-		return false
-	}
-	return c.now >= since+serviceDrain
-}
-
 func (c *Core) wants(w *worker, o ObservedTask) bool {
 	t := c.tasks[o.Task]
 	return t != nil && t.wanted && t.isBound() && t.attempt == o.Attempt && t.worker == w.name &&
--- a/internal/slots/ledger.go
+++ b/internal/slots/ledger.go
@@ -42,7 +42,7 @@
 	// Fresh runners were started in the present term, so that nobody else can
 	// have granted their slots.
 	Fresh bool
-	// Leaving runners keep their grants as they are.
+	// Leaving runners are granted to nobody: what was granted is taken back.
 	Leaving bool
 }
 
@@ -306,6 +306,18 @@
 	return out, h.serial
 }
 
+// Former returns how long an earlier process of the holder's host may still send
+// under a grant: of this ledger, or of the former term's.
+func (l *Ledger) Former(now time.Duration, holder string) time.Duration {
+	last := l.began
+	for name, h := range l.holders {
+		if name != holder && h.host == l.holders[holder].host {
+			last = max(last, h.repliedAt)
+		}
+	}
+	return max(0, last+l.timing.Lease+l.timing.Lease*time.Duration(l.timing.DriftPerMille)/1000-now)
+}
+
 // Renew takes note that the process's lease is renewed as it stands.
 func (l *Ledger) Renew(now time.Duration, holder string) { l.holders[holder].repliedAt = now }
 
@@ -335,7 +347,10 @@
 		sent, count = g.sent, g.count()
 	}
 	target := r.targets[h]
-	if r.Leaving || target == sent {
+	if r.Leaving {
+		target = 0
+	}
+	if target == sent {
 		return sent
 	}
 	if target < sent {
