--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -295,9 +295,9 @@
 // What the order of groups weighs against waiting time.
 const (
 	// lowPenalty is how much later low work counts as having come.
-	lowPenalty = time.Minute
+	lowPenalty = 30 * time.Second
 	// sharePenalty is the same for a team that holds all of the scarcest resource.
-	sharePenalty = 10 * time.Minute
+	sharePenalty = 2 * time.Minute
 )
 
 // before orders groups: urgent ones first, then the one that has waited longest,
