--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -159,6 +159,7 @@
 func (c *Core) dropGroup(g *group) {
 	c.giveUp(g)
 	c.dropHolds(g, true)
+	delete(c.moves, g.workload)
 	for _, t := range g.members {
 		if t.in == g {
 			c.uncount(t)
