--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -9,6 +9,9 @@
 	"github.com/mimosaspool/mimosaspool/internal/settings"
 )
 
+// ErrBreach marks a run in which a promise was broken.
+var ErrBreach = errors.New("breach")
+
 // Main runs the program and returns its exit code.
 func Main() int {
 	var seed uint64
@@ -24,7 +27,11 @@
 				if err != nil {
 					return err
 				}
-				NewTable(t, policies, faults, seed).Print(cmd.OutOrStdout())
+				table := NewTable(t, policies, faults, seed)
+				table.Print(cmd.OutOrStdout())
+				if table.breaches() > 0 {
+					return errors.Wrap(ErrBreach, path)
+				}
 			}
 			return nil
 		},
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -149,6 +149,15 @@
 	t.judge(w)
 }
 
+// breaches counts the breaches of all rows.
+func (t *Table) breaches() int {
+	n := 0
+	for _, r := range t.Rows {
+		n += len(r.Breaches)
+	}
+	return n
+}
+
 func yes(b bool) string {
 	if b {
 		return "yes"
@@ -179,10 +188,7 @@
 	}
 	p99 := quantile(fast.All, 0.99)
 	urgent := quantile(fast.Waits[Classes[0]], 0.99)
-	breaches := 0
-	for _, r := range t.Rows {
-		breaches += len(r.Breaches)
-	}
+	breaches := t.breaches()
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out)
 	goal := func(met bool, format string, args ...any) {
