A new domain's first seat claims it before the others

Cause: the wait of one second a seat was counted from the process's start. Where the domain is declared later than that, all its schedulers claim at once, share the workers out between their marks, and yield and try again while the other's marks still hold. Ruled out: slow start of the programs (all knew the configuration within 0.1 s); the platform (worker-held counted 12 to 64 times a host while none had the term). Change: the wait is counted from when the domain's seats become known. Conclusion: two schedulers that claim at once for another reason still yield too early for each other's marks (6 s); a claimant that sees another's mark should withdraw its own.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -236,6 +236,9 @@
 }
 
 func (c *Core) setSeats(names []string) {
+	if len(c.workers) == 0 {
+		c.election.quietSince = c.now
+	}
 	want := map[string]bool{}
 	for _, n := range names {
 		want[n] = true
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -19,7 +19,7 @@
 	tries int
 	// notBefore is the earliest time of the next try.
 	notBefore time.Duration
-	// quietSince is when a leader was last heard.
+	// quietSince is when a leader was last heard, or the domain's seats became known.
 	quietSince time.Duration
 }
 
