Ownership: a claimant that meets another's mark withdraws its own

Cause: a claim that lost left its mark on the worker for up to 6 s, and set it again at each try. Two schedulers that claimed at once kept each other from every worker, and yielding told no worker of marks whose claim had been lost.

Change: a reply that shows another's mark leads to a release of one's own, and yielding releases every mark that may be live, owned or not.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -105,6 +105,8 @@
 	sentAt  time.Duration
 	basis   time.Duration
 	pending bool
+	// marked is set while the worker may hold a live mark of the present name.
+	marked bool
 	// released counts the releases that the worker was told of.
 	released int
 }
@@ -130,6 +132,7 @@
 	if c.phase == Idle {
 		c.phase = Claiming
 	}
+	c.marked = true
 	return Mark{Write: c.write, Expiry: c.reading + c.timing.Mark}
 }
 
@@ -196,10 +199,14 @@
 	c.write++
 	c.pending = false
 	if told {
+		c.marked = false
 		c.released++
 	}
 }
 
+// Marked reports whether the worker may hold a live mark of this claim.
+func (c *Claim) Marked() bool { return c.marked }
+
 // Holder returns the name that the claim's marks carry, given the scheduler's.
 // A release that arrives late, or twice, takes no later mark away, since later
 // marks carry another name.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -243,6 +243,8 @@
 	}
 	if r.Others > 0 {
 		c.reasons["worker-held"]++
+		// Else the mark would keep the other claimant, too, from owning the worker.
+		c.release(w)
 	}
 }
 
@@ -276,7 +278,7 @@
 // release gives a worker up. The worker is told so only when nothing sent
 // before can still take effect there; else the mark runs out by itself.
 func (c *Core) release(w *worker) {
-	if w.claim.Phase() == ownership.Idle {
+	if !w.claim.Marked() {
 		return
 	}
 	c.abandon(w)
