--- a/internal/demo/judge_test.go
+++ b/internal/demo/judge_test.go
@@ -43,6 +43,8 @@
 		Entry("another request's answer", result{id: "a", outcome: lost}, promiseAnswer),
 		Entry("a request cut off by a planned stop", result{id: "a", outcome: unknown, entry: "e"}, promiseGracefulEntry),
 		Entry("one cut off before its deadline", result{id: "a", outcome: unknown, entry: "e", detail: "502 deadline", ended: began.Add(deadline - time.Millisecond)}, promiseGracefulEntry),
+		Entry("nothing in a key that was refused unsent", result{id: "a", key: "k", outcome: unknown, entry: "e", detail: "502 keys-incomplete"}),
+		Entry("one without a key that says so", result{id: "a", outcome: unknown, entry: "e", detail: "502 keys-incomplete"}, promiseGracefulEntry),
 		Entry("nothing in one that ended at its own deadline", result{id: "a", outcome: unknown, entry: "e", detail: "502 deadline", ended: began.Add(deadline)}),
 	)
 
