Leases are renewed in a term only

Cause: after a change of leader with a worker out of reach, a task that had not been seen waited 60.3 s before it could start, as the former holder was taken to renew for 45 s after its term. It never did: a scheduler that loses the term gives its workers up in the next tick.

Ruled out: making the scheduler keep its workers for those 45 s; it would keep a peer that reaches them from the term for as long.

Change: Timing.Detached, the workers' detached state and its guard are gone; the wait is a task's lease, 15.1 s.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -25,8 +25,6 @@
 	Task time.Duration
 	// Reply is how long a write waits for its reply.
 	Reply time.Duration
-	// Detached is how long an owner without a term goes on renewing tasks.
-	Detached time.Duration
 	// DriftPerMille bounds the difference in rate between two clocks.
 	DriftPerMille int64
 	// Without names the guards that a test has taken out.
@@ -43,7 +41,6 @@
 		Renew:         2 * time.Second,
 		Task:          15 * time.Second,
 		Reply:         time.Second,
-		Detached:      45 * time.Second,
 		DriftPerMille: 5,
 	}
 }
--- a/internal/ownership/guard.go
+++ b/internal/ownership/guard.go
@@ -22,8 +22,6 @@
 	GuardAssumed
 	// GuardHidden: a task unseen in this term waits until it surely runs nowhere.
 	GuardHidden
-	// GuardDetached: renewals without a term end after a bounded time.
-	GuardDetached
 	// GuardQuiet: a worker is released only when nothing sent to it is open.
 	GuardQuiet
 	// GuardRenewed: tasks on a silent worker count as running until their leases ran out.
--- a/internal/ownership/term.go
+++ b/internal/ownership/term.go
@@ -77,11 +77,11 @@
 func (t *Term) Began() time.Duration { return t.began }
 
 // HiddenUntil returns the local time from which a task that this scheduler has
-// not seen on any worker is surely not running: an earlier holder of the term
-// renews without it for at most Detached, and the last lease runs out after that.
+// not seen on any worker is surely not running: leases are only renewed in a
+// term, and the last one of the term before has run out by then.
 func (t *Term) HiddenUntil() time.Duration {
 	if t.timing.lacks(GuardHidden) {
 		return t.began
 	}
-	return t.began + t.timing.Lengthen(t.timing.Detached+t.timing.Task)
+	return t.began + t.timing.Lengthen(t.timing.Task)
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -165,12 +165,8 @@
 		return
 	}
 	c.termStale = false
-	until := c.term.Until()
 	c.refreshTerm(c.now)
 	held := c.term.Held(c.now)
-	if c.held && !held {
-		c.markDetached(min(c.now, until))
-	}
 	if !c.held && held {
 		c.beginTerm()
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -31,10 +31,6 @@
 	renewedUntil time.Duration
 	// endedAt holds the worker's time at which an ended attempt was first seen.
 	endedAt map[uint64]time.Duration
-	// detached is set while the claim has held without a break since a term
-	// that is over: its tasks are renewed for a bounded time.
-	detached   bool
-	detachedAt time.Duration
 	// due is when the next write is to be sent.
 	due time.Duration
 	// seenAt is when the worker's tasks were last told while it was owned.
@@ -123,7 +119,7 @@
 
 // fill adds to a write to an owned worker what only its owner may send.
 func (c *Core) fill(w *worker, eff *WriteWorker) {
-	if c.mayRenew(w) {
+	if c.term.Held(c.now) {
 		var until time.Duration
 		eff.RenewExpiry, until = w.claim.TaskExpiry(c.now)
 		w.renewedUntil = max(w.renewedUntil, until)
@@ -175,26 +171,6 @@
 	w.starts, w.orders = nil, nil
 }
 
-// mayRenew reports whether this scheduler may extend the leases of the tasks on
-// w: within its term, or for a bounded time after it while the claim on w is unbroken.
-func (c *Core) mayRenew(w *worker) bool {
-	if c.term.Held(c.now) {
-		return true
-	}
-	return w.detached && (c.now-w.detachedAt < c.set.Timing.Detached || c.lacks(ownership.GuardDetached))
-}
-
-// markDetached notes which workers are still owned when a term ended at the
-// given local time.
-func (c *Core) markDetached(at time.Duration) {
-	for _, name := range c.order {
-		w := c.workers[name]
-		if w.claim.Owned(c.now) {
-			w.detached, w.detachedAt = true, at
-		}
-	}
-}
-
 func (c *Core) replied(ev WriteReplied) {
 	w := c.workers[ev.Worker]
 	if w == nil {
@@ -205,9 +181,6 @@
 		c.reasons["stale-reply"]++
 		return
 	}
-	if !w.claim.Owned(c.now) || was != ownership.Owned {
-		w.detached = false
-	}
 	if !ev.Unchanged {
 		w.digest, w.capacity = ev.Digest, ev.Capacity
 		c.observe(w, ev)
@@ -288,7 +261,6 @@
 		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: holder, Boot: w.claim.Boot(), MarkExpiry: -1})
 	}
 	w.claim.Release(quiet)
-	w.detached = false
 }
 
 // moveSeat takes note that another machine is behind a seat. The former one
