--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -101,3 +101,26 @@
 	}
 	return cat, nil
 }
+
+// catalogOfDomains holds n failure domains of the target's size.
+func catalogOfDomains(n int) (any, error) {
+	cat := configuration.NewCatalog()
+	for i := range n {
+		d := &configuration.Domain{Name: fmt.Sprintf("domain-%02d", i), Region: "region", Entries: []string{"entry-1", "entry-2", "entry-3"}}
+		for w := range domainWorkers {
+			d.Workers = append(d.Workers, fmt.Sprintf("%s-worker-%04d", d.Name, w))
+		}
+		cat.Apply(int64(i), configuration.Record{ID: d.Name, Actor: "operator", Ops: []configuration.Op{{Domain: d}}})
+	}
+	return cat, nil
+}
+
+// catalogOfChanges holds one team that was changed n times.
+func catalogOfChanges(n int) (any, error) {
+	cat := configuration.NewCatalog()
+	for i := range n {
+		op := configuration.Op{Team: &configuration.Team{Name: "team-0", Weight: int64(1 + i%9)}}
+		cat.Apply(int64(i), configuration.Record{ID: fmt.Sprintf("change-%05d", i), Actor: "operator", Ops: []configuration.Op{op}})
+	}
+	return cat, nil
+}
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -25,12 +25,23 @@
 // It returns the exit code.
 func Main() int {
 	var root string
+	var again bool
 	cmd := &cobra.Command{
 		Use:   "mimosaspool-slopes",
 		Short: "Measure how the cost of control grows",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return remake(root) },
+		RunE: func(*cobra.Command, []string) error {
+			if !again {
+				return remake(root)
+			}
+			m, err := Embedded()
+			if err != nil {
+				return err
+			}
+			return rewrite(filepath.Join(root, "docs/CAPACITY.md"), m)
+		},
 	}
+	cmd.Flags().BoolVar(&again, "again", false, "only work the page's tables out anew, from the last measurements")
 	cmd.Flags().StringVar(&root, "root", ".", "root of the repository")
 	if err := cmd.Execute(); err != nil {
 		return 1
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -26,6 +26,8 @@
 	RecordEnded    = "log: a record of ended tasks"
 	SnapshotWork   = "log: a snapshot, by workloads"
 	SnapshotTeams  = "log: a snapshot, by teams"
+	SnapshotSeats  = "log: a snapshot, by domains"
+	HeapChanges    = "heap: configuration changes"
 	ApplyWorkloads = "processor: applying a record, by workloads"
 	InForce        = "time: a change in force at all hosts"
 )
@@ -90,6 +92,8 @@
 		{RecordEnded, "tasks", "B", small, recordEnded},
 		{SnapshotWork, "workloads", "B", []int{600, 1200, 2400, 4800, 9700}, snapshotOf(catalogOfWorkloads)},
 		{SnapshotTeams, "teams", "B", []int{20, 40, 80, 160, 350}, snapshotOf(catalogOfTeams)},
+		{SnapshotSeats, "domains of 138 workers", "B", []int{2, 4, 8, 16, 32}, snapshotOf(catalogOfDomains)},
+		{HeapChanges, "changes of one team", "KiB", []int{250, 500, 1000, 2000, 4000, 8000}, heapOf(catalogOfChanges)},
 		{ApplyWorkloads, "workloads", "us", []int{600, 1200, 2400, 4800, 9700}, applying},
 		{InForce, "hosts", "ms", []int{3, 6, 12, 24, 48}, inForce},
 	}
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -174,14 +174,28 @@
 		return 0, err
 	}
 	before := processorTime()
-	for range n {
-		if _, err := write(eff); err != nil {
-			return 0, err
-		}
+	if err := repeat(n, func() error { _, err := write(eff); return err }); err != nil {
+		return 0, err
 	}
 	return float64((processorTime() - before).Nanoseconds()) / 1000 / n, nil
 }
 
+// repeat calls f n times on a goroutine of its own: the measuring one is locked
+// to its thread, which makes every change of goroutine one of threads.
+func repeat(n int, f func() error) error {
+	done := make(chan error)
+	go func() {
+		for range n {
+			if err := f(); err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	return <-done
+}
+
 func processorTime() time.Duration {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -64,8 +64,11 @@
 	hostListsPerSecond = 0.5
 	// bytesPerListedHost is one host in the list's reply.
 	bytesPerListedHost = 60
-	// jobOpenHours is how long a finished job stays in the catalog at most.
-	jobOpenHours = 24
+	// finishedKept is how many finished jobs the catalog keeps.
+	finishedKept = 2000
+	// heapFactor is the heap before a collection by the live heap after one, as
+	// lifecycle.TuneHeap has it.
+	heapFactor = 5
 	// processMB is a Go process with its libraries at rest.
 	processMB = 24
 )
@@ -188,7 +191,7 @@
 func logReads(d share, s Slopes) Row {
 	records := (d.JobsPerDay + d.ChangesPerDay) / secondsPerDay
 	rate := readsPerSecond + records
-	return Row{"reads of the log", rate, (rate*s.at(WireHeartbeat, 0) + records*s.at(RecordOps, 1)) / 1000, percent(rate, s.at(CallTime, 1)/2) + percent(records, s.nearest(ApplyWorkloads, d.JobsPerDay)), 0,
+	return Row{"reads of the log", rate, (rate*s.at(WireHeartbeat, 0) + records*s.at(RecordOps, 1)) / 1000, percent(rate, s.at(CallTime, 1)/2) + percent(records, s.nearest(ApplyWorkloads, d.catalogJobs())), 0,
 		"one long read each 2 s and one for each record; " + RecordOps + "; " + ApplyWorkloads}
 }
 
@@ -206,19 +209,25 @@
 
 func coreMemory(d share, s Slopes) Row {
 	kib := s.at(HeapWorkers, d.workers) + s.at(HeapTasks, d.tasks) + catalogKiB(d, s)
-	return Row{"memory: process, workers, tasks, catalog (live heap doubled for the collector)", 0, 0, 0, processMB + 2*kib/1024,
-		HeapWorkers + "; " + HeapTasks + "; " + HeapWorkloads + "; " + HeapTeams}
+	return Row{"memory: process, workers, tasks, catalog (live heap times 5, as it grows to 400% between collections)", 0, 0, 0, processMB + heapFactor*kib/1024,
+		HeapWorkers + "; " + HeapTasks + "; " + HeapWorkloads + "; " + HeapTeams + "; " + HeapChanges}
 }
 
 func catalogKiB(d share, s Slopes) float64 {
-	return s.at(HeapWorkloads, d.JobsPerDay*jobOpenHours/24) + s.at(HeapTeams, d.Teams)
+	return s.at(HeapWorkloads, d.catalogJobs()) + s.at(HeapTeams, d.Teams) + s.nearest(HeapChanges, d.ChangesPerDay)
+}
+
+// catalogJobs is the number of jobs in the catalog: those that run, and the
+// newest finished ones.
+func (z Size) catalogJobs() float64 {
+	return z.Tasks*(1-z.ServiceShare)/z.TasksPerJob + min(z.JobsPerDay, finishedKept)
 }
 
 func standby(d share, s Slopes) Role {
 	return Role{Name: "scheduler that stands by", Rows: []Row{
 		heartbeats(d, s), logReads(d, s), hostLists(d),
 		{"ticks", 0, 0, percent(ticksPerSecond, s.nearest(StepTick, d.workers)), 0, StepTick + " (as the holder's)"},
-		{"memory: process, catalog", 0, 0, 0, processMB + 2*catalogKiB(d, s)/1024, HeapWorkloads + "; " + HeapTeams},
+		{"memory: process, catalog", 0, 0, 0, processMB + heapFactor*catalogKiB(d, s)/1024, HeapWorkloads + "; " + HeapTeams + "; " + HeapChanges},
 	}}
 }
 
@@ -238,19 +247,19 @@
 	From              string
 }
 
-// snapshotsPerDay bounds the snapshots that the system appends.
-const snapshotsPerDay = 24
+// snapshotsPerDay is how many snapshots the system appends, one each half hour.
+const snapshotsPerDay = 48
 
 // Log returns what size z asks of the platform's log.
 func Log(z Size, s Slopes) []LogUse {
 	d := z.share()
 	const mb = 1e6
-	snapshot := s.at(SnapshotWork, z.JobsPerDay) + s.at(SnapshotTeams, z.Teams)
+	snapshot := s.at(SnapshotWork, z.catalogJobs()) + s.at(SnapshotTeams, z.Teams) + s.at(SnapshotSeats, z.Domains)
 	ended := d.meanStarts() * z.Domains
 	return []LogUse{
 		{"jobs declared", z.JobsPerDay / secondsPerDay, z.JobsPerDay * s.at(RecordOps, 1) / mb, 10 * z.JobsPerDay / secondsPerDay, "one record a job; " + RecordOps + "; the peak is taken as ten times the mean"},
 		{"changes of configuration", z.ChangesPerDay / secondsPerDay, z.ChangesPerDay * s.at(RecordOps, 1) / mb, 10 * z.ChangesPerDay / secondsPerDay, "one record a change; " + RecordOps},
 		{"ended tasks", min(ended, z.Domains), ended * secondsPerDay * s.at(RecordEnded, 1) / mb, z.Domains, "at most one record a second a domain; " + RecordEnded},
-		{"snapshots", snapshotsPerDay / secondsPerDay, snapshotsPerDay * snapshot / mb, snapshotsPerDay / secondsPerDay, "one an hour; " + SnapshotWork + "; " + SnapshotTeams},
+		{"snapshots", snapshotsPerDay / secondsPerDay, snapshotsPerDay * snapshot / mb, snapshotsPerDay / secondsPerDay, "one each half hour; " + SnapshotWork + "; " + SnapshotTeams + "; " + SnapshotSeats},
 	}
 }
