--- a/internal/configuration/finished_test.go
+++ b/internal/configuration/finished_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -62,3 +63,29 @@
 	g.Expect(fresh.Next()).To(gomega.Equal(int64(3)))
 	g.Expect(known.Adopt(fresh.Catalog)).To(gomega.BeFalse())
 }
+
+// TestFreezeSharesNothingThatGrows compares every map and slice of a catalog
+// with its frozen copy's: the copy is read on other goroutines.
+func TestFreezeSharesNothingThatGrows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := configuration.NewCatalog()
+	v := reflect.ValueOf(c).Elem()
+	for i := range v.NumField() {
+		f := v.Field(i)
+		switch {
+		case !f.CanSet():
+		case f.Kind() == reflect.Map:
+			f.Set(reflect.MakeMap(f.Type()))
+			f.SetMapIndex(reflect.ValueOf("k"), reflect.Zero(f.Type().Elem()))
+		case f.Kind() == reflect.Slice:
+			f.Set(reflect.MakeSlice(f.Type(), 1, 2))
+		}
+	}
+	frozen := reflect.ValueOf(c.Freeze()).Elem()
+	for i := range v.NumField() {
+		if k := v.Field(i).Kind(); k == reflect.Map || k == reflect.Slice {
+			g.Expect(frozen.Field(i).Len()).To(gomega.Equal(1), v.Type().Field(i).Name)
+			g.Expect(frozen.Field(i).Pointer()).NotTo(gomega.Equal(v.Field(i).Pointer()), v.Type().Field(i).Name)
+		}
+	}
+}
