--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -19,7 +19,7 @@
 }
 
 // Catalog is the state that the log's records add up to. It isn't safe for
-// concurrent use; readers on other goroutines take a Clone.
+// concurrent use; readers on other goroutines take a Freeze.
 type Catalog struct {
 	// Next is the offset of the first record not applied yet.
 	Next      int64                       `json:"next"`
--- a/internal/configuration/view.go
+++ b/internal/configuration/view.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 )
@@ -148,17 +147,3 @@
 	}
 	return &f
 }
-
-// Clone returns a deep copy of c.
-func (c *Catalog) Clone() *Catalog {
-	data, err := json.Marshal(c)
-	if err != nil {
-		panic(err) // a catalog holds nothing that can't be written
-	}
-	out := &Catalog{}
-	if err := json.Unmarshal(data, out); err != nil {
-		panic(err)
-	}
-	out.init()
-	return out
-}
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -102,7 +102,7 @@
 		p.w.log.read(from, func(first int64, records []configuration.Numbered) {
 			answer(func() {
 				if len(records) > 0 || !p.core.Ready() {
-					p.learn(first, records, false)
+					p.learn(first, records)
 				}
 				p.later(0, p.readLog)
 			})
@@ -113,7 +113,7 @@
 // recentMost bounds the records kept for peers.
 const recentMost = 5000
 
-func (p *process) learn(first int64, records []configuration.Numbered, relayed bool) {
+func (p *process) learn(first int64, records []configuration.Numbered) {
 	for _, r := range records {
 		if n := len(p.recent); n == 0 || r.Offset > p.recent[n-1].Offset {
 			p.recent = append(p.recent, r)
@@ -122,7 +122,7 @@
 	if extra := len(p.recent) - recentMost; extra > 0 {
 		p.recent = p.recent[extra:]
 	}
-	p.step(scheduler.LogRead{First: first, Records: records, Relayed: relayed})
+	p.step(scheduler.LogRead{First: first, Records: records})
 }
 
 func (p *process) pollHosts() {
@@ -159,7 +159,7 @@
 			answer(func() {
 				p.heard(theirs, o.domain)
 				if len(records) > 0 {
-					p.learn(-1, records, true)
+					p.learn(-1, records)
 				}
 			})
 		})
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -76,9 +76,6 @@
 
 func (c *Core) leave() {
 	c.leaving = true
-	c.election.claiming = false
-	for _, name := range c.order {
-		c.release(c.workers[name])
-	}
+	c.yield(0)
 	c.dirDirty = true
 }
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -21,8 +21,6 @@
 	Records []configuration.Numbered
 	// State is a peer's whole state, for a scheduler that has none; or nil.
 	State *configuration.Catalog
-	// Relayed is set on records that a peer passed on.
-	Relayed bool
 }
 
 // HostsRead brings the platform's list of hosts, which lags.
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -253,14 +253,14 @@
 			continue
 		}
 		if len(page.Records) > 0 || !s.ready {
-			d.learn(ctx, page.First, page.Records, false)
+			d.learn(ctx, page.First, page.Records)
 			_ = d.call(ctx, func(*scheduler.Core) {}) // until the core has taken the records
 		}
 	}
 }
 
 // learn passes records on to the core and keeps them for peers.
-func (d *Daemon) learn(ctx context.Context, first int64, records []configuration.Numbered, relayed bool) {
+func (d *Daemon) learn(ctx context.Context, first int64, records []configuration.Numbered) {
 	d.mu.Lock()
 	for _, r := range records {
 		if n := len(d.recent); n == 0 || r.Offset > d.recent[n-1].Offset {
@@ -271,7 +271,7 @@
 		d.recent = append([]configuration.Numbered(nil), d.recent[extra:]...)
 	}
 	d.mu.Unlock()
-	d.send(ctx, scheduler.LogRead{First: first, Records: records, Relayed: relayed})
+	d.send(ctx, scheduler.LogRead{First: first, Records: records})
 }
 
 func (d *Daemon) send(ctx context.Context, ev scheduler.Event) {
--- a/internal/schedulerd/peer.go
+++ b/internal/schedulerd/peer.go
@@ -36,7 +36,7 @@
 			records = append(records, configuration.Numbered{Offset: r.Offset, TimeMillis: r.TimeMs, Data: r.Data})
 		}
 		if len(records) > 0 {
-			d.learn(ctx, -1, records, true)
+			d.learn(ctx, -1, records)
 		}
 	})
 }
@@ -51,7 +51,7 @@
 		d.unanswered(reasonPeer, errors.Wrap(err, "a peer's state"))
 		return
 	}
-	d.send(ctx, scheduler.LogRead{First: -1, State: state, Relayed: true})
+	d.send(ctx, scheduler.LogRead{First: -1, State: state})
 }
 
 // goodbye tells every peer that this scheduler leaves, so that none waits out
