--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-PROTOS := api/platform/platform.proto api/control/control.proto
+PROTOS := api/platform/platform.proto api/control/control.proto api/peer/peer.proto
 BIN := bin
 SITE ?= tallowood
 SEED ?= 1
--- /dev/null
+++ b/internal/dispatch/host.go
@@ -0,0 +1,248 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// host is the book of one life of a worker.
+type host struct {
+	info worker.Info
+	// life numbers the lives that this core has seen, over all workers.
+	life int64
+	// listed tells that the worker is in the platform's list.
+	listed bool
+	// inherited hosts may run work of a former holder.
+	inherited bool
+	// fenced hosts have answered a hold of this holder, so no former one can act there.
+	fenced bool
+	// engaged tells that the life is recorded in the log as one that may run tasks.
+	engaged    bool
+	engagement bool // the record is on its way
+	// free is the capacity less all that runs, may run, or is being stopped.
+	free workflow.Size
+	runs map[runKey]*run
+	// clock is the worker's clock at the local time clockAt, a lower bound.
+	clock   int64
+	clockAt time.Duration
+	// granted is the latest lease end that was ever sent, on the worker's clock.
+	granted int64
+	// heardAt is when the last answer came.
+	heardAt time.Duration
+	// silent counts orders without an answer since then.
+	silent int
+	// seen is the number of the last end that was processed; noted of the last
+	// one whose effect is in the log.
+	seen, noted int64
+	toldNoted   int64
+	holding     bool
+	holdSent    time.Duration
+	nextHold    time.Duration
+	health      health
+	// serving counts the runs with a target of latency; fill is the capacity
+	// that fillers there would use.
+	serving int
+	fill    int64
+	// draining is since when the worker drains; 0 is not.
+	draining time.Duration
+	leavesAt time.Duration
+	leaves   bool
+	// reserved is the step that the room is kept for.
+	reserved *step
+}
+
+type runKey struct {
+	task workflow.TaskID
+	run  int64
+}
+
+// newHost adds a book for a life of a worker.
+func (c *Core) newHost(info worker.Info) *host {
+	c.lives++
+	h := &host{info: info, life: c.lives, free: info.Capacity, runs: map[runKey]*run{}, heardAt: c.now}
+	c.hosts[info.ID] = h
+	return h
+}
+
+func (c *Core) listWorkers(infos []worker.Info) {
+	changed := false
+	for _, h := range c.hosts {
+		h.listed = false
+	}
+	for _, info := range infos {
+		h := c.hosts[info.ID]
+		if h != nil && info.Born != 0 && h.info.Born != 0 && info.Born > h.info.Born {
+			c.endLife(h, "the worker was born anew")
+			h = nil
+		}
+		if h == nil {
+			h = c.newHost(info)
+			h.engaged = false
+			changed = true
+		}
+		if info.Born != 0 && info.Born < h.info.Born {
+			continue // an entry of an earlier life
+		}
+		changed = c.updateHost(h, info) || changed
+		h.listed = true
+	}
+	if changed {
+		c.sortHosts()
+	}
+}
+
+// updateHost takes in a list's entry and reports whether placement may change.
+func (c *Core) updateHost(h *host, info worker.Info) bool {
+	old := h.info
+	if info.Capacity != old.Capacity {
+		h.free = h.free.Add(info.Capacity.Sub(old.Capacity))
+	}
+	if info.Draining && h.draining == 0 {
+		h.draining = max(c.now, 1)
+		c.decide(Decision{Kind: "worker-draining", Worker: info.ID})
+	}
+	if info.Draining && info.RemainingKnown {
+		leavesAt := c.now + info.Remaining
+		if !h.leaves || leavesAt < h.leavesAt {
+			h.leaves, h.leavesAt = true, leavesAt
+		}
+	}
+	if h.info.Born != 0 && info.Born == 0 {
+		info.Born = h.info.Born
+	}
+	h.info = info
+	return info.Pool != old.Pool || info.Capacity != old.Capacity || info.Draining != old.Draining ||
+		info.Address != old.Address || !h.listed
+}
+
+// inherit takes in a life on which a former holder may have started tasks.
+func (c *Core) inherit(e Engagement) {
+	h := c.hosts[e.Worker]
+	if h == nil {
+		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Born: e.Born})
+		c.sortHosts()
+	}
+	if h.info.Born != 0 && e.Born != 0 && h.info.Born > e.Born {
+		return // that life is over
+	}
+	h.inherited, h.engaged = true, true
+	h.seen, h.noted = e.Seen, e.Seen
+}
+
+// endLife forgets a life of which surely nothing runs any more.
+func (c *Core) endLife(h *host, why string) {
+	c.decide(Decision{Kind: "worker-gone", Worker: h.info.ID, Reason: why})
+	for _, r := range h.sortedRuns() {
+		c.loseRun(r, why)
+	}
+	delete(c.hosts, h.info.ID)
+	if h.engaged {
+		c.commits.release(h.info.ID)
+	}
+	c.sortHosts()
+}
+
+// lapsesAt returns the local time at which every lease that was ever granted
+// there has surely run out.
+func (c *Core) lapsesAt(h *host) time.Duration {
+	bound := time.Duration(0)
+	if h.granted > 0 {
+		left := time.Duration(h.granted-h.clock) * time.Millisecond
+		bound = h.clockAt + time.Duration(float64(left)/(1-clockDrift)) + lapseSlack
+	}
+	if h.inherited && !h.fenced {
+		bound = max(bound, c.began+c.set.FormerBound)
+	}
+	return bound
+}
+
+// lapseSlack is added to a lease's end for the rounding of clocks.
+const lapseSlack = 150 * time.Millisecond
+
+// lapse frees what ran on workers whose leases have surely run out.
+func (c *Core) lapse() {
+	for _, h := range c.order {
+		if len(h.runs) == 0 && !(h.inherited && !h.fenced) {
+			if !h.listed && !h.holding && c.now-h.heardAt > unlistedRetention {
+				c.endLife(h, "not listed any more")
+				return
+			}
+			continue
+		}
+		if c.now < c.lapsesAt(h) {
+			continue
+		}
+		if len(h.runs) > 0 {
+			c.decide(Decision{Kind: "leases-lapsed", Worker: h.info.ID, Reason: "no contact", Age: c.now - h.heardAt})
+		}
+		for _, r := range h.sortedRuns() {
+			c.loseRun(r, "its lease has lapsed")
+		}
+		if h.inherited && !h.fenced {
+			h.inherited = false
+		}
+	}
+}
+
+// unlistedRetention is how long a worker is kept that is neither listed nor answers.
+const unlistedRetention = 5 * time.Second
+
+// usable reports whether new work may be sent there.
+func (c *Core) usable(h *host) bool {
+	return h.listed && h.fenced && h.engaged && h.draining == 0 && h.silent == 0 &&
+		c.now-h.heardAt < contactBound && !h.health.quarantined(c.now)
+}
+
+// contactBound is how old the last answer of a worker may be for new work.
+const contactBound = 2500 * time.Millisecond
+
+// take books a run, give gives its room back.
+func (h *host) take(r *run) {
+	h.free = h.free.Sub(r.size)
+	h.runs[r.key()] = r
+	h.count(r, 1)
+}
+
+func (h *host) count(r *run, n int) {
+	if r.task == nil {
+		return
+	}
+	s := r.task.step
+	if s.perWorker != nil {
+		if s.perWorker[h] += n; s.perWorker[h] <= 0 {
+			delete(s.perWorker, h)
+		}
+	}
+	if s.def.TargetMillis > 0 {
+		h.serving += n
+	}
+	if s.def.Filler {
+		h.fill += int64(n) * s.def.Size.MilliCPU
+	}
+}
+
+func (h *host) give(r *run) {
+	if h.runs[r.key()] != r {
+		return
+	}
+	h.free = h.free.Add(r.size)
+	delete(h.runs, r.key())
+	h.count(r, -1)
+}
+
+func (h *host) sortedRuns() []*run {
+	rs := make([]*run, 0, len(h.runs))
+	for _, r := range h.runs {
+		rs = append(rs, r)
+	}
+	sortRuns(rs)
+	return rs
+}
+
+// clockNow estimates the worker's clock; it is never ahead of the true one by
+// more than the drift since the last answer.
+func (c *Core) clockNow(h *host) int64 {
+	return h.clock + (c.now - h.clockAt).Milliseconds()
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"sort"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// place starts waiting tasks, the most urgent first.
+func (c *Core) place() {
+	if !c.mayOrder() {
+		return
+	}
+	c.sortWaiting()
+	for _, h := range c.order {
+		h.reserved = nil
+	}
+	fresh := map[string]int{}
+	kept := c.waiting[:0]
+	for _, s := range c.waiting {
+		if c.placeStep(s, fresh) {
+			s.queued = false
+			continue
+		}
+		kept = append(kept, s)
+	}
+	for i := len(kept); i < len(c.waiting); i++ {
+		c.waiting[i] = nil
+	}
+	c.waiting = kept
+	c.dirty = false
+}
+
+func (c *Core) sortWaiting() {
+	sort.SliceStable(c.waiting, func(a, b int) bool {
+		x, y := c.waiting[a].occ.job, c.waiting[b].occ.job
+		if lx, ly := c.hopeless(x), c.hopeless(y); lx != ly {
+			return ly
+		}
+		if x.queue.Priority != y.queue.Priority {
+			return x.queue.Priority < y.queue.Priority
+		}
+		if x.objective != y.objective {
+			return x.objective < y.objective
+		}
+		return x.offset < y.offset
+	})
+}
+
+// hopeless reports whether the job can't be of use in time any more.
+func (c *Core) hopeless(j *job) bool {
+	return j.known && j.def.Times == 0 && !j.def.LongRunning() && c.wall > j.horizon
+}
+
+// placeStep starts what it can of a step and reports whether nothing waits any more.
+func (c *Core) placeStep(s *step, fresh map[string]int) bool {
+	j := s.occ.job
+	if j.over() || s.finished() {
+		return true
+	}
+	if !j.known || (c.barrier && j.offset < c.set.TermOffset) {
+		return false
+	}
+	var left bool
+	if s.def.Gang {
+		left = !c.placeGang(s)
+	} else {
+		left = c.placeTasks(s)
+	}
+	if left {
+		c.keepAsking(s, fresh)
+	}
+	return !left
+}
+
+// placeTasks starts single tasks and reports whether some still wait.
+func (c *Core) placeTasks(s *step) bool {
+	left, full := false, false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done || len(t.runs) > 0 && !t.stoppingOnly() {
+			continue
+		}
+		if full || !t.waits(c.now) {
+			left = true
+			continue
+		}
+		h := c.pick(t, nil)
+		if h == nil {
+			left, full = true, t.avoid == nil
+			continue
+		}
+		tk, _ := c.ticketFor(s, h)
+		c.start(t, h, c.nextRun(t), tk)
+	}
+	return left
+}
+
+// stoppingOnly reports whether all live runs of the task are being stopped.
+func (t *task) stoppingOnly() bool {
+	for _, r := range t.runs {
+		if r.state != stopping {
+			return false
+		}
+	}
+	return true
+}
+
+// keepAsking asks for tickets where there is room, and ahead for the first
+// steps of a pool.
+func (c *Core) keepAsking(s *step, fresh map[string]int) {
+	if s.occ.job.queue.Advice == nil {
+		return
+	}
+	size := s.def.Counted()
+	room := func(h *host) bool { return c.usable(h) && size.Within(h.free) }
+	pool := s.occ.job.queue.Pool
+	if fresh[pool] < freshSteps {
+		fresh[pool]++
+		room = always
+	}
+	c.ask(s, room)
+}
+
+// pick returns the best worker for the task among those allowed, or nil.
+func (c *Core) pick(t *task, in func(*host) bool) *host {
+	s := t.step
+	size := s.def.Counted()
+	var best *host
+	top := 0.0
+	for _, h := range c.pools[s.occ.job.queue.Pool] {
+		if !size.Within(h.free) || in != nil && !in(h) || !c.feasible(t, h) {
+			continue
+		}
+		if score := c.score(t, h, size); best == nil || score > top {
+			best, top = h, score
+		}
+	}
+	return best
+}
+
+// feasible checks everything but the room.
+func (c *Core) feasible(t *task, h *host) bool {
+	s := t.step
+	if !c.usable(h) || !h.hasLabel(s.def.Requires) {
+		return false
+	}
+	if s.perWorker != nil && s.perWorker[h] >= s.def.MostPerWorker {
+		return false
+	}
+	if h.reserved != nil && h.reserved != s {
+		return false
+	}
+	if h.health.probing && len(h.runs) > 0 {
+		return false
+	}
+	if t.avoid == h && len(c.pools[s.occ.job.queue.Pool]) > 1 {
+		return false
+	}
+	_, ok := c.ticketFor(s, h)
+	return ok
+}
+
+const (
+	// remoteWeight is how much a worker away from the data counts less.
+	remoteWeight = 10
+	// servingWeight is how much each serving task on a worker counts against a filler.
+	servingWeight = 0.5
+)
+
+// score rates a worker that fits; higher is better. Finite work is packed
+// tightly; fillers and serving tasks are spread away from each other.
+func (c *Core) score(t *task, h *host, size workflow.Size) float64 {
+	s := t.step
+	score := 0.0
+	if s.def.Rack != "" && h.info.Rack() != s.def.Rack {
+		score -= remoteWeight
+	}
+	unused := ratio(h.free.MilliCPU-h.fill, h.info.Capacity.MilliCPU)
+	switch {
+	case s.def.Filler:
+		return score + unused - servingWeight*float64(h.serving)
+	case s.def.TargetMillis > 0:
+		return score + unused - servingWeight*ratio(h.fill, h.info.Capacity.MilliCPU)
+	}
+	left := h.free.Sub(size)
+	if h.info.Capacity.Accelerators > 0 {
+		score -= 4 * ratio(left.Accelerators, h.info.Capacity.Accelerators)
+	}
+	return score - ratio(left.MilliCPU, h.info.Capacity.MilliCPU) - ratio(left.MemoryMiB, h.info.Capacity.MemoryMiB)
+}
+
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,306 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+type runState int
+
+const (
+	// starting: the order is out and no answer or list has shown the run yet.
+	starting runState = iota
+	running
+	// stopping: it must end; its room is held until its end is known.
+	stopping
+)
+
+// run is one start of a task on one worker. It is in the host's book and, if
+// the task is known, in the task's runs until it surely runs no more.
+type run struct {
+	// task is nil for a run that nobody asked this holder for.
+	task   *task
+	id     workflow.TaskID
+	number int64
+	host   *host
+	size   workflow.Size
+	state  runState
+	sentAt time.Duration
+	// doubtful runs had an order without an answer; it may be carried out late.
+	doubtful bool
+	tries    int
+	// orderOut tells that an order for the run waits for its answer.
+	orderOut  bool
+	nextOrder time.Duration
+	// stopAcked is when a stop was confirmed, or 0.
+	stopAcked time.Duration
+	why       string
+	ticket    string
+	from      string // checkpoint that it began with
+	// percent as last listed, and when it last rose.
+	percent   float64
+	percentAt time.Duration
+	beganAt   time.Duration
+	load      float64
+	loadAt    time.Duration
+	pace      pace
+}
+
+func (r *run) key() runKey { return runKey{r.id, r.number} }
+
+func sortRuns(rs []*run) {
+	sort.Slice(rs, func(a, b int) bool {
+		if rs[a].id != rs[b].id {
+			return rs[a].id.String() < rs[b].id.String()
+		}
+		return rs[a].number < rs[b].number
+	})
+}
+
+const (
+	// runsPerTerm bounds the starts of a task within one term.
+	runsPerTerm = 1 << 12
+	// startTries is how often a start is sent before the run is given up.
+	startTries = 2
+	// orderRetry is the pause before an order without an answer is sent again.
+	orderRetry = 150 * time.Millisecond
+	// failureBackoff delays a task that has failed, by the number of failures.
+	failureBackoff = 50 * time.Millisecond
+)
+
+// nextRun numbers the task's next start above all that were ever given.
+func (c *Core) nextRun(t *task) int64 {
+	if t.step.def.Gang {
+		t.step.gang.starts++
+		return c.set.Token*runsPerTerm + t.step.gang.starts
+	}
+	t.starts++
+	return c.set.Token*runsPerTerm + t.starts
+}
+
+// start sends a task to a worker.
+func (c *Core) start(t *task, h *host, number int64, ticket string) *run {
+	s := t.step
+	saved := t.saved
+	if s.def.Gang {
+		saved = s.gang.saved
+	}
+	if !s.def.Checkpointing {
+		saved = ""
+	}
+	r := &run{task: t, id: t.id(), number: number, host: h, size: s.def.Counted(),
+		sentAt: c.now, percentAt: c.now, beganAt: c.now, ticket: ticket, from: saved, load: -1}
+	r.pace.percent = fullPace
+	t.runs = append(t.runs, r)
+	h.take(r)
+	c.sendStart(r)
+	j := s.occ.job
+	if !j.started {
+		j.started = true
+		c.markDirty(j)
+	}
+	c.decide(Decision{Kind: "task-started", Job: j.def.ID, Task: r.id.String(), Worker: h.info.ID, Run: number,
+		Age: c.now - max(s.readyAt, t.waitingSince)})
+	return r
+}
+
+func (c *Core) sendStart(r *run) {
+	h := r.host
+	r.tries++
+	r.orderOut = true
+	deadline := c.clockNow(h) + c.set.Lease.Milliseconds()
+	h.granted = max(h.granted, deadline)
+	c.emit(StartTask{Life: h.life, Start: worker.Start{
+		Order: c.orderTo(h), Task: r.id, Run: r.number, Spec: r.task.step.occ.job.def.Spec,
+		DeadlineMillis: deadline, Checkpoint: r.from, Ticket: r.ticket,
+	}})
+}
+
+func (c *Core) runOf(workerID string, life int64, id workflow.TaskID, number int64) *run {
+	h := c.hosts[workerID]
+	if h == nil || h.life != life {
+		return nil
+	}
+	return h.runs[runKey{id, number}]
+}
+
+func (c *Core) heard(h *host) {
+	h.heardAt, h.silent = c.now, 0
+}
+
+func (c *Core) startAnswered(ev Started) {
+	if ev.Code == worker.Fenced {
+		c.stepDown()
+		return
+	}
+	r := c.runOf(ev.Worker, ev.Life, ev.Task, ev.Run)
+	if r == nil {
+		return
+	}
+	r.orderOut = false
+	h := r.host
+	if ev.Code != worker.Unknown && ev.Code != worker.NotDone {
+		c.heard(h)
+	}
+	if r.state != starting {
+		r.doubtful = r.doubtful || ev.Code == worker.Unknown
+		return
+	}
+	switch ev.Code {
+	case worker.OK:
+		r.state = running
+		r.beganAt, r.percentAt = c.now, c.now
+	case worker.Unknown:
+		r.doubtful = true
+		h.silent++
+		c.reasons["start-unanswered"]++
+		r.nextOrder = c.now + orderRetry
+	case worker.WrongLife:
+		c.endLife(h, "another worker answers at its address")
+	case worker.Old:
+		// It may have run and ended there: the lists tell.
+		c.awaitEnd(r, "the worker has seen a later run")
+	default:
+		c.startRefused(r, ev.Code)
+	}
+}
+
+// startRefused handles an order that surely did nothing itself.
+func (c *Core) startRefused(r *run, code worker.Code) {
+	c.reasons["start-"+code.String()]++
+	s := r.task.step
+	switch code {
+	case worker.NoTicket:
+		s.advice.drop(r.host)
+	case worker.NoRoom:
+		r.host.health.pauseUntil = c.now + roomPause
+	case worker.NotDone:
+		r.host.silent++
+	}
+	if r.doubtful {
+		c.stopRun(r, "start "+code.String()+" after one without an answer")
+		return
+	}
+	r.task.notBefore = c.now + refusedBackoff
+	c.removeRun(r)
+	c.decide(Decision{Kind: "start-refused", Job: r.id.Job, Task: r.id.String(), Worker: r.host.info.ID, Run: r.number, Outcome: code.String()})
+}
+
+const (
+	// roomPause is how long a worker gets nothing after it refused for want of room.
+	roomPause = 200 * time.Millisecond
+	// refusedBackoff delays a task whose start was refused.
+	refusedBackoff = 20 * time.Millisecond
+)
+
+// awaitEnd holds the run in the books until a later list shows that it is gone.
+func (c *Core) awaitEnd(r *run, why string) {
+	r.state, r.why = stopping, why
+	r.stopAcked = c.now
+	r.host.nextHold = 0
+}
+
+// stopRun has a run ended. Its room stays held until its end is known.
+func (c *Core) stopRun(r *run, why string) {
+	if r.state == stopping {
+		return
+	}
+	r.state, r.why, r.tries = stopping, why, 0
+	c.decide(Decision{Kind: "task-stopped", Job: r.id.Job, Task: r.id.String(), Worker: r.host.info.ID, Run: r.number, Reason: why})
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.tries++
+	r.orderOut = true
+	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}})
+}
+
+func (c *Core) stopAnswered(ev StopAnswered) {
+	if ev.Code == worker.Fenced {
+		c.stepDown()
+		return
+	}
+	r := c.runOf(ev.Worker, ev.Life, ev.Task, ev.Run)
+	if r == nil {
+		return
+	}
+	r.orderOut = false
+	switch ev.Code {
+	case worker.OK, worker.Old:
+		c.heard(r.host)
+		r.stopAcked = c.now
+		if !r.host.holding {
+			r.host.nextHold = 0
+		}
+	case worker.WrongLife:
+		c.endLife(r.host, "another worker answers at its address")
+	default:
+		r.nextOrder = c.now + orderRetry*time.Duration(min(r.tries, 6))
+		c.reasons["stop-"+ev.Code.String()]++
+		if ev.Code == worker.Unknown {
+			r.host.silent++
+		}
+	}
+}
+
+// chaseOrders sends orders again that had no answer.
+func (c *Core) chaseOrders() {
+	for _, h := range c.order {
+		if len(h.runs) == 0 {
+			continue
+		}
+		for _, r := range h.sortedPending() {
+			if r.orderOut || c.now < r.nextOrder {
+				continue
+			}
+			switch {
+			case r.state == stopping && r.stopAcked == 0:
+				c.sendStop(r)
+			case r.state == starting && r.doubtful && (r.tries >= startTries || !c.mayOrder() || r.task.step.occ.job.over()):
+				c.stopRun(r, "no answer to its start")
+			case r.state == starting && r.doubtful:
+				c.sendStart(r)
+			}
+		}
+	}
+}
+
+// sortedPending returns the runs with an order that may have to be sent again.
+func (h *host) sortedPending() []*run {
+	var rs []*run
+	for _, r := range h.runs {
+		if r.state == starting && r.doubtful || r.state == stopping && r.stopAcked == 0 {
+			rs = append(rs, r)
+		}
+	}
+	sortRuns(rs)
+	return rs
+}
+
+// removeRun takes out a run that surely runs no more.
+func (c *Core) removeRun(r *run) {
+	r.host.give(r)
+	c.dirty = true
+	t := r.task
+	if t == nil {
+		return
+	}
+	t.drop(r)
+	if len(t.runs) == 0 && !t.done {
+		t.waitingSince = c.now
+	}
+	c.gangLeft(r)
+	if !t.done && !t.step.occ.job.over() {
+		c.enqueue(t.step)
+	}
+}
+
+// loseRun takes out a run whose worker is gone.
+func (c *Core) loseRun(r *run, why string) {
+	c.decide(Decision{Kind: "run-lost", Job: r.id.Job, Task: r.id.String(), Worker: r.host.info.ID, Run: r.number, Reason: why, Age: c.now - r.host.heardAt})
+	c.removeRun(r)
+}
--- /dev/null
+++ b/internal/emulator/log.go
@@ -0,0 +1,217 @@
+package emulator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+// The log's defaults and bounds.
+const (
+	// DefaultRetention is how long a partition's history is kept.
+	DefaultRetention = 20 * time.Second
+	// DefaultAppendTime is how long a partition takes for one append.
+	DefaultAppendTime = 2 * time.Millisecond
+	// PageRecords bounds the records of a page of the newest.
+	PageRecords = 500
+	// BatchBytes bounds the values of a read and of a page; one record always fits.
+	BatchBytes = 1 << 20
+	// MaxReadWait is the longest wait of a read.
+	MaxReadWait = 30 * time.Second
+	// MaxAppendQueue is the longest time that appends may wait in line.
+	MaxAppendQueue = 2 * time.Second
+)
+
+// LogConfig sets a log up. Fields of 0 take their defaults.
+type LogConfig struct {
+	// Seed drives the faults.
+	Seed uint64
+	// Retention is how long history is kept, AppendTime how long a partition
+	// takes for an append, Latency the time of one way.
+	Retention, AppendTime, Latency time.Duration
+	// BytesPerSecond is how fast a partition writes; 0 is without bound.
+	BytesPerSecond int64
+}
+
+// LogUsage counts the calls of a node, refused ones included.
+type LogUsage struct{ Appends, Reads, Pages int }
+
+// Log is the platform's store. Its methods may be called concurrently.
+type Log struct {
+	cfg LogConfig
+	// mu guards all below.
+	mu         sync.Mutex
+	random     *rand.Rand
+	partitions map[store.Partition]*partition
+	faults     logFaults
+	usage      map[string]LogUsage
+}
+
+// NewLog returns an empty log.
+func NewLog(cfg LogConfig) *Log {
+	cfg.Retention = orDefault(cfg.Retention, DefaultRetention)
+	cfg.AppendTime = orDefault(cfg.AppendTime, DefaultAppendTime)
+	cfg.Latency = orDefault(cfg.Latency, DefaultLatency)
+	return &Log{
+		cfg:        cfg,
+		random:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+		partitions: map[store.Partition]*partition{},
+		faults:     logFaults{},
+		usage:      map[string]LogUsage{},
+	}
+}
+
+// Client returns the log as a node reaches it.
+func (l *Log) Client(node string) store.Store { return &logClient{l, node} }
+
+// Put appends records at once, as the platform's own writers do; no fault and
+// no latency applies.
+func (l *Log) Put(p store.Partition, records ...store.Record) store.Appended {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.partition(p).add(time.Now(), records)
+}
+
+// DropHistory deletes all records but the newest of each key.
+func (l *Log) DropHistory() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.partitions {
+		p.history, p.first = nil, p.end
+	}
+}
+
+// Usage returns what a node has called so far.
+func (l *Log) Usage(node string) LogUsage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usage[node]
+}
+
+// partition returns a partition with its expired records removed.
+func (l *Log) partition(name store.Partition) *partition {
+	p := l.partitions[name]
+	if p == nil {
+		p = newPartition()
+		l.partitions[name] = p
+	}
+	p.expire(time.Now().Add(-l.cfg.Retention))
+	return p
+}
+
+// logClient is one node's way to the log.
+type logClient struct {
+	log  *Log
+	node string
+}
+
+func (c *logClient) count(add func(*LogUsage)) {
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	u := c.log.usage[c.node]
+	add(&u)
+	c.log.usage[c.node] = u
+}
+
+type appendResult struct {
+	appended store.Appended
+	err      error
+}
+
+// Append implements store.Store.
+func (c *logClient) Append(ctx context.Context, name store.Partition, records []store.Record, opt store.AppendOptions) (store.Appended, error) {
+	c.count(func(u *LogUsage) { u.Appends++ })
+	fault := c.log.fault(c.node)
+	if fault.refuse {
+		return store.Appended{}, store.ErrNotDone
+	}
+	request := &appendRequest{log: c.log, node: c.node, name: name, records: copyRecords(records), opt: copyOptions(opt)}
+	latency := fault.scale(c.log.cfg.Latency)
+	r, ok := exchange(ctx, latency, func(answer func(appendResult)) {
+		request.arrive(func(r appendResult) {
+			time.AfterFunc(latency, func() { request.reply(r, answer) })
+		})
+	})
+	if !ok {
+		return store.Appended{}, store.ErrUnknown
+	}
+	return r.appended, r.err
+}
+
+// Read implements store.Store.
+func (c *logClient) Read(ctx context.Context, name store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	c.count(func(u *LogUsage) { u.Reads++ })
+	var batch store.Batch
+	err := c.visit(ctx, func() error {
+		var err error
+		batch, err = c.log.poll(ctx, name, from, min(wait, MaxReadWait))
+		return err
+	})
+	return batch, err
+}
+
+// Newest implements store.Store.
+func (c *logClient) Newest(ctx context.Context, name store.Partition, after string) (store.Page, error) {
+	c.count(func(u *LogUsage) { u.Pages++ })
+	var page store.Page
+	err := c.visit(ctx, func() error {
+		c.log.mu.Lock()
+		defer c.log.mu.Unlock()
+		page = c.log.partition(name).page(after)
+		return nil
+	})
+	return page, err
+}
+
+// visit carries a read to the log and back; what is lost on the way is ErrNotDone.
+func (c *logClient) visit(ctx context.Context, read func() error) error {
+	fault := c.log.fault(c.node)
+	if fault.refuse {
+		return store.ErrNotDone
+	}
+	latency := fault.scale(c.log.cfg.Latency)
+	if !pause(ctx, latency) || !c.passes(ctx) {
+		return store.ErrNotDone
+	}
+	err := read()
+	if !pause(ctx, latency) || !c.passes(ctx) || c.log.drawLoss(c.node) {
+		return store.ErrNotDone
+	}
+	return err
+}
+
+// passes waits for the context's end, and reports false, while the node's way
+// is down.
+func (c *logClient) passes(ctx context.Context) bool {
+	if !c.log.fault(c.node).down {
+		return true
+	}
+	<-ctx.Done()
+	return false
+}
+
+// poll reads from an offset, and waits for the first record.
+func (l *Log) poll(ctx context.Context, name store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for last := wait <= 0; ; {
+		l.mu.Lock()
+		p := l.partition(name)
+		batch, err := p.read(from)
+		changed := p.changed
+		l.mu.Unlock()
+		if err != nil || last || len(batch.Records) > 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			last = true
+		case <-ctx.Done():
+			return store.Batch{}, store.ErrNotDone
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,332 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+)
+
+// The events of the control goroutine, beside those of the dispatcher.
+type (
+	jobsRead      struct{ reading }
+	tenureRead    struct{ reading }
+	operatorsRead struct{ reading }
+	workersRead   struct{ reading }
+	membersRead   struct{ reading }
+	// tenureActed brings the end of a claim or a beat.
+	tenureActed struct {
+		record tenure.Record
+		offset int64
+		err    error
+	}
+	// termBegun brings the offset of a term's first record.
+	termBegun struct {
+		token, offset int64
+		err           error
+	}
+	// coreEvent is for the dispatcher of the given term.
+	coreEvent struct {
+		token int64
+		event dispatch.Event
+	}
+)
+
+// flag is a bool that several goroutines share.
+type flag struct{ v atomic.Bool }
+
+func (f *flag) get() bool  { return f.v.Load() }
+func (f *flag) set(v bool) { f.v.Store(v) }
+
+const (
+	// tickEvery is how often the control goroutine looks at the time while it
+	// dispatches, idleTick otherwise.
+	tickEvery = 25 * time.Millisecond
+	idleTick  = 100 * time.Millisecond
+)
+
+// control is the one goroutine that owns the node's state.
+func (n *Node) control(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	leave := n.leave
+	for {
+		var batch []dispatch.Event
+		select {
+		case <-ctx.Done():
+			return
+		case <-leave:
+			leave = nil
+			n.release(ctx)
+		case ev := <-n.events:
+			batch = n.take(ctx, ev, batch)
+			batch = n.drain(ctx, batch)
+		case <-timer.C:
+			timer.Reset(n.tick())
+		}
+		n.actTenure(ctx)
+		n.dispatch(ctx, batch)
+	}
+}
+
+func (n *Node) tick() time.Duration {
+	if n.term != nil {
+		return tickEvery
+	}
+	return idleTick
+}
+
+// drain takes the events that wait already, so that they share one step.
+func (n *Node) drain(ctx context.Context, batch []dispatch.Event) []dispatch.Event {
+	for range eventQueue {
+		select {
+		case ev := <-n.events:
+			batch = n.take(ctx, ev, batch)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (n *Node) take(ctx context.Context, ev any, batch []dispatch.Event) []dispatch.Event {
+	switch ev := ev.(type) {
+	case jobsRead:
+		return n.takeJobs(ev.reading, batch)
+	case tenureRead:
+		n.takeTenure(ev.reading)
+	case operatorsRead:
+		return n.takeOperators(ev.reading, batch)
+	case workersRead:
+		return n.takeWorkers(ev.reading, batch)
+	case membersRead:
+		n.takeMembers(ev.reading)
+	case tenureActed:
+		n.takeActed(ev)
+	case termBegun:
+		n.takeTerm(ev)
+	case adviceEnded:
+		n.members.ended(ev.node, ev.cost, ev.failed, n.now())
+	case coreEvent:
+		if n.term != nil && n.term.token == ev.token {
+			return append(batch, ev.event)
+		}
+	}
+	return batch
+}
+
+func (n *Node) takeJobs(r reading, batch []dispatch.Event) []dispatch.Event {
+	if r.err != nil {
+		return batch
+	}
+	changes := n.table.apply(r.records, r.next, r.at)
+	n.desk.readBack(changes)
+	if n.term == nil || n.term.core == nil {
+		return batch
+	}
+	for _, ch := range changes {
+		if ch.accepted != nil {
+			batch = append(batch, dispatch.JobAccepted{Job: ch.accepted.job, Offset: ch.accepted.offset, Progress: ch.accepted.progress})
+			if ch.accepted.cancelled {
+				batch = append(batch, dispatch.JobCancelled{ID: ch.accepted.job.ID})
+			}
+		} else {
+			batch = append(batch, dispatch.JobCancelled{ID: ch.cancelled})
+		}
+	}
+	return batch
+}
+
+func (n *Node) takeTenure(r reading) {
+	if r.err != nil {
+		n.tenure.ReadFailed(n.now())
+		return
+	}
+	offsets := make([]int64, 0, len(r.records))
+	records := make([]tenure.Record, 0, len(r.records))
+	for _, x := range r.records {
+		rec, err := tenure.Decode(x.Value)
+		if err != nil {
+			n.ports.Count("unreadable", "tenure")
+			continue
+		}
+		offsets, records = append(offsets, x.Offset), append(records, rec)
+	}
+	before := n.tenure.Token()
+	n.tenure.Read(n.now(), offsets, records, r.next)
+	if t := n.tenure.Token(); t != before {
+		h, _ := n.tenure.Holder()
+		n.log.WithFields(logrus.Fields{"holder": h.Node, "token": t, "former": before}).Info("the right to place has moved")
+	}
+}
+
+// actTenure claims or confirms the right when it is time, and begins or ends a term.
+func (n *Node) actTenure(ctx context.Context) {
+	if n.term != nil && (!n.tenure.Holds() || n.tenure.Token() != n.term.token) {
+		n.endTerm("the right has passed on")
+	}
+	if n.term == nil && n.tenure.Holds() && !n.desk.leaving.Load() {
+		n.beginTerm(ctx)
+	}
+	act := n.tenure.Next(n.now())
+	if act == tenure.Wait || act == tenure.Claim && !n.mayClaim() {
+		return
+	}
+	rec, end := n.tenure.Begin(n.now(), act, n.address)
+	go n.appendTenure(ctx, rec, end)
+}
+
+// mayClaim reports whether this node could dispatch: it knows the
+// configuration and reads the log.
+func (n *Node) mayClaim() bool {
+	return n.desk.catalog.Load() != nil && n.table.fresh(time.Now(), storeSilence)
+}
+
+// tenureTimeout bounds the store's answer to a claim or a beat.
+const tenureTimeout = 1500 * time.Millisecond
+
+func (n *Node) appendTenure(ctx context.Context, rec tenure.Record, end int64) {
+	callCtx, cancel := context.WithTimeout(ctx, tenureTimeout)
+	defer cancel()
+	res, err := n.ports.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: rec.Encode()}}, store.AppendOptions{At: &end})
+	n.send(ctx, tenureActed{record: rec, offset: res.First, err: err})
+}
+
+func (n *Node) takeActed(ev tenureActed) {
+	n.tenure.Appended(n.now(), ev.record, ev.offset, ev.err == nil)
+	if ev.err != nil {
+		n.ports.Count("retry", "tenure-"+errorReason(ev.err))
+		return
+	}
+	if ev.record.Token == 0 {
+		n.log.WithFields(logrus.Fields{"token": n.tenure.Token(), "quiet": "yes"}).Info("claimed the right to place")
+	}
+}
+
+// release ends the term and gives the right back, for a planned stop.
+func (n *Node) release(ctx context.Context) {
+	if n.term != nil {
+		n.endTerm("a planned stop")
+	}
+	if !n.tenure.Holds() {
+		n.tenure.Release()
+		close(n.left)
+		return
+	}
+	rec := n.tenure.Release()
+	go func() {
+		defer close(n.left)
+		callCtx, cancel := context.WithTimeout(ctx, tenureTimeout)
+		defer cancel()
+		_, err := n.ports.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: rec.Encode()}}, store.AppendOptions{})
+		if err != nil {
+			n.ports.Count("loss", "release-"+errorReason(err))
+		}
+	}()
+}
+
+// errorReason names a store's error for counters.
+func errorReason(err error) string {
+	switch {
+	case errors.Is(err, store.ErrNotDone):
+		return "not-done"
+	case errors.Is(err, store.ErrUnknown):
+		return "unanswered"
+	case errors.Is(err, store.ErrFenced):
+		return "fenced"
+	case errors.As(err, new(*store.ConflictError)):
+		return "conflict"
+	case errors.As(err, new(*store.SequenceError)):
+		return "sequence"
+	}
+	return "other"
+}
+
+func (n *Node) takeOperators(r reading, batch []dispatch.Event) []dispatch.Event {
+	if r.err != nil {
+		return batch
+	}
+	for _, rec := range r.records {
+		cat, err := n.ports.Feeds.Catalog(rec.Record)
+		if err != nil {
+			n.ports.Count("unreadable", "configuration")
+			n.log.WithError(err).Warn("a configuration can't be read")
+			continue
+		}
+		if cat == nil {
+			n.takeWave(rec.Record)
+			continue
+		}
+		if old := n.desk.catalog.Load(); old != nil && cat.Version <= old.Version {
+			continue
+		}
+		n.desk.catalog.Store(cat)
+		n.log.WithFields(logrus.Fields{"version": cat.Version, "offset": rec.Offset}).Info("configuration in force")
+		if n.term != nil && n.term.core != nil {
+			batch = append(batch, dispatch.Configured{Catalog: cat})
+		}
+	}
+	return batch
+}
+
+func (n *Node) takeWave(rec store.Record) {
+	w, err := n.ports.Feeds.Wave(rec)
+	if err != nil {
+		n.ports.Count("unreadable", "wave")
+		return
+	}
+	if w != nil {
+		n.log.WithField("wave", w.Number).Info("an upkeep wave is asked for")
+	}
+}
+
+// takeWorkers takes in the platform's list of workers.
+func (n *Node) takeWorkers(r reading, batch []dispatch.Event) []dispatch.Event {
+	t := n.term
+	if r.err != nil || t == nil {
+		return batch
+	}
+	if r.whole {
+		clear(t.listed)
+	}
+	for _, rec := range r.records {
+		if len(rec.Value) == 0 {
+			delete(t.listed, rec.Key)
+			continue
+		}
+		info, err := n.ports.Feeds.Worker(rec.Record)
+		if err != nil {
+			n.ports.Count("unreadable", "worker-entry")
+			continue
+		}
+		t.listed[info.ID] = info
+	}
+	t.listedOnce = true
+	if t.core == nil || len(r.records) == 0 && !r.whole {
+		return batch
+	}
+	return append(batch, dispatch.WorkersListed{Workers: t.workers()})
+}
+
+func (t *term) workers() []worker.Info {
+	infos := make([]worker.Info, 0, len(t.listed))
+	for _, i := range t.listed {
+		infos = append(infos, i)
+	}
+	sort.Slice(infos, func(a, b int) bool { return infos[a].ID < infos[b].ID })
+	return infos
+}
+
+func (n *Node) takeMembers(r reading) {
+	if r.err == nil {
+		n.members.read(r.records, r.whole)
+	}
+}
--- /dev/null
+++ b/internal/node/desk.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// The places where the product keeps what must last.
+var (
+	jobsPartition   = store.Partition{Topic: "keyed.mimosaspool-jobs"}
+	tenurePartition = store.Partition{Topic: "keyed.mimosaspool-tenure"}
+	memberPartition = store.Partition{Topic: "keyed.mimosaspool-members"}
+)
+
+const (
+	// acceptTimeout bounds the store's answer to an accept or a cancel.
+	acceptTimeout = 1200 * time.Millisecond
+	// settleTimeout bounds the wait for a record whose answer was lost.
+	settleTimeout = 1200 * time.Millisecond
+	// retryPause is the pause before an append that did nothing is sent again.
+	retryPause = 60 * time.Millisecond
+	// appendTries is how often an append that did nothing is sent.
+	appendTries = 2
+	// comeBack is when refused callers are told to come back.
+	comeBack = time.Second
+	// maxAccepts bounds the appends of callers that wait for the store.
+	maxAccepts = 256
+	// viewBound is how old the view of the log may be to say that a job does not exist.
+	viewBound = 2 * time.Second
+	// storeSilence is how long the store may be unread before new jobs are refused unsent.
+	storeSilence = 1800 * time.Millisecond
+)
+
+// desk serves callers from the table, and writes what they hand in to the log.
+type desk struct {
+	store   store.Store
+	table   *table
+	catalog atomic.Pointer[workflow.Catalog]
+	leaving atomic.Bool
+	// accepts bounds the appends that wait for the store.
+	accepts chan struct{}
+	mu      sync.Mutex
+	// flights holds the submits in progress by ID, for repeats to wait for.
+	flights map[string]*flight
+	// stored holds the jobs that this node has stored and not yet read back.
+	stored map[string]bool
+	count  func(kind, reason string)
+}
+
+type flight struct {
+	done    chan struct{}
+	outcome intake.Outcome
+}
+
+func newDesk(s store.Store, t *table, count func(kind, reason string)) *desk {
+	return &desk{store: s, table: t, accepts: make(chan struct{}, maxAccepts), flights: map[string]*flight{}, stored: map[string]bool{}, count: count}
+}
+
+func (d *desk) outcome(code intake.Code, reason string) intake.Outcome {
+	o := intake.Outcome{Code: code, Reason: reason}
+	if code == intake.Busy || code == intake.Unavailable {
+		o.RetryAfter = comeBack
+	}
+	if code != intake.OK {
+		d.count("refusal", reason)
+	}
+	return o
+}
+
+// Match implements intake.Desk.
+func (d *desk) Match(host, path string) (*workflow.Queue, string, intake.Outcome) {
+	cat := d.catalog.Load()
+	if cat == nil {
+		return nil, "", d.outcome(intake.Unavailable, "no-configuration")
+	}
+	q, rest, ok := cat.Match(host, path)
+	if !ok {
+		return nil, "", d.outcome(intake.NoQueue, "no-queue")
+	}
+	return q, rest, intake.Outcome{}
+}
+
+// MaxBodyBytes implements intake.Desk.
+func (d *desk) MaxBodyBytes() int64 {
+	if cat := d.catalog.Load(); cat != nil {
+		return cat.MaxBodyBytes
+	}
+	return 0
+}
+
+// Ready implements intake.Desk.
+func (d *desk) Ready() bool {
+	return !d.leaving.Load() && d.catalog.Load() != nil && d.table.fresh(time.Now(), storeSilence)
+}
+
+// Submit implements intake.Desk.
+func (d *desk) Submit(ctx context.Context, q *workflow.Queue, job workflow.Job) intake.Outcome {
+	if err := job.Check(); err != nil {
+		return d.outcome(intake.Invalid, "invalid-job")
+	}
+	if _, ok := d.table.lookup(job.ID); ok {
+		return intake.Outcome{}
+	}
+	f, first := d.fly(job.ID)
+	if !first {
+		select {
+		case <-f.done:
+			return f.outcome
+		case <-ctx.Done():
+			return d.outcome(intake.Unknown, "repeat-unanswered")
+		}
+	}
+	job.Queue = q.Name
+	job.AcceptedMillis = time.Now().UnixMilli()
+	value, err := json.Marshal(job)
+	if err != nil {
+		f.outcome = d.outcome(intake.Invalid, "invalid-job")
+	} else {
+		f.outcome = d.write(ctx, store.Record{Key: jobKey + job.ID, Value: value}, job.ID,
+			func(_ entry, ok bool) bool { return ok })
+	}
+	d.land(job.ID, f)
+	return f.outcome
+}
+
+func (d *desk) fly(id string) (*flight, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f := d.flights[id]; f != nil {
+		return f, false
+	}
+	f := &flight{done: make(chan struct{})}
+	d.flights[id] = f
+	return f, true
+}
+
+func (d *desk) land(id string, f *flight) {
+	d.mu.Lock()
+	delete(d.flights, id)
+	if f.outcome.Code == intake.OK {
+		d.stored[id] = true
+	}
+	d.mu.Unlock()
+	close(f.done)
+}
+
+// write appends one record. After a lost answer, it waits to see the record in
+// the log, told by seen.
+func (d *desk) write(ctx context.Context, r store.Record, id string, seen func(entry, bool) bool) intake.Outcome {
+	if !d.table.fresh(time.Now(), storeSilence) {
+		return d.outcome(intake.Unavailable, "store-unreachable")
+	}
+	select {
+	case d.accepts <- struct{}{}:
+		defer func() { <-d.accepts }()
+	default:
+		return d.outcome(intake.Busy, "too-many-accepts")
+	}
+	for try := 1; ; try++ {
+		err := d.append(ctx, r)
+		switch {
+		case err == nil:
+			return intake.Outcome{}
+		case !errors.Is(err, store.ErrNotDone):
+			return d.settle(ctx, id, seen)
+		case try == appendTries:
+			return d.outcome(intake.Unavailable, "store-refused")
+		}
+		d.count("retry", "accept-not-done")
+		pauseFor(ctx, retryPause)
+	}
+}
+
+func (d *desk) append(ctx context.Context, r store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	_, err := d.store.Append(ctx, jobsPartition, []store.Record{r}, store.AppendOptions{})
+	return err
+}
+
+// settle finds out by reading what became of an append without an answer.
+func (d *desk) settle(ctx context.Context, id string, seen func(entry, bool) bool) intake.Outcome {
+	d.count("retry", "accept-unanswered")
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if d.table.await(ctx.Done(), id, seen) {
+		return intake.Outcome{}
+	}
+	return d.outcome(intake.Unknown, "store-unanswered")
+}
+
+// State implements intake.Desk.
+func (d *desk) State(_ context.Context, _ *workflow.Queue, id string) (workflow.State, intake.Outcome) {
+	if e, ok := d.table.lookup(id); ok {
+		return e.state(), intake.Outcome{}
+	}
+	if d.isStored(id) {
+		return workflow.Queued, intake.Outcome{}
+	}
+	return "", d.missing()
+}
+
+func (d *desk) isStored(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stored[id]
+}
+
+// readBack takes note of jobs that the table now holds.
+func (d *desk) readBack(changes []change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range changes {
+		if c.accepted != nil {
+			delete(d.stored, c.accepted.job.ID)
+		}
+	}
+}
+
+// missing is the answer about a job that isn't in the table.
+func (d *desk) missing() intake.Outcome {
+	if !d.table.fresh(time.Now(), viewBound) {
+		return d.outcome(intake.Unavailable, "view-stale")
+	}
+	return d.outcome(intake.NoJob, "no-job")
+}
+
+// Cancel implements intake.Desk.
+func (d *desk) Cancel(ctx context.Context, _ *workflow.Queue, id string) intake.Outcome {
+	e, ok := d.table.lookup(id)
+	if !ok && !d.isStored(id) {
+		return d.missing()
+	}
+	if e.cancelled || e.progress.Final != "" {
+		return intake.Outcome{}
+	}
+	return d.write(ctx, store.Record{Key: cancelKey + id, Value: []byte("{}")}, id,
+		func(e entry, ok bool) bool { return ok && e.cancelled })
+}
+
+// Pending implements intake.Desk.
+func (d *desk) Pending(_ context.Context, q *workflow.Queue) (int, intake.Outcome) {
+	if !d.table.fresh(time.Now(), viewBound) {
+		return 0, d.outcome(intake.Unavailable, "view-stale")
+	}
+	return d.table.pendingOf(q.Name), intake.Outcome{}
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+// feed is one partition that the node follows.
+type feed struct {
+	partition store.Partition
+	// wait is how long a read waits for the first record.
+	wait time.Duration
+	// pause returns the least time between the begins of two reads.
+	pause func() time.Duration
+	// active tells whether the feed is to be read now; nil is always.
+	active func() bool
+}
+
+// reading is what a feed has brought: all newest records, or those that follow
+// the last ones, or a failure.
+type reading struct {
+	records []store.Numbered
+	next    int64
+	// whole readings replace what was known before.
+	whole bool
+	err   error
+	// at is when the read was sent: the reading is no older.
+	at time.Time
+}
+
+const (
+	// readTimeout bounds a read beside its wait.
+	readTimeout = 2 * time.Second
+	// readRetry is the pause after a failed read.
+	readRetry = 150 * time.Millisecond
+)
+
+// follow reads the feed until the context ends and hands each reading to take.
+func follow(ctx context.Context, s store.Store, f feed, take func(reading)) {
+	next := int64(-1)
+	for ctx.Err() == nil {
+		if f.active != nil && !f.active() {
+			next = -1
+			pauseFor(ctx, readRetry)
+			continue
+		}
+		began := time.Now()
+		r := readOnce(ctx, s, f, next)
+		if ctx.Err() != nil {
+			return
+		}
+		take(r)
+		switch {
+		case r.err == nil:
+			next = r.next
+			pauseFor(ctx, f.pause()-time.Since(began))
+		case errors.As(r.err, new(*store.ExpiredError)):
+			next = -1
+		default:
+			pauseFor(ctx, readRetry)
+		}
+	}
+}
+
+// readOnce reads all newest records when next is below 0, else those from next on.
+func readOnce(ctx context.Context, s store.Store, f feed, next int64) reading {
+	at := time.Now()
+	if next < 0 {
+		ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+		defer cancel()
+		records, end, err := store.ReadAll(ctx, s, f.partition)
+		return reading{records: records, next: end, whole: true, err: err, at: at}
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
+	defer cancel()
+	b, err := s.Read(ctx, f.partition, next, f.wait)
+	return reading{records: b.Records, next: b.Next, err: err, at: at}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+// member is another node, as it has written itself into the store.
+type member struct {
+	node    string
+	address string
+	// busyUntil is when its calls to the policy service are expected to be answered.
+	busyUntil time.Duration
+	// downUntil keeps calls away after one that failed.
+	downUntil time.Duration
+	failures  int
+}
+
+func (m *member) busy(now time.Duration) time.Duration { return max(0, m.busyUntil-now) }
+
+// memberRecord is what a node writes of itself.
+type memberRecord struct {
+	Address string `json:"a"`
+}
+
+// members is the holder's view of the nodes that can ask the policy service.
+type members struct {
+	self  string
+	nodes map[string]*member
+}
+
+// adviceEnded tells that a call through a node is over.
+type adviceEnded struct {
+	node   string
+	cost   time.Duration
+	failed bool
+}
+
+func newMembers(self string) *members {
+	m := &members{self: self}
+	m.reset()
+	return m
+}
+
+func (m *members) reset() { m.nodes = map[string]*member{m.self: {node: m.self}} }
+
+func (m *members) read(records []store.Numbered, whole bool) {
+	for _, r := range records {
+		if r.Key == m.self {
+			continue
+		}
+		if len(r.Value) == 0 {
+			delete(m.nodes, r.Key)
+			continue
+		}
+		var rec memberRecord
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
+			continue
+		}
+		old := m.nodes[r.Key]
+		if old == nil || old.address != rec.Address || !whole {
+			m.nodes[r.Key] = &member{node: r.Key, address: rec.Address}
+		}
+	}
+}
+
+const (
+	// memberPenalty is how long a node is left alone after a failed call; it doubles.
+	memberPenalty     = 500 * time.Millisecond
+	memberPenaltyMost = 10 * time.Second
+	// remoteAdvice is added to the cost of a call through another node.
+	remoteAdvice = 15 * time.Millisecond
+)
+
+// choose books a call on the node that is expected to be done with it first.
+func (m *members) choose(now, cost time.Duration) *member {
+	names := make([]string, 0, len(m.nodes))
+	for n := range m.nodes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	var best *member
+	var top time.Duration
+	for _, name := range names {
+		x := m.nodes[name]
+		if now < x.downUntil && name != m.self {
+			continue
+		}
+		done := max(x.busyUntil, now) + cost
+		if name != m.self {
+			done += remoteAdvice
+		}
+		if best == nil || done < top {
+			best, top = x, done
+		}
+	}
+	best.busyUntil = max(best.busyUntil, now) + cost
+	return best
+}
+
+func (m *members) ended(node string, _ time.Duration, failed bool, now time.Duration) {
+	x := m.nodes[node]
+	if x == nil {
+		return
+	}
+	if !failed {
+		x.failures = 0
+		return
+	}
+	x.failures++
+	x.downUntil = now + min(memberPenalty<<min(x.failures, 6), memberPenaltyMost)
+	x.busyUntil = now
+}
+
+// register writes this node into the store, so that the holder finds it.
+func (n *Node) register(ctx context.Context) {
+	value, _ := json.Marshal(memberRecord{Address: n.address})
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
+		_, err := n.ports.Store.Append(callCtx, memberPartition, []store.Record{{Key: n.set.Node, Value: value}}, store.AppendOptions{})
+		cancel()
+		if err == nil {
+			return
+		}
+		pauseFor(ctx, readRetry)
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// Peers asks other nodes. Its method may be called concurrently.
+type Peers interface {
+	// Advise has the node at the address ask the policy service.
+	Advise(ctx context.Context, address string, step workflow.StepID, workers []string) (worker.Approvals, error)
+}
+
+// Ports are what the node speaks to the world by.
+type Ports struct {
+	Store   store.Store
+	Workers worker.Client
+	// Adviser may be nil where there is no policy service.
+	Adviser worker.Adviser
+	Peers   Peers
+	Feeds   Feeds
+	// Count adds one to the counter of a kind and reason.
+	Count func(kind, reason string)
+	// Observe adds a duration to the histogram of the name.
+	Observe func(name string, d time.Duration)
+}
+
+// Node is one host's process. Run may be called once.
+type Node struct {
+	set   Settings
+	ports Ports
+	log   logrus.FieldLogger
+	desk  *desk
+	table *table
+	start time.Time
+	// tenure, members and dispatcher belong to the control goroutine.
+	tenure  *tenure.State
+	members *members
+	term    *term
+	events  chan any
+	// tailing tells the readers that this node holds the right.
+	tailing   *flag
+	address   string
+	stop      context.CancelFunc
+	leave     chan struct{}
+	left      chan struct{}
+	configVer int64
+	waves     map[int64]worker.Wave
+}
+
+// eventQueue is how many events may wait for the control goroutine.
+const eventQueue = 4096
+
+// New returns a node. address is where its peers reach it; incarnation tells
+// this process from earlier ones of the same node.
+func New(set Settings, ports Ports, log logrus.FieldLogger, address, incarnation string, delay time.Duration) *Node {
+	t := newTable()
+	return &Node{
+		set: set, ports: ports, log: log, table: t, desk: newDesk(ports.Store, t, ports.Count), start: time.Now(),
+		tenure:  tenure.New(tenure.DefaultTiming(), set.Node, incarnation, delay),
+		members: newMembers(set.Node), events: make(chan any, eventQueue), tailing: &flag{}, address: address,
+		leave: make(chan struct{}), left: make(chan struct{}),
+	}
+}
+
+// Desk takes callers' requests.
+func (n *Node) Desk() intake.Desk { return n.desk }
+
+// now is the steady time since the process started.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// The pauses between reads of the feeds.
+const (
+	// viewPause bounds how far a node's view of the jobs lags behind the log.
+	viewPause = 120 * time.Millisecond
+	// holderPause is the same for the holder.
+	holderPause   = 10 * time.Millisecond
+	tenurePause   = 50 * time.Millisecond
+	operatorPause = 50 * time.Millisecond
+	workersPause  = 600 * time.Millisecond
+	membersPause  = 2 * time.Second
+	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
+	tenureWait   = time.Second
+	jobsWait     = time.Second
+	operatorWait = 10 * time.Second
+)
+
+// Run follows the store and dispatches while this node holds the right, until
+// the context ends.
+func (n *Node) Run(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	defer n.stop()
+	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
+	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
+	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), active: n.tailing.get}, func(r reading) any { return workersRead{r} })
+	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause), active: n.tailing.get}, func(r reading) any { return membersRead{r} })
+	go n.register(ctx)
+	n.control(ctx)
+}
+
+func (n *Node) jobsPause() time.Duration {
+	if n.tailing.get() {
+		return holderPause
+	}
+	return viewPause
+}
+
+func (n *Node) follow(ctx context.Context, f feed, wrap func(reading) any) {
+	go follow(ctx, n.ports.Store, f, func(r reading) { n.send(ctx, wrap(r)) })
+}
+
+// send hands an event to the control goroutine.
+func (n *Node) send(ctx context.Context, ev any) {
+	select {
+	case n.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// Leave gives the right back and refuses new callers; it returns when the
+// right is given back or the context ends.
+func (n *Node) Leave(ctx context.Context) {
+	n.desk.leaving.Store(true)
+	close(n.leave)
+	select {
+	case <-n.left:
+	case <-ctx.Done():
+	}
+}
+
+// dispatchSettings returns the settings of a dispatcher that begins a term.
+func (n *Node) dispatchSettings(token, offset int64) dispatch.Settings {
+	l := n.set.Limits
+	lease := min(l.MaxLease, maxLease)
+	former := float64(tenure.DefaultTiming().Confidence+lease) / (1 - clockDrift)
+	return dispatch.Settings{
+		Token: token, TermOffset: offset, Lease: lease, MaxLease: l.MaxLease,
+		FormerBound: time.Duration(former) + leaseSlack,
+		StopTimeout: l.StopTimeout, GangTimeout: l.GangTimeout, RemoteFactor: l.RemoteFactor,
+		CheckpointEvery: l.CheckpointInterval, StatusRetention: l.StatusRetention, Notice: l.Notice,
+	}
+}
+
+const (
+	// maxLease is the longest lease that is asked for.
+	maxLease = 6 * time.Second
+	// clockDrift is by how much a worker's steady clock may be slow.
+	clockDrift = 0.02
+	// leaseSlack is added to the bound on former leases for the orders' way.
+	leaseSlack = 300 * time.Millisecond
+)
--- /dev/null
+++ b/internal/node/term.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+)
+
+// term is the time in which this node holds the right to place. It begins with
+// a record in the log of jobs that fences all former writers; the dispatcher
+// starts when the table holds everything before that record.
+type term struct {
+	token  int64
+	offset int64
+	begun  bool
+	began  time.Duration
+	core   *dispatch.Core
+	listed map[string]worker.Info
+	// listedOnce tells that the list of workers was read in this term.
+	listedOnce bool
+	writer     *writer
+	cancel     context.CancelFunc
+	ctx        context.Context
+}
+
+// producerName is the name under which holders write progress.
+const producerName = "holder"
+
+func (n *Node) beginTerm(ctx context.Context) {
+	t := &term{token: n.tenure.Token(), listed: map[string]worker.Info{}, began: n.now()}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.writer = &writer{store: n.ports.Store, token: t.token, count: n.ports.Count}
+	n.term = t
+	n.tailing.set(true)
+	n.members.reset()
+	n.log.WithField("token", t.token).Info("term begins")
+	go func() {
+		value, _ := json.Marshal(map[string]string{"n": n.set.Node, "t": strconv.FormatInt(t.token, 10)})
+		first, err := t.writer.append(t.ctx, []store.Record{{Key: termKey, Value: value}})
+		n.send(t.ctx, termBegun{token: t.token, offset: first, err: err})
+	}()
+}
+
+func (n *Node) endTerm(why string) {
+	n.log.WithFields(logrus.Fields{"token": n.term.token, "reason": why}).Info("term ends")
+	n.term.cancel()
+	n.term = nil
+	n.tailing.set(false)
+}
+
+func (n *Node) takeTerm(ev termBegun) {
+	t := n.term
+	if t == nil || t.token != ev.token {
+		return
+	}
+	if ev.err != nil {
+		n.ports.Count("retry", "term-"+errorReason(ev.err))
+		n.tenure.Lost()
+		return
+	}
+	t.offset, t.begun = ev.offset, true
+}
+
+// startCore starts the dispatcher once everything before the term's record was read.
+func (n *Node) startCore(t *term) []dispatch.Event {
+	cat := n.desk.catalog.Load()
+	if !t.begun || cat == nil || !t.listedOnce || n.table.position() <= t.offset {
+		return nil
+	}
+	t.core = dispatch.New(n.dispatchSettings(t.token, t.offset), n.now(), time.Now().UnixMilli())
+	events := []dispatch.Event{dispatch.Configured{Catalog: cat}}
+	n.table.mu.RLock()
+	defer n.table.mu.RUnlock()
+	for _, e := range sortedEngagements(n.table.engaged) {
+		events = append(events, dispatch.WorkerEngaged{Engagement: e})
+	}
+	for _, e := range n.table.byOffset() {
+		events = append(events, dispatch.JobAccepted{Job: e.job, Offset: e.offset, Progress: e.progress})
+		if e.cancelled && e.progress.Final == "" {
+			events = append(events, dispatch.JobCancelled{ID: e.job.ID})
+		}
+	}
+	n.log.WithFields(logrus.Fields{"token": t.token, "jobs": len(n.table.entries), "workers": len(t.listed),
+		"engaged": len(n.table.engaged), "after_ms": (n.now() - t.began).Milliseconds()}).Info("dispatching")
+	n.ports.Observe("takeover", n.now()-t.began)
+	return append(events, dispatch.WorkersListed{Workers: t.workers()})
+}
+
+func sortedEngagements(m map[string]dispatch.Engagement) []dispatch.Engagement {
+	out := make([]dispatch.Engagement, 0, len(m))
+	for _, e := range m {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Worker < out[b].Worker })
+	return out
+}
+
+// byOffset returns the jobs in order of acceptance. The caller holds the lock.
+func (t *table) byOffset() []*entry {
+	out := make([]*entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		if e.job != nil {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].offset < out[b].offset })
+	return out
+}
+
+// dispatch lets the dispatcher take a step and carries out what it wants.
+func (n *Node) dispatch(ctx context.Context, batch []dispatch.Event) {
+	t := n.term
+	if t == nil {
+		return
+	}
+	if t.core == nil {
+		if batch = n.startCore(t); batch == nil {
+			return
+		}
+	}
+	batch = append(batch, dispatch.RightConfirmed{Until: n.tenure.ConfirmedUntil()})
+	for _, e := range t.core.Step(n.now(), time.Now().UnixMilli(), batch...) {
+		n.carryOut(t, e)
+	}
+	n.tell(t.core.Decisions())
+}
+
+// writer appends to the log of jobs under the holder's epoch. Its appends go one
+// at a time.
+type writer struct {
+	store    store.Store
+	token    int64
+	sequence int64
+	count    func(kind, reason string)
+}
+
+const (
+	// writeTimeout bounds the store's answer to one try of an append.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the pause before the next try.
+	writeRetry = 100 * time.Millisecond
+)
+
+// append writes the records, trying until it is known to be done. It fails only
+// when the writer is fenced or the context ends.
+func (w *writer) append(ctx context.Context, records []store.Record) (int64, error) {
+	w.sequence++
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		res, err := w.store.Append(callCtx, jobsPartition, records, store.AppendOptions{
+			Producer: &store.Producer{Name: producerName, Epoch: w.token, Sequence: w.sequence}})
+		cancel()
+		var seq *store.SequenceError
+		switch {
+		case err == nil:
+			return res.First, nil
+		case errors.Is(err, store.ErrFenced):
+			return 0, err
+		case errors.As(err, &seq) && seq.Expected > w.sequence:
+			return res.First, nil // an earlier try was carried out
+		case ctx.Err() != nil:
+			return 0, err
+		}
+		w.count("retry", "commit-"+errorReason(err))
+		pauseFor(ctx, writeRetry)
+	}
+}
+
+// commitRecords returns the log's records of a commit.
+func commitRecords(c dispatch.Commit) ([]store.Record, error) {
+	var out []store.Record
+	add := func(key string, v any) error {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return errors.Wrap(err, key)
+		}
+		out = append(out, store.Record{Key: key, Value: b})
+		return nil
+	}
+	for _, p := range c.Progress {
+		if err := add(progressKey+p.ID, p.Progress); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range c.Engaged {
+		if err := add(workerKey+e.Worker, e); err != nil {
+			return nil, err
+		}
+	}
+	for _, id := range c.Released {
+		out = append(out, store.Record{Key: workerKey + id})
+	}
+	for _, id := range c.Forgotten {
+		out = append(out, store.Record{Key: jobKey + id}, store.Record{Key: cancelKey + id}, store.Record{Key: progressKey + id})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/noded/daemon.go
@@ -0,0 +1,151 @@
+package noded
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	api "github.com/mimosaspool/mimosaspool/api/peer"
+	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
+	"github.com/mimosaspool/mimosaspool/internal/node"
+	"github.com/mimosaspool/mimosaspool/internal/peer"
+	"github.com/mimosaspool/mimosaspool/internal/telemetry"
+)
+
+const (
+	// noticeTime is how long the balancer takes to see that a node isn't ready.
+	noticeTime = 2500 * time.Millisecond
+	// finishTime bounds the wait for requests in flight after that.
+	finishTime = 2 * time.Second
+	// headerTimeout bounds a caller's request headers, idleTimeout a silent connection.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// claimSpread spreads the claims of nodes that start at the same time.
+	claimSpread = 200 * time.Millisecond
+	// memoryShare is the share of the memory limit that the heap may take.
+	memoryShare = 0.7
+)
+
+type daemon struct {
+	platform  *Platform
+	node      *node.Node
+	telemetry *telemetry.Telemetry
+	log       logrus.FieldLogger
+	internal  string
+	metrics   string
+}
+
+func newDaemon(p *Platform, opt options) (*daemon, error) {
+	set := p.Settings
+	tune(set)
+	t, err := telemetry.New("mimosaspool-node")
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.WithFields(logrus.Fields{"node": set.Node, "domain": set.Domain})
+	internal := net.JoinHostPort(set.Host, strconv.Itoa(set.InternalPorts[0]))
+	ports := p.Ports
+	ports.Peers = peer.NewClient(p.PeerTransport)
+	ports.Count = func(kind, reason string) { t.Count(kind, reason, 1) }
+	ports.Observe = t.Observe
+	d := &daemon{platform: p, telemetry: t, log: log, internal: internal}
+	if opt.MetricsPort > 0 {
+		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
+	}
+	d.node = node.New(set, ports, log, internal, uuid.NewString(), claimDelay(set.Node))
+	return d, nil
+}
+
+// tune keeps the runtime within the host's limits.
+func tune(set node.Settings) {
+	runtime.GOMAXPROCS(1)
+	if set.Limits.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMiB<<20) * memoryShare))
+	}
+}
+
+// claimDelay spreads claims by the node's name.
+func claimDelay(name string) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
+}
+
+// serve runs the node and its servers until a planned stop or a failure.
+func (d *daemon) serve(parent context.Context) error {
+	stop, cancelStop := lifecycle.Signals(parent, func() { d.log.Warn("stopped at once") })
+	defer cancelStop()
+	run, cancelRun := context.WithCancel(context.Background())
+	defer cancelRun()
+	go d.node.Run(run)
+	servers, failed, err := d.listen()
+	if err != nil {
+		return err
+	}
+	d.log.Info("started")
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	d.log.Info("planned stop begins")
+	leave, cancelLeave := context.WithTimeout(run, noticeTime)
+	defer cancelLeave()
+	d.node.Leave(leave)
+	<-leave.Done()
+	d.shutdown(servers)
+	d.log.Info("stopped")
+	return d.telemetry.Close()
+}
+
+// listen opens the servers: callers, readiness, and the other nodes.
+func (d *daemon) listen() ([]*http.Server, <-chan error, error) {
+	desk := d.node.Desk()
+	inner := mux.NewRouter()
+	inner.Handle("/metrics", d.telemetry.Handler())
+	inner.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(d.node))
+	handlers := map[string]http.Handler{
+		d.platform.Settings.CallersAddress: d.platform.Callers(desk),
+		d.platform.Settings.ReadyAddress:   d.platform.Ready(desk),
+		d.internal:                         inner,
+	}
+	if d.metrics != "" {
+		handlers[d.metrics] = d.telemetry.Handler()
+	}
+	failed := make(chan error, len(handlers))
+	var servers []*http.Server
+	for addr, h := range handlers {
+		if addr == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, nil, errors.Wrapf(err, "listen on %s", addr)
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers = append(servers, s)
+		go func() { failed <- s.Serve(l) }()
+	}
+	return servers, failed, nil
+}
+
+// shutdown lets requests in flight finish.
+func (d *daemon) shutdown(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.WithError(err).Warn("requests were still in flight")
+		}
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +22,7 @@
 	provider *sdk.MeterProvider
 	registry *prometheus.Registry
 	reasons  metric.Int64Counter
+	times    metric.Float64Histogram
 }
 
 // New returns the instruments of the named program.
@@ -36,7 +38,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "counter")
 	}
-	return &Telemetry{Meter: meter, provider: provider, registry: registry, reasons: reasons}, nil
+	times, err := meter.Float64Histogram("mimosaspool_time_seconds", metric.WithDescription("Times by name."), metric.WithUnit("s"))
+	if err != nil {
+		return nil, errors.Wrap(err, "histogram")
+	}
+	return &Telemetry{Meter: meter, provider: provider, registry: registry, reasons: reasons, times: times}, nil
 }
 
 // Handler serves the measures in Prometheus' text form.
@@ -49,5 +55,10 @@
 	t.reasons.Add(context.Background(), n, metric.WithAttributes(attribute.String("kind", kind), attribute.String("reason", reason)))
 }
 
+// Observe adds a duration to the histogram of the name.
+func (t *Telemetry) Observe(name string, d time.Duration) {
+	t.times.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("name", name)))
+}
+
 // Close flushes and stops the instruments.
 func (t *Telemetry) Close() error { return errors.WithStack(t.provider.Shutdown(context.Background())) }
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,244 @@
+// Package tenure decides who holds the right to place. The right is a record
+// in a partition of the store that only claims and beats go into, each on
+// condition that the partition still ends where its writer has read it to. A
+// claim's offset gives the token. The package is pure: observations in, the
+// next act out.
+package tenure
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Record is one entry of the partition.
+type Record struct {
+	Node        string `json:"n"`
+	Incarnation string `json:"i"`
+	// Token is 0 in a claim, whose own offset gives it.
+	Token int64 `json:"t,omitempty"`
+	// Beat tells a holder's records apart.
+	Beat int64 `json:"b,omitempty"`
+	// Released gives the right back.
+	Released bool `json:"r,omitempty"`
+	// Address is where the holder answers the other nodes.
+	Address string `json:"a,omitempty"`
+}
+
+// Encode returns the record's bytes.
+func (r Record) Encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // strings and numbers only
+	}
+	return b
+}
+
+// Decode reads a record.
+func Decode(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, errors.Wrap(err, "tenure record")
+	}
+	return r, nil
+}
+
+// Timing are the bounds of the right.
+type Timing struct {
+	// Beat is how often the holder writes.
+	Beat time.Duration
+	// Silence is how long the others wait for a beat, while they can read.
+	Silence time.Duration
+	// Confidence is how long after its last confirmed record was sent the
+	// holder may extend leases.
+	Confidence time.Duration
+}
+
+// DefaultTiming returns the bounds in use.
+func DefaultTiming() Timing {
+	return Timing{Beat: 700 * time.Millisecond, Silence: 1900 * time.Millisecond, Confidence: 5 * time.Second}
+}
+
+// Act is what is to be done next.
+type Act int
+
+// The acts.
+const (
+	Wait Act = iota
+	// Claim asks for the right, on condition that the partition ends at End.
+	Claim
+	// Beat confirms the right, on the same condition.
+	Beat
+)
+
+// State is one node's view of the right. It isn't safe for concurrent use.
+type State struct {
+	timing      Timing
+	node        string
+	incarnation string
+	// end is the partition's end as far as it was read, or -1.
+	end    int64
+	holder Record
+	// token of the present holder, 0 if there is none.
+	token int64
+	// quietSince is since when the partition was read without a gap and without news.
+	quietSince time.Duration
+	lastRead   time.Duration
+	readable   bool
+	// confirmedAt is when the newest confirmed record of this node was sent.
+	confirmedAt time.Duration
+	lastBeat    time.Duration
+	beats       int64
+	// delay is added to the silence, so that the nodes don't claim at once.
+	delay time.Duration
+	// out tells that an append waits for its answer.
+	out    bool
+	outAt  time.Duration
+	retry  time.Duration
+	resign bool
+}
+
+// New returns the state of a node that knows nothing.
+func New(timing Timing, node, incarnation string, delay time.Duration) *State {
+	return &State{timing: timing, node: node, incarnation: incarnation, end: -1, delay: delay}
+}
+
+// readGap is how long reads may be missing before silence is counted anew.
+const readGap = 1500 * time.Millisecond
+
+// ReadFailed takes note that the partition could not be read.
+func (s *State) ReadFailed(now time.Duration) {
+	s.readable = false
+}
+
+// Read takes in the partition's records up to end. Offsets are those of the records.
+func (s *State) Read(now time.Duration, offsets []int64, records []Record, end int64) {
+	if !s.readable || now-s.lastRead > readGap+s.timing.Beat {
+		s.quietSince = now
+	}
+	s.readable, s.lastRead = true, now
+	for i, r := range records {
+		if offsets[i] >= s.end {
+			s.apply(now, offsets[i], r)
+		}
+	}
+	s.end = max(s.end, end)
+}
+
+func (s *State) apply(now time.Duration, offset int64, r Record) {
+	s.quietSince = now
+	switch {
+	case r.Token == 0:
+		s.holder, s.token = r, offset+1
+	case r.Token >= s.token:
+		s.holder, s.token = r, r.Token
+	}
+	if r.Released && r.Token == s.token {
+		s.token = 0
+	}
+	s.end = max(s.end, offset+1)
+}
+
+// Holds reports whether this node holds the right, as far as it knows.
+func (s *State) Holds() bool {
+	return s.token != 0 && s.holder.Node == s.node && s.holder.Incarnation == s.incarnation
+}
+
+// Token returns the present holder's token, 0 if there is none.
+func (s *State) Token() int64 { return s.token }
+
+// Holder returns the present holder's record.
+func (s *State) Holder() (Record, bool) { return s.holder, s.token != 0 }
+
+// ConfirmedUntil returns until when the holder may extend leases.
+func (s *State) ConfirmedUntil() time.Duration {
+	if !s.Holds() {
+		return 0
+	}
+	return s.confirmedAt + s.timing.Confidence
+}
+
+// End returns the offset to read from, -1 before the first read.
+func (s *State) End() int64 { return s.end }
+
+// Next returns what is to be done at now. The caller reports the end of an act
+// with Appended.
+func (s *State) Next(now time.Duration) Act {
+	if s.out || s.end < 0 || now < s.retry || s.resign {
+		return Wait
+	}
+	if s.Holds() {
+		if now-s.lastBeat >= s.timing.Beat {
+			return Beat
+		}
+		return Wait
+	}
+	if !s.readable || now-s.lastRead > readGap {
+		return Wait
+	}
+	if now-s.quietSince >= s.silence() {
+		return Claim
+	}
+	return Wait
+}
+
+// silence is how long the partition must be quiet before this node claims.
+func (s *State) silence() time.Duration {
+	switch {
+	case s.token == 0:
+		return s.delay
+	case s.holder.Node == s.node:
+		// An earlier process of this node held it; that one has ended.
+		return 0
+	}
+	return s.timing.Silence + s.delay
+}
+
+// Begin takes note that an act was sent, and returns its record and the end
+// that the partition must have.
+func (s *State) Begin(now time.Duration, act Act, address string) (Record, int64) {
+	s.out, s.outAt = true, now
+	s.lastBeat = now
+	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address}
+	if act == Beat {
+		s.beats++
+		r.Token, r.Beat = s.token, s.beats
+	}
+	return r, s.end
+}
+
+// claimRetry is the pause after an act that did not succeed.
+const claimRetry = 250 * time.Millisecond
+
+// Appended takes in the end of an act: done at the given offset, or not known
+// to be done. Reading tells what became of the latter.
+func (s *State) Appended(now time.Duration, sent Record, offset int64, done bool) {
+	s.out = false
+	if !done {
+		s.retry = now + claimRetry
+		return
+	}
+	if offset >= s.end {
+		s.apply(now, offset, sent)
+	}
+	s.Confirm(s.outAt)
+}
+
+// Confirm takes note that a record sent at the given time is in the partition.
+func (s *State) Confirm(sentAt time.Duration) { s.confirmedAt = max(s.confirmedAt, sentAt) }
+
+// Release returns the record that gives the right back, and stops further
+// claims. It needs no condition: under a newer token it has no effect.
+func (s *State) Release() Record {
+	s.resign = true
+	return Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true}
+}
+
+// Lost takes note that a higher token has been seen elsewhere.
+func (s *State) Lost() {
+	if s.Holds() {
+		s.token = 0
+		s.holder = Record{}
+	}
+}
