dispatch: leases of silent workers run out; a task may return to the worker it failed on

Change: silent workers are asked without an extension; the last failed worker is avoided for 1 s and then only scored lower; a configuration older than 2 s answers 503.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -36,7 +36,8 @@
 func (c *Core) hold(h *host) {
 	h.holding, h.holdSent = true, c.now
 	hold := worker.Hold{Order: c.orderTo(h), LastSeen: h.noted}
-	if c.mayOrder() && h.clock > 0 && len(h.runs) > 0 {
+	// A worker that is silent is asked without extending: its leases must run out.
+	if c.mayOrder() && h.clock > 0 && h.silent == 0 && len(h.runs) > 0 {
 		hold.DeadlineMillis = c.clockNow(h) + c.set.Lease.Milliseconds()
 		h.granted = max(h.granted, hold.DeadlineMillis)
 	}
@@ -204,7 +205,7 @@
 
 func (c *Core) runFailed(t *task, h *host, number int64) {
 	s := t.step
-	t.avoid = h
+	t.avoid, t.avoidUntil = h, c.now+avoidTime
 	if s.def.LongRunning {
 		t.failures++
 		t.notBefore = c.now + failureBackoff*time.Duration(min(t.failures, 4))
@@ -268,6 +269,9 @@
 	}
 }
 
+// avoidTime is how long a task isn't sent to the worker on which it failed.
+const avoidTime = time.Second
+
 // endsPerList is how many ends a worker lists at a time.
 const endsPerList = 500
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -87,8 +87,10 @@
 	runs []*run
 	// starts numbers the task's starts in this term.
 	starts int64
-	// avoid is the worker on which the task failed last.
-	avoid *host
+	// avoid is the worker on which the task failed last; until avoidUntil it
+	// isn't taken at all.
+	avoid      *host
+	avoidUntil time.Duration
 	// notBefore delays the next start.
 	notBefore time.Duration
 	// waitingSince is when the task last began to wait.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -87,7 +87,7 @@
 		}
 		h := c.pick(t, nil)
 		if h == nil {
-			left, full = true, t.avoid == nil
+			left, full = true, c.now >= t.avoidUntil
 			continue
 		}
 		tk, _ := c.ticketFor(s, h)
@@ -154,7 +154,7 @@
 	if h.health.probing && len(h.runs) > 0 {
 		return false
 	}
-	if t.avoid == h && len(c.pools[s.occ.job.queue.Pool]) > 1 {
+	if t.avoid == h && c.now < t.avoidUntil {
 		return false
 	}
 	_, ok := c.ticketFor(s, h)
@@ -164,6 +164,8 @@
 const (
 	// remoteWeight is how much a worker away from the data counts less.
 	remoteWeight = 10
+	// avoidWeight is how much the worker on which the task failed last counts less.
+	avoidWeight = 20
 	// servingWeight is how much each serving task on a worker counts against a filler.
 	servingWeight = 0.5
 )
@@ -173,6 +175,9 @@
 func (c *Core) score(t *task, h *host, size workflow.Size) float64 {
 	s := t.step
 	score := 0.0
+	if t.avoid == h {
+		score -= avoidWeight
+	}
 	if s.def.Rack != "" && h.info.Rack() != s.def.Rack {
 		score -= remoteWeight
 	}
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -302,6 +302,35 @@
 	})
 }
 
+func TestWorkAwayFromItsData(t *testing.T) {
+	onFleet(t, FleetConfig{}, func(b *bed) {
+		b.know(workflow.Step{Rack: "r1", Count: 2}, workflow.Step{Gang: true, SameRack: true, Count: 2})
+		b.start("w1", task(0, 0), 1)
+		b.start("w2", task(0, 1), 1)
+		time.Sleep(1100 * time.Millisecond)
+		b.Expect(b.hows("w1")).To(HaveLen(1))
+		b.Expect(b.hows("w2")).To(BeEmpty())
+		time.Sleep(time.Second)
+		b.Expect(b.hows("w2")).To(HaveLen(1))
+		b.start("w1", task(1, 0), 1)
+		b.start("w2", task(1, 1), 1)
+		time.Sleep(1100 * time.Millisecond)
+		b.Expect(b.hold("w1", 0).Running).To(HaveLen(1))
+		time.Sleep(time.Second)
+		b.Expect(b.hold("w1", 0).Running).To(BeEmpty())
+		b.Expect(b.breaches()).To(BeEmpty())
+
+		began := time.Now()
+		code, _ := b.c.Hold(b.ctx, worker.Hold{Order: order("w1"), Wait: time.Second})
+		b.Expect(code).To(Equal(worker.OK))
+		b.Expect(time.Since(began)).To(Equal(2*DefaultLatency), "an end is there already")
+		b.f.LoseReplies(1, "w2")
+		b.Expect(b.start("w2", task(1, 0), 2)).To(Equal(worker.Unknown))
+		b.f.Calm()
+		b.Expect(b.hold("w2", 0).Running).To(HaveLen(1))
+	})
+}
+
 func TestPublishedEntries(t *testing.T) {
 	onFleet(t, FleetConfig{}, func(b *bed) {
 		ctx, cancel := context.WithCancel(b.ctx)
--- a/internal/emulator/judge_test.go
+++ b/internal/emulator/judge_test.go
@@ -92,6 +92,8 @@
 			b.start("w2", task(0, 0), 2)
 			b.Expect(b.breaches()).To(BeEmpty())
 			b.hold("w1", 1)
+			time.Sleep(2 * time.Second)
+			b.hold("w2", 1)
 		}},
 		{"a gang after the end of one member is noted", RuleTwice, func(b *bed) {
 			b.know(gang())
@@ -117,6 +119,13 @@
 			b.start("w1", task(0, 0), 1)
 			b.start("w2", task(1, 0), 1)
 		}},
+		{"after two copies of one of two tasks", RuleOrder, func(b *bed) {
+			b.know(workflow.Step{Count: 2, Speculative: true}, workflow.Step{DependsOn: []int{0}})
+			b.start("w1", task(0, 0), 1)
+			b.start("w2", task(0, 0), 2)
+			time.Sleep(2 * time.Second)
+			b.start("w2", task(1, 0), 1)
+		}},
 		{"before its time", RuleOrder, func(b *bed) {
 			job := b.know(workflow.Step{})
 			job.Times, job.IntervalMillis = 2, 1000
@@ -163,6 +172,17 @@
 			b.Expect(saved).NotTo(BeEmpty())
 			b.start("w2", task(0, 1), 1, edit(func(s *worker.Start) { s.Checkpoint = saved }))
 		}},
+		{"members of a gang with different checkpoints", RuleUnasked, func(b *bed) {
+			b.know(workflow.Step{Count: 2, Gang: true, Checkpointing: true, EstimateMillis: long})
+			b.start("w1", task(0, 0), 1)
+			b.start("w2", task(0, 1), 1)
+			time.Sleep(3 * time.Second)
+			saved := b.hold("w2", 0).Running[0].Checkpoint
+			b.f.Crash("w2")
+			b.f.Restart("w2")
+			b.start("w1", task(0, 0), 2, edit(func(s *worker.Start) { s.Checkpoint = saved }))
+			b.start("w2", task(0, 1), 2)
+		}},
 		{"after the cancelling", RuleUnasked, func(b *bed) {
 			b.know(workflow.Step{EstimateMillis: long})
 			b.f.Cancelled(jobID)
--- a/internal/emulator/load_test.go
+++ b/internal/emulator/load_test.go
@@ -29,6 +29,7 @@
 		b.Expect(b.start("w1", task(0, 0), 1)).To(Equal(worker.NoTicket))
 		b.Expect(b.start("w2", task(0, 0), 1, ticket)).To(Equal(worker.NoTicket))
 		b.Expect(b.start("w1", task(0, 0), 1, ticket)).To(Equal(worker.OK))
+		b.Expect(b.start("w1", task(1, 0), 1, ticket)).To(Equal(worker.NoTicket), "of another step")
 		time.Sleep(5 * time.Second)
 		b.Expect(b.start("w1", task(0, 1), 1, ticket)).To(Equal(worker.NoTicket), "expired")
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -254,6 +254,7 @@
 	if r.err != nil {
 		return batch
 	}
+	n.desk.configured.Store(r.at.UnixNano())
 	for _, rec := range r.records {
 		cat, err := n.ports.Feeds.Catalog(rec.Record)
 		if err != nil {
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -36,6 +36,8 @@
 	maxAccepts = 256
 	// viewBound is how old the view of the log may be to say that a job does not exist.
 	viewBound = 2 * time.Second
+	// configBound is how old the knowledge of the configuration may be to serve by it.
+	configBound = 2 * time.Second
 	// storeSilence is how long the store may be unread before new jobs are refused unsent.
 	storeSilence = 1800 * time.Millisecond
 )
@@ -45,7 +47,9 @@
 	store   store.Store
 	table   *table
 	catalog atomic.Pointer[workflow.Catalog]
-	leaving atomic.Bool
+	// configured is when the operators' records were last read without fail, in Unix nanoseconds.
+	configured atomic.Int64
+	leaving    atomic.Bool
 	// accepts bounds the appends that wait for the store.
 	accepts chan struct{}
 	mu      sync.Mutex
@@ -82,6 +86,9 @@
 	if cat == nil {
 		return nil, "", d.outcome(intake.Unavailable, "no-configuration")
 	}
+	if time.Since(time.Unix(0, d.configured.Load())) > configBound {
+		return nil, "", d.outcome(intake.Unavailable, "configuration-stale")
+	}
 	q, rest, ok := cat.Match(host, path)
 	if !ok {
 		return nil, "", d.outcome(intake.NoQueue, "no-queue")
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -28,7 +28,7 @@
 	// whole readings replace what was known before.
 	whole bool
 	err   error
-	// at is when the read was sent: the reading is no older.
+	// at is when the answer came: the reading is older by its way at most.
 	at time.Time
 }
 
@@ -68,17 +68,16 @@
 
 // readOnce reads all newest records when next is below 0, else those from next on.
 func readOnce(ctx context.Context, s store.Store, f feed, next int64) reading {
-	at := time.Now()
 	if next < 0 {
 		ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 		defer cancel()
 		records, end, err := store.ReadAll(ctx, s, f.partition)
-		return reading{records: records, next: end, whole: true, err: err, at: at}
+		return reading{records: records, next: end, whole: true, err: err, at: time.Now()}
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
-	return reading{records: b.Records, next: b.Next, err: err, at: at}
+	return reading{records: b.Records, next: b.Next, err: err, at: time.Now()}
 }
 
 func pauseFor(ctx context.Context, d time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,9 +89,10 @@
 	workersPause  = 600 * time.Millisecond
 	membersPause  = 2 * time.Second
 	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
-	tenureWait   = time.Second
-	jobsWait     = time.Second
-	operatorWait = 10 * time.Second
+	tenureWait = time.Second
+	jobsWait   = time.Second
+	// operatorWait is short enough to notice that the store is out of reach.
+	operatorWait = time.Second
 )
 
 // Run follows the store and dispatches while this node holds the right, until
