--- a/api/peer/peer.twirp.go
+++ b/api/peer/peer.twirp.go
@@ -36,6 +36,14 @@
 	// Advise asks the policy service on behalf of the holder of the right to
 	// place: the service answers one call at a time for each calling host.
 	Advise(context.Context, *AdviseRequest) (*AdviseResponse, error)
+
+	// Record has the holder write records of callers with its own, in one append.
+	Record(context.Context, *RecordRequest) (*RecordResponse, error)
+
+	// Read and Newest read the store on behalf of a node that can't reach it.
+	Read(context.Context, *ReadRequest) (*ReadResponse, error)
+
+	Newest(context.Context, *NewestRequest) (*NewestResponse, error)
 }
 
 // ====================
@@ -44,7 +52,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,8 +80,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mimosaspool.peer", "Peer")
-	urls := [1]string{
+	urls := [4]string{
 		serviceURL + "Advise",
+		serviceURL + "Record",
+		serviceURL + "Read",
+		serviceURL + "Newest",
 	}
 
 	return &peerProtobufClient{
@@ -130,13 +141,151 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Record(ctx context.Context, in *RecordRequest) (*RecordResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Record")
+	caller := c.callRecord
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordRequest) (*RecordResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordRequest) when calling interceptor")
+					}
+					return c.callRecord(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callRecord(ctx context.Context, in *RecordRequest) (*RecordResponse, error) {
+	out := new(RecordResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Newest(ctx context.Context, in *NewestRequest) (*NewestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NewestRequest) (*NewestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NewestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NewestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callNewest(ctx context.Context, in *NewestRequest) (*NewestResponse, error) {
+	out := new(NewestResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -164,8 +313,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mimosaspool.peer", "Peer")
-	urls := [1]string{
+	urls := [4]string{
 		serviceURL + "Advise",
+		serviceURL + "Record",
+		serviceURL + "Read",
+		serviceURL + "Newest",
 	}
 
 	return &peerJSONClient{
@@ -222,6 +374,144 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Record(ctx context.Context, in *RecordRequest) (*RecordResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Record")
+	caller := c.callRecord
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordRequest) (*RecordResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordRequest) when calling interceptor")
+					}
+					return c.callRecord(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callRecord(ctx context.Context, in *RecordRequest) (*RecordResponse, error) {
+	out := new(RecordResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Newest(ctx context.Context, in *NewestRequest) (*NewestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mimosaspool.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NewestRequest) (*NewestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NewestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NewestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callNewest(ctx context.Context, in *NewestRequest) (*NewestResponse, error) {
+	out := new(NewestResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -322,6 +612,15 @@
 	case "Advise":
 		s.serveAdvise(ctx, resp, req)
 		return
+	case "Record":
+		s.serveRecord(ctx, resp, req)
+		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Newest":
+		s.serveNewest(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -509,6 +808,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveRecord(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRecordJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRecordProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveRecordJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Record")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RecordRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Record
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordRequest) (*RecordResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordRequest) when calling interceptor")
+					}
+					return s.Peer.Record(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordResponse and nil error while calling Record. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRecordProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Record")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RecordRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Record
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordRequest) (*RecordResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordRequest) when calling interceptor")
+					}
+					return s.Peer.Record(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordResponse and nil error while calling Record. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReadJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReadProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReadRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return s.Peer.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReadResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReadRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return s.Peer.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReadResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveNewest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNewestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNewestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveNewestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(NewestRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NewestRequest) (*NewestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return s.Peer.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NewestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NewestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NewestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NewestResponse and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveNewestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(NewestRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NewestRequest) (*NewestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return s.Peer.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NewestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NewestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NewestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NewestResponse and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1090,24 +1929,40 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 290 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x91, 0xcf, 0x4b, 0xc3, 0x30,
-	0x14, 0xc7, 0xa9, 0x9d, 0x73, 0x7b, 0xe2, 0x1c, 0x11, 0x24, 0xec, 0xa0, 0xa5, 0x17, 0x0b, 0x62,
-	0x07, 0x13, 0x3c, 0x78, 0x9b, 0x57, 0x11, 0x24, 0xde, 0xbc, 0x48, 0x7f, 0x3c, 0x34, 0xae, 0xdd,
-	0xcb, 0x92, 0xb4, 0xe2, 0x7f, 0x2f, 0x4d, 0x5b, 0xa9, 0xa2, 0x97, 0xf0, 0xbe, 0xdf, 0x7c, 0x93,
-	0x7c, 0x5e, 0x1e, 0x9c, 0x24, 0x4a, 0x2e, 0x15, 0xa2, 0x76, 0x4b, 0xac, 0x34, 0x59, 0x62, 0xf3,
-	0x52, 0x96, 0x64, 0x12, 0xa3, 0x88, 0x8a, 0xb8, 0xf1, 0x43, 0x82, 0xa3, 0x75, 0x5e, 0x4b, 0x83,
-	0x02, 0x77, 0x15, 0x1a, 0xcb, 0xe6, 0xe0, 0xbf, 0x53, 0xca, 0xbd, 0xc0, 0x8b, 0xa6, 0xa2, 0x29,
-	0xd9, 0x19, 0x00, 0x65, 0x59, 0xa5, 0x35, 0x6e, 0x33, 0xe4, 0x7b, 0x81, 0x17, 0xed, 0x8b, 0x81,
-	0xc3, 0x18, 0x8c, 0x8c, 0x45, 0xc5, 0x7d, 0xb7, 0xe3, 0x6a, 0xc6, 0xe1, 0xe0, 0x83, 0xf4, 0x06,
-	0xb5, 0xe1, 0xa3, 0xc0, 0x8f, 0xa6, 0xa2, 0x97, 0xe1, 0x0e, 0x66, 0xfd, 0x83, 0x46, 0xd1, 0xd6,
-	0x20, 0xbb, 0x81, 0x49, 0xa2, 0x94, 0xa6, 0x1a, 0x73, 0xee, 0x05, 0x7e, 0x74, 0xb8, 0x5a, 0xc4,
-	0xbf, 0x39, 0xe3, 0xb5, 0x4b, 0x24, 0x85, 0xf8, 0xce, 0xb2, 0x0b, 0x38, 0xae, 0x93, 0x42, 0xe6,
-	0xd2, 0x7e, 0xbe, 0x94, 0xb2, 0x28, 0xa4, 0x71, 0x70, 0xbe, 0x98, 0xf5, 0xf6, 0x83, 0x73, 0xc3,
-	0x5b, 0x98, 0xf4, 0xc7, 0xd9, 0x29, 0x8c, 0x5b, 0x92, 0xae, 0xc3, 0x4e, 0x35, 0xbe, 0x95, 0xd9,
-	0x06, 0xad, 0xbb, 0x63, 0x2a, 0x3a, 0xb5, 0x7a, 0x82, 0xd1, 0x23, 0xa2, 0x66, 0xf7, 0x30, 0x6e,
-	0xb1, 0xd9, 0xf9, 0x1f, 0x70, 0xc3, 0x1f, 0x5c, 0x04, 0xff, 0x07, 0xda, 0x8e, 0xef, 0xae, 0x9e,
-	0x2f, 0x5f, 0xa5, 0x7d, 0xab, 0xd2, 0x38, 0xa3, 0x72, 0x39, 0x48, 0xff, 0xa8, 0xfb, 0x01, 0xa6,
-	0x63, 0x37, 0xbc, 0xeb, 0xaf, 0x00, 0x00, 0x00, 0xff, 0xff, 0x2d, 0x0d, 0x3a, 0xd7, 0xd3, 0x01,
-	0x00, 0x00,
+	// 558 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0x4d, 0x6f, 0xd3, 0x40,
+	0x10, 0x95, 0xeb, 0x38, 0x4d, 0xa6, 0x6d, 0xa8, 0x96, 0x08, 0x59, 0x41, 0xb4, 0x91, 0x85, 0x44,
+	0x24, 0x44, 0x2a, 0x15, 0xc1, 0x81, 0x5b, 0x91, 0xe0, 0x12, 0xbe, 0xb4, 0x47, 0x2e, 0xc8, 0xb1,
+	0x27, 0x65, 0x89, 0x9d, 0xdd, 0xee, 0x6e, 0x92, 0xf6, 0xb7, 0xf0, 0x37, 0xf8, 0x81, 0x68, 0xbf,
+	0x42, 0xd2, 0xba, 0x07, 0xe0, 0x12, 0xbd, 0x37, 0x19, 0xcf, 0xbc, 0x37, 0x9e, 0x31, 0x3c, 0xcc,
+	0x05, 0x3b, 0x13, 0x88, 0xd2, 0xfe, 0x8c, 0x85, 0xe4, 0x9a, 0x93, 0xe3, 0x9a, 0xd5, 0x5c, 0xe5,
+	0x4a, 0x70, 0x5e, 0x8d, 0x4d, 0x3c, 0x9b, 0x40, 0xf7, 0x03, 0xbf, 0xa4, 0x58, 0x70, 0x59, 0x92,
+	0x47, 0xd0, 0xe6, 0xb3, 0x99, 0x42, 0x9d, 0x46, 0xc3, 0x68, 0x14, 0x53, 0xcf, 0xc8, 0x31, 0xc4,
+	0x73, 0xbc, 0x49, 0xf7, 0x86, 0xd1, 0xa8, 0x4b, 0x0d, 0x24, 0x7d, 0x48, 0x56, 0x79, 0xb5, 0xc4,
+	0x34, 0x1e, 0x46, 0xa3, 0x43, 0xea, 0x48, 0xf6, 0x1e, 0x8e, 0x5c, 0x25, 0x8a, 0x57, 0x4b, 0x54,
+	0x9a, 0xbc, 0x82, 0x7d, 0x69, 0x03, 0x2a, 0x8d, 0x86, 0xf1, 0xe8, 0xe0, 0xfc, 0xf1, 0xf8, 0xb6,
+	0x82, 0xf1, 0xa6, 0x3d, 0x0d, 0xb9, 0xd9, 0x53, 0xe8, 0x85, 0x3a, 0x4a, 0xf0, 0x85, 0x42, 0x42,
+	0xa0, 0x55, 0xf2, 0x05, 0x5a, 0x5d, 0x1d, 0x6a, 0x71, 0x56, 0xc1, 0x01, 0xc5, 0x7c, 0xd3, 0xab,
+	0x0f, 0x89, 0xe6, 0x82, 0x15, 0x36, 0xa7, 0x4b, 0x1d, 0x31, 0x0f, 0x8a, 0x5c, 0x6a, 0xab, 0x3d,
+	0xa1, 0x16, 0x9b, 0xd8, 0x4c, 0xf2, 0xda, 0x6a, 0x8f, 0xa9, 0xc5, 0xe4, 0x14, 0x0e, 0xd6, 0x39,
+	0xd3, 0xdf, 0x6a, 0x56, 0x55, 0x4c, 0xa5, 0x2d, 0xfb, 0x17, 0x98, 0xd0, 0x47, 0x1b, 0xc9, 0x7e,
+	0x46, 0x70, 0xe8, 0xda, 0x79, 0x49, 0xff, 0xe6, 0xcd, 0x34, 0x5f, 0xe0, 0xb5, 0x13, 0x14, 0x53,
+	0x8b, 0xcd, 0x7c, 0x71, 0x51, 0x7a, 0x3d, 0x06, 0x92, 0x14, 0xf6, 0xf1, 0x5a, 0x30, 0x89, 0xa5,
+	0x95, 0xd2, 0xa1, 0x81, 0x1a, 0x9b, 0x33, 0x26, 0x95, 0x4e, 0x13, 0x9b, 0xed, 0x48, 0xf6, 0x19,
+	0x8e, 0x3e, 0xe1, 0x1a, 0x95, 0xfe, 0xfb, 0x69, 0xf4, 0x21, 0xc9, 0x67, 0x1a, 0xa5, 0x6d, 0xdf,
+	0xa5, 0x8e, 0x64, 0x35, 0xf4, 0x42, 0xc1, 0xff, 0xf6, 0x5b, 0x73, 0x89, 0x7e, 0x79, 0x2c, 0xbe,
+	0xeb, 0x37, 0xe3, 0x70, 0x74, 0x51, 0xae, 0x98, 0xc2, 0xa0, 0xff, 0x18, 0xe2, 0x1f, 0x7c, 0xea,
+	0xd5, 0x1b, 0x48, 0x4e, 0x00, 0x78, 0x51, 0x2c, 0xa5, 0xc4, 0x45, 0x81, 0xde, 0xc1, 0x56, 0xc4,
+	0x34, 0x52, 0x1a, 0x85, 0xad, 0x9a, 0x50, 0x8b, 0xcd, 0x18, 0xd7, 0x5c, 0xce, 0x51, 0x9a, 0x37,
+	0x1a, 0x8f, 0xba, 0x34, 0xd0, 0xec, 0x0a, 0x7a, 0xa1, 0xa1, 0xf7, 0xf7, 0x1a, 0x3a, 0xb9, 0x10,
+	0x92, 0xaf, 0xb0, 0xf4, 0x06, 0x07, 0x77, 0x0d, 0x5e, 0xd8, 0x8c, 0xbc, 0xa2, 0x9b, 0x5c, 0xf2,
+	0x0c, 0x1e, 0xac, 0xf2, 0x8a, 0x95, 0x4c, 0xdf, 0x84, 0xed, 0x71, 0xef, 0xb6, 0x17, 0xc2, 0x7e,
+	0x83, 0xde, 0x40, 0x27, 0x3c, 0x6e, 0x2e, 0xcd, 0x29, 0xf1, 0x0e, 0x3d, 0x33, 0x71, 0xcd, 0x8a,
+	0x39, 0x6a, 0x3f, 0x2f, 0xcf, 0xce, 0x7f, 0xed, 0x41, 0xeb, 0x0b, 0xa2, 0x24, 0x13, 0x68, 0x3b,
+	0xdd, 0xe4, 0xb4, 0x41, 0xdd, 0xf6, 0x08, 0x07, 0xc3, 0xfb, 0x13, 0xbc, 0xe5, 0x09, 0xb4, 0xfd,
+	0xe5, 0x37, 0x14, 0xdb, 0xb9, 0xe4, 0xa6, 0x62, 0xb7, 0x4e, 0xf4, 0x1d, 0xb4, 0xcc, 0x7d, 0x90,
+	0x27, 0x4d, 0x99, 0x9b, 0x33, 0x1d, 0x9c, 0xdc, 0xf7, 0xf7, 0x1f, 0x4d, 0x6e, 0xf1, 0x9a, 0x34,
+	0xed, 0xec, 0x78, 0x93, 0xa6, 0xdd, 0x9d, 0x7d, 0xfb, 0xe2, 0xeb, 0xf3, 0x4b, 0xa6, 0xbf, 0x2f,
+	0xa7, 0xe3, 0x82, 0xd7, 0x67, 0x5b, 0xd9, 0x3b, 0x38, 0x7c, 0x29, 0xa7, 0x6d, 0xfb, 0x95, 0x7c,
+	0xf9, 0x3b, 0x00, 0x00, 0xff, 0xff, 0x52, 0xe8, 0x6f, 0x56, 0x3c, 0x05, 0x00, 0x00,
 }
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -28,12 +28,18 @@
 // pending is what one commit holds.
 type pending struct {
 	jobs     []*job
-	engaging []*host
+	telling  []telling
 	noting   []noting
 	released []string
 	forgot   []*job
 }
 
+// telling is a worker whose life is recorded, with what is said of contact.
+type telling struct {
+	host    *host
+	silence silenceRecord
+}
+
 // noting is a worker's ends up to seen, whose effects are in the same commit.
 type noting struct {
 	host *host
@@ -43,7 +49,7 @@
 func newCommits() commits { return commits{} }
 
 func (p *pending) empty() bool {
-	return len(p.jobs)+len(p.engaging)+len(p.noting)+len(p.released)+len(p.forgot) == 0
+	return len(p.jobs)+len(p.telling)+len(p.noting)+len(p.released)+len(p.forgot) == 0
 }
 
 func (c *Core) due(within time.Duration) {
@@ -61,8 +67,9 @@
 	c.due(startDelay)
 }
 
-func (m *commits) engage(h *host) {
-	m.next.engaging = append(m.next.engaging, h)
+// tell has what is known of a worker's life recorded at once.
+func (m *commits) tell(h *host) {
+	m.next.telling = append(m.next.telling, telling{host: h})
 	m.urgent = true
 }
 
@@ -99,25 +106,36 @@
 	for _, j := range m.sent.forgot {
 		e.Forgotten = append(e.Forgotten, j.def.ID)
 	}
-	for _, h := range m.sent.engaging {
-		if c.current(h) {
-			e.Engaged = append(e.Engaged, h.engagementRecord())
-		}
-	}
+	told := map[*host]bool{}
 	for i := range m.sent.noting {
 		n := &m.sent.noting[i]
 		n.seen = n.host.seen
-		if c.current(n.host) {
-			e.Engaged = append(e.Engaged, n.host.engagementRecord())
+		told[n.host] = true
+	}
+	for i := range m.sent.telling {
+		x := &m.sent.telling[i]
+		x.silence = x.host.silence
+		told[x.host] = true
+	}
+	for _, h := range c.order {
+		if told[h] {
+			e.Engaged = append(e.Engaged, h.record())
 		}
 	}
 	c.emit(e)
 }
 
-func (c *Core) current(h *host) bool { return c.hosts[h.info.ID] == h }
-
-func (h *host) engagementRecord() Engagement {
-	return Engagement{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Born: h.info.Born, Seen: h.seen}
+// record is what the log is told of a worker's life.
+func (h *host) record() Engagement {
+	e := Engagement{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Born: h.info.Born, Seen: h.seen}
+	if h.silence == silenceNone || h.silence == silenceEnding {
+		return e
+	}
+	e.Silent = true
+	for _, r := range h.sortedRuns() {
+		e.Runs = append(e.Runs, r.id.String())
+	}
+	return e
 }
 
 func (c *Core) committed(ev Committed) {
@@ -138,8 +156,11 @@
 			m.forget = append(m.forget, j)
 		}
 	}
-	for _, h := range sent.engaging {
-		h.engaged, h.engagement = true, false
+	for _, x := range sent.telling {
+		x.host.engaged, x.host.engaging = true, false
+		if x.host.silence == x.silence {
+			x.host.silence = x.silence.recorded()
+		}
 		c.dirty = true
 	}
 	for _, n := range sent.noting {
@@ -158,7 +179,7 @@
 	for _, n := range sent.noting {
 		m.note(n.host)
 	}
-	m.next.engaging = append(m.next.engaging, sent.engaging...)
+	m.next.telling = append(m.next.telling, sent.telling...)
 	m.next.released = append(m.next.released, sent.released...)
 	m.next.forgot = append(m.next.forgot, sent.forgot...)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,8 @@
 	// FormerBound is how long, from the begin of the term, a former holder may
 	// have extended leases by its own reckoning.
 	FormerBound time.Duration
+	// Confidence is how long a confirmation of the right by workers counts.
+	Confidence time.Duration
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease    time.Duration
 	StopTimeout time.Duration
@@ -57,14 +59,20 @@
 	waiting []*step
 	// rightUntil is when leases may no longer be extended.
 	rightUntil time.Duration
+	// formerEnd is since when no former holder can have its right confirmed, or 0.
+	formerEnd time.Duration
+	times     []time.Duration
 	// barrier is set until no former holder can have work running unseen.
 	barrier bool
-	dirty   bool
-	commits commits
-	out     []Effect
-	reasons Counters
-	log     []Decision
-	stopped bool
+	// suspects are the tasks that may run on workers with which a former holder
+	// had lost contact.
+	suspects map[string]*host
+	dirty    bool
+	commits  commits
+	out      []Effect
+	reasons  Counters
+	log      []Decision
+	stopped  bool
 }
 
 // Counters counts refusals, retries and losses by reason.
@@ -76,7 +84,7 @@
 		set: set, now: now, wall: wall, began: now, barrier: true,
 		catalog: &workflow.Catalog{},
 		hosts:   map[string]*host{}, pools: map[string][]*host{},
-		jobs: map[string]*job{}, reasons: Counters{}, commits: newCommits(),
+		jobs: map[string]*job{}, suspects: map[string]*host{}, reasons: Counters{}, commits: newCommits(),
 	}
 }
 
@@ -95,6 +103,7 @@
 	c.liftBarrier()
 	c.wakeOccurrences()
 	c.chaseOrders()
+	c.tellSilence()
 	c.watchRuns()
 	c.drainHosts()
 	c.place()
@@ -144,9 +153,6 @@
 	}
 }
 
-// mayOrder reports whether the right is confirmed recently enough to extend leases.
-func (c *Core) mayOrder() bool { return c.now < c.rightUntil }
-
 func (c *Core) stepDown() {
 	if !c.stopped {
 		c.stopped = true
@@ -384,7 +390,7 @@
 		return
 	}
 	for _, h := range c.order {
-		if h.inherited && !h.fenced {
+		if h.inherited && !h.fenced && h.silence == silenceNone {
 			return
 		}
 	}
@@ -417,6 +423,8 @@
 	Reason  string
 	// Age is how old the deciding input was.
 	Age time.Duration
+	// Queued, of a job's first start, is the time since its acceptance.
+	Queued time.Duration
 }
 
 func (c *Core) decide(d Decision) {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -37,6 +37,10 @@
 	Born    int64  `json:"b,omitempty"`
 	// Seen is the number of the last end there whose effect is recorded.
 	Seen int64 `json:"s,omitempty"`
+	// Silent tells that the holder had lost contact, and had sent nothing since
+	// but what Runs lists: the tasks that may still run there.
+	Silent bool     `json:"x,omitempty"`
+	Runs   []string `json:"r,omitempty"`
 }
 
 // WorkerEngaged brings an engagement that a former holder has recorded.
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -37,7 +37,7 @@
 		return c.completeGang(s, live)
 	}
 	for i := range s.tasks {
-		if !s.tasks[i].waits(c.now) {
+		if !s.tasks[i].waits(c.now) || c.suspected(&s.tasks[i]) {
 			return false
 		}
 	}
@@ -125,7 +125,7 @@
 		left := live
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			if !t.waits(c.now) {
+			if !t.waits(c.now) || c.suspected(t) {
 				continue
 			}
 			h := c.pick(t, nil)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -16,6 +16,9 @@
 	holdRetry = 250 * time.Millisecond
 	// notedPause is the pause between holds while ends wait to be recorded.
 	notedPause = 200 * time.Millisecond
+	// absencesToEnd is how many holds in a row must find nothing listening
+	// before the life is over.
+	absencesToEnd = 3
 	// idleHoldWait is the wait on a worker with nothing running.
 	idleHoldWait = 2000 * time.Millisecond
 )
@@ -79,7 +82,15 @@
 	case worker.WrongLife:
 		c.endLife(h, "another worker answers at its address")
 		return
+	case worker.Absent:
+		h.silent++
+		h.nextHold = c.now + holdRetry
+		if h.absences++; h.absences >= absencesToEnd {
+			c.endLife(h, "nothing listens at its address")
+		}
+		return
 	default:
+		h.absences = 0
 		h.silent++
 		h.nextHold = c.now + holdRetry
 		c.reasons["hold-"+ev.Code.String()]++
@@ -99,10 +110,13 @@
 		h.info.Born = b
 	}
 	c.heard(h)
+	h.absences = 0
+	h.confirmedAt = max(h.confirmedAt, ev.Sent)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
 	first := !h.fenced
 	h.fenced = true
 	if first {
+		h.fencedAt = c.now
 		c.dirty = true
 		c.engage(h)
 	}
@@ -117,11 +131,11 @@
 
 // engage records the life before the first task is started on it.
 func (c *Core) engage(h *host) {
-	if h.engaged || h.engagement {
+	if h.engaged || h.engaging {
 		return
 	}
-	h.engagement = true
-	c.commits.engage(h)
+	h.engaging = true
+	c.commits.tell(h)
 }
 
 func (c *Core) readEnds(h *host, ends []worker.End) {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -18,9 +18,12 @@
 	inherited bool
 	// fenced hosts have answered a hold of this holder, so no former one can act there.
 	fenced bool
-	// engaged tells that the life is recorded in the log as one that may run tasks.
-	engaged    bool
-	engagement bool // the record is on its way
+	// engaged tells that the life is recorded in the log as one that may run
+	// tasks; engaging that the record is on its way.
+	engaged  bool
+	engaging bool
+	// silence is what the log says of contact with the worker.
+	silence silenceRecord
 	// free is the capacity less all that runs, may run, or is being stopped.
 	free workflow.Size
 	runs map[runKey]*run
@@ -33,6 +36,12 @@
 	heardAt time.Duration
 	// silent counts orders without an answer since then.
 	silent int
+	// absences counts holds in a row that found nothing listening.
+	absences int
+	// fencedAt is when the first answer under this token came.
+	fencedAt time.Duration
+	// confirmedAt is when the last hold was sent that was answered under this token.
+	confirmedAt time.Duration
 	// seen is the number of the last end that was processed; noted of the last
 	// one whose effect is in the log.
 	seen, noted int64
@@ -128,6 +137,12 @@
 		return // that life is over
 	}
 	h.inherited, h.engaged = true, true
+	if e.Silent {
+		h.silence = silenceTold
+		for _, name := range e.Runs {
+			c.suspects[name] = h
+		}
+	}
 	h.seen, h.noted = e.Seen, e.Seen
 }
 
@@ -138,7 +153,7 @@
 		c.loseRun(r, why)
 	}
 	delete(c.hosts, h.info.ID)
-	if h.engaged {
+	if h.engaged || h.engaging {
 		c.commits.release(h.info.ID)
 	}
 	c.sortHosts()
@@ -153,11 +168,18 @@
 		bound = h.clockAt + time.Duration(float64(left)/(1-clockDrift)) + lapseSlack
 	}
 	if h.inherited && !h.fenced {
-		bound = max(bound, c.began+c.set.FormerBound)
+		from, ok := c.formerEnded()
+		if !ok {
+			return never
+		}
+		bound = max(bound, from+c.set.FormerBound)
 	}
 	return bound
 }
 
+// never is later than any time.
+const never = time.Duration(1<<63 - 1)
+
 // lapseSlack is added to a lease's end for the rounding of clocks.
 const lapseSlack = 150 * time.Millisecond
 
@@ -165,7 +187,7 @@
 func (c *Core) lapse() {
 	for _, h := range c.order {
 		if len(h.runs) == 0 && !(h.inherited && !h.fenced) {
-			if !h.listed && !h.holding && c.now-h.heardAt > unlistedRetention {
+			if !h.listed && c.now-h.heardAt > unlistedRetention {
 				c.endLife(h, "not listed any more")
 				return
 			}
@@ -174,6 +196,9 @@
 		if c.now < c.lapsesAt(h) {
 			continue
 		}
+		if h.silence != silenceNone && len(h.runs) > 0 {
+			c.commits.tell(h)
+		}
 		if len(h.runs) > 0 {
 			c.decide(Decision{Kind: "leases-lapsed", Worker: h.info.ID, Reason: "no contact", Age: c.now - h.heardAt})
 		}
@@ -191,7 +216,7 @@
 
 // usable reports whether new work may be sent there.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.engaged && h.draining == 0 && h.silent == 0 &&
+	return h.listed && h.fenced && h.engaged && h.draining == 0 && h.silent == 0 && h.silence == silenceNone &&
 		c.now-h.heardAt < contactBound && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -66,6 +66,7 @@
 	perWorker map[*host]int
 	advice    advice
 	gang      gang
+	wait      toldWait
 }
 
 func (s *step) id() workflow.StepID {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -22,6 +22,7 @@
 			s.queued = false
 			continue
 		}
+		c.tellWait(s)
 		kept = append(kept, s)
 	}
 	for i := len(kept); i < len(c.waiting); i++ {
@@ -81,7 +82,7 @@
 		if t.done || len(t.runs) > 0 && !t.stoppingOnly() {
 			continue
 		}
-		if full || !t.waits(c.now) {
+		if full || !t.waits(c.now) || c.suspected(t) {
 			left = true
 			continue
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -98,12 +98,14 @@
 	h.take(r)
 	c.sendStart(r)
 	j := s.occ.job
+	queued := time.Duration(0)
 	if !j.started {
+		queued = time.Duration(max(c.wall-j.def.AcceptedMillis, 1)) * time.Millisecond
 		j.started = true
 		c.markDirty(j)
 	}
 	c.decide(Decision{Kind: "task-started", Job: j.def.ID, Task: r.id.String(), Worker: h.info.ID, Run: number,
-		Age: c.now - max(s.readyAt, t.waitingSince)})
+		Age: c.now - max(s.readyAt, t.waitingSince), Queued: queued})
 	return r
 }
 
@@ -142,7 +144,7 @@
 	}
 	r.orderOut = false
 	h := r.host
-	if ev.Code != worker.Unknown && ev.Code != worker.NotDone {
+	if ev.Code != worker.Unknown && ev.Code != worker.NotDone && ev.Code != worker.Absent {
 		c.heard(h)
 	}
 	if r.state != starting {
@@ -177,7 +179,7 @@
 		s.advice.drop(r.host)
 	case worker.NoRoom:
 		r.host.health.pauseUntil = c.now + roomPause
-	case worker.NotDone:
+	case worker.NotDone, worker.Absent:
 		r.host.silent++
 	}
 	if r.doubtful {
--- /dev/null
+++ b/internal/dispatch/wait_test.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// TestWaitsAreDecided checks that a job that can't start is told of once for each reason.
+func TestWaitsAreDecided(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Settings{Lease: time.Second}, 0, 1000)
+	job := &workflow.Job{ID: "aa00000000000001", Queue: "q", Steps: []workflow.Step{{Count: 1, Size: workflow.Size{MilliCPU: 1}}}}
+	var waits []Decision
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		events := []Event{RightConfirmed{Until: at + time.Second}}
+		switch at {
+		case 0:
+			events = append(events, JobAccepted{Job: job, Offset: 1})
+		case 10 * time.Second:
+			events = append(events, Configured{Catalog: &workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p"}}}})
+		}
+		c.Step(at, 1000+at.Milliseconds(), events...)
+		for _, d := range c.Decisions() {
+			if d.Kind == "job-waits" {
+				waits = append(waits, d)
+			}
+		}
+	}
+	g.Expect(waits).To(HaveLen(2))
+	g.Expect(waits[0]).To(Equal(Decision{Kind: "job-waits", Job: job.ID, Task: job.ID + ".0.0.0", Outcome: reasonNoQueue, Age: time.Second}))
+	g.Expect(waits[1].Outcome).To(Equal(reasonNoWorker))
+	g.Expect(waits[1].Reason).To(Equal("pool p"))
+}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -44,6 +44,17 @@
 	})
 }
 
+// Router returns a router with the endpoints of every program: health, and the
+// metrics where there are any.
+func Router(ready func() bool, metrics http.Handler) *mux.Router {
+	r := mux.NewRouter()
+	AddHealth(r, ready)
+	if metrics != nil {
+		r.Handle("/metrics", metrics)
+	}
+	return r
+}
+
 // Protocols lets a server take HTTP/1.1 and HTTP/2 without TLS.
 func Protocols() *http.Protocols {
 	p := &http.Protocols{}
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,774 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	flags "flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/emulator"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+var (
+	operatorsPartition = store.Partition{Topic: "keyed.op"}
+	workersPartition   = store.Partition{Topic: "keyed.servers"}
+	clusterLog         = flags.String("cluster-log", "", "file for the logs of the nodes under test")
+)
+
+const (
+	callTimeout  = 3 * time.Second
+	callerPause  = 500 * time.Millisecond
+	callerTries  = 60
+	settleBound  = 150 * time.Second
+	contactTime  = 5 * time.Second
+	visibleTime  = time.Second
+	testAttempts = 4
+	// The first letter of a job's ID tells how its tasks behave.
+	failsOnce, failsAlways, failsAtWork = "f", "e", "d"
+)
+
+// process is one life of a node.
+type process struct {
+	name   string
+	node   *Node
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	mu     sync.Mutex
+	// stalled is open while nothing gets in or out, nil otherwise.
+	stalled chan struct{}
+	// unreachable has the partitions whose calls get no answer.
+	unreachable map[store.Partition]bool
+}
+
+// pass waits while the process is stalled.
+func (p *process) pass() {
+	p.mu.Lock()
+	ch := p.stalled
+	p.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
+// listens waits while the process is stalled, and reports false if the context
+// ends first.
+func (p *process) listens(ctx context.Context) bool {
+	p.mu.Lock()
+	ch := p.stalled
+	p.mu.Unlock()
+	if ch != nil {
+		select {
+		case <-ch:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (p *process) stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalled = make(chan struct{})
+}
+
+func (p *process) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stalled != nil {
+		close(p.stalled)
+		p.stalled = nil
+	}
+}
+
+// hide makes calls for a partition wait until their context ends.
+func (p *process) hide(name store.Partition, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable[name] = on
+}
+
+// reach reports whether a call that begins now gets to a partition at all.
+func (p *process) reach(ctx context.Context, name store.Partition) bool {
+	p.pass()
+	p.mu.Lock()
+	hidden := p.unreachable[name]
+	p.mu.Unlock()
+	if hidden {
+		<-ctx.Done()
+	}
+	return ctx.Err() == nil
+}
+
+// gatedStore and gatedWorkers are a process's ports behind its gate.
+type gatedStore struct {
+	store.Store
+	p *process
+}
+
+func (g gatedStore) Append(ctx context.Context, name store.Partition, r []store.Record, opt store.AppendOptions) (store.Appended, error) {
+	if !g.p.reach(ctx, name) {
+		return store.Appended{}, store.ErrUnknown
+	}
+	defer g.p.pass()
+	return g.Store.Append(ctx, name, r, opt)
+}
+
+func (g gatedStore) Read(ctx context.Context, name store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if !g.p.reach(ctx, name) {
+		return store.Batch{}, store.ErrNotDone
+	}
+	defer g.p.pass()
+	return g.Store.Read(ctx, name, from, wait)
+}
+
+func (g gatedStore) Newest(ctx context.Context, name store.Partition, after string) (store.Page, error) {
+	if !g.p.reach(ctx, name) {
+		return store.Page{}, store.ErrNotDone
+	}
+	defer g.p.pass()
+	return g.Store.Newest(ctx, name, after)
+}
+
+type gatedWorkers struct {
+	worker.Client
+	p *process
+}
+
+func (g gatedWorkers) Start(ctx context.Context, s worker.Start) (worker.Code, int64) {
+	g.p.pass()
+	defer g.p.pass()
+	return g.Client.Start(ctx, s)
+}
+
+func (g gatedWorkers) Stop(ctx context.Context, s worker.Stop) (worker.Code, int64) {
+	g.p.pass()
+	defer g.p.pass()
+	return g.Client.Stop(ctx, s)
+}
+
+func (g gatedWorkers) Hold(ctx context.Context, h worker.Hold) (worker.Code, worker.Lists) {
+	g.p.pass()
+	defer g.p.pass()
+	return g.Client.Hold(ctx, h)
+}
+
+// handed is a job that a caller hands in, with what became of it.
+type handed struct {
+	job                           workflow.Job
+	queue                         workflow.Queue
+	accepted, cancelling, settled bool
+	acceptedAt                    time.Time
+}
+
+// options are of a cluster.
+type options struct {
+	// strictLives is of the workers.
+	strictLives bool
+	// retention is how long a finished job's state is kept.
+	retention time.Duration
+	seeds     uint64
+}
+
+var (
+	standard = options{strictLives: true, retention: 200 * time.Second, seeds: 3}
+	brief    = options{strictLives: true, retention: 200 * time.Second, seeds: 1}
+)
+
+// cluster is nodes, workers and callers around one log.
+type cluster struct {
+	*WithT
+	options
+	t       *testing.T
+	ctx     context.Context
+	cancel  context.CancelFunc
+	random  *rand.Rand
+	log     *emulator.Log
+	fleet   *emulator.Fleet
+	catalog *workflow.Catalog
+	logger  *logrus.Logger
+	callers sync.WaitGroup
+	wg      sync.WaitGroup
+	// mu guards all below.
+	mu        sync.Mutex
+	processes map[string]*process
+	lives     int
+	jobs      []*handed
+	disrupted time.Time
+}
+
+var testPolicy = workflow.Advice{Decision: 40 * time.Millisecond, PerWorker: 4 * time.Millisecond, Validity: 4 * time.Second}
+
+func testCatalog() *workflow.Catalog {
+	c := &workflow.Catalog{Version: 3, Queues: map[string]workflow.Queue{},
+		Pools: map[string]workflow.Pool{"cpu": {Name: "cpu"}, "gpu": {Name: "gpu", Guarded: true}}}
+	for name, pool := range map[string]string{"plain": "cpu", "advised": "cpu", "accel": "gpu"} {
+		q := workflow.Queue{Name: name, Host: "h", Prefix: "/" + name + "/", Pool: pool, Attempts: testAttempts, Stretch: 3, Target: 5 * time.Second}
+		if name == "advised" {
+			q.Advice = &testPolicy
+		}
+		c.Queues[name] = q
+	}
+	return c
+}
+
+// behaviour goes by the first letter of the job's ID.
+func behaviour(id workflow.TaskID) emulator.Behaviour {
+	switch {
+	case id.Index > 0:
+	case id.Job[:1] == failsOnce:
+		return emulator.Behaviour{FailFirst: 1}
+	case id.Job[:1] == failsAlways:
+		return emulator.Behaviour{Fails: true}
+	case id.Job[:1] == failsAtWork:
+		return emulator.Behaviour{FailAfter: 2 * time.Second}
+	}
+	return emulator.Behaviour{}
+}
+
+// play runs a scenario on nodes a, b and c, with callers around it for 20 s,
+// for each seed; at its end all accepted jobs must have come to their end.
+func play(t *testing.T, scenario func(c *cluster)) {
+	playWith(t, standard, scenario)
+}
+
+func playWith(t *testing.T, set options, scenario func(c *cluster)) {
+	for seed := uint64(1); seed <= set.seeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, seed, set)
+				defer c.close()
+				for _, name := range []string{"a", "b", "c"} {
+					c.boot(name)
+				}
+				c.traffic(20*time.Second, 3)
+				time.Sleep(6 * time.Second)
+				scenario(c)
+				c.settle()
+			})
+		})
+	}
+}
+
+func newCluster(t *testing.T, seed uint64, set options) *cluster {
+	c := &cluster{WithT: NewWithT(t), t: t, random: rand.New(rand.NewPCG(seed, 9)), catalog: testCatalog(),
+		logger: logrus.New(), processes: map[string]*process{}, options: set}
+	c.ctx, c.cancel = context.WithCancel(t.Context())
+	c.logger.SetOutput(io.Discard)
+	if *clusterLog != "" {
+		f, err := os.OpenFile(*clusterLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		c.Expect(err).NotTo(HaveOccurred())
+		c.logger.SetOutput(f)
+		c.logger.SetFormatter(&logrus.TextFormatter{TimestampFormat: "05.000"})
+	}
+	c.log = emulator.NewLog(emulator.LogConfig{Seed: seed})
+	c.fleet = emulator.NewFleet(emulator.FleetConfig{Seed: seed, Work: behaviour, ApprovedShare: 0.6,
+		StrictLives: c.strictLives, Advice: map[string]workflow.Advice{"advised": testPolicy}})
+	for i := 1; i <= 6; i++ {
+		kind := []string{"std", "big"}[i%2]
+		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("w%d", i), Pool: "cpu", Labels: []string{kind, fmt.Sprintf("r%d", (i+1)/2)},
+			Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}, SlowClock: i == 2})
+	}
+	for i := 1; i <= 2; i++ {
+		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("g%d", i), Pool: "gpu", Labels: []string{"gpu", "r1"},
+			Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192, Accelerators: 2}, Guarded: true})
+	}
+	value, err := json.Marshal(c.catalog)
+	c.Expect(err).NotTo(HaveOccurred())
+	c.log.Put(operatorsPartition, store.Record{Key: "config", Value: value})
+	c.wg.Go(func() {
+		c.fleet.Publish(c.ctx, c.log, func(i worker.Info) store.Record {
+			b, _ := json.Marshal(i)
+			return store.Record{Key: i.ID, Value: b}
+		}, workersPartition)
+	})
+	return c
+}
+
+func (c *cluster) close() {
+	for _, p := range c.up() {
+		p.resume()
+	}
+	c.cancel()
+	c.wg.Wait()
+	c.callers.Wait()
+}
+
+// nap is a caller's pause; it reports false when the test is over.
+func (c *cluster) nap(d time.Duration) bool {
+	pauseFor(c.ctx, d)
+	return c.ctx.Err() == nil
+}
+
+func (c *cluster) feeds() Feeds {
+	return Feeds{
+		Operators: operatorsPartition, Workers: workersPartition, Status: store.Partition{Topic: "keyed.status"},
+		Catalog: func(r store.Record) (*workflow.Catalog, error) {
+			cat := &workflow.Catalog{}
+			return cat, json.Unmarshal(r.Value, cat)
+		},
+		Wave: func(store.Record) (*worker.Wave, error) { return nil, nil },
+		Worker: func(r store.Record) (worker.Info, error) {
+			var i worker.Info
+			err := json.Unmarshal(r.Value, &i)
+			if err == nil && i.ID != r.Key {
+				err = errors.New("no ID")
+			}
+			return i, err
+		},
+	}
+}
+
+// boot starts a process of the named node.
+func (c *cluster) boot(name string) *process {
+	c.disrupt()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lives++
+	p := &process{name: name, done: make(chan struct{}), unreachable: map[store.Partition]bool{}}
+	p.ctx, p.cancel = context.WithCancel(c.ctx)
+	set := Settings{Node: name, Limits: Limits{MaxLease: 10 * time.Second, StopTimeout: 2 * time.Second, GangTimeout: 5 * time.Second,
+		DrainBound: 3 * time.Second, CancelBound: 3 * time.Second, StatusRetention: c.retention, RemoteFactor: 2,
+		CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, Notice: 5 * time.Second}}
+	ports := Ports{Store: gatedStore{c.log.Client(name), p}, Workers: gatedWorkers{c.fleet.Client(name), p}, Adviser: c.fleet.Adviser(name),
+		Peers: peers{c}, Feeds: c.feeds(), Count: func(string, string) {}, Observe: func(string, time.Duration) {}}
+	p.node = New(set, ports, c.logger.WithField("node", name), name+":1", fmt.Sprint("life", c.lives), time.Duration(c.random.IntN(200))*time.Millisecond)
+	c.processes[name] = p
+	c.wg.Go(func() {
+		defer close(p.done)
+		p.node.Run(p.ctx)
+	})
+	return p
+}
+
+// peers is how the nodes reach each other.
+type peers struct{ c *cluster }
+
+// call calls a node that runs; it fails when that one ends first.
+func (p peers) call(ctx context.Context, address string, do func(ctx context.Context, n *Node) error) error {
+	for _, o := range p.c.up() {
+		if o.node.address != address {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(o.ctx, cancel)()
+		if !o.listens(ctx) {
+			return ctx.Err()
+		}
+		err := do(ctx, o.node)
+		if !o.listens(ctx) {
+			return ctx.Err()
+		}
+		return err
+	}
+	return errors.New("no such node")
+}
+
+// Advise implements Peers.
+func (p peers) Advise(ctx context.Context, address string, step workflow.StepID, workers []string) (a worker.Approvals, err error) {
+	err = p.call(ctx, address, func(ctx context.Context, n *Node) error {
+		a, err = n.Advise(ctx, step, workers)
+		return err
+	})
+	return a, err
+}
+
+// Record implements Peers.
+func (p peers) Record(ctx context.Context, address string, records []store.Record) (done bool, err error) {
+	err = p.call(ctx, address, func(ctx context.Context, n *Node) error {
+		done, err = n.Record(ctx, records)
+		return err
+	})
+	return done && err == nil, err
+}
+
+// Reader implements Peers.
+func (p peers) Reader(address string) store.Reader { return peerReader{p, address} }
+
+// peerReader is the store as another node reads it.
+type peerReader struct {
+	peers   peers
+	address string
+}
+
+func (r peerReader) Read(ctx context.Context, name store.Partition, from int64, wait time.Duration) (b store.Batch, err error) {
+	reached := false
+	failed := r.peers.call(ctx, r.address, func(ctx context.Context, n *Node) error {
+		reached = true
+		b, err = n.Reader().Read(ctx, name, from, wait)
+		return nil
+	})
+	if !reached || failed != nil {
+		return store.Batch{}, store.ErrNotDone
+	}
+	return b, err
+}
+
+func (r peerReader) Newest(ctx context.Context, name store.Partition, after string) (page store.Page, err error) {
+	reached := false
+	failed := r.peers.call(ctx, r.address, func(ctx context.Context, n *Node) error {
+		reached = true
+		page, err = n.Reader().Newest(ctx, name, after)
+		return nil
+	})
+	if !reached || failed != nil {
+		return store.Page{}, store.ErrNotDone
+	}
+	return page, err
+}
+
+// disrupt notes a disruption of nodes or of the log. For a while after it no
+// node counts as in touch.
+func (c *cluster) disrupt() {
+	c.fleet.Judge().Disrupt()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disrupted = time.Now()
+}
+
+// pass lets time pass with the log out of order.
+func (c *cluster) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		c.disrupt()
+	}
+	c.disrupt()
+}
+
+// inTouch reports whether no node or log was disrupted lately.
+func (c *cluster) inTouch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.disrupted) > contactTime
+}
+
+// breaches returns what the judge has found, a line each.
+func (c *cluster) breaches() []string {
+	var lines []string
+	for _, b := range c.fleet.Judge().Breaches() {
+		lines = append(lines, b.At.Format("05.000 ")+b.String())
+	}
+	return lines
+}
+
+// up returns the processes that run, by name.
+func (c *cluster) up() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ps []*process
+	for _, p := range c.processes {
+		ps = append(ps, p)
+	}
+	slices.SortFunc(ps, func(a, b *process) int { return int(a.name[0]) - int(b.name[0]) })
+	return ps
+}
+
+// kill ends a process at once.
+func (c *cluster) kill(p *process) {
+	c.disrupt()
+	c.mu.Lock()
+	delete(c.processes, p.name)
+	c.mu.Unlock()
+	p.cancel()
+	p.resume()
+	<-p.done
+}
+
+// leave stops a process in the planned way.
+func (c *cluster) leave(p *process) {
+	ctx, cancel := context.WithTimeout(c.ctx, 2500*time.Millisecond)
+	defer cancel()
+	p.node.Leave(ctx)
+	c.mu.Lock()
+	delete(c.processes, p.name)
+	c.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	p.cancel()
+	<-p.done
+}
+
+// holder returns the process that the newest claim or beat in the log names.
+func (c *cluster) holder() *process {
+	for range 300 {
+		all, _, err := store.ReadAll(c.ctx, c.log.Client("test"), tenurePartition)
+		c.Expect(err).NotTo(HaveOccurred())
+		for _, r := range all {
+			rec, err := tenure.Decode(r.Value)
+			c.Expect(err).NotTo(HaveOccurred())
+			for _, p := range c.up() {
+				if p.name == rec.Node && !rec.Released {
+					return p
+				}
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatal("no running node holds the right")
+	return nil
+}
+
+// other returns a running process that is not the given one.
+func (c *cluster) other(p *process) *process {
+	for _, o := range c.up() {
+		if o != p {
+			return o
+		}
+	}
+	c.t.Fatal("no other node runs")
+	return nil
+}
+
+// cutWorkers cuts the nodes off from all workers.
+func (c *cluster) cutWorkers(nodes ...string) {
+	for _, i := range c.fleet.Infos() {
+		c.fleet.Cut(i.ID, nodes...)
+	}
+}
+
+// calm ends the faults of the log and of the workers.
+func (c *cluster) calm() {
+	c.log.Calm()
+	c.fleet.Calm()
+	c.disrupt()
+}
+
+// any returns a running process, drawn with the given number.
+func (c *cluster) any(n int) *process {
+	ps := c.up()
+	if len(ps) == 0 {
+		return nil
+	}
+	return ps[n%len(ps)]
+}
+
+// hand is a caller that hands a job in, at another node at each try.
+func (c *cluster) hand(job workflow.Job, queue string, at ...*process) *handed {
+	h := &handed{job: job, queue: c.catalog.Queues[queue]}
+	h.job.Queue = queue
+	c.mu.Lock()
+	c.jobs = append(c.jobs, h)
+	first := c.random.IntN(3)
+	c.mu.Unlock()
+	c.fleet.Know(&h.job, h.queue.Pool, h.queue.Attempts)
+	lost := false
+	for try := range callerTries {
+		p := c.any(first + try)
+		if try < len(at) {
+			p = at[try]
+		}
+		if p != nil {
+			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+			p.pass()
+			o := p.node.Desk().Submit(ctx, &h.queue, h.job)
+			cancel()
+			if o.Code == intake.OK {
+				h.accept(c)
+				return h
+			}
+			lost = lost || o.Code == intake.Unknown
+		}
+		if !c.nap(callerPause) {
+			return h
+		}
+	}
+	if !lost {
+		c.fleet.Refused(job.ID)
+	}
+	return h
+}
+
+func (h *handed) accept(c *cluster) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.accepted, h.acceptedAt = true, time.Now()
+}
+
+// drop is a caller that cancels a job until that is acknowledged.
+func (c *cluster) drop(h *handed) {
+	c.mu.Lock()
+	h.cancelling = true
+	c.mu.Unlock()
+	for try := range callerTries {
+		if p := c.any(try); p != nil {
+			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+			p.pass()
+			o := p.node.Desk().Cancel(ctx, &h.queue, h.job.ID)
+			cancel()
+			if o.Code == intake.OK {
+				c.fleet.Cancelled(h.job.ID)
+				return
+			}
+		}
+		if !c.nap(callerPause) {
+			return
+		}
+	}
+	c.t.Errorf("the cancelling of %s was never acknowledged", h.job.ID)
+}
+
+// traffic has callers hand jobs in, for a time and at a rate by second.
+func (c *cluster) traffic(d time.Duration, rate int) {
+	c.callers.Go(func() {
+		for n := range int(d.Seconds()) * rate {
+			if !c.nap(time.Second / time.Duration(rate)) {
+				return
+			}
+			c.mu.Lock()
+			job, queue := c.draw(n)
+			cancelAfter := time.Duration(-1)
+			if n%9 == 4 || job.LongRunning() {
+				cancelAfter = time.Duration(c.random.IntN(6000)) * time.Millisecond
+			}
+			c.mu.Unlock()
+			c.callers.Go(func() {
+				h := c.hand(job, queue)
+				if cancelAfter >= 0 && h.accepted && c.nap(cancelAfter) {
+					c.drop(h)
+				}
+			})
+		}
+	})
+}
+
+// draw makes a job of a kind that goes by the number.
+func (c *cluster) draw(n int) (workflow.Job, string) {
+	r := c.random
+	id := fmt.Sprintf("%015x", r.Uint64()>>4)
+	task := func(count int) workflow.Step {
+		return workflow.Step{Count: count, Size: workflow.Size{MilliCPU: 500, MemoryMiB: 256}, EstimateMillis: 200 + r.Int64N(1500)}
+	}
+	with := func(s workflow.Step, edit func(*workflow.Step)) workflow.Step { edit(&s); return s }
+	after := func(s workflow.Step, steps ...int) workflow.Step { s.DependsOn = steps; return s }
+	job := workflow.Job{ID: "0" + id, Spec: "spec of " + id, Steps: []workflow.Step{task(1 + r.IntN(4))}}
+	queue := "plain"
+	switch n % 13 {
+	case 1:
+		job.Steps = []workflow.Step{task(2), after(task(3), 0), after(task(1), 0, 1)}
+	case 2:
+		job.Steps = []workflow.Step{with(task(3), func(s *workflow.Step) { s.Gang = true }), after(task(1), 0)}
+	case 3:
+		job.Steps = []workflow.Step{with(task(2), func(s *workflow.Step) { s.Checkpointing, s.EstimateMillis = true, 7000 })}
+	case 4:
+		job.Steps = []workflow.Step{with(task(3), func(s *workflow.Step) { s.Speculative = true })}
+	case 5:
+		job.Steps = []workflow.Step{with(task(2), func(s *workflow.Step) { s.Requires, s.Rack = "big", "r1" })}
+	case 6:
+		job.Steps = []workflow.Step{with(task(4), func(s *workflow.Step) { s.MostPerWorker = 1 })}
+	case 7:
+		job.ID = failsOnce + id
+	case 8:
+		job.Times, job.FirstMillis, job.IntervalMillis = 3, time.Now().UnixMilli()+r.Int64N(2000), 2500
+		job.Steps = append(job.Steps, after(task(1), 0))
+	case 9, 10:
+		queue = "advised"
+		job.Steps = append(job.Steps, after(task(2), 0))
+	case 11:
+		queue = "accel"
+		job.Steps[0].Size.Accelerators = 1
+	case 12:
+		job.ID = []string{failsAtWork, failsAlways}[r.IntN(2)] + id
+		job.Steps = []workflow.Step{with(task(2), func(s *workflow.Step) { s.LongRunning = job.ID[:1] == failsAtWork })}
+		if !job.Steps[0].LongRunning {
+			job.Steps[0] = with(job.Steps[0], func(s *workflow.Step) { s.Gang, s.Checkpointing = r.IntN(2) == 0, true })
+		}
+	}
+	return job, queue
+}
+
+// verdict tells whether what a node shows of a job is its end, and what is wrong with it.
+func (c *cluster) verdict(p *process, h *handed) (ended bool, wrong string) {
+	state, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+	progress, _ := c.fleet.Progress(h.job.ID)
+	switch {
+	case o.Code == intake.Unavailable, o.Code == intake.NoJob && (!c.inTouch() || time.Since(h.acceptedAt) < visibleTime):
+		return false, ""
+	case o.Code != intake.OK:
+		return false, "is answered " + o.Code.String()
+	case state == workflow.Completed && progress.Finished.IsZero():
+		return true, "is shown as completed and isn't done"
+	case state == workflow.Cancelled && !h.cancelling:
+		return true, "is shown as cancelled and nobody has cancelled it"
+	case state == workflow.Failed && !progress.Failed:
+		return true, "is shown as failed without cause"
+	}
+	return state.Final(), ""
+}
+
+// settle waits until all accepted jobs have come to their end at every node.
+func (c *cluster) settle() {
+	c.callers.Wait()
+	began := time.Now()
+	open := c.open()
+	for ; len(open) > 0 && time.Since(began) < settleBound; open = c.open() {
+		time.Sleep(250 * time.Millisecond)
+	}
+	c.Expect(open).To(BeEmpty(), "jobs that never ended")
+	c.Expect(c.breaches()).To(BeEmpty())
+	time.Sleep(time.Second)
+	for _, p := range c.up() {
+		for _, q := range c.catalog.Queues {
+			pending, o := p.node.Desk().Pending(c.ctx, &q)
+			c.Expect(o.Code).To(Equal(intake.OK))
+			c.Expect(pending).To(BeZero(), "pending jobs of %s at %s", q.Name, p.name)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accepted, cancelled, done := 0, 0, 0
+	for _, h := range c.jobs {
+		if h.accepted {
+			accepted++
+		}
+		if h.cancelling {
+			cancelled++
+		}
+		if p, _ := c.fleet.Progress(h.job.ID); !p.Finished.IsZero() {
+			done++
+		}
+	}
+	c.t.Logf("%d jobs: %d accepted, %d cancelled, %d done; answers of workers %v", len(c.jobs), accepted, cancelled, done, c.fleet.Codes())
+	c.Expect(accepted).To(BeNumerically(">", len(c.jobs)/2), "jobs accepted of %d", len(c.jobs))
+}
+
+// open returns the accepted jobs that haven't ended by some node's account.
+func (c *cluster) open() []string {
+	var open []string
+	c.mu.Lock()
+	jobs := slices.Clone(c.jobs)
+	c.mu.Unlock()
+	for _, h := range jobs {
+		if !h.accepted || h.settled {
+			continue // set by callers, which have all come back
+		}
+		all := true
+		for _, p := range c.up() {
+			ended, wrong := c.verdict(p, h)
+			c.Expect(wrong).To(BeEmpty(), "job %s at %s", h.job.ID, p.name)
+			if !ended {
+				all = false
+				progress, _ := c.fleet.Progress(h.job.ID)
+				open = append(open, fmt.Sprintf("%s at %s: %d of %d done, failed %v, queue %s", h.job.ID, p.name, progress.Done, progress.Units, progress.Failed, h.queue.Name))
+			}
+		}
+		h.settled = all
+	}
+	return open
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -27,12 +27,20 @@
 		record tenure.Record
 		offset int64
 		err    error
+		took   time.Duration
 	}
 	// termBegun brings the offset of a term's first record.
 	termBegun struct {
 		token, offset int64
 		err           error
 	}
+	// recordsWritten brings what this node has written as the holder.
+	recordsWritten struct {
+		records []store.Record
+		first   int64
+	}
+	// settingsChanged brings reloaded settings; a new term works by them.
+	settingsChanged struct{ Settings }
 	// coreEvent is for the dispatcher of the given term.
 	coreEvent struct {
 		token int64
@@ -40,11 +48,11 @@
 	}
 )
 
-// flag is a bool that several goroutines share.
-type flag struct{ v atomic.Bool }
+// toggle is a bool that several goroutines share.
+type toggle struct{ v atomic.Bool }
 
-func (f *flag) get() bool  { return f.v.Load() }
-func (f *flag) set(v bool) { f.v.Store(v) }
+func (f *toggle) get() bool  { return f.v.Load() }
+func (f *toggle) set(v bool) { f.v.Store(v) }
 
 const (
 	// tickEvery is how often the control goroutine looks at the time while it
@@ -101,6 +109,8 @@
 	switch ev := ev.(type) {
 	case jobsRead:
 		return n.takeJobs(ev.reading, batch)
+	case recordsWritten:
+		return n.takeWritten(ev, batch)
 	case tenureRead:
 		n.takeTenure(ev.reading)
 	case operatorsRead:
@@ -115,6 +125,8 @@
 		n.takeTerm(ev)
 	case adviceEnded:
 		n.members.ended(ev.node, ev.cost, ev.failed, n.now())
+	case settingsChanged:
+		n.set.Limits = ev.Limits
 	case coreEvent:
 		if n.term != nil && n.term.token == ev.token {
 			return append(batch, ev.event)
@@ -127,7 +139,21 @@
 	if r.err != nil {
 		return batch
 	}
-	changes := n.table.apply(r.records, r.next, r.at)
+	n.table.read(r.at)
+	return n.takeRecords(r.records, r.next, batch)
+}
+
+// takeWritten takes in this node's own records without waiting to read them back.
+func (n *Node) takeWritten(ev recordsWritten, batch []dispatch.Event) []dispatch.Event {
+	numbered := make([]store.Numbered, len(ev.records))
+	for i, r := range ev.records {
+		numbered[i] = store.Numbered{Offset: ev.first + int64(i), Record: r}
+	}
+	return n.takeRecords(numbered, 0, batch)
+}
+
+func (n *Node) takeRecords(records []store.Numbered, next int64, batch []dispatch.Event) []dispatch.Event {
+	changes := n.table.apply(records, next)
 	n.desk.readBack(changes)
 	if n.term == nil || n.term.core == nil {
 		return batch
@@ -162,7 +188,11 @@
 	}
 	before := n.tenure.Token()
 	n.tenure.Read(n.now(), offsets, records, r.next)
+	if h, ok := n.tenure.Holder(); ok {
+		n.desk.slowness.Store(int64(time.Duration(h.StoreMillis) * time.Millisecond))
+	}
 	if t := n.tenure.Token(); t != before {
+		n.publishPeers()
 		h, _ := n.tenure.Holder()
 		n.log.WithFields(logrus.Fields{"holder": h.Node, "token": t, "former": before}).Info("the right to place has moved")
 	}
@@ -196,12 +226,14 @@
 func (n *Node) appendTenure(ctx context.Context, rec tenure.Record, end int64) {
 	callCtx, cancel := context.WithTimeout(ctx, tenureTimeout)
 	defer cancel()
+	began := time.Now()
 	res, err := n.ports.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: rec.Encode()}}, store.AppendOptions{At: &end})
-	n.send(ctx, tenureActed{record: rec, offset: res.First, err: err})
+	n.send(ctx, tenureActed{record: rec, offset: res.First, err: err, took: time.Since(began)})
 }
 
 func (n *Node) takeActed(ev tenureActed) {
 	n.tenure.Appended(n.now(), ev.record, ev.offset, ev.err == nil)
+	n.tenure.StoreTook(ev.took)
 	if ev.err != nil {
 		n.ports.Count("retry", "tenure-"+errorReason(ev.err))
 		return
@@ -329,5 +361,17 @@
 func (n *Node) takeMembers(r reading) {
 	if r.err == nil {
 		n.members.read(r.records, r.whole)
+		n.publishPeers()
+	}
+}
+
+// publishPeers tells the goroutines of traffic where the other nodes are.
+func (n *Node) publishPeers() {
+	address := ""
+	if h, ok := n.tenure.Holder(); ok && h.Address != n.address {
+		address = h.Address
 	}
+	n.holder.Store(&address)
+	others := n.members.addresses(address)
+	n.others.Store(&others)
 }
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -23,9 +23,13 @@
 
 const (
 	// acceptTimeout bounds the store's answer to an accept or a cancel.
-	acceptTimeout = 1200 * time.Millisecond
+	acceptTimeout = 2000 * time.Millisecond
 	// settleTimeout bounds the wait for a record whose answer was lost.
-	settleTimeout = 1200 * time.Millisecond
+	settleTimeout = 400 * time.Millisecond
+	// hedgeTime is how long the holder may take while the store is not slow;
+	// hedgeFactor is how many of the store's answers are added to it.
+	hedgeTime   = 350 * time.Millisecond
+	hedgeFactor = 4
 	// retryPause is the pause before an append that did nothing is sent again.
 	retryPause = 60 * time.Millisecond
 	// appendTries is how often an append that did nothing is sent.
@@ -44,9 +48,13 @@
 
 // desk serves callers from the table, and writes what they hand in to the log.
 type desk struct {
-	store   store.Store
-	table   *table
-	catalog atomic.Pointer[workflow.Catalog]
+	store store.Store
+	// holder has the holder of the right write a record.
+	holder func(context.Context, store.Record) (bool, error)
+	// slowness is how long the store took to answer lately, in nanoseconds.
+	slowness atomic.Int64
+	table    *table
+	catalog  atomic.Pointer[workflow.Catalog]
 	// configured is when the operators' records were last read without fail, in Unix nanoseconds.
 	configured atomic.Int64
 	leaving    atomic.Bool
@@ -65,8 +73,8 @@
 	outcome intake.Outcome
 }
 
-func newDesk(s store.Store, t *table, count func(kind, reason string)) *desk {
-	return &desk{store: s, table: t, accepts: make(chan struct{}, maxAccepts), flights: map[string]*flight{}, stored: map[string]bool{}, count: count}
+func newDesk(s store.Store, t *table, count func(kind, reason string), holder func(context.Context, store.Record) (bool, error)) *desk {
+	return &desk{store: s, holder: holder, table: t, accepts: make(chan struct{}, maxAccepts), flights: map[string]*flight{}, stored: map[string]bool{}, count: count}
 }
 
 func (d *desk) outcome(code intake.Code, reason string) intake.Outcome {
@@ -115,7 +123,7 @@
 		return d.outcome(intake.Invalid, "invalid-job")
 	}
 	if _, ok := d.table.lookup(job.ID); ok {
-		return intake.Outcome{}
+		return intake.Outcome{Reason: "known"}
 	}
 	f, first := d.fly(job.ID)
 	if !first {
@@ -160,8 +168,9 @@
 	close(f.done)
 }
 
-// write appends one record. After a lost answer, it waits to see the record in
-// the log, told by seen.
+// write stores one record: by the holder of the right, which writes all that
+// waits in one append, or directly when the holder does not answer. Both are
+// safe together, since the first record of a key holds.
 func (d *desk) write(ctx context.Context, r store.Record, id string, seen func(entry, bool) bool) intake.Outcome {
 	if !d.table.fresh(time.Now(), storeSilence) {
 		return d.outcome(intake.Unavailable, "store-unreachable")
@@ -172,35 +181,106 @@
 	default:
 		return d.outcome(intake.Busy, "too-many-accepts")
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	switch d.race(ctx, r) {
+	case written:
+		return intake.Outcome{}
+	case notWritten:
+		return d.outcome(intake.Unavailable, "store-refused")
+	}
+	return d.settle(ctx, id, seen)
+}
+
+// ending is what became of a write.
+type ending int
+
+const (
+	written ending = iota
+	// notWritten: surely nothing was written and never will be.
+	notWritten
+	// unsettled: it may have been or may yet be written.
+	unsettled
+)
+
+// race has the holder write the record, and writes it directly when the holder
+// does not, or takes long. The first success counts.
+func (d *desk) race(ctx context.Context, r store.Record) ending {
+	ends := make(chan ending, 2)
+	go func() { ends <- d.writeAtHolder(ctx, r) }()
+	hedge := time.NewTimer(d.hedge())
+	defer hedge.Stop()
+	out, direct, worst := 1, false, notWritten
+	begin := func() {
+		if !direct {
+			direct = true
+			out++
+			go func() { ends <- d.writeDirect(ctx, r) }()
+		}
+	}
+	for {
+		select {
+		case <-hedge.C:
+			begin()
+		case e := <-ends:
+			out--
+			if e == written {
+				return written
+			}
+			worst = max(worst, e)
+			begin()
+			if out == 0 {
+				return worst
+			}
+		}
+	}
+}
+
+func (d *desk) writeAtHolder(ctx context.Context, r store.Record) ending {
+	done, err := d.holder(ctx, r)
+	switch {
+	case err != nil:
+		d.count("retry", "holder-unanswered")
+		return unsettled
+	case !done:
+		return notWritten
+	}
+	return written
+}
+
+// writeDirect appends the record, again if nothing was done.
+func (d *desk) writeDirect(ctx context.Context, r store.Record) ending {
 	for try := 1; ; try++ {
-		err := d.append(ctx, r)
+		began := time.Now()
+		_, err := d.store.Append(ctx, jobsPartition, []store.Record{r}, store.AppendOptions{})
 		switch {
 		case err == nil:
-			return intake.Outcome{}
+			d.slowness.Store(int64(time.Since(began)))
+			return written
 		case !errors.Is(err, store.ErrNotDone):
-			return d.settle(ctx, id, seen)
+			return unsettled
 		case try == appendTries:
-			return d.outcome(intake.Unavailable, "store-refused")
+			return notWritten
 		}
 		d.count("retry", "accept-not-done")
 		pauseFor(ctx, retryPause)
 	}
 }
 
-func (d *desk) append(ctx context.Context, r store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	_, err := d.store.Append(ctx, jobsPartition, []store.Record{r}, store.AppendOptions{})
-	return err
+// hedge is how long the holder is waited for before the record is written
+// directly: longer while the store is slow, so that its queue does not grow.
+func (d *desk) hedge() time.Duration {
+	return min(hedgeTime+hedgeFactor*time.Duration(d.slowness.Load()), acceptTimeout)
 }
 
 // settle finds out by reading what became of an append without an answer.
 func (d *desk) settle(ctx context.Context, id string, seen func(entry, bool) bool) intake.Outcome {
 	d.count("retry", "accept-unanswered")
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	// The wait for the answer may have used up the time of ctx.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	if d.table.await(ctx.Done(), id, seen) {
-		return intake.Outcome{}
+		return intake.Outcome{Reason: "seen-in-log"}
 	}
 	return d.outcome(intake.Unknown, "store-unanswered")
 }
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -32,7 +32,9 @@
 		})
 	case dispatch.StartTask:
 		go n.bounded(t, orderTimeout, func(ctx context.Context) {
+			began := time.Now()
 			code, clock := n.ports.Workers.Start(ctx, e.Start)
+			n.ports.Observe("start", time.Since(began))
 			back(dispatch.Started{Worker: e.Start.Worker, Life: e.Life, Task: e.Start.Task, Run: e.Start.Run, Code: code, ClockMillis: clock})
 		})
 	case dispatch.StopTask:
@@ -75,13 +77,16 @@
 		return
 	}
 	n.ports.Observe("commit", time.Since(began))
+	n.observeShown(e)
 	back(dispatch.Committed{Number: e.Number})
 }
 
 // tell writes the dispatcher's decisions to the log and the counters.
 func (n *Node) tell(ds []dispatch.Decision) {
 	for _, d := range ds {
-		n.ports.Count("decision", d.Kind)
+		if d.Queued != 0 {
+			n.ports.Observe("queue", d.Queued)
+		}
 		f := logrus.Fields{"kind": d.Kind}
 		put := func(k, v string) {
 			if v != "" {
@@ -99,9 +104,8 @@
 		if d.Age != 0 {
 			f["age_ms"] = d.Age.Milliseconds()
 		}
-		if frequent[d.Kind] {
-			n.log.WithFields(f).Debug("decision")
-			continue
+		if d.Queued != 0 {
+			f["queued_ms"] = d.Queued.Milliseconds()
 		}
 		n.log.WithFields(f).Info("decision")
 	}
@@ -133,6 +137,3 @@
 func (n *Node) Advise(ctx context.Context, step workflow.StepID, workers []string) (worker.Approvals, error) {
 	return n.ports.Adviser.Advise(ctx, step, workers)
 }
-
-// frequent are the kinds of decisions that every task brings.
-var frequent = map[string]bool{"task-started": true, "task-ended": true, "task-stopped": true, "job-ended": true, "job-cancelled": true}
--- /dev/null
+++ b/internal/node/faults_test.go
@@ -0,0 +1,385 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/emulator"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// The holder goes or is cut off.
+
+func TestHolderKilled(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.kill(c.holder())
+		time.Sleep(8 * time.Second)
+		c.boot("d")
+	})
+}
+
+func TestHolderKilledRightAfterAnAccept(t *testing.T) {
+	play(t, func(c *cluster) {
+		p := c.holder()
+		h := c.hand(oneTask("00000000000000c1"), "plain", p)
+		c.kill(p)
+		c.Expect(h.accepted).To(BeTrue())
+	})
+}
+
+func TestHolderKilledAndRestartedUnderItsName(t *testing.T) {
+	play(t, func(c *cluster) {
+		for range 3 {
+			p := c.holder()
+			c.kill(p)
+			c.boot(p.name)
+			time.Sleep(3500 * time.Millisecond)
+		}
+	})
+}
+
+func TestHolderCutFromTheStore(t *testing.T) {
+	play(t, func(c *cluster) {
+		p := c.holder()
+		c.log.Down(true, p.name)
+		c.pass(12 * time.Second)
+		c.Expect(c.holder()).NotTo(Equal(p))
+		c.calm()
+	})
+}
+
+func TestHolderCutFromPartsOfTheStore(t *testing.T) {
+	play(t, func(c *cluster) {
+		p := c.holder()
+		p.hide(tenurePartition, true)
+		c.pass(12 * time.Second)
+		p.hide(tenurePartition, false)
+		time.Sleep(4 * time.Second)
+		p = c.holder()
+		p.hide(jobsPartition, true)
+		c.pass(8 * time.Second)
+		p.hide(jobsPartition, false)
+	})
+}
+
+func TestHolderCutFromTheWorkers(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.cutWorkers(c.holder().name)
+		time.Sleep(12 * time.Second)
+		c.calm()
+	})
+}
+
+func TestHolderStalledAndBack(t *testing.T) {
+	play(t, func(c *cluster) {
+		p := c.holder()
+		p.stall()
+		c.pass(time.Duration(1+c.random.IntN(9)) * time.Second)
+		p.resume()
+		time.Sleep(3 * time.Second)
+		p = c.holder()
+		p.stall()
+		c.pass(15 * time.Second)
+		p.resume()
+	})
+}
+
+func TestAllNodesKilledAndRestarted(t *testing.T) {
+	play(t, func(c *cluster) {
+		for i := range 700 {
+			id := fmt.Sprintf("%016x", i)
+			c.log.Put(jobsPartition, store.Record{Key: jobKey + id, Value: []byte(`{"q":"plain","s":[{"n":1}]}`)},
+				store.Record{Key: progressKey + id, Value: []byte(fmt.Sprintf(`{"s":true,"f":"completed","n":1,"e":%d}`, time.Now().UnixMilli()))})
+		}
+		ps := c.up()
+		for _, p := range ps {
+			c.kill(p)
+		}
+		time.Sleep(time.Duration(c.random.IntN(12000)) * time.Millisecond)
+		for _, p := range ps {
+			c.boot(p.name)
+		}
+	})
+}
+
+func TestRollingPlannedStops(t *testing.T) {
+	play(t, func(c *cluster) {
+		for _, p := range c.up() {
+			c.leave(p)
+			c.boot(p.name)
+			time.Sleep(2 * time.Second)
+		}
+		c.leave(c.holder())
+	})
+}
+
+func TestNodeReplacedUnderANewName(t *testing.T) {
+	play(t, func(c *cluster) {
+		for _, name := range []string{"d", "e"} {
+			c.kill(c.holder())
+			c.boot(name)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// The store fails.
+
+func TestStoreFaults(t *testing.T) {
+	faults := map[string]func(l *emulator.Log, nodes ...string){
+		"silent":         func(l *emulator.Log, nodes ...string) { l.Down(true, nodes...) },
+		"refusing":       func(l *emulator.Log, nodes ...string) { l.Refuse(true, nodes...) },
+		"slow":           func(l *emulator.Log, nodes ...string) { l.Slow(150, nodes...) },
+		"very slow":      func(l *emulator.Log, nodes ...string) { l.Slow(900, nodes...) },
+		"losing replies": func(l *emulator.Log, nodes ...string) { l.LoseReplies(0.4, nodes...) },
+		"losing most":    func(l *emulator.Log, nodes ...string) { l.LoseReplies(0.8, nodes...) },
+		"late replies":   func(l *emulator.Log, nodes ...string) { l.LateReplies(0.4, nodes...) },
+		"losing history": func(l *emulator.Log, _ ...string) { l.DropHistory() },
+	}
+	for what, fault := range faults {
+		t.Run(what, func(t *testing.T) {
+			t.Run("for all", func(t *testing.T) {
+				playWith(t, brief, func(c *cluster) {
+					fault(c.log)
+					c.pass(11 * time.Second)
+					c.log.Calm()
+				})
+			})
+			t.Run("for the holder", func(t *testing.T) {
+				playWith(t, brief, func(c *cluster) {
+					fault(c.log, c.holder().name)
+					c.pass(11 * time.Second)
+					c.log.Calm()
+				})
+			})
+			t.Run("for another node, and the holder is killed", func(t *testing.T) {
+				playWith(t, brief, func(c *cluster) {
+					p := c.holder()
+					fault(c.log, c.other(p).name)
+					time.Sleep(time.Second)
+					c.kill(p)
+					c.pass(9 * time.Second)
+					c.log.Calm()
+				})
+			})
+			t.Run("for all, and the holder is killed", func(t *testing.T) {
+				playWith(t, brief, func(c *cluster) {
+					fault(c.log)
+					time.Sleep(2 * time.Second)
+					c.kill(c.up()[c.random.IntN(3)])
+					c.kill(c.up()[0])
+					c.pass(9 * time.Second)
+					c.log.Calm()
+					c.boot("d")
+				})
+			})
+		})
+	}
+}
+
+func TestNodeThatMissedTheForgettingOfJobsBecomesHolder(t *testing.T) {
+	playWith(t, options{strictLives: true, retention: 6 * time.Second, seeds: 3}, func(c *cluster) {
+		p := c.other(c.holder())
+		job := oneTask("00000000000000c2")
+		job.Steps[0].EstimateMillis = 5000
+		c.hand(job, "plain")
+		time.Sleep(500 * time.Millisecond)
+		p.stall()
+		time.Sleep(30 * time.Second)
+		c.log.DropHistory()
+		for _, o := range c.up() {
+			if o != p {
+				c.kill(o)
+			}
+		}
+		p.resume()
+		time.Sleep(20 * time.Second)
+		c.Expect(c.breaches()).To(BeEmpty())
+		c.mu.Lock()
+		c.jobs = nil // forgotten by now
+		c.mu.Unlock()
+		c.hand(oneTask("00000000000000c3"), "plain")
+	})
+}
+
+// Workers fail.
+
+func TestWorkersCrashAndRestart(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.Crash("w1")
+		time.Sleep(time.Second)
+		c.fleet.Restart("w2")
+		time.Sleep(2 * time.Second)
+		c.fleet.Replace("w3", emulator.WorkerConfig{ID: "w9", Pool: "cpu", Labels: []string{"big", "r2"}, Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}})
+		c.fleet.Crash("w5")
+		time.Sleep(3 * time.Second)
+		c.fleet.Restart("w5")
+		c.fleet.Restart("g1")
+		time.Sleep(time.Second)
+		c.fleet.Restart("w5")
+	})
+}
+
+func TestWorkersRestartedAgainAndAgain(t *testing.T) {
+	play(t, func(c *cluster) {
+		for range 40 {
+			time.Sleep(time.Duration(c.random.IntN(500)) * time.Millisecond)
+			c.fleet.Restart(fmt.Sprintf("w%d", 1+c.random.IntN(6)))
+		}
+	})
+}
+
+func TestWorkerRestartedAndHolderKilled(t *testing.T) {
+	play(t, func(c *cluster) {
+		for _, id := range []string{"w1", "w2", "w4"} {
+			c.fleet.Restart(id)
+			time.Sleep(time.Duration(c.random.IntN(2500)) * time.Millisecond)
+			p := c.holder()
+			c.fleet.Cut(id)
+			c.kill(p)
+			c.boot(p.name)
+			time.Sleep(4 * time.Second)
+			c.fleet.Calm()
+		}
+	})
+}
+
+func TestWorkersCutAndRunningOn(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.Cut("w1")
+		c.fleet.Cut("w2", c.holder().name)
+		time.Sleep(4 * time.Second)
+		c.fleet.Heal("w1")
+		c.fleet.Cut("w3")
+		time.Sleep(12 * time.Second)
+		c.calm()
+	})
+}
+
+func TestWorkersDrained(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.Drain("w1", 8*time.Second)
+		time.Sleep(2 * time.Second)
+		c.fleet.Drain("w2", 3*time.Second)
+		c.kill(c.holder())
+		time.Sleep(4 * time.Second)
+		c.fleet.Drain("g1", 4*time.Second)
+	})
+}
+
+func TestOrdersLateOrWithoutReply(t *testing.T) {
+	for what, fault := range map[string]func(f *emulator.Fleet){
+		"late":                  func(f *emulator.Fleet) { f.Late(0.3) },
+		"without reply":         func(f *emulator.Fleet) { f.LoseReplies(0.4) },
+		"without reply, mostly": func(f *emulator.Fleet) { f.LoseReplies(0.8, "w1", "w2", "w3", "g1") },
+		"both":                  func(f *emulator.Fleet) { f.Late(0.15); f.LoseReplies(0.15) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			play(t, func(c *cluster) {
+				fault(c.fleet)
+				time.Sleep(14 * time.Second)
+				c.calm()
+			})
+		})
+	}
+}
+
+func restartAmidLateOrders(c *cluster) {
+	c.fleet.Late(0.5, "w1", "w2")
+	for range 5 {
+		time.Sleep(1500 * time.Millisecond)
+		c.fleet.Restart("w1")
+		c.fleet.Restart("w2")
+	}
+	c.calm()
+}
+
+func TestWorkersRestartedAmidLateOrders(t *testing.T) {
+	play(t, restartAmidLateOrders)
+}
+
+// Here an order for a former life of the same ID is carried out by the next.
+func TestLateOrderReachesTheNextLifeOfItsWorker(t *testing.T) {
+	playWith(t, options{retention: standard.retention, seeds: 3}, restartAmidLateOrders)
+}
+
+func TestWorkersWhereTasksFailHangOrAreSlow(t *testing.T) {
+	for what, fault := range map[string]func(f *emulator.Fleet, id string){
+		"fail": func(f *emulator.Fleet, id string) { f.FailAll(id, true) },
+		"hang": func(f *emulator.Fleet, id string) { f.Hang(id, true) },
+		"slow": func(f *emulator.Fleet, id string) { f.SlowDown(id, 4) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			play(t, func(c *cluster) {
+				fault(c.fleet, "w1")
+				fault(c.fleet, "w4")
+				time.Sleep(12 * time.Second)
+				c.calm()
+			})
+		})
+	}
+}
+
+// Two faults at a time.
+
+func TestHolderKilledWhileAWorkerIsCut(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.Cut("w1")
+		c.fleet.Cut("g1")
+		time.Sleep(time.Duration(c.random.IntN(3000)) * time.Millisecond)
+		c.kill(c.holder())
+		time.Sleep(5 * time.Second)
+		c.fleet.Heal("g1")
+		time.Sleep(12 * time.Second)
+		c.calm()
+	})
+}
+
+func TestHolderKilledWhileTheStoreIsSlow(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.log.Slow(60)
+		c.pass(2 * time.Second)
+		c.kill(c.holder())
+		c.pass(12 * time.Second)
+		c.calm()
+	})
+}
+
+func TestHolderKilledAmidLateOrders(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.Late(0.3)
+		time.Sleep(2 * time.Second)
+		c.kill(c.holder())
+		time.Sleep(10 * time.Second)
+		c.calm()
+	})
+}
+
+func TestHolderCutFromTheStoreAndAWorkerFromTheOthers(t *testing.T) {
+	play(t, func(c *cluster) {
+		p := c.holder()
+		c.log.Down(true, p.name)
+		for _, o := range c.up() {
+			if o != p {
+				c.fleet.Cut("w1", o.name)
+				c.fleet.Cut("w2", o.name)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		c.calm()
+	})
+}
+
+func TestAdviceServiceDownAndANodeKilled(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.fleet.AdviceDown(true)
+		time.Sleep(3 * time.Second)
+		c.kill(c.other(c.holder()))
+		time.Sleep(3 * time.Second)
+		c.fleet.AdviceDown(false)
+	})
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -33,14 +33,16 @@
 }
 
 const (
-	// readTimeout bounds a read beside its wait.
-	readTimeout = 2 * time.Second
+	// readTimeout bounds a direct read beside its wait.
+	readTimeout = 700 * time.Millisecond
+	// followTimeout bounds a read beside its wait, whatever way it takes.
+	followTimeout = 2500 * time.Millisecond
 	// readRetry is the pause after a failed read.
 	readRetry = 150 * time.Millisecond
 )
 
 // follow reads the feed until the context ends and hands each reading to take.
-func follow(ctx context.Context, s store.Store, f feed, take func(reading)) {
+func follow(ctx context.Context, s store.Reader, f feed, take func(reading)) {
 	next := int64(-1)
 	for ctx.Err() == nil {
 		if f.active != nil && !f.active() {
@@ -67,14 +69,14 @@
 }
 
 // readOnce reads all newest records when next is below 0, else those from next on.
-func readOnce(ctx context.Context, s store.Store, f feed, next int64) reading {
+func readOnce(ctx context.Context, s store.Reader, f feed, next int64) reading {
 	if next < 0 {
-		ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+		ctx, cancel := context.WithTimeout(ctx, 2*followTimeout)
 		defer cancel()
 		records, end, err := store.ReadAll(ctx, s, f.partition)
 		return reading{records: records, next: end, whole: true, err: err, at: time.Now()}
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
 	return reading{records: b.Records, next: b.Next, err: err, at: time.Now()}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -41,12 +41,30 @@
 }
 
 func newMembers(self string) *members {
-	m := &members{self: self}
-	m.reset()
-	return m
+	return &members{self: self, nodes: map[string]*member{self: {node: self}}}
 }
 
-func (m *members) reset() { m.nodes = map[string]*member{m.self: {node: m.self}} }
+// calm forgets what calls were out in a former term.
+func (m *members) calm() {
+	for _, x := range m.nodes {
+		x.busyUntil, x.downUntil, x.failures = 0, 0, 0
+	}
+}
+
+// addresses returns the other nodes' addresses, the given one first.
+func (m *members) addresses(first string) []string {
+	var out []string
+	for name, x := range m.nodes {
+		if name != m.self && x.address != first {
+			out = append(out, x.address)
+		}
+	}
+	sort.Strings(out)
+	if first != "" {
+		out = append([]string{first}, out...)
+	}
+	return out
+}
 
 func (m *members) read(records []store.Numbered, whole bool) {
 	for _, r := range records {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,10 +15,15 @@
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
-// Peers asks other nodes. Its method may be called concurrently.
+// Peers asks other nodes. Its methods may be called concurrently.
 type Peers interface {
 	// Advise has the node at the address ask the policy service.
 	Advise(ctx context.Context, address string, step workflow.StepID, workers []string) (worker.Approvals, error)
+	// Record has the node at the address write the records, as Node.Record
+	// does. After an error it is not known whether they were or will be written.
+	Record(ctx context.Context, address string, records []store.Record) (bool, error)
+	// Reader returns the store as the node at the address reads it.
+	Reader(address string) store.Reader
 }
 
 // Ports are what the node speaks to the world by.
@@ -47,14 +53,22 @@
 	members *members
 	term    *term
 	events  chan any
+	// writer is the holder's, or nil.
+	writer atomic.Pointer[writer]
+	// holder is the address of the holder of the right, as far as it is known.
+	holder atomic.Pointer[string]
+	// others are the addresses of the other nodes, the holder's first.
+	others atomic.Pointer[[]string]
+	reader *relay
 	// tailing tells the readers that this node holds the right.
-	tailing   *flag
+	tailing   *toggle
 	address   string
 	stop      context.CancelFunc
 	leave     chan struct{}
 	left      chan struct{}
 	configVer int64
 	waves     map[int64]worker.Wave
+	views     *views
 }
 
 // eventQueue is how many events may wait for the control goroutine.
@@ -64,12 +78,39 @@
 // this process from earlier ones of the same node.
 func New(set Settings, ports Ports, log logrus.FieldLogger, address, incarnation string, delay time.Duration) *Node {
 	t := newTable()
-	return &Node{
-		set: set, ports: ports, log: log, table: t, desk: newDesk(ports.Store, t, ports.Count), start: time.Now(),
+	n := &Node{
+		set: set, ports: ports, log: log, table: t, start: time.Now(),
 		tenure:  tenure.New(tenure.DefaultTiming(), set.Node, incarnation, delay),
-		members: newMembers(set.Node), events: make(chan any, eventQueue), tailing: &flag{}, address: address,
-		leave: make(chan struct{}), left: make(chan struct{}),
+		members: newMembers(set.Node), events: make(chan any, eventQueue), tailing: &toggle{}, address: address,
+		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log),
 	}
+	n.desk = newDesk(ports.Store, t, ports.Count, n.recordAtHolder)
+	n.reader = &relay{direct: ports.Store, peers: ports.Peers, addresses: n.otherAddresses, count: ports.Count}
+	return n
+}
+
+// Reader reads the store directly, for other nodes.
+func (n *Node) Reader() store.Reader { return n.ports.Store }
+
+func (n *Node) otherAddresses() []string {
+	if p := n.others.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// recordAtHolder has the holder of the right write a caller's record; done is
+// false if surely nothing was written and never will be.
+func (n *Node) recordAtHolder(ctx context.Context, r store.Record) (bool, error) {
+	records := []store.Record{r}
+	if n.writer.Load() != nil {
+		return n.Record(ctx, records)
+	}
+	h := n.holder.Load()
+	if h == nil || *h == "" || *h == n.address {
+		return false, nil
+	}
+	return n.ports.Peers.Record(ctx, *h, records)
 }
 
 // Desk takes callers' requests.
@@ -87,10 +128,10 @@
 	tenurePause   = 50 * time.Millisecond
 	operatorPause = 50 * time.Millisecond
 	workersPause  = 600 * time.Millisecond
-	membersPause  = 2 * time.Second
+	membersPause  = 3 * time.Second
 	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
 	tenureWait = time.Second
-	jobsWait   = time.Second
+	jobsWait   = 500 * time.Millisecond
 	// operatorWait is short enough to notice that the store is out of reach.
 	operatorWait = time.Second
 )
@@ -105,7 +146,7 @@
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), active: n.tailing.get}, func(r reading) any { return workersRead{r} })
-	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause), active: n.tailing.get}, func(r reading) any { return membersRead{r} })
+	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
 	go n.register(ctx)
 	n.control(ctx)
 }
@@ -118,7 +159,11 @@
 }
 
 func (n *Node) follow(ctx context.Context, f feed, wrap func(reading) any) {
-	go follow(ctx, n.ports.Store, f, func(r reading) { n.send(ctx, wrap(r)) })
+	name := n.viewName(f.partition)
+	go follow(ctx, n.reader, f, func(r reading) {
+		n.views.note(name, f.active, r)
+		n.send(ctx, wrap(r))
+	})
 }
 
 // send hands an event to the control goroutine.
@@ -129,6 +174,10 @@
 	}
 }
 
+// Reconfigure takes in reloaded settings. Names and addresses of the node
+// itself stay as they were.
+func (n *Node) Reconfigure(ctx context.Context, set Settings) { n.send(ctx, settingsChanged{set}) }
+
 // Leave gives the right back and refuses new callers; it returns when the
 // right is given back or the context ends.
 func (n *Node) Leave(ctx context.Context) {
@@ -147,7 +196,7 @@
 	former := float64(tenure.DefaultTiming().Confidence+lease) / (1 - clockDrift)
 	return dispatch.Settings{
 		Token: token, TermOffset: offset, Lease: lease, MaxLease: l.MaxLease,
-		FormerBound: time.Duration(former) + leaseSlack,
+		FormerBound: time.Duration(former) + leaseSlack, Confidence: tenure.DefaultTiming().Confidence,
 		StopTimeout: l.StopTimeout, GangTimeout: l.GangTimeout, RemoteFactor: l.RemoteFactor,
 		CheckpointEvery: l.CheckpointInterval, StatusRetention: l.StatusRetention, Notice: l.Notice,
 	}
--- /dev/null
+++ b/internal/node/quiet_test.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+func oneTask(id string) workflow.Job {
+	return workflow.Job{ID: id, Spec: "spec", Steps: []workflow.Step{{Count: 1, Size: workflow.Size{MilliCPU: 500}, EstimateMillis: 500}}}
+}
+
+func TestQuietDay(t *testing.T) {
+	play(t, func(c *cluster) {
+		time.Sleep(15 * time.Second)
+		c.Expect(c.log.Usage(c.other(c.holder()).name).Appends).To(BeNumerically("<", 100), "only accepts, cancels and its own record")
+	})
+}
+
+func TestStateAndPendingAtEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standard)
+		defer c.close()
+		for _, n := range []string{"a", "b", "c"} {
+			c.boot(n)
+		}
+		time.Sleep(4 * time.Second)
+		huge := oneTask("00000000000000b1")
+		huge.Steps[0].Size.MilliCPU = 100000
+		a, b := c.up()[0], c.up()[1]
+		waits := c.hand(huge, "plain", a)
+		runs := c.hand(oneTask("00000000000000b2"), "plain", b)
+		state := func(p *process, h *handed) workflow.State {
+			s, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+			c.Expect(o.Code).To(Equal(intake.OK))
+			return s
+		}
+		c.Expect(state(a, waits)).To(Equal(workflow.Queued))
+		c.Expect(state(b, runs)).To(Equal(workflow.Queued))
+		time.Sleep(480 * time.Millisecond)
+		for _, p := range c.up() {
+			c.Expect(state(p, waits)).To(Equal(workflow.Queued))
+			c.Expect(state(p, runs)).To(Equal(workflow.Running))
+		}
+		time.Sleep(400 * time.Millisecond)
+		for _, p := range c.up() {
+			c.Expect(state(p, runs)).To(Equal(workflow.Completed))
+			pending, o := p.node.Desk().Pending(c.ctx, &waits.queue)
+			c.Expect(o.Code).To(Equal(intake.OK))
+			c.Expect(pending).To(Equal(1))
+			_, o = p.node.Desk().State(c.ctx, &waits.queue, "00000000000000ff")
+			c.Expect(o.Code).To(Equal(intake.NoJob))
+		}
+		c.drop(waits)
+		time.Sleep(time.Second)
+		for _, p := range c.up() {
+			c.Expect(state(p, waits)).To(Equal(workflow.Cancelled))
+		}
+		c.settle()
+	})
+}
+
+func TestJobIsOneJobAtAllNodes(t *testing.T) {
+	play(t, func(c *cluster) {
+		job := oneTask("00000000000000b3")
+		for _, p := range c.up() {
+			c.callers.Go(func() { c.hand(job, "plain", p) })
+		}
+		time.Sleep(3 * time.Second)
+		c.Expect(c.hand(job, "plain").accepted).To(BeTrue())
+	})
+}
+
+func TestBadInput(t *testing.T) {
+	play(t, func(c *cluster) {
+		bad := [][]byte{[]byte("\xff{"), []byte("null"), []byte(`{"s":7}`), []byte("[]"), []byte(`"x"`), []byte("{}")}
+		for i, b := range bad {
+			for _, key := range []string{jobKey, cancelKey, progressKey, workerKey, ""} {
+				c.log.Put(jobsPartition, store.Record{Key: key + "bad" + string(rune('0'+i)), Value: b})
+			}
+			c.log.Put(workersPartition, store.Record{Key: "w1", Value: b}, store.Record{Key: "alien", Value: b})
+			c.log.Put(operatorsPartition, store.Record{Key: "config", Value: b})
+		}
+		c.log.Put(jobsPartition, store.Record{}, store.Record{Key: jobKey, Value: []byte(`{"q":"plain","s":[{"n":1}]}`)})
+		value, err := json.Marshal(c.catalog)
+		c.Expect(err).NotTo(HaveOccurred())
+		c.log.Put(operatorsPartition, store.Record{Key: "config", Value: value})
+
+		desk, plain := c.other(c.holder()).node.Desk(), c.catalog.Queues["plain"]
+		invalid := map[string]func(*workflow.Job){
+			"no steps":       func(j *workflow.Job) { j.Steps = nil },
+			"a long spec":    func(j *workflow.Job) { j.Spec = string(make([]byte, workflow.MaxSpecBytes+1)) },
+			"many tasks":     func(j *workflow.Job) { j.Steps[0].Count = workflow.MaxTasks + 1 },
+			"no tasks":       func(j *workflow.Job) { j.Steps[0].Count = 0 },
+			"a cycle":        func(j *workflow.Job) { j.Steps[0].DependsOn = []int{0} },
+			"a size below 0": func(j *workflow.Job) { j.Steps[0].Size.MilliCPU = -1 },
+		}
+		for what, edit := range invalid {
+			job := oneTask("00000000000000b4")
+			edit(&job)
+			c.Expect(desk.Submit(c.ctx, &plain, job).Code).To(Equal(intake.Invalid), what)
+		}
+		_, _, o := desk.Match("h", "/nowhere/x")
+		c.Expect(o.Code).To(Equal(intake.NoQueue))
+		_, o = desk.State(c.ctx, &plain, "00000000000000b4")
+		c.Expect(o.Code).To(Equal(intake.NoJob))
+		c.kill(c.holder())
+		time.Sleep(3 * time.Second)
+		c.log.DropHistory()
+	})
+}
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -80,7 +80,7 @@
 }
 
 // apply takes in records and returns what is new to a dispatcher.
-func (t *table) apply(records []store.Numbered, next int64, at time.Time) []change {
+func (t *table) apply(records []store.Numbered, next int64) []change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []change
@@ -99,7 +99,6 @@
 		}
 	}
 	t.next = max(t.next, next)
-	t.readAt, t.loaded = at, true
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return out
@@ -203,6 +202,13 @@
 	return nil
 }
 
+// read takes note that the log was read at the given time.
+func (t *table) read(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readAt, t.loaded = at, true
+}
+
 // lookup returns a copy of what is known of a job.
 func (t *table) lookup(id string) (entry, bool) {
 	t.mu.RLock()
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -27,9 +27,11 @@
 	listed map[string]worker.Info
 	// listedOnce tells that the list of workers was read in this term.
 	listedOnce bool
-	writer     *writer
-	cancel     context.CancelFunc
-	ctx        context.Context
+	// counted is what of the dispatcher's counters was passed on.
+	counted dispatch.Counters
+	writer  *writer
+	cancel  context.CancelFunc
+	ctx     context.Context
 }
 
 // producerName is the name under which holders write progress.
@@ -38,10 +40,13 @@
 func (n *Node) beginTerm(ctx context.Context) {
 	t := &term{token: n.tenure.Token(), listed: map[string]worker.Info{}, began: n.now()}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	t.writer = &writer{store: n.ports.Store, token: t.token, count: n.ports.Count}
+	t.writer = newWriter(n.ports.Store, t.token, n.set.MaxRequestBytes, n.ports.Count, func(records []store.Record, first int64) {
+		n.send(t.ctx, recordsWritten{records, first})
+	})
 	n.term = t
+	go t.writer.run(t.ctx)
 	n.tailing.set(true)
-	n.members.reset()
+	n.members.calm()
 	n.log.WithField("token", t.token).Info("term begins")
 	go func() {
 		value, _ := json.Marshal(map[string]string{"n": n.set.Node, "t": strconv.FormatInt(t.token, 10)})
@@ -52,6 +57,7 @@
 
 func (n *Node) endTerm(why string) {
 	n.log.WithFields(logrus.Fields{"token": n.term.token, "reason": why}).Info("term ends")
+	n.writer.Store(nil)
 	n.term.cancel()
 	n.term = nil
 	n.tailing.set(false)
@@ -68,6 +74,7 @@
 		return
 	}
 	t.offset, t.begun = ev.offset, true
+	n.writer.Store(t.writer)
 }
 
 // startCore starts the dispatcher once everything before the term's record was read.
@@ -132,47 +139,7 @@
 		n.carryOut(t, e)
 	}
 	n.tell(t.core.Decisions())
-}
-
-// writer appends to the log of jobs under the holder's epoch. Its appends go one
-// at a time.
-type writer struct {
-	store    store.Store
-	token    int64
-	sequence int64
-	count    func(kind, reason string)
-}
-
-const (
-	// writeTimeout bounds the store's answer to one try of an append.
-	writeTimeout = 1500 * time.Millisecond
-	// writeRetry is the pause before the next try.
-	writeRetry = 100 * time.Millisecond
-)
-
-// append writes the records, trying until it is known to be done. It fails only
-// when the writer is fenced or the context ends.
-func (w *writer) append(ctx context.Context, records []store.Record) (int64, error) {
-	w.sequence++
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		res, err := w.store.Append(callCtx, jobsPartition, records, store.AppendOptions{
-			Producer: &store.Producer{Name: producerName, Epoch: w.token, Sequence: w.sequence}})
-		cancel()
-		var seq *store.SequenceError
-		switch {
-		case err == nil:
-			return res.First, nil
-		case errors.Is(err, store.ErrFenced):
-			return 0, err
-		case errors.As(err, &seq) && seq.Expected > w.sequence:
-			return res.First, nil // an earlier try was carried out
-		case ctx.Err() != nil:
-			return 0, err
-		}
-		w.count("retry", "commit-"+errorReason(err))
-		pauseFor(ctx, writeRetry)
-	}
+	n.countReasons(t)
 }
 
 // commitRecords returns the log's records of a commit.
--- /dev/null
+++ b/internal/node/write.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+const (
+	// writeTimeout bounds the store's answer to one try of an append.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the pause before the next try.
+	writeRetry = 100 * time.Millisecond
+	// writeQueue bounds the writes that wait.
+	writeQueue = 1024
+	// writeShare is the share of the largest request that one append may take.
+	writeShare = 2
+)
+
+// writer appends to the log of jobs under the holder's epoch, one append at a
+// time. All that waits shares the next append.
+type writer struct {
+	store    store.Store
+	token    int64
+	sequence int64
+	maxBytes int
+	count    func(kind, reason string)
+	queue    chan *write
+	// applied is told of what was written, with its first offset.
+	applied func(records []store.Record, first int64)
+}
+
+// write is one group of records that are appended together.
+type write struct {
+	records []store.Record
+	done    chan error
+	first   int64
+}
+
+func newWriter(s store.Store, token int64, maxBytes int, count func(kind, reason string), applied func([]store.Record, int64)) *writer {
+	return &writer{store: s, token: token, maxBytes: max(maxBytes, 1<<16), count: count, applied: applied,
+		queue: make(chan *write, writeQueue)}
+}
+
+// append queues the records and waits for their end. Errors are store.ErrNotDone,
+// store.ErrFenced or store.ErrUnknown.
+func (w *writer) append(ctx context.Context, records []store.Record) (int64, error) {
+	x := &write{records: records, done: make(chan error, 1)}
+	select {
+	case w.queue <- x:
+	default:
+		w.count("refusal", "write-queue-full")
+		return 0, errors.WithStack(store.ErrNotDone)
+	}
+	select {
+	case err := <-x.done:
+		return x.first, err
+	case <-ctx.Done():
+		return 0, errors.WithStack(store.ErrUnknown)
+	}
+}
+
+// run writes until the context ends or a higher epoch has come. What is still
+// queued then was not written.
+func (w *writer) run(ctx context.Context) {
+	for {
+		var group []*write
+		select {
+		case x := <-w.queue:
+			group = w.gather(x)
+		case <-ctx.Done():
+			w.refuse(store.ErrNotDone)
+			return
+		}
+		err := w.write(ctx, group)
+		for _, x := range group {
+			x.done <- err
+		}
+		if err != nil {
+			w.refuse(store.ErrNotDone)
+			return
+		}
+	}
+}
+
+// gather takes what else waits, up to the largest request.
+func (w *writer) gather(first *write) []*write {
+	group := []*write{first}
+	size := first.bytes()
+	for size < w.maxBytes/writeShare {
+		select {
+		case x := <-w.queue:
+			group = append(group, x)
+			size += x.bytes()
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// recordOverhead is what a record takes beside its value, at most.
+const recordOverhead = 64
+
+func (x *write) bytes() int {
+	n := 0
+	for _, r := range x.records {
+		n += len(r.Value) + recordOverhead
+	}
+	return n
+}
+
+func (w *writer) refuse(err error) {
+	for {
+		select {
+		case x := <-w.queue:
+			x.done <- err
+		default:
+			return
+		}
+	}
+}
+
+// write appends a group, trying until it is known to be done.
+func (w *writer) write(ctx context.Context, group []*write) error {
+	var records []store.Record
+	for _, x := range group {
+		records = append(records, x.records...)
+	}
+	w.sequence++
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		res, err := w.store.Append(callCtx, jobsPartition, records, store.AppendOptions{
+			Producer: &store.Producer{Name: producerName, Epoch: w.token, Sequence: w.sequence}})
+		cancel()
+		var seq *store.SequenceError
+		switch {
+		case err == nil:
+			w.tell(group, records, res.First)
+			return nil
+		case errors.Is(err, store.ErrFenced):
+			return errors.WithStack(store.ErrFenced)
+		case errors.As(err, &seq) && seq.Expected > w.sequence:
+			return nil // an earlier try was carried out; the log is read anyway
+		case ctx.Err() != nil:
+			return errors.WithStack(store.ErrUnknown)
+		}
+		w.count("retry", "commit-"+errorReason(err))
+		pauseFor(ctx, writeRetry)
+	}
+}
+
+func (w *writer) tell(group []*write, records []store.Record, first int64) {
+	at := first
+	for _, x := range group {
+		x.first = at
+		at += int64(len(x.records))
+	}
+	w.applied(records, first)
+}
+
+// Record writes callers' records if this node holds the right to place; done
+// is false if surely nothing was written and never will be.
+func (n *Node) Record(ctx context.Context, records []store.Record) (bool, error) {
+	w := n.writer.Load()
+	if w == nil {
+		return false, nil
+	}
+	for _, r := range records {
+		if !strings.HasPrefix(r.Key, jobKey) && !strings.HasPrefix(r.Key, cancelKey) {
+			return false, errors.Errorf("record %q is not a caller's", r.Key)
+		}
+	}
+	switch _, err := w.append(ctx, records); {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, store.ErrNotDone):
+		return false, nil
+	default:
+		return false, err
+	}
+}
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -1,13 +1,17 @@
 package noded
 
 import (
+	"bytes"
 	"context"
 	"hash/fnv"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,8 +21,10 @@
 
 	api "github.com/mimosaspool/mimosaspool/api/peer"
 	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
+	"github.com/mimosaspool/mimosaspool/internal/logging"
 	"github.com/mimosaspool/mimosaspool/internal/node"
 	"github.com/mimosaspool/mimosaspool/internal/peer"
+	"github.com/mimosaspool/mimosaspool/internal/settings"
 	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
 
@@ -30,8 +36,12 @@
 	// headerTimeout bounds a caller's request headers, idleTimeout a silent connection.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
+	// flushTime bounds the wait for the last log lines to be read.
+	flushTime = 300 * time.Millisecond
 	// claimSpread spreads the claims of nodes that start at the same time.
 	claimSpread = 200 * time.Millisecond
+	// recentBytes is how much of the newest log lines is kept for explain.
+	recentBytes = 512 << 10
 	// memoryShare is the share of the memory limit that the heap may take.
 	memoryShare = 0.7
 )
@@ -41,6 +51,8 @@
 	node      *node.Node
 	telemetry *telemetry.Telemetry
 	log       logrus.FieldLogger
+	lines     *logging.Writer
+	budget    int
 	internal  string
 	metrics   string
 }
@@ -52,18 +64,26 @@
 	if err != nil {
 		return nil, err
 	}
-	log := logrus.WithFields(logrus.Fields{"node": set.Node, "domain": set.Domain})
+	fields := logrus.Fields{"node": set.Node, "domain": set.Domain}
+	// A reader of the log that goes away must not end the program.
+	signal.Ignore(syscall.SIGPIPE)
+	lines := logging.Install(logrus.StandardLogger(), os.Stdout, logging.Settings{
+		PerSecond: opt.LogBudget, Linger: logging.DefaultLinger, RecentBytes: recentBytes, Fields: fields,
+		Lost: func(reason string) { t.Count("log", reason, 1) },
+	})
+	log := logrus.WithFields(fields)
 	internal := net.JoinHostPort(set.Host, strconv.Itoa(set.InternalPorts[0]))
 	ports := p.Ports
 	ports.Peers = peer.NewClient(p.PeerTransport)
 	ports.Count = func(kind, reason string) { t.Count(kind, reason, 1) }
 	ports.Observe = t.Observe
-	d := &daemon{platform: p, telemetry: t, log: log, internal: internal}
+	ports.Store = measuredStore{ports.Store, t.Observe}
+	d := &daemon{platform: p, telemetry: t, log: log, lines: lines, budget: opt.LogBudget, internal: internal}
 	if opt.MetricsPort > 0 {
 		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
 	}
 	d.node = node.New(set, ports, log, internal, uuid.NewString(), claimDelay(set.Node))
-	return d, nil
+	return d, t.Watch(telemetry.Watched{Ages: d.node.Ages, Holds: d.node.Holds, Ready: d.node.Desk().Ready})
 }
 
 // tune keeps the runtime within the host's limits.
@@ -82,19 +102,25 @@
 }
 
 // serve runs the node and its servers until a planned stop or a failure.
-func (d *daemon) serve(parent context.Context) error {
-	stop, cancelStop := lifecycle.Signals(parent, func() { d.log.Warn("stopped at once") })
+func (d *daemon) serve(parent context.Context, hangups <-chan os.Signal) error {
+	defer d.lines.Close(flushTime)
+	stop, cancelStop := lifecycle.Signals(parent, func() {
+		d.log.Warn("stopped at once")
+		d.lines.Close(flushTime)
+	})
 	defer cancelStop()
 	run, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	go d.node.Run(run)
+	go d.reload(run, hangups)
 	servers, failed, err := d.listen()
 	if err != nil {
 		return err
 	}
-	d.log.Info("started")
+	d.log.WithFields(logrus.Fields{"version": settings.Version(), "log_budget": d.budget}).Info("started")
 	select {
 	case err := <-failed:
+		d.log.WithError(err).Error("a server failed")
 		return err
 	case <-stop.Done():
 	}
@@ -110,12 +136,14 @@
 
 // listen opens the servers: callers, readiness, and the other nodes.
 func (d *daemon) listen() ([]*http.Server, <-chan error, error) {
-	desk := d.node.Desk()
+	desk := desk{d.node.Desk()}
+	callers := &requestLog{next: d.platform.Callers(desk), log: d.log, observe: d.telemetry.Observe, age: d.node.JobsAge}
 	inner := mux.NewRouter()
 	inner.Handle("/metrics", d.telemetry.Handler())
+	inner.Path("/recent").Methods(http.MethodGet).HandlerFunc(d.recent)
 	inner.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(d.node))
 	handlers := map[string]http.Handler{
-		d.platform.Settings.CallersAddress: d.platform.Callers(desk),
+		d.platform.Settings.CallersAddress: callers,
 		d.platform.Settings.ReadyAddress:   d.platform.Ready(desk),
 		d.internal:                         inner,
 	}
@@ -139,6 +167,18 @@
 	return servers, failed, nil
 }
 
+// recent serves the newest log lines that have to do with a job: those that
+// name it, and those that name none.
+func (d *daemon) recent(w http.ResponseWriter, r *http.Request) {
+	id := []byte(r.FormValue("job"))
+	err := d.lines.Recent(w, func(line []byte) bool {
+		return len(id) > 0 && bytes.Contains(line, id) || !bytes.Contains(line, []byte(`"job":`))
+	})
+	if err != nil {
+		d.log.WithError(err).Debug("recent lines were not taken")
+	}
+}
+
 // shutdown lets requests in flight finish.
 func (d *daemon) shutdown(servers []*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
--- a/internal/noded/main.go
+++ b/internal/noded/main.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/logging"
 	"github.com/mimosaspool/mimosaspool/internal/node"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
 )
@@ -17,6 +18,9 @@
 // Platform is what the program needs of the platform that it runs on.
 type Platform struct {
 	Settings node.Settings
+	// Reload reads the settings again and applies what concerns the ports. It
+	// tells whether anything has changed.
+	Reload func() (node.Settings, bool, error)
 	// Ports are complete but for Peers, Count and Observe.
 	Ports node.Ports
 	// PeerTransport carries calls between nodes.
@@ -31,6 +35,7 @@
 
 type options struct {
 	LogLevel    string `flag:"log-level" validate:"oneof=error warning info debug"`
+	LogBudget   int    `flag:"log-budget" validate:"min=0"`
 	MetricsPort int    `flag:"metrics-port" validate:"min=0,max=65535"`
 }
 
@@ -46,6 +51,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&opt.LogLevel, "log-level", "info", "lowest level that is logged: error, warning, info or debug")
+	cmd.Flags().IntVar(&opt.LogBudget, "log-budget", logging.DefaultPerSecond, "log lines of each kind that are written a second; 0 is without bound")
 	cmd.Flags().IntVar(&opt.MetricsPort, "metrics-port", 0, "port of /metrics; 0 serves it on the port between nodes")
 	return settings.Execute(cmd, &opt)
 }
@@ -56,6 +62,7 @@
 		return err
 	}
 	logrus.SetLevel(level)
+	hangups := hangups()
 	p, err := connect()
 	if err != nil {
 		return &SettingsError{err}
@@ -64,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	return d.serve(parent)
+	return d.serve(parent, hangups)
 }
 
 // SettingsError tells that the platform's settings can't be used.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,19 +10,30 @@
 	"github.com/pkg/errors"
 
 	api "github.com/mimosaspool/mimosaspool/api/peer"
+	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
-// Handler serves the other nodes from an adviser.
-func Handler(a worker.Adviser) http.Handler { return api.NewPeerServer(&server{a}) }
+// Node is what a node does for others. Its methods may be called concurrently.
+type Node interface {
+	worker.Adviser
+	// Record writes the records if the node holds the right to place; done is
+	// false if surely nothing was written and never will be.
+	Record(ctx context.Context, records []store.Record) (done bool, err error)
+	// Reader reads the store directly.
+	Reader() store.Reader
+}
+
+// Handler serves the other nodes.
+func Handler(n Node) http.Handler { return api.NewPeerServer(&server{n}) }
 
-type server struct{ adviser worker.Adviser }
+type server struct{ node Node }
 
 // Advise implements the Peer service.
 func (s *server) Advise(ctx context.Context, req *api.AdviseRequest) (*api.AdviseResponse, error) {
 	step := workflow.StepID{Job: req.GetJob(), Occurrence: int(req.GetOccurrence()), Step: int(req.GetStep())}
-	a, err := s.adviser.Advise(ctx, step, req.GetWorkers())
+	a, err := s.node.Advise(ctx, step, req.GetWorkers())
 	if err != nil {
 		return nil, errors.Wrap(err, "advise")
 	}
@@ -33,7 +44,60 @@
 	return resp, nil
 }
 
-// Client asks other nodes. It may be used concurrently.
+// Record implements the Peer service.
+func (s *server) Record(ctx context.Context, req *api.RecordRequest) (*api.RecordResponse, error) {
+	records := make([]store.Record, 0, len(req.GetRecords()))
+	for _, r := range req.GetRecords() {
+		records = append(records, store.Record{Key: r.GetKey(), Value: r.GetValue()})
+	}
+	done, err := s.node.Record(ctx, records)
+	if err != nil {
+		return nil, err
+	}
+	return &api.RecordResponse{Done: done}, nil
+}
+
+// Read implements the Peer service.
+func (s *server) Read(ctx context.Context, req *api.ReadRequest) (*api.ReadResponse, error) {
+	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
+	b, err := s.node.Reader().Read(ctx, p, req.GetFrom(), time.Duration(req.GetWaitMillis())*time.Millisecond)
+	var expired *store.ExpiredError
+	if errors.As(err, &expired) {
+		return &api.ReadResponse{Expired: true, First: expired.First}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &api.ReadResponse{Records: encode(b.Records), Next: b.Next, End: b.End}, nil
+}
+
+// Newest implements the Peer service.
+func (s *server) Newest(ctx context.Context, req *api.NewestRequest) (*api.NewestResponse, error) {
+	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
+	page, err := s.node.Reader().Newest(ctx, p, req.GetAfter())
+	if err != nil {
+		return nil, err
+	}
+	return &api.NewestResponse{Records: encode(page.Records), More: page.More, End: page.End}, nil
+}
+
+func encode(records []store.Numbered) []*api.LogRecord {
+	out := make([]*api.LogRecord, 0, len(records))
+	for _, r := range records {
+		out = append(out, &api.LogRecord{Offset: r.Offset, Key: r.Key, Value: r.Value})
+	}
+	return out
+}
+
+func decode(records []*api.LogRecord) []store.Numbered {
+	out := make([]store.Numbered, 0, len(records))
+	for _, r := range records {
+		out = append(out, store.Numbered{Offset: r.GetOffset(), Record: store.Record{Key: r.GetKey(), Value: r.GetValue()}})
+	}
+	return out
+}
+
+// Client asks other nodes, named by their addresses. It may be used concurrently.
 type Client struct {
 	http  *http.Client
 	mu    sync.Mutex
@@ -45,7 +109,7 @@
 	return &Client{http: &http.Client{Transport: transport}, nodes: map[string]api.Peer{}}
 }
 
-// Advise implements node.Peers.
+// Advise has the node at the address ask the policy service.
 func (c *Client) Advise(ctx context.Context, address string, step workflow.StepID, workers []string) (worker.Approvals, error) {
 	resp, err := c.node(address).Advise(ctx, &api.AdviseRequest{
 		Job: step.Job, Occurrence: int32(step.Occurrence), Step: int32(step.Step), Workers: workers})
@@ -59,6 +123,52 @@
 	return a, nil
 }
 
+// Record has the node at the address write the records, as Node.Record does.
+// After an error it is not known whether they were or will be written.
+func (c *Client) Record(ctx context.Context, address string, records []store.Record) (bool, error) {
+	req := &api.RecordRequest{}
+	for _, r := range records {
+		req.Records = append(req.Records, &api.LogRecord{Key: r.Key, Value: r.Value})
+	}
+	resp, err := c.node(address).Record(ctx, req)
+	if err != nil {
+		return false, errors.Wrap(err, "peer "+address)
+	}
+	return resp.GetDone(), nil
+}
+
+// Reader returns the store as the node at the address reads it.
+func (c *Client) Reader(address string) store.Reader { return &reader{c.node(address)} }
+
+type reader struct{ peer api.Peer }
+
+// Read implements store.Reader.
+func (r *reader) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	resp, err := r.peer.Read(ctx, &api.ReadRequest{Topic: p.Topic, Part: int32(p.Number), From: from, WaitMillis: wait.Milliseconds()})
+	if err != nil {
+		return store.Batch{}, &relayError{err}
+	}
+	if resp.GetExpired() {
+		return store.Batch{}, &store.ExpiredError{First: resp.GetFirst()}
+	}
+	return store.Batch{Records: decode(resp.GetRecords()), Next: resp.GetNext(), End: resp.GetEnd()}, nil
+}
+
+// Newest implements store.Reader.
+func (r *reader) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	resp, err := r.peer.Newest(ctx, &api.NewestRequest{Topic: p.Topic, Part: int32(p.Number), After: after})
+	if err != nil {
+		return store.Page{}, &relayError{err}
+	}
+	return store.Page{Records: decode(resp.GetRecords()), More: resp.GetMore(), End: resp.GetEnd()}, nil
+}
+
+// relayError is a read through a peer that brought nothing. It is store.ErrNotDone.
+type relayError struct{ cause error }
+
+func (e *relayError) Error() string   { return "read through a peer: " + e.cause.Error() }
+func (e *relayError) Unwrap() []error { return []error{store.ErrNotDone, e.cause} }
+
 func (c *Client) node(address string) api.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -130,9 +130,7 @@
 			f.DefValue = ""
 		}
 		f.Usage += " [" + Variable(f.Name) + "]"
-		if f.Value.Type() != "bool" {
-			f.Value = checked{f.Value, f.Name, &r.problems}
-		}
+		f.Value = checked{f.Value, f.Name, &r.problems}
 	}
 	cmd.PersistentFlags().VisitAll(visit)
 	cmd.Flags().VisitAll(visit)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -73,16 +73,22 @@
 	End int64
 }
 
+// Reader reads the platform's log. Its methods may be called concurrently. Errors
+// are, by errors.Is and errors.As, ErrNotDone or *ExpiredError.
+type Reader interface {
+	// Read returns records from an offset on; it waits for the first one up to the given time.
+	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
+	// Newest returns a page of the newest record of each key after the given one.
+	Newest(ctx context.Context, p Partition, after string) (Page, error)
+}
+
 // Store is the platform's log. Its methods may be called concurrently. Errors
 // are, by errors.Is and errors.As, ErrNotDone, ErrUnknown, ErrFenced,
 // *ConflictError, *SequenceError, *ExpiredError; a read that fails is ErrNotDone.
 type Store interface {
 	// Append adds records, all or none. No records with a producer sets the epoch.
 	Append(ctx context.Context, p Partition, records []Record, opt AppendOptions) (Appended, error)
-	// Read returns records from an offset on; it waits for the first one up to the given time.
-	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
-	// Newest returns a page of the newest record of each key after the given one.
-	Newest(ctx context.Context, p Partition, after string) (Page, error)
+	Reader
 }
 
 // The outcomes of a call that did not succeed.
@@ -118,7 +124,7 @@
 
 // ReadAll returns the newest record of every key, and an end from which on a
 // read brings every later change.
-func ReadAll(ctx context.Context, s Store, p Partition) ([]Numbered, int64, error) {
+func ReadAll(ctx context.Context, s Reader, p Partition) ([]Numbered, int64, error) {
 	var all []Numbered
 	end := int64(-1)
 	after := ""
--- /dev/null
+++ b/internal/story/read.go
@@ -0,0 +1,145 @@
+// Package story tells what became of one job, from the log lines of many processes.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Line is one line of a process's log.
+type Line struct {
+	Time time.Time
+	Node string
+	// Kind is what was decided, or the message of lines without a kind.
+	Kind string
+	Job  string
+	// Fields holds all fields of the line.
+	Fields map[string]any
+	// collected is the collector's own time, in seconds, if it wrote one before the line.
+	collected float64
+	hasOwn    bool
+}
+
+// Text returns a field as text, empty if there is none.
+func (l *Line) Text(field string) string {
+	switch v := l.Fields[field].(type) {
+	case string:
+		return v
+	case json.Number:
+		return v.String()
+	case nil:
+		return ""
+	default:
+		data, err := json.Marshal(v)
+		if err != nil {
+			return ""
+		}
+		return string(data)
+	}
+}
+
+// Log is what of some processes' logs has to do with one job.
+type Log struct {
+	id string
+	// own holds the job's lines, others those that name no job.
+	own, others []Line
+	// Unreadable counts lines with a JSON object that can't be read.
+	Unreadable int
+}
+
+// NewLog returns an empty log of the job.
+func NewLog(id string) *Log { return &Log{id: strings.ToLower(id)} }
+
+var jobField = []byte(`"job":`)
+
+// Read takes in a log. Each line holds a JSON object, after whatever its
+// collector has put before; other lines are passed over.
+func (l *Log) Read(r io.Reader) error {
+	in := bufio.NewReader(r)
+	for {
+		text, err := in.ReadBytes('\n')
+		l.take(text)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
+
+func (l *Log) take(text []byte) {
+	begin := bytes.IndexByte(text, '{')
+	if begin < 0 {
+		return
+	}
+	object := text[begin:]
+	own := bytes.Contains(bytes.ToLower(object), []byte(l.id))
+	if !own && bytes.Contains(object, jobField) {
+		return
+	}
+	line, ok := parse(object)
+	if !ok {
+		l.Unreadable++
+		return
+	}
+	if prefix := strings.Fields(string(text[:begin])); len(prefix) > 0 {
+		v, err := strconv.ParseFloat(prefix[0], 64)
+		line.collected, line.hasOwn = v, err == nil
+	}
+	switch {
+	case own && strings.EqualFold(line.Job, l.id):
+		l.own = append(l.own, line)
+	case line.Job == "":
+		l.others = append(l.others, line)
+	}
+}
+
+// parse reads a line's object. Objects that are no log lines have neither time nor message.
+func parse(object []byte) (Line, bool) {
+	d := json.NewDecoder(bytes.NewReader(object))
+	d.UseNumber()
+	var l Line
+	if err := d.Decode(&l.Fields); err != nil {
+		return l, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, l.Text("time"))
+	if err != nil || l.Text("msg") == "" {
+		return l, false
+	}
+	l.Time, l.Node, l.Job, l.Kind = at, l.Text("node"), l.Text("job"), l.Text("kind")
+	if l.Kind == "" {
+		l.Kind = l.Text("msg")
+	}
+	return l, true
+}
+
+// sortLines orders lines by the processes' times; where these are of whole
+// seconds only, by the collector's.
+func sortLines(lines []Line) {
+	collected := true
+	for i := range lines {
+		collected = collected && lines[i].hasOwn && lines[i].Time.Nanosecond() == 0
+	}
+	sort.SliceStable(lines, func(a, b int) bool {
+		if collected {
+			return lines[a].collected < lines[b].collected
+		}
+		return lines[a].Time.Before(lines[b].Time)
+	})
+	if collected {
+		// The times between two seconds are the collector's.
+		for i := range lines {
+			gap := time.Duration((lines[i].collected - lines[0].collected) * float64(time.Second))
+			lines[i].Time = lines[0].Time.Add(gap)
+		}
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -22,6 +22,8 @@
 	Beat int64 `json:"b,omitempty"`
 	// Released gives the right back.
 	Released bool `json:"r,omitempty"`
+	// StoreMillis is how long the store took to answer the holder lately.
+	StoreMillis int64 `json:"s,omitempty"`
 	// Address is where the holder answers the other nodes.
 	Address string `json:"a,omitempty"`
 }
@@ -97,6 +99,8 @@
 	outAt  time.Duration
 	retry  time.Duration
 	resign bool
+	// took is how long the store took to answer the last act.
+	took time.Duration
 }
 
 // New returns the state of a node that knows nothing.
@@ -200,7 +204,7 @@
 func (s *State) Begin(now time.Duration, act Act, address string) (Record, int64) {
 	s.out, s.outAt = true, now
 	s.lastBeat = now
-	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address}
+	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address, StoreMillis: s.took.Milliseconds()}
 	if act == Beat {
 		s.beats++
 		r.Token, r.Beat = s.token, s.beats
@@ -225,6 +229,9 @@
 	s.Confirm(s.outAt)
 }
 
+// StoreTook takes note of how long the store took to answer.
+func (s *State) StoreTook(d time.Duration) { s.took = d }
+
 // Confirm takes note that a record sent at the given time is in the partition.
 func (s *State) Confirm(sentAt time.Duration) { s.confirmedAt = max(s.confirmedAt, sentAt) }
 
--- /dev/null
+++ b/internal/tenure/tenure_test.go
@@ -0,0 +1,239 @@
+package tenure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// partition is the stream of claims and beats.
+type partition struct {
+	records []Record
+	// claimed is when each record was appended.
+	claimed []time.Duration
+}
+
+func (p *partition) append(now time.Duration, r Record, end int64) (int64, bool) {
+	if int64(len(p.records)) != end {
+		return 0, false
+	}
+	p.records, p.claimed = append(p.records, r), append(p.claimed, now)
+	return end, true
+}
+
+// read brings a state all that it hasn't read.
+func (p *partition) read(s *State, now time.Duration) {
+	var offsets []int64
+	from := max(s.End(), 0)
+	for o := from; o < int64(len(p.records)); o++ {
+		offsets = append(offsets, o)
+	}
+	s.Read(now, offsets, p.records[min(from, int64(len(p.records))):], int64(len(p.records)))
+}
+
+// act does what the state wants, and reports what that was.
+func (p *partition) act(s *State, now time.Duration) Act {
+	act := s.Next(now)
+	if act == Wait {
+		return act
+	}
+	r, end := s.Begin(now, act, "")
+	offset, done := p.append(now, r, end)
+	s.Appended(now, r, offset, done)
+	return act
+}
+
+const step = 100 * time.Millisecond
+
+// live lets the states read and act until end.
+func (p *partition) live(now *time.Duration, end time.Duration, states ...*State) {
+	for ; *now < end; *now += step {
+		for _, s := range states {
+			p.read(s, *now)
+			p.act(s, *now)
+		}
+	}
+}
+
+func TestOneHolderBeatsAndTheOthersWait(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	a, b := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 50*time.Millisecond)
+	p.live(&now, 30*time.Second, a, b)
+	g.Expect(a.Holds()).To(BeTrue())
+	g.Expect(b.Holds()).To(BeFalse())
+	g.Expect(b.Token()).To(Equal(a.Token()))
+	g.Expect(a.ConfirmedUntil()).To(BeNumerically(">", now+4*time.Second))
+	p.live(&now, 40*time.Second, b)
+	g.Expect(b.Holds()).To(BeTrue())
+	g.Expect(b.Token()).To(BeNumerically(">", a.Token()))
+}
+
+func TestStaleClaimantsClaimFails(t *testing.T) {
+	g := NewWithT(t)
+	p := &partition{}
+	a, b := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 0)
+	p.read(a, time.Second)
+	p.read(b, time.Second)
+	g.Expect(b.Next(time.Second)).To(Equal(Claim))
+	r, end := b.Begin(time.Second, Claim, "")
+	g.Expect(p.act(a, time.Second)).To(Equal(Claim))
+	offset, done := p.append(time.Second, r, end)
+	g.Expect(done).To(BeFalse())
+	b.Appended(time.Second, r, offset, done)
+	g.Expect(b.Holds()).To(BeFalse())
+	g.Expect(b.ConfirmedUntil()).To(BeZero())
+	p.read(b, 2*time.Second)
+	g.Expect(b.Next(2 * time.Second)).To(Equal(Wait))
+	g.Expect(b.Token()).To(Equal(a.Token()))
+}
+
+func TestSilenceIsNotCountedWhileTheStoreCanNotBeRead(t *testing.T) {
+	for what, away := range map[string]func(s *State, now time.Duration){
+		"reads fail": func(s *State, now time.Duration) { s.ReadFailed(now) },
+		"no reads":   func(*State, time.Duration) {},
+	} {
+		t.Run(what, func(t *testing.T) {
+			g := NewWithT(t)
+			p, now := &partition{}, time.Second
+			a, b := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 0)
+			p.live(&now, 3*time.Second, a, b)
+			lastRead := now - step
+			for end := now + 20*time.Second; now < end; now += step {
+				away(b, now)
+				if now-lastRead > readGap {
+					g.Expect(b.Next(now)).To(Equal(Wait), "%v after the last read", now-lastRead)
+				}
+			}
+			back := now
+			for ; now < back+DefaultTiming().Silence; now += step {
+				p.read(b, now)
+				g.Expect(b.Next(now)).To(Equal(Wait), "%v after the store is back", now-back)
+			}
+			now += step
+			p.read(b, now)
+			g.Expect(b.Next(now)).To(Equal(Claim))
+		})
+	}
+}
+
+func TestEarlierProcessOfTheSameNodeIsFollowedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	a := New(DefaultTiming(), "a", "1", 0)
+	p.live(&now, 3*time.Second, a)
+	again := New(DefaultTiming(), "a", "2", 150*time.Millisecond)
+	p.read(again, now)
+	g.Expect(again.Holds()).To(BeFalse())
+	g.Expect(p.act(again, now)).To(Equal(Claim))
+	g.Expect(again.Holds()).To(BeTrue())
+	g.Expect(again.Token()).To(BeNumerically(">", a.Token()))
+	p.read(a, now)
+	g.Expect(a.Holds()).To(BeFalse())
+}
+
+func TestReleasedRightIsTakenAtOnceAndALateReleaseHasNoEffect(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	a, b := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 100*time.Millisecond)
+	p.live(&now, 3*time.Second, a, b)
+	release := a.Release()
+	g.Expect(a.Next(now + time.Hour)).To(Equal(Wait))
+	p.records, p.claimed = append(p.records, release), append(p.claimed, now)
+	p.live(&now, now+300*time.Millisecond, b)
+	g.Expect(b.Holds()).To(BeTrue())
+	p.records, p.claimed = append(p.records, release), append(p.claimed, now)
+	p.live(&now, now+5*time.Second, b)
+	g.Expect(b.Holds()).To(BeTrue())
+	g.Expect(b.ConfirmedUntil()).To(BeNumerically(">", now))
+}
+
+func TestClaimWithoutAnAnswerIsSeenByReading(t *testing.T) {
+	g := NewWithT(t)
+	p := &partition{}
+	a := New(DefaultTiming(), "a", "1", 0)
+	p.read(a, 7*time.Second)
+	g.Expect(a.Next(7 * time.Second)).To(Equal(Claim))
+	r, end := a.Begin(7*time.Second, Claim, "")
+	_, done := p.append(7*time.Second, r, end)
+	g.Expect(done).To(BeTrue())
+	a.Appended(8*time.Second, r, 0, false)
+	p.read(a, 9*time.Second)
+	g.Expect(a.Holds()).To(BeTrue())
+	g.Expect(a.ConfirmedUntil()).To(BeNumerically("<=", 7*time.Second+DefaultTiming().Confidence))
+	g.Expect(p.act(a, 9*time.Second)).To(Equal(Beat))
+	g.Expect(a.ConfirmedUntil()).To(Equal(9*time.Second + DefaultTiming().Confidence))
+}
+
+// TestFormerHolderIsNotConfirmedPastItsSuccessorsClaim plays histories in which
+// reads fail, answers get lost or come late, and processes stand still.
+func TestFormerHolderIsNotConfirmedPastItsSuccessorsClaim(t *testing.T) {
+	type late struct {
+		s      *State
+		r      Record
+		offset int64
+		done   bool
+		at     time.Duration
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := &partition{}
+		states := map[string]*State{}
+		var answers []late
+		start := func(name, life string) { states[name] = New(DefaultTiming(), name, life, 0) }
+		for i, name := range []string{"a", "b", "c"} {
+			start(name, fmt.Sprint(i))
+		}
+		for i, now := 0, time.Second; i < 400; i, now = i+1, now+step {
+			for _, name := range []string{"a", "b", "c"} {
+				s := states[name]
+				switch rapid.IntRange(0, 19).Draw(t, "what") {
+				case 0:
+					s.ReadFailed(now)
+				case 1, 2, 3, 4:
+				case 5:
+					if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+						start(name, fmt.Sprint(name, i))
+					}
+				default:
+					p.read(s, now)
+				}
+				if act := s.Next(now); act != Wait {
+					r, end := s.Begin(now, act, "")
+					offset, done := p.append(now, r, end)
+					after := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 30}).Draw(t, "steps")) * step
+					answers = append(answers, late{s, r, offset, done && rapid.IntRange(0, 4).Draw(t, "lost") > 0, now + after})
+				}
+			}
+			kept := answers[:0]
+			for _, a := range answers {
+				if now >= a.at {
+					a.s.Appended(now, a.r, a.offset, a.done)
+				} else {
+					kept = append(kept, a)
+				}
+			}
+			answers = kept
+			check(t, p, states, now)
+		}
+	})
+}
+
+func check(t *rapid.T, p *partition, states map[string]*State, now time.Duration) {
+	for name, s := range states {
+		if !s.Holds() {
+			continue
+		}
+		claim := s.Token() - 1
+		if claim < 0 || claim >= int64(len(p.records)) || p.records[claim].Token != 0 || p.records[claim].Node != name {
+			t.Fatalf("%s holds token %d, which is no claim of its own", name, s.Token())
+		}
+		for o := claim + 1; o < int64(len(p.records)); o++ {
+			if p.records[o].Token == 0 && s.ConfirmedUntil() > p.claimed[o]+DefaultTiming().Confidence {
+				t.Fatalf("at %v %s is confirmed until %v; its successor claimed at %v", now, name, s.ConfirmedUntil(), p.claimed[o])
+			}
+		}
+	}
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -67,9 +67,11 @@
 	WrongLife
 	// Invalid: the worker could not read the order.
 	Invalid
+	// Absent: nothing listens at the worker's address.
+	Absent
 )
 
-var codeNames = [...]string{"ok", "unknown", "not-done", "fenced", "old", "late", "no-room", "no-ticket", "wrong-life", "invalid"}
+var codeNames = [...]string{"ok", "unknown", "not-done", "fenced", "old", "late", "no-room", "no-ticket", "wrong-life", "invalid", "absent"}
 
 func (c Code) String() string { return codeNames[c] }
 
