Reads and writes begin anew when the store answers again; one direct append a node; faster beats

Change: one append at a time and node, patience by the store's last answers; probes every 250 ms, waiting calls are given up when one succeeds; beats every 450 ms, silence 1.25 s and three of the store's answers.

--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -16,6 +16,7 @@
 // flags are the program's settings.
 type flags struct {
 	Schedulers []string      `flag:"scheduler-url" validate:"dive,http_url"`
+	Nodes      []string      `flag:"node-url" validate:"dive,http_url"`
 	Output     string        `flag:"output" validate:"oneof=table json"`
 	Actor      string        `flag:"actor" validate:"required,max=128"`
 	IfVersion  int64         `flag:"if-version" validate:"min=-1"`
@@ -59,12 +60,13 @@
 	}
 	p := cmd.PersistentFlags()
 	p.StringSliceVar(&f.Schedulers, "scheduler-url", nil, "base URL of a scheduler; several are tried in turn")
+	p.StringSliceVar(&f.Nodes, "node-url", nil, "base URLs between nodes, of all nodes, for explain job")
 	p.StringVarP(&f.Output, "output", "o", "table", "form of the output: table or json")
 	p.StringVar(&f.Actor, "actor", actor(), "name that changes are recorded under")
 	p.Int64Var(&f.IfVersion, "if-version", -1, "version that the changed objects must have; -1 for the one in force")
 	p.StringVar(&f.ChangeID, "change-id", "", "id of the change; give that of an earlier try to ask what became of it")
 	p.DurationVar(&f.Timeout, "timeout", defaultTimeout, "longest time to try for")
-	cmd.AddCommand(t.exec(), t.apply(), t.check(), t.diff(), t.list(), t.explain(), t.history(), t.shell(), t.version(), capacityCommand())
+	cmd.AddCommand(t.exec(), t.apply(), t.check(), t.diff(), t.list(), t.explain(), t.history(), t.trace(), t.shell(), t.version(), capacityCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,95 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/mimosaspool/mimosaspool/internal/story"
+)
+
+// trace tells one job's story from the processes' logs.
+func (t *tool) trace() *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace ID FILE...",
+		Short: "Tell from the processes' logs what became of a job, and why",
+		Long: `Tell from the processes' logs what became of a job, and why.
+
+Each FILE holds JSON log lines of one or more nodes, in any order; what a
+collector has put before the JSON is passed over. FILE may be - for the standard
+input.`,
+		Args: cobra.MinimumNArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			log := story.NewLog(args[0])
+			for _, name := range args[1:] {
+				if err := t.readLog(log, name); err != nil {
+					return err
+				}
+			}
+			return t.tellStory(log, nil)
+		},
+	}
+}
+
+func (t *tool) readLog(log *story.Log, name string) error {
+	if name == "-" {
+		return log.Read(t.in)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer f.Close()
+	return log.Read(f)
+}
+
+func (t *tool) tellStory(log *story.Log, notes []string) error {
+	s := log.Tell()
+	if log.Unreadable > 0 {
+		s.Notes = append(s.Notes, fmt.Sprintf("%d lines with a brace are no log lines", log.Unreadable))
+	}
+	s.Notes = append(s.Notes, notes...)
+	return s.Render(t.out)
+}
+
+// explainJob tells the same from the newest lines that the nodes keep.
+func (t *tool) explainJob(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, t.flags.Timeout)
+	defer cancel()
+	log := story.NewLog(id)
+	var notes []string
+	for _, base := range t.flags.Nodes {
+		if err := t.readRecent(ctx, log, base, id); err != nil {
+			notes = append(notes, fmt.Sprintf("out of reach: %s: %v", base, err))
+		}
+	}
+	if len(notes) == len(t.flags.Nodes) {
+		return errors.Errorf("no node answered:\n  %s", strings.Join(notes, "\n  "))
+	}
+	return t.tellStory(log, notes)
+}
+
+func (t *tool) readRecent(ctx context.Context, log *story.Log, base, id string) error {
+	if err := reach(ctx, base); err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/recent?job="+url.QueryEscape(id), nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	res, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", res.StatusCode)
+	}
+	return log.Read(res.Body)
+}
--- a/internal/ctl/verbs.go
+++ b/internal/ctl/verbs.go
@@ -98,7 +98,15 @@
 }
 
 func (t *tool) explain() *cobra.Command {
-	return t.queryVerb("explain", "KIND NAME", "Tell why an object stands as it does, and what would have to change")
+	cmd := t.queryVerb("explain", "KIND NAME", "Tell why an object stands as it does, and what would have to change")
+	query := cmd.RunE
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(t.flags.Nodes) > 0 && len(args) == 2 && args[0] == "job" {
+			return t.explainJob(cmd.Context(), args[1])
+		}
+		return query(cmd, args)
+	}
+	return cmd
 }
 
 func (t *tool) history() *cobra.Command {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -224,7 +224,9 @@
 const tenureTimeout = 1500 * time.Millisecond
 
 func (n *Node) appendTenure(ctx context.Context, rec tenure.Record, end int64) {
-	callCtx, cancel := context.WithTimeout(ctx, tenureTimeout)
+	backCtx, cancelBack := n.reader.untilBack(ctx)
+	defer cancelBack()
+	callCtx, cancel := context.WithTimeout(backCtx, tenureTimeout)
 	defer cancel()
 	began := time.Now()
 	res, err := n.ports.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: rec.Encode()}}, store.AppendOptions{At: &end})
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -28,14 +28,14 @@
 	settleTimeout = 400 * time.Millisecond
 	// hedgeTime is how long the holder may take while the store is not slow;
 	// hedgeFactor is how many of the store's answers are added to it.
-	hedgeTime   = 350 * time.Millisecond
+	hedgeTime   = 500 * time.Millisecond
 	hedgeFactor = 4
-	// retryPause is the pause before an append that did nothing is sent again.
-	retryPause = 60 * time.Millisecond
 	// appendTries is how often an append that did nothing is sent.
 	appendTries = 2
-	// comeBack is when refused callers are told to come back.
-	comeBack = time.Second
+	// comeBack is when refused callers are told to come back, comeBackLater
+	// when the store is out of reach.
+	comeBack      = time.Second
+	comeBackLater = 2 * time.Second
 	// maxAccepts bounds the appends of callers that wait for the store.
 	maxAccepts = 256
 	// viewBound is how old the view of the log may be to say that a job does not exist.
@@ -48,7 +48,8 @@
 
 // desk serves callers from the table, and writes what they hand in to the log.
 type desk struct {
-	store store.Store
+	// direct writes what the holder of the right does not.
+	direct *writer
 	// holder has the holder of the right write a record.
 	holder func(context.Context, store.Record) (bool, error)
 	// slowness is how long the store took to answer lately, in nanoseconds.
@@ -73,13 +74,16 @@
 	outcome intake.Outcome
 }
 
-func newDesk(s store.Store, t *table, count func(kind, reason string), holder func(context.Context, store.Record) (bool, error)) *desk {
-	return &desk{store: s, holder: holder, table: t, accepts: make(chan struct{}, maxAccepts), flights: map[string]*flight{}, stored: map[string]bool{}, count: count}
+func newDesk(direct *writer, t *table, count func(kind, reason string), holder func(context.Context, store.Record) (bool, error)) *desk {
+	return &desk{direct: direct, holder: holder, table: t, accepts: make(chan struct{}, maxAccepts), flights: map[string]*flight{}, stored: map[string]bool{}, count: count}
 }
 
 func (d *desk) outcome(code intake.Code, reason string) intake.Outcome {
 	o := intake.Outcome{Code: code, Reason: reason}
-	if code == intake.Busy || code == intake.Unavailable {
+	switch {
+	case reason == "store-unreachable" || reason == "configuration-stale":
+		o.RetryAfter = comeBackLater
+	case code == intake.Busy || code == intake.Unavailable:
 		o.RetryAfter = comeBack
 	}
 	if code != intake.OK {
@@ -248,23 +252,16 @@
 	return written
 }
 
-// writeDirect appends the record, again if nothing was done.
+// writeDirect appends the record to the log itself.
 func (d *desk) writeDirect(ctx context.Context, r store.Record) ending {
-	for try := 1; ; try++ {
-		began := time.Now()
-		_, err := d.store.Append(ctx, jobsPartition, []store.Record{r}, store.AppendOptions{})
-		switch {
-		case err == nil:
-			d.slowness.Store(int64(time.Since(began)))
-			return written
-		case !errors.Is(err, store.ErrNotDone):
-			return unsettled
-		case try == appendTries:
-			return notWritten
-		}
-		d.count("retry", "accept-not-done")
-		pauseFor(ctx, retryPause)
+	switch _, err := d.direct.append(ctx, []store.Record{r}); {
+	case err == nil:
+		return written
+	case errors.Is(err, store.ErrNotDone):
+		return notWritten
 	}
+	d.count("retry", "accept-unanswered")
+	return unsettled
 }
 
 // hedge is how long the holder is waited for before the record is written
@@ -275,7 +272,6 @@
 
 // settle finds out by reading what became of an append without an answer.
 func (d *desk) settle(ctx context.Context, id string, seen func(entry, bool) bool) intake.Outcome {
-	d.count("retry", "accept-unanswered")
 	// The wait for the answer may have used up the time of ctx.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -38,7 +38,7 @@
 	// followTimeout bounds a read beside its wait, whatever way it takes.
 	followTimeout = 2500 * time.Millisecond
 	// readRetry is the pause after a failed read.
-	readRetry = 150 * time.Millisecond
+	readRetry = 60 * time.Millisecond
 )
 
 // follow reads the feed until the context ends and hands each reading to take.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	// relayFor is how long reads go through peers after a direct one has failed.
-	relayFor = time.Second
-	// probeTimeout bounds the direct read that ends such a time.
+	// relayFor is how long reads go through peers after a direct one has failed;
+	// then the store is tried every probeEvery.
+	relayFor   = 500 * time.Millisecond
+	probeEvery = 250 * time.Millisecond
+	// probeTimeout bounds such a try.
 	probeTimeout = 450 * time.Millisecond
 	// relayTimeout bounds a read through a peer beside its wait.
-	relayTimeout = 500 * time.Millisecond
+	relayTimeout = 400 * time.Millisecond
+	// relayPause is the pause after a read through a peer.
+	relayPause = 150 * time.Millisecond
 	// relayTries is how many peers are asked for one read.
 	relayTries = 2
 )
@@ -32,6 +36,9 @@
 	mu        sync.Mutex
 	downUntil time.Time
 	down      bool
+	// back is closed when the store is in reach again, so that reads that
+	// wait on silent connections are given up.
+	back chan struct{}
 	// next is the peer to ask first.
 	next int
 }
@@ -42,7 +49,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down && time.Now().After(r.downUntil) {
-		r.downUntil = time.Now().Add(relayFor)
+		r.downUntil = time.Now().Add(probeEvery)
 		return true, true
 	}
 	return r.down, false
@@ -51,10 +58,31 @@
 func (r *relay) set(down bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.down = down
-	if down {
+	if r.down && !down {
+		close(r.back)
+		r.back = make(chan struct{})
+	}
+	if down && !r.down {
 		r.downUntil = time.Now().Add(relayFor)
 	}
+	r.down = down
+}
+
+// untilBack returns a context that also ends when the store comes back in
+// reach: a call begun before may wait on a connection that stays silent.
+func (r *relay) untilBack(ctx context.Context) (context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	back := r.back
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // Read implements store.Reader.
@@ -73,11 +101,16 @@
 
 // relayed makes one read by the way that is open.
 func relayed[T any](ctx context.Context, r *relay, wait time.Duration, read func(context.Context, store.Reader, time.Duration) (T, error)) (T, error) {
+	ctx, cancel := r.untilBack(ctx)
+	defer cancel()
 	down, probe := r.state()
+	if down {
+		wait = 0
+	}
 	if !down || probe {
 		timeout := wait + readTimeout
 		if probe {
-			wait, timeout = 0, probeTimeout
+			timeout = probeTimeout
 		}
 		out, err := bounded(ctx, timeout, wait, r.direct, read)
 		if err == nil || expired(err) {
@@ -89,7 +122,9 @@
 			return out, err
 		}
 	}
-	return throughPeers(ctx, r, wait, read)
+	out, err := throughPeers(ctx, r, wait, read)
+	pauseFor(ctx, relayPause)
+	return out, err
 }
 
 func throughPeers[T any](ctx context.Context, r *relay, wait time.Duration, read func(context.Context, store.Reader, time.Duration) (T, error)) (T, error) {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -40,7 +40,7 @@
 func (n *Node) beginTerm(ctx context.Context) {
 	t := &term{token: n.tenure.Token(), listed: map[string]worker.Info{}, began: n.now()}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	t.writer = newWriter(n.ports.Store, t.token, n.set.MaxRequestBytes, n.ports.Count, func(records []store.Record, first int64) {
+	t.writer = newWriter(n.ports.Store, t.token, n.set.MaxRequestBytes, n.reader, n.log, n.ports.Count, func(records []store.Record, first int64) {
 		n.send(t.ctx, recordsWritten{records, first})
 	})
 	n.term = t
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -6,13 +6,19 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mimosaspool/mimosaspool/internal/store"
 )
 
 const (
-	// writeTimeout bounds the store's answer to one try of an append.
-	writeTimeout = 1500 * time.Millisecond
+	// slowWrite is from how long on a write is logged.
+	slowWrite = 300 * time.Millisecond
+	// leastPatience and mostPatience bound the wait for the store's answer to
+	// one try; in between it is patienceFactor times the last answer's time.
+	leastPatience  = 600 * time.Millisecond
+	mostPatience   = 4 * time.Second
+	patienceFactor = 4
 	// writeRetry is the pause before the next try.
 	writeRetry = 100 * time.Millisecond
 	// writeQueue bounds the writes that wait.
@@ -21,15 +27,23 @@
 	writeShare = 2
 )
 
-// writer appends to the log of jobs under the holder's epoch, one append at a
-// time. All that waits shares the next append.
+// writer appends to the log of jobs, one append at a time; all that waits
+// shares the next append. The holder's writer appends under its epoch, tries
+// until an append is known to be done, and ends when a higher epoch has come.
 type writer struct {
-	store    store.Store
+	store store.Store
+	// token is the holder's epoch; a writer with none leaves a lost answer to
+	// its callers.
 	token    int64
 	sequence int64
+	// patience is how long the store's answer is waited for: longer while it is slow.
+	patience time.Duration
 	maxBytes int
-	count    func(kind, reason string)
-	queue    chan *write
+	// untilBack returns a context that also ends when the store is back in reach.
+	untilBack func(context.Context) (context.Context, context.CancelFunc)
+	count     func(kind, reason string)
+	log       logrus.FieldLogger
+	queue     chan *write
 	// applied is told of what was written, with its first offset.
 	applied func(records []store.Record, first int64)
 }
@@ -41,8 +55,8 @@
 	first   int64
 }
 
-func newWriter(s store.Store, token int64, maxBytes int, count func(kind, reason string), applied func([]store.Record, int64)) *writer {
-	return &writer{store: s, token: token, maxBytes: max(maxBytes, 1<<16), count: count, applied: applied,
+func newWriter(s store.Store, token int64, maxBytes int, r *relay, log logrus.FieldLogger, count func(kind, reason string), applied func([]store.Record, int64)) *writer {
+	return &writer{store: s, untilBack: r.untilBack, token: token, patience: leastPatience, maxBytes: max(maxBytes, 1<<16), log: log, count: count, applied: applied,
 		queue: make(chan *write, writeQueue)}
 }
 
@@ -80,7 +94,7 @@
 		for _, x := range group {
 			x.done <- err
 		}
-		if err != nil {
+		if err != nil && w.token != 0 {
 			w.refuse(store.ErrNotDone)
 			return
 		}
@@ -125,21 +139,22 @@
 	}
 }
 
-// write appends a group, trying until it is known to be done.
+// write appends a group. With a token, it tries until that is known to be done.
 func (w *writer) write(ctx context.Context, group []*write) error {
 	var records []store.Record
 	for _, x := range group {
 		records = append(records, x.records...)
 	}
 	w.sequence++
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		res, err := w.store.Append(callCtx, jobsPartition, records, store.AppendOptions{
-			Producer: &store.Producer{Name: producerName, Epoch: w.token, Sequence: w.sequence}})
-		cancel()
+	began := time.Now()
+	for try := 1; ; try++ {
+		res, err := w.try(ctx, records)
 		var seq *store.SequenceError
 		switch {
 		case err == nil:
+			if took := time.Since(began); took > slowWrite {
+				w.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "tries": try, "writes": len(group), "records": len(records)}).Info("slow write")
+			}
 			w.tell(group, records, res.First)
 			return nil
 		case errors.Is(err, store.ErrFenced):
@@ -148,19 +163,44 @@
 			return nil // an earlier try was carried out; the log is read anyway
 		case ctx.Err() != nil:
 			return errors.WithStack(store.ErrUnknown)
+		case w.token == 0 && (try == appendTries || !errors.Is(err, store.ErrNotDone)):
+			return err
 		}
 		w.count("retry", "commit-"+errorReason(err))
 		pauseFor(ctx, writeRetry)
 	}
 }
 
+// try appends once.
+func (w *writer) try(ctx context.Context, records []store.Record) (store.Appended, error) {
+	ctx, cancelBack := w.untilBack(ctx)
+	defer cancelBack()
+	ctx, cancel := context.WithTimeout(ctx, w.patience)
+	defer cancel()
+	var opt store.AppendOptions
+	if w.token != 0 {
+		opt.Producer = &store.Producer{Name: producerName, Epoch: w.token, Sequence: w.sequence}
+	}
+	began := time.Now()
+	res, err := w.store.Append(ctx, jobsPartition, records, opt)
+	switch {
+	case err == nil:
+		w.patience = min(max(leastPatience, patienceFactor*time.Since(began)), mostPatience)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		w.patience = min(2*w.patience, mostPatience)
+	}
+	return res, err
+}
+
 func (w *writer) tell(group []*write, records []store.Record, first int64) {
 	at := first
 	for _, x := range group {
 		x.first = at
 		at += int64(len(x.records))
 	}
-	w.applied(records, first)
+	if w.applied != nil {
+		w.applied(records, first)
+	}
 }
 
 // Record writes callers' records if this node holds the right to place; done
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -59,7 +59,7 @@
 
 // DefaultTiming returns the bounds in use.
 func DefaultTiming() Timing {
-	return Timing{Beat: 700 * time.Millisecond, Silence: 1900 * time.Millisecond, Confidence: 5 * time.Second}
+	return Timing{Beat: 450 * time.Millisecond, Silence: 1250 * time.Millisecond, Confidence: 5 * time.Second}
 }
 
 // Act is what is to be done next.
@@ -196,9 +196,13 @@
 		// An earlier process of this node held it; that one has ended.
 		return 0
 	}
-	return s.timing.Silence + s.delay
+	// A slow store delays the holder's beats on their way.
+	return s.timing.Silence + s.delay + slowFactor*time.Duration(s.holder.StoreMillis)*time.Millisecond
 }
 
+// slowFactor is how many of the store's answers are added to the silence.
+const slowFactor = 3
+
 // Begin takes note that an act was sent, and returns its record and the end
 // that the partition must have.
 func (s *State) Begin(now time.Duration, act Act, address string) (Record, int64) {
