--- a/internal/ctl/capacity.go
+++ b/internal/ctl/capacity.go
@@ -3,23 +3,23 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/mimosaspool/mimosaspool/internal/capacity"
+	"github.com/mimosaspool/mimosaspool/internal/sizing"
 )
 
 // capacityCommand works out what control costs at a given size; it asks no scheduler.
 func capacityCommand() *cobra.Command {
-	z := capacity.Target()
+	z := sizing.Target()
 	cmd := &cobra.Command{
 		Use:   "capacity",
 		Short: "Work out what control costs at a given size",
 		Long:  "Work out what control costs at a given size, from the measurements that this program holds. The defaults are the target's size; docs/CAPACITY.md explains the tables.",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			m, err := capacity.Embedded()
+			m, err := sizing.Embedded()
 			if err != nil {
 				return err
 			}
-			return capacity.Plain(cmd.OutOrStdout(), m, z)
+			return sizing.Plain(cmd.OutOrStdout(), m, z)
 		},
 	}
 	f := cmd.Flags()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,6 +59,8 @@
 	waiting []*step
 	// rightUntil is when leases may no longer be extended.
 	rightUntil time.Duration
+	lastEnds   map[string]lastEnd
+	watchAt    time.Duration
 	// formerEnd is since when no former holder can have its right confirmed, or 0.
 	formerEnd time.Duration
 	times     []time.Duration
@@ -84,7 +86,7 @@
 		set: set, now: now, wall: wall, began: now, barrier: true,
 		catalog: &workflow.Catalog{},
 		hosts:   map[string]*host{}, pools: map[string][]*host{},
-		jobs: map[string]*job{}, suspects: map[string]*host{}, reasons: Counters{}, commits: newCommits(),
+		jobs: map[string]*job{}, suspects: map[string]*host{}, lastEnds: map[string]lastEnd{}, reasons: Counters{}, commits: newCommits(),
 	}
 }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// complete reports whether all members of a run are there.
+func (g *gang) complete(s *step) bool {
+	for i := range s.tasks {
+		if len(s.tasks[i].runs) == 0 || s.tasks[i].runs[0].state != running {
+			return false
+		}
+	}
+	return true
+}
+
 // placeGang starts all members of a gang, or none. It reports whether nothing
 // is left to be done.
 func (c *Core) placeGang(s *step) bool {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,7 +29,7 @@
 		if h.holding || c.now < h.nextHold {
 			continue
 		}
-		if !h.listed && len(h.runs) == 0 && !(h.inherited && !h.fenced) {
+		if !h.listed && len(h.runs) == 0 && !(h.inherited && !h.fenced) && h.toldNoted >= h.noted {
 			continue
 		}
 		c.hold(h)
@@ -98,12 +98,7 @@
 	}
 	if b := ev.Lists.Born; b != 0 {
 		if h.info.Born != 0 && b > h.info.Born {
-			info := h.info
-			info.Born = b
-			c.endLife(h, "the worker was born anew")
-			h = c.newHost(info)
-			h.listed = true
-			c.sortHosts()
+			h = c.rebirth(h, b)
 		} else if h.info.Born != 0 && b < h.info.Born {
 			return
 		}
@@ -331,6 +326,13 @@
 	if r.state == starting && !r.orderOut {
 		r.state = running
 	}
+	if !r.listed {
+		r.listed = true
+		if r.from != "" {
+			r.percentFrom, r.percent = x.Percent, x.Percent
+			r.beganAt, r.percentAt = c.now, c.now
+		}
+	}
 	if x.Percent > r.percent {
 		r.percent, r.percentAt = x.Percent, c.now
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -36,6 +36,8 @@
 	heardAt time.Duration
 	// silent counts orders without an answer since then.
 	silent int
+	// doubts are starts without an answer that may yet be carried out.
+	doubts []doubt
 	// absences counts holds in a row that found nothing listening.
 	absences int
 	// fencedAt is when the first answer under this token came.
@@ -50,6 +52,8 @@
 	holdSent    time.Duration
 	nextHold    time.Duration
 	health      health
+	// speed is how fast runs end there by their estimates; 0 is not known yet.
+	speed float64
 	// serving counts the runs with a target of latency; fill is the capacity
 	// that fillers there would use.
 	serving int
@@ -71,6 +75,9 @@
 func (c *Core) newHost(info worker.Info) *host {
 	c.lives++
 	h := &host{info: info, life: c.lives, free: info.Capacity, runs: map[runKey]*run{}, heardAt: c.now}
+	if last, ok := c.lastEnds[info.ID]; ok && info.Born != 0 && last.born == info.Born {
+		h.seen, h.noted = last.seen, last.seen // the same life is listed again
+	}
 	c.hosts[info.ID] = h
 	return h
 }
@@ -83,8 +90,10 @@
 	for _, info := range infos {
 		h := c.hosts[info.ID]
 		if h != nil && info.Born != 0 && h.info.Born != 0 && info.Born > h.info.Born {
-			c.endLife(h, "the worker was born anew")
-			h = nil
+			// What the next life runs is known only by its own lists.
+			h.silent++
+			h.nextHold = 0
+			continue
 		}
 		if h == nil {
 			h = c.newHost(info)
@@ -146,8 +155,78 @@
 	h.seen, h.noted = e.Seen, e.Seen
 }
 
+// rebirth ends a life and begins the next one of the same worker. Orders to the
+// former one that may yet be carried out would reach the next: it is told to
+// stop them, and their tasks wait until it has.
+func (c *Core) rebirth(h *host, born int64) *host {
+	late := h.lateOrders(c.now)
+	info := h.info
+	info.Born = born
+	c.endLife(h, "the worker was born anew")
+	next := c.newHost(info)
+	next.listed = true
+	for _, d := range late {
+		r := &run{task: d.task, id: d.id, number: d.number, host: next, size: d.size, sentAt: c.now, doubtful: true, load: -1}
+		r.pace.percent = fullPace
+		if r.task != nil && !r.task.done {
+			r.task.runs = append(r.task.runs, r)
+		} else {
+			r.task = nil
+		}
+		next.take(r)
+		c.stopRun(r, "its start may reach the worker's next life")
+	}
+	c.sortHosts()
+	return next
+}
+
+// doubt is a start without an answer that may yet be carried out.
+type doubt struct {
+	runKey
+	id     workflow.TaskID
+	number int64
+	task   *task
+	size   workflow.Size
+	at     time.Duration
+}
+
+// lateBound is how long after it was sent an order may be carried out.
+const lateBound = 15 * time.Second
+
+// lateOrders returns the starts that may yet be carried out.
+func (h *host) lateOrders(now time.Duration) []doubt {
+	var out []doubt
+	for _, d := range h.doubts {
+		if now-d.at < lateBound {
+			out = append(out, d)
+		}
+	}
+	for _, r := range h.sortedRuns() {
+		if r.state == starting && r.orderOut && !r.doubtful {
+			out = append(out, r.doubt(now))
+		}
+	}
+	return out
+}
+
+func (r *run) doubt(now time.Duration) doubt {
+	return doubt{runKey: r.key(), id: r.id, number: r.number, task: r.task, size: r.size, at: now}
+}
+
+// remember keeps a start without an answer in mind.
+func (h *host) remember(r *run, now time.Duration) {
+	kept := h.doubts[:0]
+	for _, d := range h.doubts {
+		if now-d.at < lateBound && d.runKey != r.key() {
+			kept = append(kept, d)
+		}
+	}
+	h.doubts = append(kept, r.doubt(now))
+}
+
 // endLife forgets a life of which surely nothing runs any more.
 func (c *Core) endLife(h *host, why string) {
+	c.lastEnds[h.info.ID] = lastEnd{h.info.Born, h.seen}
 	c.decide(Decision{Kind: "worker-gone", Worker: h.info.ID, Reason: why})
 	for _, r := range h.sortedRuns() {
 		c.loseRun(r, why)
@@ -212,7 +291,12 @@
 }
 
 // unlistedRetention is how long a worker is kept that is neither listed nor answers.
-const unlistedRetention = 5 * time.Second
+const unlistedRetention = 20 * time.Second
+
+// lastEnd is the last end that was processed of a life that was forgotten.
+type lastEnd struct {
+	born, seen int64
+}
 
 // usable reports whether new work may be sent there.
 func (c *Core) usable(h *host) bool {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -66,7 +66,9 @@
 	perWorker map[*host]int
 	advice    advice
 	gang      gang
-	wait      toldWait
+	// typical is how long the step's tasks take, as worked out at typicalAt.
+	typical, typicalAt time.Duration
+	wait               toldWait
 }
 
 func (s *step) id() workflow.StepID {
@@ -88,6 +90,8 @@
 	runs []*run
 	// starts numbers the task's starts in this term.
 	starts int64
+	// took is how long the run took that ended as done.
+	took time.Duration
 	// avoid is the worker on which the task failed last; until avoidUntil it
 	// isn't taken at all.
 	avoid      *host
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -167,6 +167,8 @@
 	remoteWeight = 10
 	// avoidWeight is how much the worker on which the task failed last counts less.
 	avoidWeight = 20
+	// speedWeight is how much a worker's speed counts.
+	speedWeight = 1.0
 	// servingWeight is how much each serving task on a worker counts against a filler.
 	servingWeight = 0.5
 )
@@ -189,6 +191,9 @@
 	case s.def.TargetMillis > 0:
 		return score + unused - servingWeight*ratio(h.fill, h.info.Capacity.MilliCPU)
 	}
+	if h.speed > 0 {
+		score += speedWeight * min(h.speed, 1.5)
+	}
 	left := h.free.Sub(size)
 	if h.info.Capacity.Accelerators > 0 {
 		score -= 4 * ratio(left.Accelerators, h.info.Capacity.Accelerators)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -43,10 +43,13 @@
 	// percent as last listed, and when it last rose.
 	percent   float64
 	percentAt time.Duration
-	beganAt   time.Duration
-	load      float64
-	loadAt    time.Duration
-	pace      pace
+	// percentFrom is the progress that the run began with, as first listed.
+	percentFrom float64
+	listed      bool
+	beganAt     time.Duration
+	load        float64
+	loadAt      time.Duration
+	pace        pace
 }
 
 func (r *run) key() runKey { return runKey{r.id, r.number} }
@@ -148,7 +151,10 @@
 		c.heard(h)
 	}
 	if r.state != starting {
-		r.doubtful = r.doubtful || ev.Code == worker.Unknown
+		if ev.Code == worker.Unknown {
+			r.doubtful = true
+			h.remember(r, c.now)
+		}
 		return
 	}
 	switch ev.Code {
@@ -157,6 +163,7 @@
 		r.beganAt, r.percentAt = c.now, c.now
 	case worker.Unknown:
 		r.doubtful = true
+		h.remember(r, c.now)
 		h.silent++
 		c.reasons["start-unanswered"]++
 		r.nextOrder = c.now + orderRetry
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,12 +47,6 @@
 	}
 )
 
-// toggle is a bool that several goroutines share.
-type toggle struct{ v atomic.Bool }
-
-func (f *toggle) get() bool  { return f.v.Load() }
-func (f *toggle) set(v bool) { f.v.Store(v) }
-
 const (
 	// tickEvery is how often the control goroutine looks at the time while it
 	// dispatches, idleTick otherwise.
@@ -139,8 +132,12 @@
 	if r.err != nil {
 		return batch
 	}
-	n.table.read(r.at)
-	return n.takeRecords(r.records, r.next, batch)
+	if r.whole {
+		n.table.replace(r.records, r.next)
+	}
+	batch = n.takeRecords(r.records, r.next, batch)
+	n.table.read(r)
+	return batch
 }
 
 // takeWritten takes in this node's own records without waiting to read them back.
@@ -331,6 +328,8 @@
 	}
 	if r.whole {
 		clear(t.listed)
+	} else if !t.listedOnce {
+		return batch // it goes on from a former term's
 	}
 	for _, rec := range r.records {
 		if len(rec.Value) == 0 {
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -38,7 +38,9 @@
 	comeBackLater = 2 * time.Second
 	// maxAccepts bounds the appends of callers that wait for the store.
 	maxAccepts = 256
-	// viewBound is how old the view of the log may be to say that a job does not exist.
+	// viewTimeout bounds the wait to see the log's end before a job is said not to exist.
+	viewTimeout = 1200 * time.Millisecond
+	// viewBound is how old the view of the log may be to count jobs.
 	viewBound = 2 * time.Second
 	// configBound is how old the knowledge of the configuration may be to serve by it.
 	configBound = 2 * time.Second
@@ -282,14 +284,18 @@
 }
 
 // State implements intake.Desk.
-func (d *desk) State(_ context.Context, _ *workflow.Queue, id string) (workflow.State, intake.Outcome) {
+func (d *desk) State(ctx context.Context, _ *workflow.Queue, id string) (workflow.State, intake.Outcome) {
 	if e, ok := d.table.lookup(id); ok {
 		return e.state(), intake.Outcome{}
 	}
 	if d.isStored(id) {
 		return workflow.Queued, intake.Outcome{}
 	}
-	return "", d.missing()
+	if out := d.missing(ctx, id); out.Code != intake.OK {
+		return "", out
+	}
+	e, _ := d.table.lookup(id)
+	return e.state(), intake.Outcome{}
 }
 
 func (d *desk) isStored(id string) bool {
@@ -309,9 +315,17 @@
 	}
 }
 
-// missing is the answer about a job that isn't in the table.
-func (d *desk) missing() intake.Outcome {
-	if !d.table.fresh(time.Now(), viewBound) {
+// missing is the answer about a job that isn't in the table: OK if it comes
+// into the table as the log is read to its present end.
+func (d *desk) missing(ctx context.Context, id string) intake.Outcome {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	caughtUp := d.table.awaitEnd(ctx.Done(), asked)
+	if _, ok := d.table.lookup(id); ok {
+		return intake.Outcome{}
+	}
+	if !caughtUp {
 		return d.outcome(intake.Unavailable, "view-stale")
 	}
 	return d.outcome(intake.NoJob, "no-job")
@@ -321,7 +335,10 @@
 func (d *desk) Cancel(ctx context.Context, _ *workflow.Queue, id string) intake.Outcome {
 	e, ok := d.table.lookup(id)
 	if !ok && !d.isStored(id) {
-		return d.missing()
+		if out := d.missing(ctx, id); out.Code != intake.OK {
+			return out
+		}
+		e, _ = d.table.lookup(id)
 	}
 	if e.cancelled || e.progress.Final != "" {
 		return intake.Outcome{}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -16,8 +16,9 @@
 	wait time.Duration
 	// pause returns the least time between the begins of two reads.
 	pause func() time.Duration
-	// active tells whether the feed is to be read now; nil is always.
-	active func() bool
+	// term, if not nil, is the token of this node's term: without one the feed
+	// isn't read, and with a new one it is read from the start.
+	term func() int64
 }
 
 // reading is what a feed has brought: all newest records, or those that follow
@@ -30,6 +31,9 @@
 	err   error
 	// at is when the answer came: the reading is older by its way at most.
 	at time.Time
+	// sent is when the read was sent; caughtUp tells that it reached the end.
+	sent     time.Time
+	caughtUp bool
 }
 
 const (
@@ -43,12 +47,17 @@
 
 // follow reads the feed until the context ends and hands each reading to take.
 func follow(ctx context.Context, s store.Reader, f feed, take func(reading)) {
-	next := int64(-1)
+	next, term := int64(-1), int64(0)
 	for ctx.Err() == nil {
-		if f.active != nil && !f.active() {
-			next = -1
-			pauseFor(ctx, readRetry)
-			continue
+		if f.term != nil {
+			now := f.term()
+			if now != term {
+				next, term = -1, now
+			}
+			if term == 0 {
+				pauseFor(ctx, readRetry)
+				continue
+			}
 		}
 		began := time.Now()
 		r := readOnce(ctx, s, f, next)
@@ -70,16 +79,17 @@
 
 // readOnce reads all newest records when next is below 0, else those from next on.
 func readOnce(ctx context.Context, s store.Reader, f feed, next int64) reading {
+	sent := time.Now()
 	if next < 0 {
 		ctx, cancel := context.WithTimeout(ctx, 2*followTimeout)
 		defer cancel()
 		records, end, err := store.ReadAll(ctx, s, f.partition)
-		return reading{records: records, next: end, whole: true, err: err, at: time.Now()}
+		return reading{records: records, next: end, whole: true, err: err, at: time.Now(), sent: sent, caughtUp: true}
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
-	return reading{records: b.Records, next: b.Next, err: err, at: time.Now()}
+	return reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.Next >= b.End}
 }
 
 func pauseFor(ctx context.Context, d time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,15 +60,13 @@
 	// others are the addresses of the other nodes, the holder's first.
 	others atomic.Pointer[[]string]
 	reader *relay
-	// tailing tells the readers that this node holds the right.
-	tailing   *toggle
-	address   string
-	stop      context.CancelFunc
-	leave     chan struct{}
-	left      chan struct{}
-	configVer int64
-	waves     map[int64]worker.Wave
-	views     *views
+	// holding is the token of this node's term, or 0.
+	holding atomic.Int64
+	address string
+	stop    context.CancelFunc
+	leave   chan struct{}
+	left    chan struct{}
+	views   *views
 }
 
 // eventQueue is how many events may wait for the control goroutine.
@@ -81,7 +79,7 @@
 	n := &Node{
 		set: set, ports: ports, log: log, table: t, start: time.Now(),
 		tenure:  tenure.New(tenure.DefaultTiming(), set.Node, incarnation, delay),
-		members: newMembers(set.Node), events: make(chan any, eventQueue), tailing: &toggle{}, address: address,
+		members: newMembers(set.Node), events: make(chan any, eventQueue), address: address,
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log),
 	}
 	n.reader = &relay{back: make(chan struct{}), direct: ports.Store, peers: ports.Peers, addresses: n.otherAddresses, count: ports.Count}
@@ -146,7 +144,7 @@
 	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
-	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), active: n.tailing.get}, func(r reading) any { return workersRead{r} })
+	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
 	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
 	go n.desk.direct.run(ctx)
 	go n.register(ctx)
@@ -154,7 +152,7 @@
 }
 
 func (n *Node) jobsPause() time.Duration {
-	if n.tailing.get() {
+	if n.holding.Load() != 0 {
 		return holderPause
 	}
 	return viewPause
@@ -162,8 +160,12 @@
 
 func (n *Node) follow(ctx context.Context, f feed, wrap func(reading) any) {
 	name := n.viewName(f.partition)
+	var active func() bool
+	if f.term != nil {
+		active = func() bool { return f.term() != 0 }
+	}
 	go follow(ctx, n.reader, f, func(r reading) {
-		n.views.note(name, f.active, r)
+		n.views.note(name, active, r)
 		n.send(ctx, wrap(r))
 	})
 }
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -61,7 +61,9 @@
 	next int64
 	// readAt is when the log was last read without fail.
 	readAt time.Time
-	loaded bool
+	// caughtUp is when the newest read was sent that reached the log's end.
+	caughtUp time.Time
+	loaded   bool
 	// unreadable counts records that could not be decoded.
 	unreadable int64
 	// changed is closed and replaced whenever records are applied.
@@ -104,6 +106,33 @@
 	return out
 }
 
+// replace forgets what a reading of all newest records up to next doesn't
+// hold: it was dropped while the log was not read.
+func (t *table) replace(records []store.Numbered, next int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := make(map[string]bool, len(records))
+	for _, r := range records {
+		kept[r.Key] = true
+	}
+	for id, e := range t.entries {
+		if e.job != nil && e.offset < next && !kept[jobKey+id] {
+			t.recount(e, func() { e.job = nil })
+			delete(t.entries, id)
+		}
+	}
+	for id := range t.engaged {
+		if t.newest[workerKey+id] < next && !kept[workerKey+id] {
+			delete(t.engaged, id)
+		}
+	}
+	for key, offset := range t.newest {
+		if offset < next && !kept[key] {
+			delete(t.newest, key)
+		}
+	}
+}
+
 // applyOne takes in one record.
 func (t *table) applyOne(r store.Numbered) (*change, error) {
 	switch {
@@ -202,11 +231,35 @@
 	return nil
 }
 
-// read takes note that the log was read at the given time.
-func (t *table) read(at time.Time) {
+// read takes note of a reading; one that reached the log's end shows all that
+// was in it when the reading was sent.
+func (t *table) read(r reading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.readAt, t.loaded = at, true
+	t.readAt, t.loaded = r.at, true
+	if r.caughtUp {
+		t.caughtUp = r.sent
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// awaitEnd waits until the log was read to an end no earlier than since, or
+// done closes. It reports whether that was so.
+func (t *table) awaitEnd(done <-chan struct{}, since time.Time) bool {
+	for {
+		t.mu.RLock()
+		changed, ok := t.changed, t.caughtUp.After(since)
+		t.mu.RUnlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return false
+		}
+	}
 }
 
 // lookup returns a copy of what is known of a job.
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -45,7 +45,7 @@
 	})
 	n.term = t
 	go t.writer.run(t.ctx)
-	n.tailing.set(true)
+	n.holding.Store(t.token)
 	n.members.calm()
 	n.log.WithField("token", t.token).Info("term begins")
 	go func() {
@@ -60,7 +60,7 @@
 	n.writer.Store(nil)
 	n.term.cancel()
 	n.term = nil
-	n.tailing.set(false)
+	n.holding.Store(0)
 }
 
 func (n *Node) takeTerm(ev termBegun) {
@@ -153,6 +153,10 @@
 		out = append(out, store.Record{Key: key, Value: b})
 		return nil
 	}
+	// A life that is over is released before the next one of the same worker is engaged.
+	for _, id := range c.Released {
+		out = append(out, store.Record{Key: workerKey + id})
+	}
 	for _, p := range c.Progress {
 		if err := add(progressKey+p.ID, p.Progress); err != nil {
 			return nil, err
@@ -163,9 +167,6 @@
 			return nil, err
 		}
 	}
-	for _, id := range c.Released {
-		out = append(out, store.Record{Key: workerKey + id})
-	}
 	for _, id := range c.Forgotten {
 		out = append(out, store.Record{Key: jobKey + id}, store.Record{Key: cancelKey + id}, store.Record{Key: progressKey + id})
 	}
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -104,7 +104,7 @@
 
 // Holds reports whether this node holds the right to place. It may be called
 // concurrently.
-func (n *Node) Holds() bool { return n.tailing.get() }
+func (n *Node) Holds() bool { return n.holding.Load() != 0 }
 
 // countReasons counts what the dispatcher has counted since the last call.
 func (n *Node) countReasons(t *term) {
