Long calls for advice leave nodes free for urgent ones; a lost answer alone is no silence

Change: long calls are kept off a third of the nodes and off busy ones; a start is sent again after 220 ms; a worker that has answered since is not silent.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -72,7 +72,8 @@
 	}
 	a.out = true
 	c.reasons["advice-asked"]++
-	c.emit(Advise{Step: s.id(), Workers: names, Cost: policy.Decision + time.Duration(len(names))*policy.PerWorker})
+	c.emit(Advise{Step: s.id(), Workers: names, Cost: policy.Decision + time.Duration(len(names))*policy.PerWorker,
+		Urgent: s.occ.job.queue.Priority == 0})
 }
 
 // suits reports whether a step's task could ever run on the worker.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -75,6 +75,9 @@
 	reasons  Counters
 	log      []Decision
 	stopped  bool
+	// evacuations are of the workers that get no new work for their machine's sake.
+	evacuations map[string]*evacuation
+	evacuateAt  time.Duration
 }
 
 // Counters counts refusals, retries and losses by reason.
@@ -108,6 +111,7 @@
 	c.tellSilence()
 	c.watchRuns()
 	c.drainHosts()
+	c.evacuateHosts()
 	c.place()
 	c.flush()
 	c.holdHosts()
@@ -152,6 +156,12 @@
 		c.advised(ev)
 	case Committed:
 		c.committed(ev)
+	case Evacuate:
+		c.evacuate(ev)
+	case Resume:
+		c.resume(ev.Worker)
+	case LifeEnded:
+		c.lifeEnded(ev)
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -128,12 +128,16 @@
 type StartTask struct {
 	Life  int64
 	Start worker.Start
+	// Patience is how long the answer is waited for.
+	Patience time.Duration
 }
 
 // StopTask sends a stop; its end comes back as StopAnswered.
 type StopTask struct {
 	Life int64
 	Stop worker.Stop
+	// Patience is how long the answer is waited for.
+	Patience time.Duration
 }
 
 // PaceTask sends a pace; its end comes back as PaceAnswered.
@@ -148,6 +152,8 @@
 	Workers []string
 	// Cost is how long the call is expected to occupy the service.
 	Cost time.Duration
+	// Urgent calls are sent at once; others may be refused while the service is busy.
+	Urgent bool
 }
 
 // Commit writes to the log, all or none; its end comes back as Committed.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -300,7 +300,7 @@
 
 // usable reports whether new work may be sent there.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.engaged && h.draining == 0 && h.silent == 0 && h.silence == silenceNone &&
+	return h.listed && h.fenced && h.engaged && h.draining == 0 && c.evacuations[h.info.ID] == nil && h.silent == 0 && h.silence == silenceNone &&
 		c.now-h.heardAt < contactBound && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -34,6 +34,7 @@
 	tries    int
 	// orderOut tells that an order for the run waits for its answer.
 	orderOut  bool
+	orderAt   time.Duration
 	nextOrder time.Duration
 	// stopAcked is when a stop was confirmed, or 0.
 	stopAcked time.Duration
@@ -68,12 +69,31 @@
 	runsPerTerm = 1 << 12
 	// startTries is how often a start is sent before the run is given up.
 	startTries = 2
-	// orderRetry is the pause before an order without an answer is sent again.
-	orderRetry = 150 * time.Millisecond
+	// firstPatience and laterPatience are how long the answer to an order is
+	// waited for: a start that is sent again does no harm.
+	firstPatience = 220 * time.Millisecond
+	laterPatience = 500 * time.Millisecond
+	// orderRetry is the pause before a stop without an answer is sent again.
+	orderRetry = 100 * time.Millisecond
 	// failureBackoff delays a task that has failed, by the number of failures.
 	failureBackoff = 50 * time.Millisecond
 )
 
+func patience(try int) time.Duration {
+	if try <= 1 {
+		return firstPatience
+	}
+	return laterPatience
+}
+
+// unanswered takes note of an order without an answer. A worker that has
+// answered anything since it was sent is not silent.
+func (h *host) unanswered(sent time.Duration) {
+	if h.heardAt <= sent {
+		h.silent++
+	}
+}
+
 // nextRun numbers the task's next start above all that were ever given.
 func (c *Core) nextRun(t *task) int64 {
 	if t.step.def.Gang {
@@ -115,13 +135,13 @@
 func (c *Core) sendStart(r *run) {
 	h := r.host
 	r.tries++
-	r.orderOut = true
+	r.orderOut, r.orderAt = true, c.now
 	deadline := c.clockNow(h) + c.set.Lease.Milliseconds()
 	h.granted = max(h.granted, deadline)
 	c.emit(StartTask{Life: h.life, Start: worker.Start{
 		Order: c.orderTo(h), Task: r.id, Run: r.number, Spec: r.task.step.occ.job.def.Spec,
 		DeadlineMillis: deadline, Checkpoint: r.from, Ticket: r.ticket,
-	}})
+	}, Patience: patience(r.tries)})
 }
 
 func (c *Core) runOf(workerID string, life int64, id workflow.TaskID, number int64) *run {
@@ -164,9 +184,9 @@
 	case worker.Unknown:
 		r.doubtful = true
 		h.remember(r, c.now)
-		h.silent++
+		h.unanswered(r.orderAt)
 		c.reasons["start-unanswered"]++
-		r.nextOrder = c.now + orderRetry
+		r.nextOrder = c.now
 	case worker.WrongLife:
 		c.endLife(h, "another worker answers at its address")
 	case worker.Old:
@@ -224,8 +244,8 @@
 
 func (c *Core) sendStop(r *run) {
 	r.tries++
-	r.orderOut = true
-	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}})
+	r.orderOut, r.orderAt = true, c.now
+	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: patience(r.tries)})
 }
 
 func (c *Core) stopAnswered(ev StopAnswered) {
@@ -251,7 +271,7 @@
 		r.nextOrder = c.now + orderRetry*time.Duration(min(r.tries, 6))
 		c.reasons["stop-"+ev.Code.String()]++
 		if ev.Code == worker.Unknown {
-			r.host.silent++
+			r.host.unanswered(r.orderAt)
 		}
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -75,6 +75,7 @@
 		}
 		n.actTenure(ctx)
 		n.dispatch(ctx, batch)
+		n.publishInspection()
 	}
 }
 
@@ -118,6 +119,8 @@
 		n.takeTerm(ev)
 	case adviceEnded:
 		n.members.ended(ev.node, ev.cost, ev.failed, n.now())
+	case inspectAsked:
+		n.inspector.ask(ev.Want)
 	case settingsChanged:
 		n.set.Limits = ev.Limits
 	case coreEvent:
@@ -368,10 +371,7 @@
 
 // publishPeers tells the goroutines of traffic where the other nodes are.
 func (n *Node) publishPeers() {
-	address := ""
-	if h, ok := n.tenure.Holder(); ok && h.Address != n.address {
-		address = h.Address
-	}
+	address := n.readMembership()
 	n.holder.Store(&address)
 	others := n.members.addresses(address)
 	n.others.Store(&others)
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// orderTimeout bounds a worker's answer to an order.
+	// orderTimeout bounds a worker's answer to a change of pace.
 	orderTimeout = 500 * time.Millisecond
 	// holdTimeout bounds a worker's answer to a hold beside its wait.
 	holdTimeout = 700 * time.Millisecond
@@ -31,14 +31,14 @@
 			back(dispatch.Held{Worker: e.Hold.Worker, Life: e.Life, Code: code, Sent: sent, Lists: lists})
 		})
 	case dispatch.StartTask:
-		go n.bounded(t, orderTimeout, func(ctx context.Context) {
+		go n.bounded(t, e.Patience, func(ctx context.Context) {
 			began := time.Now()
 			code, clock := n.ports.Workers.Start(ctx, e.Start)
 			n.ports.Observe("start", time.Since(began))
 			back(dispatch.Started{Worker: e.Start.Worker, Life: e.Life, Task: e.Start.Task, Run: e.Start.Run, Code: code, ClockMillis: clock})
 		})
 	case dispatch.StopTask:
-		go n.bounded(t, orderTimeout, func(ctx context.Context) {
+		go n.bounded(t, e.Patience, func(ctx context.Context) {
 			code, _ := n.ports.Workers.Stop(ctx, e.Stop)
 			back(dispatch.StopAnswered{Worker: e.Stop.Worker, Life: e.Life, Task: e.Stop.Task, Run: e.Stop.Run, Code: code})
 		})
@@ -113,7 +113,12 @@
 
 // advise sends the question to the node that is expected to have it answered first.
 func (n *Node) advise(t *term, e dispatch.Advise, back func(dispatch.Event)) {
-	m := n.members.choose(n.now(), e.Cost)
+	m := n.members.choose(n.now(), e.Cost, e.Urgent)
+	if m == nil {
+		n.ports.Count("retry", "advice-busy")
+		go back(dispatch.Advised{Step: e.Step, Asked: e.Workers, Failed: true})
+		return
+	}
 	timeout := m.busy(n.now()) + e.Cost + adviceSlack
 	go n.bounded(t, timeout, func(ctx context.Context) {
 		began := time.Now()
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -25,12 +25,16 @@
 // memberRecord is what a node writes of itself.
 type memberRecord struct {
 	Address string `json:"a"`
+	// Leaving is set by a process that stops as planned.
+	Leaving bool `json:"l,omitempty"`
 }
 
 // members is the holder's view of the nodes that can ask the policy service.
 type members struct {
 	self  string
 	nodes map[string]*member
+	// records are the newest ones by name, this node's included.
+	records map[string][]byte
 }
 
 // adviceEnded tells that a call through a node is over.
@@ -67,6 +71,7 @@
 }
 
 func (m *members) read(records []store.Numbered, whole bool) {
+	m.noteRecords(records, whole)
 	for _, r := range records {
 		if r.Key == m.self {
 			continue
@@ -90,12 +95,19 @@
 	// memberPenalty is how long a node is left alone after a failed call; it doubles.
 	memberPenalty     = 500 * time.Millisecond
 	memberPenaltyMost = 10 * time.Second
+	// busyBound is the backlog above which a node takes no calls that aren't urgent.
+	busyBound = 100 * time.Millisecond
+	// longCall is from what cost on a call is kept off one node in keptShare.
+	longCall  = 120 * time.Millisecond
+	keptShare = 3
 	// remoteAdvice is added to the cost of a call through another node.
 	remoteAdvice = 15 * time.Millisecond
 )
 
 // choose books a call on the node that is expected to be done with it first.
-func (m *members) choose(now, cost time.Duration) *member {
+// Long calls are kept off a part of the nodes, and off busy ones, so that
+// urgent calls, which are short, never wait for many: nil asks to come back.
+func (m *members) choose(now, cost time.Duration, urgent bool) *member {
 	names := make([]string, 0, len(m.nodes))
 	for n := range m.nodes {
 		names = append(names, n)
@@ -103,8 +115,12 @@
 	sort.Strings(names)
 	var best *member
 	var top time.Duration
-	for _, name := range names {
+	kept := len(names) / keptShare
+	for i, name := range names {
 		x := m.nodes[name]
+		if !urgent && (x.busy(now) > busyBound || cost > longCall && i < kept) {
+			continue
+		}
 		if now < x.downUntil && name != m.self {
 			continue
 		}
@@ -116,6 +132,9 @@
 			best, top = x, done
 		}
 	}
+	if best == nil {
+		return nil
+	}
 	best.busyUntil = max(best.busyUntil, now) + cost
 	return best
 }
@@ -136,8 +155,8 @@
 
 // register writes this node into the store, so that the holder finds it.
 func (n *Node) register(ctx context.Context) {
-	value, _ := json.Marshal(memberRecord{Address: n.address})
 	for ctx.Err() == nil {
+		value, _ := json.Marshal(memberRecord{Address: n.address, Leaving: n.desk.leaving.Load()})
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.ports.Store.Append(callCtx, memberPartition, []store.Record{{Key: n.set.Node, Value: value}}, store.AppendOptions{})
 		cancel()
--- /dev/null
+++ b/internal/node/membership.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
+)
+
+// Member is one node as the store's records show it. One that was killed stays
+// a member until another process takes its name.
+type Member struct {
+	Node, Address string
+	// Holds tells that it holds the right to place, under Token.
+	Holds bool
+	Token int64
+	// Leaving tells that its process stops as planned, or has done so.
+	Leaving bool
+}
+
+// Membership says who is a member, who holds the right to place and who is
+// leaving, in order of names: by the newest records of the members' partition,
+// by key, and the holder's record with its token, 0 for none. The entry, the
+// dispatcher and the operators' command line all go by it.
+func Membership(records map[string][]byte, holder tenure.Record, token int64) []Member {
+	var out []Member
+	held := token == 0
+	for name, value := range records {
+		var rec memberRecord
+		if json.Unmarshal(value, &rec) != nil {
+			continue
+		}
+		m := Member{Node: name, Address: rec.Address, Leaving: rec.Leaving}
+		if token != 0 && name == holder.Node {
+			// The holder's own record is newer than what it wrote at its start.
+			m.Holds, m.Token, held = true, token, true
+			if holder.Address != "" {
+				m.Address = holder.Address
+			}
+		}
+		out = append(out, m)
+	}
+	if !held {
+		out = append(out, Member{Node: holder.Node, Address: holder.Address, Holds: true, Token: token})
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Node, b.Node) })
+	return out
+}
+
+// noteRecords keeps the newest record of each member.
+func (m *members) noteRecords(records []store.Numbered, whole bool) {
+	if whole || m.records == nil {
+		m.records = map[string][]byte{}
+	}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(m.records, r.Key)
+		} else {
+			m.records[r.Key] = r.Value
+		}
+	}
+}
+
+// readMembership publishes the membership and takes leaving nodes out of those
+// that are asked for something. It returns the holder's address, if that is
+// another node.
+func (n *Node) readMembership() string {
+	h, _ := n.tenure.Holder()
+	ms := Membership(n.members.records, h, n.tenure.Token())
+	n.membership.Store(&ms)
+	address := ""
+	for _, m := range ms {
+		if m.Leaving && m.Node != n.set.Node {
+			delete(n.members.nodes, m.Node)
+		}
+		if m.Holds && m.Address != n.address {
+			address = m.Address
+		}
+	}
+	return address
+}
+
+// Members returns the membership as this node knows it. It may be called
+// concurrently; what it returns must not be changed.
+func (n *Node) Members() []Member {
+	if p := n.membership.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,9 @@
 	leave   chan struct{}
 	left    chan struct{}
 	views   *views
+	// membership is published for all goroutines.
+	membership atomic.Pointer[[]Member]
+	inspector  inspector
 }
 
 // eventQueue is how many events may wait for the control goroutine.
@@ -83,6 +86,7 @@
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log),
 	}
 	n.reader = &relay{back: make(chan struct{}), direct: ports.Store, peers: ports.Peers, addresses: n.otherAddresses, count: ports.Count}
+	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
 	return n
@@ -187,6 +191,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	n.desk.leaving.Store(true)
 	close(n.leave)
+	go n.register(ctx)
 	select {
 	case <-n.left:
 	case <-ctx.Done():
