A right once lost is never held again; jobs' log read from the holder; right yielded

Found by reading: the successor's bound counted from the first fence, not from the one that makes the majority; a former holder could go on to jobs behind its successor's term record; a job of a removed queue waited for good under the next holder; a hold with the last life's number made a worker's next life forget ends.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -222,6 +222,8 @@
 	c.jobs[ev.Job.ID] = j
 	if q, ok := c.catalog.Queues[ev.Job.Queue]; ok {
 		j.setQueue(q)
+	} else if ev.Job.Policy != nil {
+		j.setQueue(*ev.Job.Policy)
 	}
 	if j.final != "" {
 		j.recorded = true
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -192,12 +192,15 @@
 	Size     workflow.Size
 }
 
+// mostLooks bounds how many steps of a kind are looked at for a shortage.
+const mostLooks = 8
+
 // Shortages returns the kinds of tasks that have waited for room for at least
 // so long, the most urgent first.
 func (c *Core) Shortages(over time.Duration) []Shortage {
 	var out []Shortage
 	type kind struct{ pool, requires string }
-	seen := map[kind]bool{}
+	seen, looked := map[kind]bool{}, map[kind]int{}
 	for _, s := range c.waiting {
 		j := s.occ.job
 		k := kind{j.queue.Pool, s.def.Requires}
@@ -205,7 +208,10 @@
 			continue
 		}
 		t := s.firstWaiting(c.now)
-		if t == nil || !t.waits(c.now) || c.now-max(s.readyAt, t.waitingSince) < over || c.suspected(t) || !c.lacksRoom(t) {
+		if t == nil || !t.waits(c.now) || c.now-max(s.readyAt, t.waitingSince) < over || c.suspected(t) || looked[k] >= mostLooks {
+			continue
+		}
+		if looked[k]++; !c.lacksRoom(t) {
 			continue
 		}
 		seen[k] = true
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -44,6 +44,11 @@
 		hold.DeadlineMillis = c.clockNow(h) + c.set.Lease.Milliseconds()
 		h.granted = max(h.granted, hold.DeadlineMillis)
 	}
+	if h.silent > 0 {
+		// Another life may answer: what this one noted must not make that one
+		// forget its own ends.
+		hold.LastSeen = 0
+	}
 	switch {
 	case !h.fenced || h.noted < h.seen || h.awaitsList():
 	case len(h.runs) == 0:
@@ -53,7 +58,7 @@
 	default:
 		hold.Wait = holdWait
 	}
-	h.toldNoted = h.noted
+	h.toldNoted = hold.LastSeen
 	c.emit(HoldWorker{Life: h.life, Hold: hold})
 }
 
--- a/internal/dispatch/right.go
+++ b/internal/dispatch/right.go
@@ -1,7 +1,8 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,7 +18,8 @@
 	if c.now < c.rightUntil {
 		return true
 	}
-	at, ok := c.majorityAt(func(h *host) time.Duration { return h.confirmedAt })
+	// The majority's oldest answer counts: newer ones come first.
+	at, ok := c.majorityAt(func(h *host) time.Duration { return h.confirmedAt }, newestFirst)
 	return ok && c.now < at+c.set.Confidence
 }
 
@@ -26,16 +28,20 @@
 	if c.formerEnd > 0 {
 		return c.formerEnd, true
 	}
-	at, ok := c.majorityAt(func(h *host) time.Duration { return h.fencedAt })
+	// The fence that makes the majority counts: the first ones come first.
+	at, ok := c.majorityAt(func(h *host) time.Duration { return h.fencedAt }, oldestFirst)
 	if ok {
 		c.formerEnd = max(at, c.began)
 	}
 	return c.formerEnd, ok
 }
 
-// majorityAt returns the time since which more than half of the engaged workers
-// have a time of at least that; workers with a time of 0 have none.
-func (c *Core) majorityAt(of func(*host) time.Duration) (time.Duration, bool) {
+func newestFirst(a, b time.Duration) int { return cmp.Compare(b, a) }
+func oldestFirst(a, b time.Duration) int { return cmp.Compare(a, b) }
+
+// majorityAt returns the time, in the given order, with which more than half of
+// the engaged workers are counted; workers with a time of 0 have none.
+func (c *Core) majorityAt(of func(*host) time.Duration, order func(a, b time.Duration) int) (time.Duration, bool) {
 	times := c.times[:0]
 	// What is on its way to the log counts, so that both sides' majorities meet.
 	engaged := len(c.commits.sent.released) + len(c.commits.next.released)
@@ -53,6 +59,6 @@
 	if engaged == 0 || len(times) < need {
 		return 0, false
 	}
-	sort.Slice(times, func(a, b int) bool { return times[a] > times[b] })
+	slices.SortFunc(times, order)
 	return times[need-1], true
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -169,6 +169,8 @@
 	logger  *logrus.Logger
 	callers sync.WaitGroup
 	wg      sync.WaitGroup
+	// adapt, if not nil, edits what a process is given.
+	adapt func(p *process, set *Settings, ports *Ports)
 	// mu guards all below.
 	mu        sync.Mutex
 	processes map[string]*process
@@ -300,6 +302,9 @@
 		CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, Notice: 5 * time.Second}}
 	ports := Ports{Store: gatedStore{c.log.Client(name), p}, Workers: gatedWorkers{c.fleet.Client(name), p}, Adviser: c.fleet.Adviser(name),
 		Peers: peers{c}, Feeds: c.feeds(), Count: func(string, string) {}, Observe: func(string, time.Duration) {}}
+	if c.adapt != nil {
+		c.adapt(p, &set, &ports)
+	}
 	p.node = New(set, ports, c.logger.WithField("node", name), name+":1", fmt.Sprint("life", c.lives), time.Duration(c.random.IntN(200))*time.Millisecond)
 	c.processes[name] = p
 	c.wg.Go(func() {
@@ -341,6 +346,14 @@
 	return a, err
 }
 
+// Yield implements Peers.
+func (p peers) Yield(ctx context.Context, address string, token int64) error {
+	return p.call(ctx, address, func(_ context.Context, n *Node) error {
+		n.Yielded(token)
+		return nil
+	})
+}
+
 // Record implements Peers.
 func (p peers) Record(ctx context.Context, address string, records []store.Record) (done bool, err error) {
 	err = p.call(ctx, address, func(ctx context.Context, n *Node) error {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -38,6 +38,10 @@
 		records []store.Record
 		first   int64
 	}
+	// yielded tells that the holder of the token gives the right up.
+	yielded struct{ token int64 }
+	// holderAbsent tells that nothing listens at the holder's address.
+	holderAbsent struct{ address string }
 	// settingsChanged brings reloaded settings; a new term works by them.
 	settingsChanged struct{ Settings }
 	// coreEvent is for the dispatcher of the given term.
@@ -75,6 +79,7 @@
 		}
 		n.actTenure(ctx)
 		n.dispatch(ctx, batch)
+		n.followRight()
 		n.publishInspection()
 	}
 }
@@ -121,6 +126,14 @@
 		n.members.ended(ev.node, ev.cost, ev.failed, n.now())
 	case inspectAsked:
 		n.inspector.ask(ev.Want)
+	case yielded:
+		n.tenure.Yielded(ev.token)
+	case holderAbsent:
+		if h, ok := n.tenure.Holder(); ok && h.Address == ev.address {
+			n.tenure.Suspect(n.now())
+		}
+	case upkeepEvent, dutyRead:
+		n.takeDuty(ev)
 	case settingsChanged:
 		n.set.Limits = ev.Limits
 	case coreEvent:
@@ -137,6 +150,8 @@
 	}
 	if r.whole {
 		n.table.replace(r.records, r.next)
+	} else {
+		n.recent.add(r.records)
 	}
 	batch = n.takeRecords(r.records, r.next, batch)
 	n.table.read(r)
@@ -149,7 +164,13 @@
 	for i, r := range ev.records {
 		numbered[i] = store.Numbered{Offset: ev.first + int64(i), Record: r}
 	}
-	return n.takeRecords(numbered, 0, batch)
+	next := int64(0)
+	if ev.first <= n.table.position() {
+		// Nothing that others have written lies in between.
+		n.recent.add(numbered)
+		next = ev.first + int64(len(numbered))
+	}
+	return n.takeRecords(numbered, next, batch)
 }
 
 func (n *Node) takeRecords(records []store.Numbered, next int64, batch []dispatch.Event) []dispatch.Event {
@@ -159,6 +180,12 @@
 		return batch
 	}
 	for _, ch := range changes {
+		if ch.term > n.term.token {
+			// What follows in the log is another holder's to start.
+			n.endTerm("another term has begun")
+			n.tenure.Lost()
+			return nil
+		}
 		if ch.accepted != nil {
 			batch = append(batch, dispatch.JobAccepted{Job: ch.accepted.job, Offset: ch.accepted.offset, Progress: ch.accepted.progress})
 			if ch.accepted.cancelled {
@@ -203,6 +230,9 @@
 	if n.term != nil && (!n.tenure.Holds() || n.tenure.Token() != n.term.token) {
 		n.endTerm("the right has passed on")
 	}
+	if n.term != nil && n.reader.othersReach(yieldAfter) {
+		n.yield(ctx)
+	}
 	if n.term == nil && n.tenure.Holds() && !n.desk.leaving.Load() {
 		n.beginTerm(ctx)
 	}
@@ -214,10 +244,33 @@
 	go n.appendTenure(ctx, rec, end)
 }
 
+// yieldAfter is how long this node must be unable to reach the store, while
+// others can, before it gives the right up.
+const yieldAfter = 400 * time.Millisecond
+
+// yield gives the right up and tells the others, since it can't tell the store.
+func (n *Node) yield(ctx context.Context) {
+	token := n.term.token
+	n.endTerm("the store is in reach of others only")
+	n.tenure.Lost()
+	for _, address := range n.otherAddresses() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
+			defer cancel()
+			if err := n.ports.Peers.Yield(ctx, address, token); err != nil {
+				n.ports.Count("loss", "yield-unanswered")
+			}
+		}()
+	}
+}
+
+// yieldTimeout bounds a peer's answer to a yield.
+const yieldTimeout = 500 * time.Millisecond
+
 // mayClaim reports whether this node could dispatch: it knows the
-// configuration and reads the log.
+// configuration and reads the log itself.
 func (n *Node) mayClaim() bool {
-	return n.desk.catalog.Load() != nil && n.table.fresh(time.Now(), storeSilence)
+	return !n.reader.isDown() && n.desk.catalog.Load() != nil && n.table.fresh(time.Now(), storeSilence)
 }
 
 // tenureTimeout bounds the store's answer to a claim or a beat.
@@ -321,6 +374,7 @@
 	if w != nil {
 		n.log.WithField("wave", w.Number).Info("an upkeep wave is asked for")
 	}
+	n.keepWave(rec.Key, w)
 }
 
 // takeWorkers takes in the platform's list of workers.
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -54,6 +54,8 @@
 	direct *writer
 	// holder has the holder of the right write a record.
 	holder func(context.Context, store.Record) (bool, error)
+	// catchUp has the log read to its end.
+	catchUp func(context.Context)
 	// slowness is how long the store took to answer lately, in nanoseconds.
 	slowness atomic.Int64
 	table    *table
@@ -140,7 +142,7 @@
 			return d.outcome(intake.Unknown, "repeat-unanswered")
 		}
 	}
-	job.Queue = q.Name
+	job.Queue, job.Policy = q.Name, q
 	job.AcceptedMillis = time.Now().UnixMilli()
 	value, err := json.Marshal(job)
 	if err != nil {
@@ -321,6 +323,7 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
+	go d.catchUp(ctx)
 	caughtUp := d.table.awaitEnd(ctx.Done(), asked)
 	if _, ok := d.table.lookup(id); ok {
 		return intake.Outcome{}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -16,6 +16,10 @@
 	wait time.Duration
 	// pause returns the least time between the begins of two reads.
 	pause func() time.Duration
+	// reader, if not nil, is read instead of the store.
+	reader store.Reader
+	// position, if not nil, tells up to where the records are known otherwise.
+	position func() int64
 	// term, if not nil, is the token of this node's term: without one the feed
 	// isn't read, and with a new one it is read from the start.
 	term func() int64
@@ -59,6 +63,9 @@
 				continue
 			}
 		}
+		if next >= 0 && f.position != nil {
+			next = max(next, f.position())
+		}
 		began := time.Now()
 		r := readOnce(ctx, s, f, next)
 		if ctx.Err() != nil {
@@ -89,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
-	return reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.Next >= b.End}
+	return reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.End >= 0 && b.Next >= b.End}
 }
 
 func pauseFor(ctx context.Context, d time.Duration) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -35,6 +35,8 @@
 	nodes map[string]*member
 	// records are the newest ones by name, this node's included.
 	records map[string][]byte
+	// token is the one that the published membership goes by.
+	token int64
 }
 
 // adviceEnded tells that a call through a node is over.
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -70,6 +70,7 @@
 	h, _ := n.tenure.Holder()
 	ms := Membership(n.members.records, h, n.tenure.Token())
 	n.membership.Store(&ms)
+	n.members.token = n.tenure.Token()
 	address := ""
 	for _, m := range ms {
 		if m.Leaving && m.Node != n.set.Node {
@@ -82,6 +83,14 @@
 	return address
 }
 
+// followRight publishes the membership anew when the right has moved by this
+// node's own act.
+func (n *Node) followRight() {
+	if n.tenure.Token() != n.members.token {
+		n.publishPeers()
+	}
+}
+
 // Members returns the membership as this node knows it. It may be called
 // concurrently; what it returns must not be changed.
 func (n *Node) Members() []Member {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/mimosaspool/mimosaspool/internal/dispatch"
@@ -22,6 +24,8 @@
 	// Record has the node at the address write the records, as Node.Record
 	// does. After an error it is not known whether they were or will be written.
 	Record(ctx context.Context, address string, records []store.Record) (bool, error)
+	// Yield tells the node at the address that the holder of the token gives the right up.
+	Yield(ctx context.Context, address string, token int64) error
 	// Reader returns the store as the node at the address reads it.
 	Reader(address string) store.Reader
 }
@@ -34,6 +38,11 @@
 	Adviser worker.Adviser
 	Peers   Peers
 	Feeds   Feeds
+	// Machines may be nil where machines are none of the product's business.
+	Machines worker.Machines
+	// BootTime is a clock that also counts the time in which the host was
+	// suspended; nil where it never is.
+	BootTime func() time.Duration
 	// Count adds one to the counter of a kind and reason.
 	Count func(kind, reason string)
 	// Observe adds a duration to the histogram of the name.
@@ -60,6 +69,7 @@
 	// others are the addresses of the other nodes, the holder's first.
 	others atomic.Pointer[[]string]
 	reader *relay
+	recent *recent
 	// holding is the token of this node's term, or 0.
 	holding atomic.Int64
 	address string
@@ -70,6 +80,8 @@
 	// membership is published for all goroutines.
 	membership atomic.Pointer[[]Member]
 	inspector  inspector
+	// waves are the operators' waves, by the keys of their records.
+	waves map[string]askedWave
 }
 
 // eventQueue is how many events may wait for the control goroutine.
@@ -83,17 +95,32 @@
 		set: set, ports: ports, log: log, table: t, start: time.Now(),
 		tenure:  tenure.New(tenure.DefaultTiming(), set.Node, incarnation, delay),
 		members: newMembers(set.Node), events: make(chan any, eventQueue), address: address,
-		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log),
+		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
 	}
 	n.reader = &relay{back: make(chan struct{}), direct: ports.Store, peers: ports.Peers, addresses: n.otherAddresses, count: ports.Count}
 	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
+	n.desk.catchUp = func(ctx context.Context) {
+		n.send(ctx, jobsRead{readOnce(ctx, n.reader, feed{partition: jobsPartition}, n.table.position())})
+	}
 	return n
 }
 
-// Reader reads the store directly, for other nodes.
-func (n *Node) Reader() store.Reader { return n.ports.Store }
+// Reader reads for other nodes: jobs from the holder's own view while it is
+// fresh, all else from the store.
+func (n *Node) Reader() store.Reader { return &served{n} }
+
+// Yielded takes note that the holder of the token gives the right up.
+func (n *Node) Yielded(token int64) { n.tryout(yielded{token}) }
+
+// tryout hands an event to the control goroutine unless its queue is full.
+func (n *Node) tryout(ev any) {
+	select {
+	case n.events <- ev:
+	default:
+	}
+}
 
 func (n *Node) otherAddresses() []string {
 	if p := n.others.Load(); p != nil {
@@ -113,7 +140,12 @@
 	if h == nil || *h == "" || *h == n.address {
 		return false, nil
 	}
-	return n.ports.Peers.Record(ctx, *h, records)
+	done, err := n.ports.Peers.Record(ctx, *h, records)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.tryout(holderAbsent{*h})
+		return false, nil // it was never sent
+	}
+	return done, err
 }
 
 // Desk takes callers' requests.
@@ -124,10 +156,10 @@
 
 // The pauses between reads of the feeds.
 const (
-	// viewPause bounds how far a node's view of the jobs lags behind the log.
-	viewPause = 120 * time.Millisecond
-	// holderPause is the same for the holder.
-	holderPause   = 10 * time.Millisecond
+	// viewPause bounds how far a node's view of the jobs lags behind the holder's.
+	viewPause = 80 * time.Millisecond
+	// holderPause is how far the holder lags behind what others write directly.
+	holderPause   = 120 * time.Millisecond
 	tenurePause   = 50 * time.Millisecond
 	operatorPause = 50 * time.Millisecond
 	workersPause  = 600 * time.Millisecond
@@ -145,7 +177,7 @@
 	ctx, n.stop = context.WithCancel(ctx)
 	defer n.stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
@@ -168,7 +200,10 @@
 	if f.term != nil {
 		active = func() bool { return f.term() != 0 }
 	}
-	go follow(ctx, n.reader, f, func(r reading) {
+	if f.reader == nil {
+		f.reader = n.reader
+	}
+	go follow(ctx, f.reader, f, func(r reading) {
 		n.views.note(name, active, r)
 		n.send(ctx, wrap(r))
 	})
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -36,6 +36,9 @@
 	mu        sync.Mutex
 	downUntil time.Time
 	down      bool
+	// downSince is when the present time out of reach began; throughAt is when
+	// a read through a peer last succeeded.
+	downSince, throughAt time.Time
 	// back is closed when the store is in reach again, so that reads that
 	// wait on silent connections are given up.
 	back chan struct{}
@@ -63,11 +66,26 @@
 		r.back = make(chan struct{})
 	}
 	if down && !r.down {
+		r.downSince = time.Now()
 		r.downUntil = time.Now().Add(relayFor)
 	}
 	r.down = down
 }
 
+func (r *relay) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+// othersReach reports whether the store has been out of reach for a time while
+// others can read it.
+func (r *relay) othersReach(after time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down && time.Since(r.downSince) >= after && r.throughAt.After(r.downSince) && time.Since(r.throughAt) < after
+}
+
 // untilBack returns a context that also ends when the store comes back in
 // reach: a call begun before may wait on a connection that stays silent.
 func (r *relay) untilBack(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -138,6 +156,9 @@
 		out, err = bounded(ctx, wait+relayTimeout, wait, r.peers.Reader(address), read)
 		if err == nil || expired(err) {
 			r.count("retry", "read-through-peer")
+			r.mu.Lock()
+			r.throughAt = time.Now()
+			r.mu.Unlock()
 			return out, err
 		}
 		r.mu.Lock()
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -79,6 +79,8 @@
 type change struct {
 	accepted  *entry
 	cancelled string
+	// term is the token of a term that has begun.
+	term int64
 }
 
 // apply takes in records and returns what is new to a dispatcher.
@@ -142,6 +144,8 @@
 		return t.applyCancel(r, r.Key[len(cancelKey):]), nil
 	case strings.HasPrefix(r.Key, progressKey):
 		return nil, t.applyProgress(r, r.Key[len(progressKey):])
+	case r.Key == termKey:
+		return t.applyTerm(r)
 	case strings.HasPrefix(r.Key, workerKey):
 		return nil, t.applyWorker(r, r.Key[len(workerKey):])
 	}
@@ -217,6 +221,20 @@
 	return nil
 }
 
+// termRecord is the first record of a term.
+type termRecord struct {
+	Node  string `json:"n"`
+	Token int64  `json:"t"`
+}
+
+func (t *table) applyTerm(r store.Numbered) (*change, error) {
+	var rec termRecord
+	if err := json.Unmarshal(r.Value, &rec); err != nil {
+		return nil, errors.Wrap(err, "term record")
+	}
+	return &change{term: rec.Token}, nil
+}
+
 func (t *table) applyWorker(r store.Numbered, id string) error {
 	if len(r.Value) == 0 {
 		delete(t.engaged, id)
@@ -249,7 +267,7 @@
 func (t *table) awaitEnd(done <-chan struct{}, since time.Time) bool {
 	for {
 		t.mu.RLock()
-		changed, ok := t.changed, t.caughtUp.After(since)
+		changed, ok := t.changed, !t.caughtUp.Before(since)
 		t.mu.RUnlock()
 		if ok {
 			return true
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +29,10 @@
 	// counted is what of the dispatcher's counters was passed on.
 	counted dispatch.Counters
 	writer  *writer
-	cancel  context.CancelFunc
-	ctx     context.Context
+	// duty is what the term has to do with machines, nil while there is nothing.
+	duty   *duty
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 // producerName is the name under which holders write progress.
@@ -44,12 +45,16 @@
 		n.send(t.ctx, recordsWritten{records, first})
 	})
 	n.term = t
-	go t.writer.run(t.ctx)
+	go func() {
+		if err := t.writer.run(t.ctx); err != nil {
+			n.send(t.ctx, termBegun{token: t.token, err: err})
+		}
+	}()
 	n.holding.Store(t.token)
 	n.members.calm()
 	n.log.WithField("token", t.token).Info("term begins")
 	go func() {
-		value, _ := json.Marshal(map[string]string{"n": n.set.Node, "t": strconv.FormatInt(t.token, 10)})
+		value, _ := json.Marshal(termRecord{Node: n.set.Node, Token: t.token})
 		first, err := t.writer.append(t.ctx, []store.Record{{Key: termKey, Value: value}})
 		n.send(t.ctx, termBegun{token: t.token, offset: first, err: err})
 	}()
@@ -68,7 +73,8 @@
 	if t == nil || t.token != ev.token {
 		return
 	}
-	if ev.err != nil {
+	if ev.err != nil || ev.offset == unknownOffset {
+		// Without the record's offset it isn't known which jobs are older.
 		n.ports.Count("retry", "term-"+errorReason(ev.err))
 		n.tenure.Lost()
 		return
@@ -134,10 +140,12 @@
 			return
 		}
 	}
+	batch = append(batch, t.takeOrders()...)
 	batch = append(batch, dispatch.RightConfirmed{Until: n.tenure.ConfirmedUntil()})
 	for _, e := range t.core.Step(n.now(), time.Now().UnixMilli(), batch...) {
 		n.carryOut(t, e)
 	}
+	n.tendMachines(t)
 	n.tell(t.core.Decisions())
 	n.countReasons(t)
 }
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -27,6 +27,9 @@
 	writeShare = 2
 )
 
+// unknownOffset is the first offset of a write that was carried out unseen.
+const unknownOffset = -1
+
 // writer appends to the log of jobs, one append at a time; all that waits
 // shares the next append. The holder's writer appends under its epoch, tries
 // until an append is known to be done, and ends when a higher epoch has come.
@@ -78,9 +81,9 @@
 	}
 }
 
-// run writes until the context ends or a higher epoch has come. What is still
-// queued then was not written.
-func (w *writer) run(ctx context.Context) {
+// run writes until the context ends, which is no error, or another writer has
+// come. What is still queued then was not written.
+func (w *writer) run(ctx context.Context) error {
 	for {
 		var group []*write
 		select {
@@ -88,7 +91,7 @@
 			group = w.gather(x)
 		case <-ctx.Done():
 			w.refuse(store.ErrNotDone)
-			return
+			return nil
 		}
 		err := w.write(ctx, group)
 		for _, x := range group {
@@ -96,7 +99,7 @@
 		}
 		if err != nil && w.token != 0 {
 			w.refuse(store.ErrNotDone)
-			return
+			return err
 		}
 	}
 }
@@ -159,7 +162,12 @@
 			return nil
 		case errors.Is(err, store.ErrFenced):
 			return errors.WithStack(store.ErrFenced)
+		case errors.As(err, &seq) && try == 1:
+			return errors.WithStack(store.ErrFenced) // another writer has this epoch
 		case errors.As(err, &seq) && seq.Expected > w.sequence:
+			for _, x := range group {
+				x.first = unknownOffset
+			}
 			return nil // an earlier try was carried out; the log is read anyway
 		case ctx.Err() != nil:
 			return errors.WithStack(store.ErrUnknown)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,8 @@
 	// Record writes the records if the node holds the right to place; done is
 	// false if surely nothing was written and never will be.
 	Record(ctx context.Context, records []store.Record) (done bool, err error)
+	// Yielded takes note that the holder of the token gives the right up.
+	Yielded(token int64)
 	// Reader reads the store directly.
 	Reader() store.Reader
 }
@@ -57,6 +59,12 @@
 	return &api.RecordResponse{Done: done}, nil
 }
 
+// Yield implements the Peer service.
+func (s *server) Yield(_ context.Context, req *api.YieldRequest) (*api.YieldResponse, error) {
+	s.node.Yielded(req.GetToken())
+	return &api.YieldResponse{}, nil
+}
+
 // Read implements the Peer service.
 func (s *server) Read(ctx context.Context, req *api.ReadRequest) (*api.ReadResponse, error) {
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
@@ -137,6 +145,12 @@
 	return resp.GetDone(), nil
 }
 
+// Yield tells the node at the address that the holder of the token gives the right up.
+func (c *Client) Yield(ctx context.Context, address string, token int64) error {
+	_, err := c.node(address).Yield(ctx, &api.YieldRequest{Token: token})
+	return errors.Wrap(err, "peer "+address)
+}
+
 // Reader returns the store as the node at the address reads it.
 func (c *Client) Reader(address string) store.Reader { return &reader{c.node(address)} }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -60,7 +60,7 @@
 	Records []Numbered
 	// Next is the offset to go on from.
 	Next int64
-	// End is the partition's end when it was read.
+	// End is the partition's end when it was read, -1 if that isn't known.
 	End int64
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -52,6 +52,8 @@
 	Beat time.Duration
 	// Silence is how long the others wait for a beat, while they can read.
 	Silence time.Duration
+	// Suspicion is the same when nothing listens at the holder's address.
+	Suspicion time.Duration
 	// Confidence is how long after its last confirmed record was sent the
 	// holder may extend leases.
 	Confidence time.Duration
@@ -59,7 +61,7 @@
 
 // DefaultTiming returns the bounds in use.
 func DefaultTiming() Timing {
-	return Timing{Beat: 450 * time.Millisecond, Silence: 1250 * time.Millisecond, Confidence: 5 * time.Second}
+	return Timing{Beat: 450 * time.Millisecond, Silence: 1250 * time.Millisecond, Suspicion: 600 * time.Millisecond, Confidence: 5 * time.Second}
 }
 
 // Act is what is to be done next.
@@ -84,6 +86,8 @@
 	holder Record
 	// token of the present holder, 0 if there is none.
 	token int64
+	// lost is the highest token that this node has had and lost.
+	lost int64
 	// quietSince is since when the partition was read without a gap and without news.
 	quietSince time.Duration
 	lastRead   time.Duration
@@ -99,6 +103,8 @@
 	outAt  time.Duration
 	retry  time.Duration
 	resign bool
+	// suspectedAt is when nothing listened at the holder's address.
+	suspectedAt time.Duration
 	// took is how long the store took to answer the last act.
 	took time.Duration
 }
@@ -144,9 +150,10 @@
 	s.end = max(s.end, offset+1)
 }
 
-// Holds reports whether this node holds the right, as far as it knows.
+// Holds reports whether this node holds the right, as far as it knows. A right
+// that it has given up or lost it never holds again: it claims a new one.
 func (s *State) Holds() bool {
-	return s.token != 0 && s.holder.Node == s.node && s.holder.Incarnation == s.incarnation
+	return s.token > s.lost && s.holder.Node == s.node && s.holder.Incarnation == s.incarnation
 }
 
 // Token returns the present holder's token, 0 if there is none.
@@ -196,6 +203,9 @@
 		// An earlier process of this node held it; that one has ended.
 		return 0
 	}
+	if s.suspectedAt > s.quietSince {
+		return s.timing.Suspicion + s.delay
+	}
 	// A slow store delays the holder's beats on their way.
 	return s.timing.Silence + s.delay + slowFactor*time.Duration(s.holder.StoreMillis)*time.Millisecond
 }
@@ -233,6 +243,16 @@
 	s.Confirm(s.outAt)
 }
 
+// Yielded takes note that the holder of the token has given the right up.
+func (s *State) Yielded(token int64) {
+	if s.token == token && !s.Holds() {
+		s.token = 0
+	}
+}
+
+// Suspect takes note that nothing listens at the holder's address any more.
+func (s *State) Suspect(now time.Duration) { s.suspectedAt = now }
+
 // StoreTook takes note of how long the store took to answer.
 func (s *State) StoreTook(d time.Duration) { s.took = d }
 
@@ -246,10 +266,9 @@
 	return Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true}
 }
 
-// Lost takes note that a higher token has been seen elsewhere.
+// Lost takes note that this node's right is over, whatever the partition says.
 func (s *State) Lost() {
 	if s.Holds() {
-		s.token = 0
-		s.holder = Record{}
+		s.lost = s.token
 	}
 }
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -92,6 +92,9 @@
 	FirstMillis int64 `json:"f,omitempty"`
 	// IntervalMillis lies between the due times of two occurrences.
 	IntervalMillis int64 `json:"v,omitempty"`
+	// Policy is the queue as it was when the job was accepted; it holds on when
+	// the queue is removed.
+	Policy *Queue `json:"y,omitempty"`
 	// AcceptedMillis is when an entry took the job, in Unix milliseconds.
 	AcceptedMillis int64 `json:"a,omitempty"`
 }
