--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -73,6 +73,9 @@
 const retryWait = time.Second
 
 func (t *tool) run(ctx context.Context, c call) error {
+	if t.forNodes(c.text) {
+		return t.runAtNodes(ctx, c)
+	}
 	if len(t.flags.Schedulers) == 0 {
 		return &settings.Error{Problems: []settings.Problem{{Flag: "scheduler-url", Allowed: "must be set"}}}
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -132,6 +132,18 @@
 		Expect(v.Answers[0].Table.Rows[0]).To(Equal(map[string]any{"name": "w", "tasks": 2.0}))
 	})
 
+	It("sends statements of nodes to nodes", func() {
+		const id = "00000000000000aa"
+		Expect(runTool("", "exec", "show holder", "--scheduler-url", "http://127.0.0.1:1").code).To(Equal(-1), "a bad setting")
+		s := runTool("", "exec", "list tasks", "--node-url", "http://127.0.0.1:1")
+		Expect([]any{s.code, s.err}).To(Equal([]any{exitFault, "line 1, column 1: this is asked of schedulers: statements for nodes and for schedulers can't be in one script\n  list tasks;\n  ^\n"}))
+		s = runTool("", "exec", "cancel job "+id, "--node-url", "http://127.0.0.1:1", "--timeout", "50ms")
+		Expect(s.code).To(Equal(exitUnknown))
+		Expect(s.out).To(ContainSubstring("not known yet: job " + id + " may be or become cancelled"))
+		Expect(runTool("", "list", "members", "--node-url", "http://127.0.0.1:1", "--timeout", "50ms").code).To(Equal(-1))
+		Expect(runTool("list jobs;", "check", "-", "--node-url", "http://127.0.0.1:1").out).To(Equal("1 statements, no fault\n"))
+	})
+
 	It("reads statements over several lines in the shell", func() {
 		f := &fake{replies: []operator.Result{accepted}}
 		var out bytes.Buffer
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -51,7 +51,7 @@
 
 Exit codes:
   0  done
-  1  no scheduler answered, or it failed
+  1  no scheduler or node answered, or it failed
   2  a setting or argument can't be used
   3  a statement has a fault; nothing was changed
   4  the change was refused, or lost to another one; nothing was changed
@@ -60,7 +60,7 @@
 	}
 	p := cmd.PersistentFlags()
 	p.StringSliceVar(&f.Schedulers, "scheduler-url", nil, "base URL of a scheduler; several are tried in turn")
-	p.StringSliceVar(&f.Nodes, "node-url", nil, "base URLs between nodes, of all nodes, for explain job")
+	p.StringSliceVar(&f.Nodes, "node-url", nil, "base URLs between nodes, of all nodes, for statements about jobs and nodes")
 	p.StringVarP(&f.Output, "output", "o", "table", "form of the output: table or json")
 	p.StringVar(&f.Actor, "actor", actor(), "name that changes are recorded under")
 	p.Int64Var(&f.IfVersion, "if-version", -1, "version that the changed objects must have; -1 for the one in force")
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -40,6 +40,14 @@
 			return exitError{exitDiffers}
 		}
 	}
+	for _, j := range res.Jobs {
+		switch j.State {
+		case operator.Refused:
+			return exitError{exitRefused}
+		case operator.Unknown:
+			return exitError{exitUnknown}
+		}
+	}
 	if res.Change != nil {
 		switch res.Change.State {
 		case operator.Refused:
@@ -57,13 +65,14 @@
 		renderChange(w, res.Change)
 	}
 	renderPlanned(w, res.Diff)
+	renderJobs(w, res.Jobs)
 	for i, a := range res.Answers {
-		if i > 0 || res.Change != nil {
+		if i > 0 || res.Change != nil || res.Jobs != nil {
 			fmt.Fprintln(w)
 		}
 		renderAnswer(w, a)
 	}
-	if res.Change == nil && res.Diff == nil && res.Answers == nil && res.Checked > 0 {
+	if res.Change == nil && res.Diff == nil && res.Answers == nil && res.Jobs == nil && res.Checked > 0 {
 		fmt.Fprintf(w, "%d statements, no fault\n", res.Checked)
 	}
 }
@@ -95,6 +104,21 @@
 	tw.Flush()
 }
 
+// renderJobs tells what became of each job.
+func renderJobs(w io.Writer, jobs []operator.JobOutcome) {
+	for _, j := range jobs {
+		done := map[operator.Action]string{operator.Add: "accepted", operator.Drop: "cancelled"}[j.Action]
+		switch j.State {
+		case operator.Accepted:
+			fmt.Fprintf(w, "%s job %s  %s by %s\n", signs[j.Action], j.ID, done, j.Node)
+		case operator.Refused:
+			fmt.Fprintf(w, "refused: job %s not %s: %s\n", j.ID, done, j.Reason)
+		case operator.Unknown:
+			fmt.Fprintf(w, "not known yet: job %s may be or become %s: %s\nsend the statement again: it has one effect\n", j.ID, done, j.Reason)
+		}
+	}
+}
+
 func renderAnswer(w io.Writer, a operator.Answer) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, f := range a.Facts {
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -62,6 +62,7 @@
 func (t *tool) explainJob(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, t.flags.Timeout)
 	defer cancel()
+	t.showView(ctx, id)
 	log := story.NewLog(id)
 	var notes []string
 	for _, base := range t.flags.Nodes {
--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -41,6 +42,8 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	done          chan struct{}
+	// tookOver is when it last began to dispatch, in Unix nanoseconds.
+	tookOver atomic.Int64
 }
 
 var errNoMember = errors.New("demo: nothing listens there")
@@ -190,7 +193,11 @@
 		GangTimeout: 5 * time.Second, DrainBound: 3 * time.Second, CancelBound: 3 * time.Second, StatusRetention: nodeRetention,
 		RemoteFactor: 2, CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, Notice: 5 * time.Second}}
 	ports := node.Ports{Store: s.log.Client(name), Workers: s.fleet.Client(name), Adviser: s.fleet.Adviser(name),
-		Peers: peer.NewClient(s.net), Feeds: emulatedFeeds(), Count: func(string, string) {}, Observe: func(string, time.Duration) {}}
+		Peers: peer.NewClient(s.net), Feeds: emulatedFeeds(), Count: func(string, string) {}, Observe: func(name string, _ time.Duration) {
+			if name == "takeover" {
+				m.tookOver.Store(time.Now().UnixNano())
+			}
+		}}
 	m.node = node.New(set, ports, s.logger.WithField("node", name), m.address, name, delay)
 	router := mux.NewRouter()
 	router.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(m.node))
@@ -230,10 +237,13 @@
 // holder returns the running node that dispatches, nil if none does.
 func (s *site) holder() *member {
 	for _, m := range s.up() {
+		if !m.node.Holds() {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(m.ctx, time.Second)
 		i, err := m.node.Inspect(ctx, node.Want{})
 		cancel()
-		if err == nil && i.Dispatching && m.node.Holds() {
+		if err == nil && i.Dispatching {
 			return m
 		}
 	}
--- a/internal/demo/showing.go
+++ b/internal/demo/showing.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	g.tell("%s dispatches, %.2f s after the kill", next.name, time.Since(killed).Seconds())
+	g.tell("%s dispatches, %.2f s after the kill", next.name, time.Unix(0, next.tookOver.Load()).Sub(killed).Seconds())
 	g.execute(g.asker(next.name, true), "show holder; list members;")
 
 	var cut *member
--- a/internal/emulator/crew.go
+++ b/internal/emulator/crew.go
@@ -43,6 +43,8 @@
 	late bool
 	// overdue is set when the judge has found the run too long after its cancelling.
 	overdue bool
+	// disrupted is set when an order has ended it, or will.
+	disrupted bool
 }
 
 func countedSize(step *workflow.Step) workflow.Size {
@@ -349,6 +351,7 @@
 // end removes the run and lists its end.
 func (r *run) end(how worker.How) {
 	f := r.life.fleet
+	f.judge.leaves(r)
 	delete(r.life.runs, runKey{r.task, r.number})
 	f.live[r.task] = slices.DeleteFunc(f.live[r.task], func(o *run) bool { return o == r })
 	if len(f.live[r.task]) == 0 {
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -56,6 +56,8 @@
 	PaceDelay time.Duration
 	// Contact is how long a disruption excuses what comes after it (5 s).
 	Contact time.Duration
+	// Notice is how long a lasting task may be away before it counts as such (5 s).
+	Notice time.Duration
 	// RemoteFactor is how much longer a task takes away from its data (2).
 	RemoteFactor float64
 }
@@ -72,6 +74,7 @@
 	l.Startup = orDefault(l.Startup, time.Second)
 	l.PaceDelay = orDefault(l.PaceDelay, 300*time.Millisecond)
 	l.Contact = orDefault(l.Contact, 5*time.Second)
+	l.Notice = orDefault(l.Notice, 5*time.Second)
 	l.RemoteFactor = orDefault(l.RemoteFactor, 2)
 	return l
 }
@@ -109,6 +112,7 @@
 	crews       map[crewKey]*crew
 	live        map[workflow.TaskID][]*run
 	checkpoints map[string]savedProgress
+	presences   map[workflow.TaskID]presence
 	tickets     map[string]ticket
 	lines       map[string]*adviceLine
 	adviceDown  bool
@@ -135,6 +139,7 @@
 		crews:       map[crewKey]*crew{},
 		live:        map[workflow.TaskID][]*run{},
 		checkpoints: map[string]savedProgress{},
+		presences:   map[workflow.TaskID]presence{},
 		tickets:     map[string]ticket{},
 		lines:       map[string]*adviceLine{},
 		codes:       map[worker.Code]int{},
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -244,6 +244,7 @@
 	w.barred[s.Task] = max(w.barred[s.Task], s.Run)
 	if r := w.runs[runKey{s.Task, s.Run}]; r != nil && r.stopAt.IsZero() {
 		f := w.fleet
+		f.judge.disrupts(r)
 		least := f.cfg.Limits.StopTimeout / 10
 		takes := least + time.Duration(f.random.Int64N(int64(f.cfg.Limits.StopTimeout-least)+1))
 		r.crew.change(func() { r.stopAt = time.Now().Add(takes) })
--- a/internal/language/check.go
+++ b/internal/language/check.go
@@ -26,8 +26,17 @@
 		c.target(st.Cancel, "team")
 	case st.Remove != nil:
 		c.object(st.Remove, "domain", "team")
+	case st.CancelJob != nil:
+		c.bad(st.CancelJob, checkJobID(st.CancelJob.Text))
+	case st.Show != nil:
+		if st.Show.Text != "holder" {
+			c.faults = append(c.faults, c.script.Unknown(st.Show, "object to show", []string{"holder"}))
+		}
 	case st.Explain != nil:
-		c.object(st.Explain, "task", "service", "batch", "gang", "workload", "worker", "team", "domain")
+		c.object(st.Explain, "task", "service", "batch", "gang", "workload", "worker", "team", "domain", "job")
+		if st.Explain.Kind.Text == "job" {
+			c.bad(st.Explain.Name, checkJobID(st.Explain.Name.Text))
+		}
 	case st.List != nil:
 		c.list(st.List)
 	case st.History != nil:
@@ -44,6 +53,9 @@
 	if st.Absent && !st.Changes() {
 		c.faults = append(c.faults, c.script.faultAt(st.Pos, "", "a query has no expected version"))
 	}
+	if st.OfNodes() && st.Changes() && (st.Absent || st.Version != nil) {
+		c.faults = append(c.faults, c.script.faultAt(st.Pos, "", "jobs have no versions; the first job of an ID holds"))
+	}
 	if st.Version == nil {
 		return
 	}
@@ -58,6 +70,8 @@
 	switch {
 	case d.Domain != nil:
 		c.domain(d.Domain)
+	case d.Job != nil:
+		c.job(d.Job)
 	case d.Team != nil:
 		c.bad(d.Team.Name, checkName(d.Team.Name.Text))
 		c.options(d.Team.Options, teamOptions, "a team")
@@ -206,13 +220,24 @@
 }
 
 func (c *checker) list(l *List) {
-	if lists[l.What.Text] == nil {
+	name := l.Name()
+	switch {
+	case l.Of != nil && lists[name] == nil:
+		c.faults = append(c.faults, c.script.Fault(l.Of, "only steps (of a job) and workers (of dispatcher) are of something"))
+		return
+	case l.Of == nil && l.What.Text == "steps":
+		c.faults = append(c.faults, c.script.Fault(l.What, "the job is missing: list steps of ID"))
+		return
+	case lists[name] == nil:
 		c.faults = append(c.faults, c.script.Unknown(l.What, "list", listNames))
 		return
 	}
-	c.conditions(l.What.Text, l.Where)
+	if l.What.Text == "steps" {
+		c.bad(l.Of, checkJobID(l.Of.Text))
+	}
+	c.conditions(name, l.Where)
 	for _, o := range l.Order {
-		c.column(l.What.Text, o.Column)
+		c.column(name, o.Column)
 	}
 	c.limit(l.Limit)
 }
--- a/internal/language/fault.go
+++ b/internal/language/fault.go
@@ -143,5 +143,7 @@
 	"declare", "set", "drain", "return", "cancel", "remove", "list", "explain", "history", "if", "version", "absent",
 	"domain", "team", "service", "services", "batch", "gang", "gangs", "workload", "workloads", "region", "workers", "entries",
 	"count", "cpu", "memory", "accelerators", "policy", "urgency", "run", "spread", "weight", "homes",
+	"job", "show", "holder", "queue", "spec", "first", "interval", "times", "step", "after", "of", "same-rack", "requires", "rack",
+	"most-per-worker", "speculative", "checkpointing", "long-running", "filler", "image", "target", "disruption-budget",
 	"for", "where", "and", "order", "by", "desc", "asc", "limit",
 }
--- a/internal/language/grammar.go
+++ b/internal/language/grammar.go
@@ -17,11 +17,14 @@
 	Set     *Set     `parser:"| 'set' @@"`
 	Drain   []*Word  `parser:"| 'drain' @@ ( ',' @@ )*"`
 	Return  []*Word  `parser:"| 'return' @@ ( ',' @@ )*"`
-	Cancel  *Target  `parser:"| 'cancel' @@"`
-	Remove  *Object  `parser:"| 'remove' @@"`
-	List    *List    `parser:"| 'list' @@"`
-	Explain *Object  `parser:"| 'explain' @@"`
-	History *History `parser:"| @@ )"`
+	// CancelJob is the ID of a job that a node has taken in.
+	CancelJob *Word    `parser:"| 'cancel' 'job' @@"`
+	Cancel    *Target  `parser:"| 'cancel' @@"`
+	Remove    *Object  `parser:"| 'remove' @@"`
+	List      *List    `parser:"| 'list' @@"`
+	Explain   *Object  `parser:"| 'explain' @@"`
+	Show      *Word    `parser:"| 'show' @@"`
+	History   *History `parser:"| @@ )"`
 	// Version is the version that the changed objects must have.
 	Version *Word `parser:"( 'if' ( 'version' @@"`
 	// Absent asks that the changed objects aren't declared yet.
@@ -34,6 +37,7 @@
 type Declare struct {
 	Domain   *Domain   `parser:"  'domain' @@"`
 	Team     *Team     `parser:"| 'team' @@"`
+	Job      *Job      `parser:"| 'job' @@"`
 	Workload *Workload `parser:"| @@"`
 }
 
@@ -95,6 +99,7 @@
 // List asks for a table of objects.
 type List struct {
 	What  *Word        `parser:"@@"`
+	Of    *Word        `parser:"( 'of' @@ )?"`
 	Where []*Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 	Order []*Order     `parser:"( 'order' 'by' @@ ( ',' @@ )* )?"`
 	Limit *Word        `parser:"( 'limit' @@ )?"`
@@ -121,5 +126,5 @@
 
 // Changes reports whether the statement changes the configuration.
 func (s *Statement) Changes() bool {
-	return s.List == nil && s.Explain == nil && s.History == nil
+	return s.List == nil && s.Explain == nil && s.History == nil && s.Show == nil
 }
--- a/internal/language/lists.go
+++ b/internal/language/lists.go
@@ -46,10 +46,17 @@
 		numbers("position", "free-cpu", "free-memory", "free-accelerators", "version")),
 	"hosts":   join(text("name", "domain", "state", "leader"), numbers("position")),
 	"drained": join(text("host"), numbers("version"), text("actor")),
+	// What follows is asked of nodes.
+	"jobs": join(text("job", "queue", "state"), numbers("steps", "tasks", "occurrences", "finished"), text("accepted"), numbers("offset")),
+	"steps of": join(numbers("occurrence", "step"), text("kind"), numbers("tasks", "done", "running", "stopping", "waiting"),
+		text("waited", "reason", "detail", "workers")),
+	"workers of dispatcher": join(text("name", "pool", "rack", "state"), numbers("running", "stopping", "cpu", "free-cpu", "memory",
+		"free-memory", "accelerators", "free-accelerators", "heard-ms")),
+	"members": join(text("node", "address", "state"), numbers("token")),
 }
 
 // listNames are the names of all lists in order.
-var listNames = []string{"tasks", "workloads", "services", "batch", "gangs", "workers", "teams", "domains", "hosts", "drained"}
+var listNames = []string{"tasks", "workloads", "services", "batch", "gangs", "workers", "teams", "domains", "hosts", "drained", "jobs", "steps", "members"}
 
 // Columns returns the columns of the named list.
 func Columns(list string) []Column { return lists[list] }
--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -28,6 +28,7 @@
 
 var tokens = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
 	{Name: "Word", Pattern: `[A-Za-z0-9_./\[\]-]+`},
 	{Name: "Op", Pattern: `!=|<=|>=|[=<>~]`},
 	{Name: "Punct", Pattern: `[;,]`},
@@ -175,8 +176,8 @@
 
 // nodes names the grammar's parts for people.
 var nodes = strings.NewReplacer(
-	"<word>", "a name or value", "<op>", "one of = != < <= > >= ~", "Declare", "domain, team, service, batch or gang",
-	"Domain", "a domain", "Team", "a team", "Workload", "service, batch or gang", "Set", "a setting", "Option", "a setting",
+	"<word> | <string>", "a name or value, or a text in quotes", "<word>", "a name or value", "<op>", "one of = != < <= > >= ~", "Declare", "domain, team, job, service, batch or gang",
+	"Domain", "a domain", "Team", "a team", "Workload", "service, batch or gang", "Set", "a setting", "StepOption", "a setting", "JobOption", "a setting", "Option", "a setting", "Step", "a setting", "Text", "a name, value or text in quotes",
 	"Target", "a name, or a kind of workload", "Object", "a kind and a name", "List", "a list", "History", "history",
 	"Word", "a name or value", "Condition", "a condition", "Home", "a domain and a count", "Order", "a column", "<EOF>", "the end",
 )
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -19,7 +19,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	operators "github.com/mimosaspool/mimosaspool/api/operator"
 	api "github.com/mimosaspool/mimosaspool/api/peer"
+	"github.com/mimosaspool/mimosaspool/internal/console"
 	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
 	"github.com/mimosaspool/mimosaspool/internal/logging"
 	"github.com/mimosaspool/mimosaspool/internal/node"
@@ -142,6 +144,7 @@
 	inner.Handle("/metrics", d.telemetry.Handler())
 	inner.Path("/recent").Methods(http.MethodGet).HandlerFunc(d.recent)
 	inner.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(d.node))
+	inner.PathPrefix(operators.OperatorPathPrefix).Handler(console.Handler(d.node, d.platform.PeerTransport, d.handed))
 	handlers := map[string]http.Handler{
 		d.platform.Settings.CallersAddress: callers,
 		d.platform.Settings.ReadyAddress:   d.platform.Ready(desk),
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -127,6 +127,8 @@
 
 func (p *plan) statement(st *language.Statement) {
 	switch {
+	case st.OfNodes():
+		p.faults = append(p.faults, ofNodes(p.script, st))
 	case st.Declare != nil && st.Declare.Domain != nil:
 		p.declareDomain(st, st.Declare.Domain)
 	case st.Declare != nil && st.Declare.Team != nil:
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -17,6 +17,8 @@
 	var err error
 	var faults language.Faults
 	switch {
+	case st.OfNodes():
+		faults = language.Faults{ofNodes(script, st)}
 	case st.List != nil:
 		a, err = s.answerList(ctx, st, forwarded)
 	case st.History != nil:
@@ -294,3 +296,8 @@
 	}
 	return t
 }
+
+// ofNodes is the fault of a statement that a scheduler can't carry out.
+func ofNodes(script *language.Script, st *language.Statement) language.Fault {
+	return script.Fault(&language.Word{Pos: st.Pos}, "this is asked of nodes: give --node-url")
+}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -81,6 +81,8 @@
 	Change  *Outcome  `json:"change,omitempty"`
 	Diff    []Planned `json:"diff,omitempty"`
 	Answers []Answer  `json:"answers,omitempty"`
+	// Jobs tells what became of jobs that nodes were handed.
+	Jobs []JobOutcome `json:"jobs,omitempty"`
 	// Room is set in answers to other schedulers.
 	Room *Room `json:"room,omitempty"`
 }
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -52,6 +52,8 @@
 	{"leases-lapsed", "events", "a silent worker's leases have run out; its runs are over"},
 	{"worker-gone", "events", "a worker left the platform's list, or is another machine now"},
 	{"worker-draining", "events", "a worker gets nothing new"},
+	{"worker-isolated", "events", "a worker gets nothing new for a while, since its tasks stand still"},
+	{"worker-evacuating", "events", "a worker gets nothing new and its runs are moved, since its machine is to be taken away"},
 	{"takeover-complete", "events", "no former holder can have work running unseen any more"},
 	{"step-down", "events", "a worker has seen a higher token: this holder was fenced"},
 }
