While answers of workers get lost, holds are short; tasks wait for workers near their data

Change: after a lost answer holds wait 250 ms and are given up 150 ms later, for 4 s; contact is lost after two unanswered orders; a task waits for a worker near its data for 0.6 of what it would lose.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -61,6 +61,8 @@
 	rightUntil time.Duration
 	lastEnds   map[string]lastEnd
 	watchAt    time.Duration
+	// lossUntil is until when answers of workers are taken to get lost.
+	lossUntil time.Duration
 	// formerEnd is since when no former holder can have its right confirmed, or 0.
 	formerEnd time.Duration
 	times     []time.Duration
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -122,6 +122,8 @@
 type HoldWorker struct {
 	Life int64
 	Hold worker.Hold
+	// Patience is how long the answer is waited for, Hold.Wait included.
+	Patience time.Duration
 }
 
 // StartTask sends a start; its end comes back as Started.
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -70,6 +70,9 @@
 		if plan := c.planRacks(s); plan != nil {
 			return plan
 		}
+		if c.now-s.readyAt < c.remoteLoss(s) {
+			return nil
+		}
 	}
 	return c.planWithin(s, nil)
 }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -14,6 +14,12 @@
 	watchWait = 500 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 250 * time.Millisecond
+	// holdSlack and lossSlack bound the answer to a hold beside its wait: in
+	// general, and for lossTime after an answer was lost, when lossWait bounds the wait.
+	holdSlack = 500 * time.Millisecond
+	lossSlack = 150 * time.Millisecond
+	lossWait  = 250 * time.Millisecond
+	lossTime  = 4 * time.Second
 	// notedPause is the pause between holds while ends wait to be recorded.
 	notedPause = 200 * time.Millisecond
 	// absencesToEnd is how many holds in a row must find nothing listening
@@ -40,7 +46,7 @@
 	h.holding, h.holdSent = true, c.now
 	hold := worker.Hold{Order: c.orderTo(h), LastSeen: h.noted}
 	// A worker that is silent is asked without extending: its leases must run out.
-	if c.mayOrder() && h.clock > 0 && h.silent == 0 && len(h.runs) > 0 {
+	if c.mayOrder() && h.clock > 0 && !h.lost() && len(h.runs) > 0 {
 		hold.DeadlineMillis = c.clockNow(h) + c.set.Lease.Milliseconds()
 		h.granted = max(h.granted, hold.DeadlineMillis)
 	}
@@ -58,8 +64,13 @@
 	default:
 		hold.Wait = holdWait
 	}
+	slack := holdSlack
+	if c.now < c.lossUntil {
+		// A lost answer hides ends until the next hold: ask often.
+		hold.Wait, slack = min(hold.Wait, lossWait), lossSlack
+	}
 	h.toldNoted = hold.LastSeen
-	c.emit(HoldWorker{Life: h.life, Hold: hold})
+	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: hold.Wait + slack})
 }
 
 // awaitsList reports whether a list is wanted at once, to see runs gone.
@@ -96,8 +107,12 @@
 		return
 	default:
 		h.absences = 0
-		h.silent++
+		h.unanswered(ev.Sent)
 		h.nextHold = c.now + holdRetry
+		if h.silent <= 1 {
+			h.nextHold = c.now // one lost answer
+			c.lossUntil = c.now + lossTime
+		}
 		c.reasons["hold-"+ev.Code.String()]++
 		return
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -91,7 +91,7 @@
 		h := c.hosts[info.ID]
 		if h != nil && info.Born != 0 && h.info.Born != 0 && info.Born > h.info.Born {
 			// What the next life runs is known only by its own lists.
-			h.silent++
+			h.silent = max(h.silent, lostContact)
 			h.nextHold = 0
 			continue
 		}
@@ -300,7 +300,7 @@
 
 // usable reports whether new work may be sent there.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.engaged && h.draining == 0 && c.evacuations[h.info.ID] == nil && h.silent == 0 && h.silence == silenceNone &&
+	return h.listed && h.fenced && h.engaged && h.draining == 0 && c.evacuations[h.info.ID] == nil && !h.lost() && h.silence == silenceNone &&
 		c.now-h.heardAt < contactBound && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -137,9 +138,37 @@
 			best, top = h, score
 		}
 	}
+	if best != nil && c.betterNear(t, best) {
+		return nil
+	}
 	return best
 }
 
+// betterNear reports whether the task had better wait for a worker near its
+// data than run on this one: for a part of the time that it would lose.
+func (c *Core) betterNear(t *task, h *host) bool {
+	s := t.step
+	if s.def.Rack == "" || h.info.Rack() == s.def.Rack || c.now-max(s.readyAt, t.waitingSince) > c.remoteLoss(s) {
+		return false
+	}
+	for _, x := range c.pools[s.occ.job.queue.Pool] {
+		if x.info.Rack() == s.def.Rack && c.usable(x) && c.suits(s, x) && s.mayRun(x) {
+			return true
+		}
+	}
+	return false
+}
+
+// remoteLoss is how long a task waits at most for a worker near its data or its gang.
+func (c *Core) remoteLoss(s *step) time.Duration {
+	return time.Duration(nearPatience * (c.set.RemoteFactor - 1) * float64(s.def.EstimateMillis) * float64(time.Millisecond))
+}
+
+// mayRun reports whether the policy allows the worker, as far as it has said.
+func (s *step) mayRun(h *host) bool {
+	return s.occ.job.queue.Advice == nil || s.advice.allowed[h.info.ID]
+}
+
 // feasible checks everything but the room.
 func (c *Core) feasible(t *task, h *host) bool {
 	s := t.step
@@ -167,6 +196,9 @@
 	remoteWeight = 10
 	// avoidWeight is how much the worker on which the task failed last counts less.
 	avoidWeight = 20
+	// nearPatience is the part of the time lost away from the data that a task
+	// may wait for a worker near it.
+	nearPatience = 0.6
 	// speedWeight is how much a worker's speed counts.
 	speedWeight = 1.0
 	// servingWeight is how much each serving task on a worker counts against a filler.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -94,6 +94,12 @@
 	}
 }
 
+// lostContact is how many orders in a row without an answer mean that contact is lost.
+const lostContact = 2
+
+// lost reports whether contact with the worker is lost.
+func (h *host) lost() bool { return h.silent >= lostContact }
+
 // nextRun numbers the task's next start above all that were ever given.
 func (c *Core) nextRun(t *task) int64 {
 	if t.step.def.Gang {
@@ -185,6 +191,9 @@
 		r.doubtful = true
 		h.remember(r, c.now)
 		h.unanswered(r.orderAt)
+		if h.silent == 0 {
+			c.lossUntil = c.now + lossTime
+		}
 		c.reasons["start-unanswered"]++
 		r.nextOrder = c.now
 	case worker.WrongLife:
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -30,7 +30,7 @@
 func (c *Core) tellSilence() {
 	for _, h := range c.order {
 		switch {
-		case h.silent > 0 && h.silence == silenceNone && h.engaged && h.fenced:
+		case h.lost() && h.silence == silenceNone && h.engaged && h.fenced:
 			h.silence = silenceTelling
 			c.decide(Decision{Kind: "contact-lost", Worker: h.info.ID, Age: c.now - h.heardAt})
 			c.commits.tell(h)
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -42,7 +42,7 @@
 	}
 	c.watchAt = c.now + watchEvery
 	for _, h := range c.order {
-		if len(h.runs) == 0 || h.silent > 0 || h.silence != silenceNone {
+		if len(h.runs) == 0 || h.lost() || h.silence != silenceNone {
 			continue
 		}
 		stalled := 0
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -14,8 +14,6 @@
 const (
 	// orderTimeout bounds a worker's answer to a change of pace.
 	orderTimeout = 500 * time.Millisecond
-	// holdTimeout bounds a worker's answer to a hold beside its wait.
-	holdTimeout = 700 * time.Millisecond
 	// adviceSlack bounds an answer about workers beside its own cost.
 	adviceSlack = 1500 * time.Millisecond
 )
@@ -26,7 +24,7 @@
 	switch e := e.(type) {
 	case dispatch.HoldWorker:
 		sent := n.now()
-		go n.bounded(t, e.Hold.Wait+holdTimeout, func(ctx context.Context) {
+		go n.bounded(t, e.Patience, func(ctx context.Context) {
 			code, lists := n.ports.Workers.Hold(ctx, e.Hold)
 			back(dispatch.Held{Worker: e.Hold.Worker, Life: e.Life, Code: code, Sent: sent, Lists: lists})
 		})
