--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 BENCH ?= .
 bench:
 	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 5000x ./internal/scheduler/...
+	$(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 100x ./internal/dispatch
 	$(GO) test -run '^$$' -bench '$(BENCH)' ./internal/routing
 	GOMAXPROCS=4 $(GO) test -run '^$$' -bench '$(BENCH)' -benchtime 100000x ./internal/entry
 
--- /dev/null
+++ b/internal/dispatch/core_bench_test.go
@@ -0,0 +1,378 @@
+package dispatch
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// benchSize is a cluster in which every worker is fenced, engaged and heard.
+type benchSize struct {
+	workers, runs int
+}
+
+func (z benchSize) String() string { return fmt.Sprintf("workers=%d/runs=%d", z.workers, z.runs) }
+
+var benchSizes = []benchSize{{350, 2000}, {1100, 17000}}
+
+const (
+	// benchRack is the number of workers in a rack.
+	benchRack = 20
+	// benchTasks is the number of tasks of a job that runs.
+	benchTasks = 20
+	// benchHear is how often all workers answer, outside what is measured.
+	benchHear = time.Second
+	// benchTick is how far apart two steps are.
+	benchTick = 20 * time.Millisecond
+	// benchRoom is the capacity of a worker in thousandths of a core.
+	benchRoom = 32000
+)
+
+// benchYard drives a core as its node would, with workers that obey.
+type benchYard struct {
+	b     *testing.B
+	core  *Core
+	now   time.Duration
+	heard time.Duration
+	ids   []string
+	ends  map[string]int64
+	jobs  int
+}
+
+func benchCatalog() *workflow.Catalog {
+	return &workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{
+		"plain":   {Name: "plain", Pool: "p", Priority: 1, Attempts: 3},
+		"advised": {Name: "advised", Pool: "p", Priority: 1, Attempts: 3, Advice: &workflow.Advice{Decision: 20 * time.Millisecond, Validity: time.Hour}},
+	}}
+}
+
+func benchSettings() Settings {
+	return Settings{Token: testToken, TermOffset: testOffset, Lease: 6 * time.Second, MaxLease: 10 * time.Second,
+		FormerBound: 11500 * time.Millisecond, Confidence: 5 * time.Second, StopTimeout: 2 * time.Second,
+		GangTimeout: 5 * time.Second, RemoteFactor: 2, CheckpointEvery: 2 * time.Second, StatusRetention: time.Minute}
+}
+
+func benchWorkers(n int) []worker.Info {
+	infos := make([]worker.Info, n)
+	for i := range infos {
+		id := fmt.Sprintf("w%04d", i)
+		infos[i] = worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: 1, Capacity: workflow.Size{MilliCPU: benchRoom, MemoryMiB: 1 << 16},
+			Labels: []string{"std", fmt.Sprintf("r%03d", i/benchRack)}}
+	}
+	return infos
+}
+
+// newBenchYard returns a core with the runs spread evenly over the workers.
+func newBenchYard(b *testing.B, z benchSize) *benchYard {
+	b.Helper()
+	y := &benchYard{b: b, now: time.Minute, ends: map[string]int64{}}
+	y.core = New(benchSettings(), y.now, y.now.Milliseconds())
+	infos := benchWorkers(z.workers)
+	for _, w := range infos {
+		y.ids = append(y.ids, w.ID)
+	}
+	y.step(Configured{benchCatalog()}, WorkersListed{infos})
+	var events []Event
+	rows := make([][]worker.Running, z.workers)
+	for n := 0; n < z.runs; n += benchTasks {
+		j := y.job("plain", workflow.Step{Count: min(benchTasks, z.runs-n), Size: workflow.Size{MilliCPU: 400, MemoryMiB: 512}})
+		events = append(events, JobAccepted{Job: j, Offset: int64(y.jobs)})
+		for i := range j.Steps[0].Count {
+			at := (n + i) % z.workers
+			rows[at] = append(rows[at], worker.Running{Task: taskName(j.ID, i), Run: 1, Load: -1})
+		}
+	}
+	for i, id := range y.ids {
+		events = append(events, Held{Worker: id, Life: y.core.hosts[id].life, Sent: y.now, Lists: worker.Lists{Born: 1, ClockMillis: y.now.Milliseconds(), Running: rows[i]}})
+	}
+	y.step(events...)
+	y.pass(benchTick)
+	y.pass(benchTick)
+	y.check(z.runs)
+	return y
+}
+
+func (y *benchYard) check(runs int) {
+	y.b.Helper()
+	live := 0
+	for _, h := range y.core.order {
+		if !y.core.usable(h) {
+			y.b.Fatalf("worker %s is not usable", h.info.ID)
+		}
+		live += len(h.runs)
+	}
+	if live != runs || len(y.core.waiting) != 0 {
+		y.b.Fatalf("%d live runs and %d waiting steps, want %d and none", live, len(y.core.waiting), runs)
+	}
+}
+
+// liveHeap returns the bytes in use after a collection.
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// reportHeap reports what the core holds beyond what was in use before it.
+func (y *benchYard) reportHeap(before uint64) {
+	y.b.ReportMetric(float64(int64(liveHeap()-before))/1024, "live-KiB")
+	runtime.KeepAlive(y.core)
+}
+
+// job returns a new job of one step that lasts an hour.
+func (y *benchYard) job(queue string, step workflow.Step) *workflow.Job {
+	y.jobs++
+	step.EstimateMillis = longTask.Milliseconds()
+	return &workflow.Job{ID: fmt.Sprintf("j%06d", y.jobs), Queue: queue, Spec: "s", Steps: []workflow.Step{step}, AcceptedMillis: y.now.Milliseconds()}
+}
+
+func (y *benchYard) step(events ...Event) []Effect {
+	return y.core.Step(y.now, y.now.Milliseconds(), events...)
+}
+
+// pass lets time pass, has commits and, now and then, holds answered.
+func (y *benchYard) pass(d time.Duration) {
+	y.now += d
+	events := []Event{RightConfirmed{y.now + 5*time.Second}}
+	if y.core.commits.out {
+		events = append(events, Committed{Number: y.core.commits.number})
+	}
+	if y.now-y.heard >= benchHear {
+		y.heard = y.now
+		for _, id := range y.ids {
+			events = append(events, y.held(id, 0))
+		}
+	}
+	y.step(events...)
+	y.core.Decisions()
+}
+
+// held is a worker's list of what runs there, of which the last runs have ended.
+func (y *benchYard) held(id string, ended int) Held {
+	h := y.core.hosts[id]
+	ev := Held{Worker: id, Life: h.life, Sent: y.now, Lists: worker.Lists{Born: 1, ClockMillis: y.now.Milliseconds()}}
+	runs := h.sortedRuns()
+	for i, r := range runs {
+		if i >= len(runs)-ended {
+			y.ends[id]++
+			ev.Lists.Ends = append(ev.Lists.Ends, worker.End{Number: y.ends[id], Task: r.id, Run: r.number, How: worker.Done})
+			continue
+		}
+		ev.Lists.Running = append(ev.Lists.Running, worker.Running{Task: r.id, Run: r.number, Load: -1,
+			Percent: 100 * (y.now - r.sentAt).Seconds() / longTask.Seconds()})
+	}
+	return ev
+}
+
+// refill has the tasks of a new job running on one worker.
+func (y *benchYard) refill(id string, n int) {
+	j := y.job("plain", workflow.Step{Count: n, Size: workflow.Size{MilliCPU: 400, MemoryMiB: 512}})
+	y.core.take(JobAccepted{Job: j, Offset: int64(y.jobs)})
+	h := y.core.hosts[id]
+	for i := range n {
+		t := y.core.taskOf(taskName(j.ID, i))
+		r := y.core.start(t, h, y.core.nextRun(t), "")
+		y.core.take(Started{Worker: id, Life: h.life, Task: r.id, Run: r.number})
+	}
+}
+
+// accept takes in steps that wait: 38 of single tasks, every third with a bound
+// of one task a worker, and two gangs of eight in one rack; 200 tasks in all.
+// The policy has allowed every worker for each of them.
+func (y *benchYard) accept() []*workflow.Job {
+	var jobs []*workflow.Job
+	for i := range 40 {
+		s := workflow.Step{Count: 5, Size: workflow.Size{MilliCPU: 500 + int64(i%4)*250, MemoryMiB: 512}}
+		switch {
+		case i >= 38:
+			s.Count, s.Gang, s.SameRack = 8, true, true
+		case i >= 32:
+			s.Count = 4
+		}
+		if i%3 == 0 {
+			s.MostPerWorker = 1
+		}
+		j := y.job("advised", s)
+		jobs = append(jobs, j)
+		y.core.take(JobAccepted{Job: j, Offset: int64(y.jobs)})
+		ev := Advised{Step: workflow.StepID{Job: j.ID}, Asked: y.ids}
+		for _, id := range y.ids {
+			ev.Approvals.Approved = append(ev.Approvals.Approved, worker.Approval{Worker: id, Ticket: "t"})
+		}
+		y.core.take(ev)
+	}
+	return jobs
+}
+
+// discard forgets jobs and their runs as if they had never been.
+func (y *benchYard) discard(jobs []*workflow.Job) {
+	c := y.core
+	for _, def := range jobs {
+		j := c.jobs[def.ID]
+		j.cancelled = true
+		for _, s := range j.active[0].steps {
+			for i := range s.tasks {
+				for _, r := range append([]*run(nil), s.tasks[i].runs...) {
+					c.removeRun(r)
+				}
+			}
+		}
+		delete(c.jobs, def.ID)
+	}
+	c.live = c.live[:len(c.live)-len(jobs)]
+	c.commits.next, c.waiting, c.out, c.log = pending{}, nil, nil, nil
+}
+
+// BenchmarkPlacementPass is one pass over 200 waiting tasks that all find room.
+func BenchmarkPlacementPass(b *testing.B) {
+	for _, z := range benchSizes {
+		b.Run(z.String(), func(b *testing.B) {
+			y := newBenchYard(b, z)
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				y.pass(benchTick)
+				jobs := y.accept()
+				y.core.out = nil
+				b.StartTimer()
+				y.core.place()
+				b.StopTimer()
+				started := 0
+				for _, e := range y.core.out {
+					if _, ok := e.(StartTask); ok {
+						started++
+					}
+				}
+				if started != 200 {
+					b.Fatalf("%d tasks were started, want 200", started)
+				}
+				y.discard(jobs)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkPlacementPassFull is one pass over the same tasks where no worker has room.
+func BenchmarkPlacementPassFull(b *testing.B) {
+	for _, z := range benchSizes {
+		b.Run(z.String(), func(b *testing.B) {
+			y := newBenchYard(b, z)
+			for _, h := range y.core.order {
+				h.free = workflow.Size{}
+			}
+			y.accept()
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				y.pass(benchTick)
+				y.core.out = nil
+				b.StartTimer()
+				y.core.place()
+			}
+			if len(y.core.waiting) != 40 {
+				b.Fatalf("%d steps wait, want 40", len(y.core.waiting))
+			}
+		})
+	}
+}
+
+// BenchmarkHeld is a step that takes in one worker's list, with 20 runs and 2 ends.
+func BenchmarkHeld(b *testing.B) {
+	for _, z := range benchSizes {
+		b.Run(z.String(), func(b *testing.B) {
+			y := newBenchYard(b, z)
+			id := y.ids[0]
+			y.refill(id, 22-len(y.core.hosts[id].runs))
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				y.pass(benchTick)
+				ev := y.held(id, 2)
+				if len(ev.Lists.Running) != 20 || len(ev.Lists.Ends) != 2 {
+					b.Fatalf("%d runs and %d ends are listed", len(ev.Lists.Running), len(ev.Lists.Ends))
+				}
+				b.StartTimer()
+				y.step(ev)
+				b.StopTimer()
+				y.refill(id, 2)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkTick is a step with nothing to do; "watch" is one in which runs are
+// looked at too, as they are every 200 ms.
+func BenchmarkTick(b *testing.B) {
+	for _, z := range benchSizes {
+		for _, watch := range []bool{false, true} {
+			name := z.String() + "/plain"
+			if watch {
+				name = z.String() + "/watch"
+			}
+			b.Run(name, func(b *testing.B) {
+				before := liveHeap()
+				y := newBenchYard(b, z)
+				b.ReportAllocs()
+				for b.Loop() {
+					b.StopTimer()
+					y.pass(benchTick)
+					y.now += time.Millisecond
+					y.core.watchAt = never
+					if watch {
+						y.core.watchAt = 0
+					}
+					b.StartTimer()
+					out := y.step(Tick{})
+					b.StopTimer()
+					if len(out) != 0 {
+						b.Fatalf("%d effects of a step with nothing to do, first %T", len(out), out[0])
+					}
+					y.core.watchAt = never
+					b.StartTimer()
+				}
+				b.StopTimer()
+				y.check(z.runs)
+				y.reportHeap(before)
+			})
+		}
+	}
+}
+
+// BenchmarkTakeover is the first step of a term: the events that a node brings,
+// in its order, with every worker engaged by a former holder.
+func BenchmarkTakeover(b *testing.B) {
+	for _, z := range []struct{ workers, jobs int }{{350, 1000}, {1100, 9700}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d", z.workers, z.jobs), func(b *testing.B) {
+			infos := benchWorkers(z.workers)
+			y := &benchYard{b: b, now: time.Minute}
+			events := []Event{Configured{benchCatalog()}}
+			for _, w := range infos {
+				events = append(events, WorkerEngaged{Engagement{Worker: w.ID, Address: w.Address, Pool: w.Pool, Born: w.Born}})
+			}
+			for range z.jobs {
+				j := y.job("plain", workflow.Step{Count: 5, Size: workflow.Size{MilliCPU: 400, MemoryMiB: 512}})
+				j.Steps = append(j.Steps, workflow.Step{Count: 5, Size: j.Steps[0].Size, DependsOn: []int{0}})
+				events = append(events, JobAccepted{Job: j, Offset: int64(y.jobs % testOffset)})
+			}
+			events = append(events, WorkersListed{infos}, RightConfirmed{y.now + 5*time.Second})
+			before := liveHeap()
+			b.ReportAllocs()
+			for b.Loop() {
+				y.core = New(benchSettings(), y.now, y.now.Milliseconds())
+				y.step(events...)
+			}
+			if len(y.core.order) != z.workers || len(y.core.live) != z.jobs {
+				b.Fatalf("%d workers and %d jobs", len(y.core.order), len(y.core.live))
+			}
+			y.reportHeap(before)
+			runtime.KeepAlive(events)
+		})
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -230,7 +230,7 @@
 	if n.term != nil && (!n.tenure.Holds() || n.tenure.Token() != n.term.token) {
 		n.endTerm("the right has passed on")
 	}
-	if n.term != nil && n.reader.othersReach(yieldAfter) {
+	if n.term != nil && n.reader.othersReach(yieldAfter) && n.now() > n.tenure.ConfirmedAt()+yieldUnconfirmed+slowStore*n.tenure.StoreTime() {
 		n.yield(ctx)
 	}
 	if n.term == nil && n.tenure.Holds() && !n.desk.leaving.Load() {
@@ -248,6 +248,13 @@
 // others can, before it gives the right up.
 const yieldAfter = 400 * time.Millisecond
 
+// yieldUnconfirmed is how old the last confirmed beat must be for that, and
+// slowStore of the store's answers more: a slow store is no reason.
+const (
+	yieldUnconfirmed = 700 * time.Millisecond
+	slowStore        = 3
+)
+
 // yield gives the right up and tells the others, since it can't tell the store.
 func (n *Node) yield(ctx context.Context) {
 	token := n.term.token
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -23,9 +23,9 @@
 
 const (
 	// acceptTimeout bounds the store's answer to an accept or a cancel.
-	acceptTimeout = 2000 * time.Millisecond
+	acceptTimeout = 2600 * time.Millisecond
 	// settleTimeout bounds the wait for a record whose answer was lost.
-	settleTimeout = 400 * time.Millisecond
+	settleTimeout = 250 * time.Millisecond
 	// hedgeTime is how long the holder may take while the store is not slow;
 	// hedgeFactor is how many of the store's answers are added to it.
 	hedgeTime   = 500 * time.Millisecond
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -42,7 +42,7 @@
 
 const (
 	// readTimeout bounds a direct read beside its wait.
-	readTimeout = 700 * time.Millisecond
+	readTimeout = 800 * time.Millisecond
 	// followTimeout bounds a read beside its wait, whatever way it takes.
 	followTimeout = 2500 * time.Millisecond
 	// readRetry is the pause after a failed read.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	tenureWait = time.Second
 	jobsWait   = 500 * time.Millisecond
 	// operatorWait is short enough to notice that the store is out of reach.
-	operatorWait = time.Second
+	operatorWait = 700 * time.Millisecond
 )
 
 // Run follows the store and dispatches while this node holds the right, until
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -41,7 +41,7 @@
 	// flushTime bounds the wait for the last log lines to be read.
 	flushTime = 300 * time.Millisecond
 	// claimSpread spreads the claims of nodes that start at the same time.
-	claimSpread = 200 * time.Millisecond
+	claimSpread = 100 * time.Millisecond
 	// recentBytes is how much of the newest log lines is kept for explain.
 	recentBytes = 512 << 10
 	// memoryShare is the share of the memory limit that the heap may take.
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -28,6 +28,9 @@
 // beforehand is how long before the job's first line others may have led to it.
 const beforehand = 3 * time.Second
 
+// afterwards is how long after a refusal the reads that led to it may be logged as failed.
+const afterwards = 3 * time.Second
+
 // Tell tells the story of the log's job.
 func (l *Log) Tell() Story {
 	s := Story{ID: l.id}
@@ -62,6 +65,9 @@
 		}
 	}
 	begin, end := all[first].Time.Add(-beforehand), all[last].Time
+	if all[last].Kind == "job-refused" {
+		end = end.Add(afterwards)
+	}
 	moved := map[string]bool{}
 	var span []Line
 	for _, x := range all {
@@ -137,13 +143,16 @@
 // cause says how the job stands by its newest telling line.
 func cause(lines []Line) string {
 	started := false
-	var waits, refused, unknown, accepted, ended *Line
+	var start, waited, waits, refused, unknown, accepted, ended *Line
 	failed := map[string]int{}
 	for i := range lines {
 		l := &lines[i]
 		switch l.Kind {
 		case "task-started":
-			started = true
+			if !started {
+				start, waited = l, waits
+			}
+			started, waits = true, nil
 		case "task-ended", "start-refused":
 			if o := l.Text("outcome"); o != "done" {
 				failed[o]++
@@ -166,6 +175,9 @@
 		fmt.Fprintf(&b, "the job is over: %s%s", ended.Text("outcome"), because(ended))
 	case started:
 		b.WriteString("the job has started, and no line tells its end")
+		if waits != nil {
+			fmt.Fprintf(&b, "; tasks still wait for %s%s", waits.Text("outcome"), because(waits))
+		}
 	case waits != nil:
 		fmt.Fprintf(&b, "the job was never started: its tasks wait for %s%s", waits.Text("outcome"), because(waits))
 	case accepted != nil:
@@ -177,6 +189,9 @@
 	default:
 		b.WriteString("the lines tell neither an acceptance nor an end")
 	}
+	if waited != nil {
+		fmt.Fprintf(&b, "; its first start came after %s ms, last for want of %s%s", start.Text("queued_ms"), waited.Text("outcome"), because(waited))
+	}
 	if len(failed) > 0 && (ended == nil || ended.Text("outcome") != "completed") {
 		for _, o := range sortedKeys(failed) {
 			fmt.Fprintf(&b, "; %d × %s", failed[o], o)
@@ -236,6 +251,9 @@
 		if k == "task" {
 			v = strings.TrimPrefix(v, l.Job+".")
 		}
+		if k == "error" {
+			v = brief(v)
+		}
 		if strings.ContainsAny(v, " ") {
 			v = "\"" + v + "\""
 		}
@@ -250,3 +268,12 @@
 	put("reason")
 	return b.String()
 }
+
+// brief leaves out the middle of a long error: what failed and why remain.
+func brief(s string) string {
+	parts := strings.Split(s, ": ")
+	if len(s) <= 80 || len(parts) < 4 {
+		return s
+	}
+	return parts[0] + ": … : " + parts[len(parts)-1]
+}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -70,6 +70,36 @@
 	g.Expect(s.Cause).To(ContainSubstring("no line names the job"))
 }
 
+// TestTornLine reads the whole object that follows the beginning of a torn one, whoever
+// that is of, and tells how long a job waited before it started.
+func TestTornLine(t *testing.T) {
+	g := NewWithT(t)
+	waits := `{"time":"2026-01-02T10:00:02.500Z","level":"info","msg":"decision","kind":"job-waits","node":"h2","job":"aa00000000000001","task":"aa00000000000001.0.0.0","outcome":"room","reason":"room 3, of 3 workers"}`
+	start := `{"time":"2026-01-02T10:00:04.500Z","level":"info","msg":"decision","kind":"task-started","node":"h2","job":"aa00000000000001","task":"aa00000000000001.0.0.0","worker":"w1","run":1,"queued_ms":4100}`
+	for _, torn := range []string{
+		`  13.2 e1 {"time":"2026-01-02T10:00:02.400Z","level":"info","msg":"decision","job":"bb","kind":"tas  13.3 h2 `,
+		`  13.2 e1 {"time":"2026-01-02T10:00:02.400Z","level":"info","msg":"decision","job":"aa00000000000001","kind":"ta`,
+		`  13.2 e1 {"ti  13.3 h2 `, `  13.2 e1 {  13.3 h2 {`,
+	} {
+		s, text := tell(t, "aa00000000000001", torn+waits+"\n"+start+"\n")
+		g.Expect(kinds(s)).To(Equal([]string{"job-waits", "task-started"}), text)
+		g.Expect(s.Cause).To(Equal("the job has started, and no line tells its end; its first start came after 4100 ms, last for want of room (room 3, of 3 workers)"))
+		s, _ = tell(t, "aa00000000000001", start+"\n"+torn+strings.ReplaceAll(waits, "02.500Z", "05.500Z")+"\n")
+		g.Expect(s.Cause).To(Equal("the job has started, and no line tells its end; tasks still wait for room (room 3, of 3 workers)"))
+	}
+}
+
+// TestBriefError keeps what failed and why of a long error, and the whole of a short one.
+func TestBriefError(t *testing.T) {
+	g := NewWithT(t)
+	lost := func(e string) string {
+		return `{"time":"2026-01-02T10:00:00.300Z","level":"warning","msg":"reads fail","kind":"dependency-lost","node":"e1","view":"jobs","error":"` + e + `","reason":"not-done"}` + "\n"
+	}
+	_, text := tell(t, "aa00000000000002", entries, lost("read: x: store: "+strings.Repeat("y", 70)+": timeout")+lost("store: not done: canceled"))
+	g.Expect(text).To(ContainSubstring(`error="read: … : timeout" view=jobs reason=not-done`))
+	g.Expect(text).To(ContainSubstring(`error="store: not done: canceled" view=jobs reason=not-done`))
+}
+
 // TestDay tells stories of a real day's log, whose times are of whole seconds
 // and which the collector's times put in order.
 func TestDay(t *testing.T) {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -61,7 +61,7 @@
 
 // DefaultTiming returns the bounds in use.
 func DefaultTiming() Timing {
-	return Timing{Beat: 450 * time.Millisecond, Silence: 1250 * time.Millisecond, Suspicion: 600 * time.Millisecond, Confidence: 5 * time.Second}
+	return Timing{Beat: 330 * time.Millisecond, Silence: 950 * time.Millisecond, Suspicion: 600 * time.Millisecond, Confidence: 5 * time.Second}
 }
 
 // Act is what is to be done next.
@@ -170,6 +170,12 @@
 	return s.confirmedAt + s.timing.Confidence
 }
 
+// ConfirmedAt returns when the newest confirmed record of this node was sent.
+func (s *State) ConfirmedAt() time.Duration { return s.confirmedAt }
+
+// StoreTime returns how long the store took to answer the last act.
+func (s *State) StoreTime() time.Duration { return s.took }
+
 // End returns the offset to read from, -1 before the first read.
 func (s *State) End() int64 { return s.end }
 
