--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,7 @@
 // The pauses between reads of the feeds.
 const (
 	// viewPause bounds how far a node's view of the jobs lags behind the holder's.
-	viewPause = 80 * time.Millisecond
+	viewPause = 100 * time.Millisecond
 	// holderPause is how far the holder lags behind what others write directly.
 	holderPause   = 120 * time.Millisecond
 	tenurePause   = 50 * time.Millisecond
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,7 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &api.ReadResponse{Records: encode(b.Records), Next: b.Next, End: b.End}, nil
+	resp := &api.ReadResponse{Records: encode(b.Records), Next: b.Next, End: b.End}
+	return resp, pack(resp)
 }
 
 // Newest implements the Peer service.
@@ -165,6 +166,9 @@
 	if resp.GetExpired() {
 		return store.Batch{}, &store.ExpiredError{First: resp.GetFirst()}
 	}
+	if err := unpack(resp); err != nil {
+		return store.Batch{}, &relayError{err}
+	}
 	return store.Batch{Records: decode(resp.GetRecords()), Next: resp.GetNext(), End: resp.GetEnd()}, nil
 }
 
