--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,10 +49,14 @@
 	began   time.Duration
 	catalog *workflow.Catalog
 	hosts   map[string]*host
-	order   []*host
-	pools   map[string][]*host
-	lives   int64
-	jobs    map[string]*job
+	// round numbers the times at which candidates are worked out anew.
+	round int64
+	// unsorted tells that hosts have come that order and pools lack.
+	unsorted bool
+	order    []*host
+	pools    map[string][]*host
+	lives    int64
+	jobs     map[string]*job
 	// live holds the jobs that are not over, in order of acceptance.
 	live []*job
 	// waiting holds the steps that have tasks to start.
@@ -99,6 +103,7 @@
 // returns what is to be done. Times never decrease.
 func (c *Core) Step(now time.Duration, wall int64, events ...Event) []Effect {
 	c.now, c.wall = now, wall
+	c.round++
 	c.out = nil
 	for _, ev := range events {
 		c.take(ev)
@@ -106,6 +111,9 @@
 	if c.stopped {
 		return c.out
 	}
+	if c.unsorted {
+		c.sortHosts()
+	}
 	c.lapse()
 	c.liftBarrier()
 	c.wakeOccurrences()
@@ -416,6 +424,7 @@
 }
 
 func (c *Core) sortHosts() {
+	c.unsorted = false
 	c.order = c.order[:0]
 	clear(c.pools)
 	for _, h := range c.hosts {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -27,6 +27,10 @@
 	// free is the capacity less all that runs, may run, or is being stopped.
 	free workflow.Size
 	runs map[runKey]*run
+	// sorted holds the runs in order, or nil since one has come or gone.
+	sorted []*run
+	// chase tells that orders may have to be sent again.
+	chase bool
 	// clock is the worker's clock at the local time clockAt, a lower bound.
 	clock   int64
 	clockAt time.Duration
@@ -63,7 +67,8 @@
 	leavesAt time.Duration
 	leaves   bool
 	// reserved is the step that the room is kept for.
-	reserved *step
+	reserved      *step
+	reservedUntil time.Duration
 }
 
 type runKey struct {
@@ -140,7 +145,7 @@
 	h := c.hosts[e.Worker]
 	if h == nil {
 		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Born: e.Born})
-		c.sortHosts()
+		c.unsorted = true
 	}
 	if h.info.Born != 0 && e.Born != 0 && h.info.Born > e.Born {
 		return // that life is over
@@ -310,7 +315,9 @@
 // take books a run, give gives its room back.
 func (h *host) take(r *run) {
 	h.free = h.free.Sub(r.size)
+	r.name = r.id.String()
 	h.runs[r.key()] = r
+	h.sorted = nil
 	h.count(r, 1)
 }
 
@@ -338,16 +345,21 @@
 	}
 	h.free = h.free.Add(r.size)
 	delete(h.runs, r.key())
+	h.sorted = nil
 	h.count(r, -1)
 }
 
+// sortedRuns returns the runs in order. Callers must not change the slice; it
+// stays as it is when runs come or go.
 func (h *host) sortedRuns() []*run {
-	rs := make([]*run, 0, len(h.runs))
-	for _, r := range h.runs {
-		rs = append(rs, r)
+	if h.sorted == nil && len(h.runs) > 0 {
+		h.sorted = make([]*run, 0, len(h.runs))
+		for _, r := range h.runs {
+			h.sorted = append(h.sorted, r)
+		}
+		sortRuns(h.sorted)
 	}
-	sortRuns(rs)
-	return rs
+	return h.sorted
 }
 
 // clockNow estimates the worker's clock; it is never ahead of the true one by
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -64,6 +64,11 @@
 	queued bool
 	// perWorker counts live runs by worker, for steps with a bound on it.
 	perWorker map[*host]int
+	// candidates are the workers worked out in the round candidatesOf.
+	candidates   []*host
+	candidatesOf int64
+	// preemptAt is when work may be stopped for the step again.
+	preemptAt time.Duration
 	advice    advice
 	gang      gang
 	// typical is how long the step's tasks take, as worked out at typicalAt.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -12,9 +12,12 @@
 	if !c.mayOrder() {
 		return
 	}
+	c.round++
 	c.sortWaiting()
 	for _, h := range c.order {
-		h.reserved = nil
+		if h.reserved != nil && (c.now >= h.reservedUntil || !h.reserved.queued) {
+			h.reserved = nil
+		}
 	}
 	fresh := map[string]int{}
 	kept := c.waiting[:0]
@@ -71,6 +74,7 @@
 	}
 	if left {
 		c.keepAsking(s, fresh)
+		c.preempt(s)
 	}
 	return !left
 }
@@ -130,7 +134,7 @@
 	size := s.def.Counted()
 	var best *host
 	top := 0.0
-	for _, h := range c.pools[s.occ.job.queue.Pool] {
+	for _, h := range c.candidates(s) {
 		if !size.Within(h.free) || in != nil && !in(h) || !c.feasible(t, h) {
 			continue
 		}
@@ -169,26 +173,38 @@
 	return s.occ.job.queue.Advice == nil || s.advice.allowed[h.info.ID]
 }
 
-// feasible checks everything but the room.
+// feasible checks of a candidate what starts in the same round may change, and
+// what the task asks.
 func (c *Core) feasible(t *task, h *host) bool {
 	s := t.step
-	if !c.usable(h) || !h.hasLabel(s.def.Requires) {
-		return false
-	}
 	if s.perWorker != nil && s.perWorker[h] >= s.def.MostPerWorker {
 		return false
 	}
-	if h.reserved != nil && h.reserved != s {
+	if h.reserved != nil && h.reserved != s && h.reserved.occ.job.queue.Priority <= s.occ.job.queue.Priority {
 		return false
 	}
 	if h.health.probing && len(h.runs) > 0 {
 		return false
 	}
-	if t.avoid == h && c.now < t.avoidUntil {
-		return false
+	return t.avoid != h || c.now >= t.avoidUntil
+}
+
+// candidates returns the workers that may take tasks of the step now, but for
+// room and what each task asks. They are worked out once a round.
+func (c *Core) candidates(s *step) []*host {
+	if s.candidatesOf == c.round {
+		return s.candidates
+	}
+	s.candidatesOf, s.candidates = c.round, s.candidates[:0]
+	for _, h := range c.pools[s.occ.job.queue.Pool] {
+		if !c.usable(h) || !h.hasLabel(s.def.Requires) {
+			continue
+		}
+		if _, ok := c.ticketFor(s, h); ok {
+			s.candidates = append(s.candidates, h)
+		}
 	}
-	_, ok := c.ticketFor(s, h)
-	return ok
+	return s.candidates
 }
 
 const (
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -22,8 +22,10 @@
 // the task is known, in the task's runs until it surely runs no more.
 type run struct {
 	// task is nil for a run that nobody asked this holder for.
-	task   *task
-	id     workflow.TaskID
+	task *task
+	id   workflow.TaskID
+	// name is id in text, kept for sorting.
+	name   string
 	number int64
 	host   *host
 	size   workflow.Size
@@ -57,8 +59,8 @@
 
 func sortRuns(rs []*run) {
 	sort.Slice(rs, func(a, b int) bool {
-		if rs[a].id != rs[b].id {
-			return rs[a].id.String() < rs[b].id.String()
+		if rs[a].name != rs[b].name {
+			return rs[a].name < rs[b].name
 		}
 		return rs[a].number < rs[b].number
 	})
@@ -141,7 +143,7 @@
 func (c *Core) sendStart(r *run) {
 	h := r.host
 	r.tries++
-	r.orderOut, r.orderAt = true, c.now
+	r.orderOut, r.orderAt, h.chase = true, c.now, true
 	deadline := c.clockNow(h) + c.set.Lease.Milliseconds()
 	h.granted = max(h.granted, deadline)
 	c.emit(StartTask{Life: h.life, Start: worker.Start{
@@ -253,7 +255,7 @@
 
 func (c *Core) sendStop(r *run) {
 	r.tries++
-	r.orderOut, r.orderAt = true, c.now
+	r.orderOut, r.orderAt, r.host.chase = true, c.now, true
 	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: patience(r.tries)})
 }
 
@@ -288,10 +290,12 @@
 // chaseOrders sends orders again that had no answer.
 func (c *Core) chaseOrders() {
 	for _, h := range c.order {
-		if len(h.runs) == 0 {
+		if !h.chase {
 			continue
 		}
-		for _, r := range h.sortedPending() {
+		pending := h.sortedPending()
+		h.chase = len(pending) > 0
+		for _, r := range pending {
 			if r.orderOut || c.now < r.nextOrder {
 				continue
 			}
@@ -311,7 +315,7 @@
 func (h *host) sortedPending() []*run {
 	var rs []*run
 	for _, r := range h.runs {
-		if r.state == starting && r.doubtful || r.state == stopping && r.stopAcked == 0 {
+		if r.state == starting || r.state == stopping && r.stopAcked == 0 {
 			rs = append(rs, r)
 		}
 	}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -53,6 +53,7 @@
 		}
 		if stalled >= stallsToIsolate {
 			h.health.isolate(c.now)
+			c.round++
 			c.decide(Decision{Kind: "worker-isolated", Worker: h.info.ID, Reason: "its tasks stand still"})
 		}
 	}
