Passes stay short however much waits; a worker's next life may have answered a start

Change: of a long line the head of 24 steps and 16 more in turn are looked at, at most each 50 ms if nothing changed; carried runs count with the longest lease; starts of the last 3 s are carried over.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -156,6 +156,7 @@
 			m.forget = append(m.forget, j)
 		}
 	}
+	c.dirty = c.dirty || len(sent.telling) > 0
 	for _, x := range sent.telling {
 		x.host.engaged, x.host.engaging = true, false
 		if x.host.silence == x.silence {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,6 +49,9 @@
 	began   time.Duration
 	catalog *workflow.Catalog
 	hosts   map[string]*host
+	// lines counts the waiting steps by pool; placedAt is when the last pass was.
+	lines    map[string]*line
+	placedAt time.Duration
 	// round numbers the times at which candidates are worked out anew.
 	round int64
 	// unsorted tells that hosts have come that order and pools lack.
@@ -95,7 +98,7 @@
 		set: set, now: now, wall: wall, began: now, barrier: true,
 		catalog: &workflow.Catalog{},
 		hosts:   map[string]*host{}, pools: map[string][]*host{},
-		jobs: map[string]*job{}, suspects: map[string]*host{}, lastEnds: map[string]lastEnd{}, reasons: Counters{}, commits: newCommits(),
+		jobs: map[string]*job{}, suspects: map[string]*host{}, lastEnds: map[string]lastEnd{}, lines: map[string]*line{}, reasons: Counters{}, commits: newCommits(),
 	}
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -128,6 +128,10 @@
 	h.absences = 0
 	h.confirmedAt = max(h.confirmedAt, ev.Sent)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
+	if h.granted == 0 && len(h.runs) > 0 {
+		// Starts that were meant for its former life may have been granted this.
+		h.granted = h.clock + c.set.MaxLease.Milliseconds()
+	}
 	first := !h.fenced
 	h.fenced = true
 	if first {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -198,6 +198,9 @@
 // lateBound is how long after it was sent an order may be carried out.
 const lateBound = 15 * time.Second
 
+// recentStart is how long a worker's next life may go unnoticed.
+const recentStart = 3 * time.Second
+
 // lateOrders returns the starts that may yet be carried out.
 func (h *host) lateOrders(now time.Duration) []doubt {
 	var out []doubt
@@ -207,7 +210,8 @@
 		}
 	}
 	for _, r := range h.sortedRuns() {
-		if r.state == starting && r.orderOut && !r.doubtful {
+		// A start that was answered lately may have been answered by the next life.
+		if r.state == starting && r.orderOut && !r.doubtful || !r.doubtful && now-r.sentAt < recentStart {
 			out = append(out, r.doubt(now))
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -9,11 +9,13 @@
 
 // place starts waiting tasks, the most urgent first.
 func (c *Core) place() {
-	if !c.mayOrder() {
+	if !c.mayOrder() || !c.dirty && c.now-c.placedAt < placeEvery {
 		return
 	}
+	c.placedAt = c.now
 	c.round++
 	c.sortWaiting()
+	c.countWaiting()
 	for _, h := range c.order {
 		if h.reserved != nil && (c.now >= h.reservedUntil || !h.reserved.queued) {
 			h.reserved = nil
@@ -22,7 +24,7 @@
 	fresh := map[string]int{}
 	kept := c.waiting[:0]
 	for _, s := range c.waiting {
-		if c.placeStep(s, fresh) {
+		if c.looksAt(s) && c.placeStep(s, fresh) {
 			s.queued = false
 			continue
 		}
@@ -36,6 +38,55 @@
 	c.dirty = false
 }
 
+// line counts a pool's waiting steps within one pass.
+type line struct {
+	// waiting is how many there are, seen how many were passed in order.
+	waiting, seen int
+	// from is where the next part of a long line begins.
+	from int
+}
+
+// countWaiting counts the waiting steps of each pool. Of a long line only the
+// head and a part of the rest, in turn, are looked at in one pass, so that a
+// pass stays short however much waits.
+func (c *Core) countWaiting() {
+	for _, l := range c.lines {
+		if l.from += linePart; l.from >= l.waiting {
+			l.from = lineHead
+		}
+		l.waiting, l.seen = 0, 0
+	}
+	for _, s := range c.waiting {
+		c.lineOf(s).waiting++
+	}
+}
+
+func (c *Core) lineOf(s *step) *line {
+	pool := s.occ.job.queue.Pool
+	l := c.lines[pool]
+	if l == nil {
+		l = &line{from: lineHead}
+		c.lines[pool] = l
+	}
+	return l
+}
+
+// looksAt reports whether a waiting step's turn has come in this pass.
+func (c *Core) looksAt(s *step) bool {
+	l := c.lineOf(s)
+	i := l.seen
+	l.seen++
+	return l.waiting <= lineHead+linePart || i < lineHead || i >= l.from && i < l.from+linePart ||
+		s.occ.job.over() || s.finished()
+}
+
+const (
+	// placeEvery is how often a pass is made when nothing has changed.
+	placeEvery = 50 * time.Millisecond
+	// lineHead and linePart bound the waiting steps of a pool that are looked at in one pass.
+	lineHead, linePart = 24, 16
+)
+
 func (c *Core) sortWaiting() {
 	sort.SliceStable(c.waiting, func(a, b int) bool {
 		x, y := c.waiting[a].occ.job, c.waiting[b].occ.job
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -161,6 +161,9 @@
 }
 
 func (c *Core) heard(h *host) {
+	if h.silent > 0 {
+		c.dirty = true
+	}
 	h.heardAt, h.silent = c.now, 0
 }
 
