Take out state that nothing reads; slices.Contains in place of a loop

Found on reading the whole change: a host's holdSent and a node's stop were written only, the cost of an ended call for advice was passed on and ignored, and containsRun was the library's slices.Contains.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Core) hold(h *host) {
-	h.holding, h.holdSent = true, c.now
+	h.holding = true
 	hold := worker.Hold{Order: c.orderTo(h), LastSeen: h.noted}
 	// A worker that is silent is asked without extending: its leases must run out.
 	if c.mayOrder() && h.clock > 0 && !h.lost() && len(h.runs) > 0 {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -53,7 +53,6 @@
 	seen, noted int64
 	toldNoted   int64
 	holding     bool
-	holdSent    time.Duration
 	nextHold    time.Duration
 	health      health
 	// speed is how fast runs end there by their estimates; 0 is not known yet.
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -106,7 +107,7 @@
 	}
 	var list []*run
 	for _, r := range c.preemptible(s, h) {
-		if containsRun(taken, r) || !helps(r.size, size, free) {
+		if slices.Contains(taken, r) || !helps(r.size, size, free) {
 			continue
 		}
 		list = append(list, r)
@@ -152,12 +153,3 @@
 		wants.MemoryMiB > free.MemoryMiB && has.MemoryMiB > 0 ||
 		wants.Accelerators > free.Accelerators && has.Accelerators > 0
 }
-
-func containsRun(list []*run, r *run) bool {
-	for _, x := range list {
-		if x == r {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -123,7 +123,7 @@
 	case termBegun:
 		n.takeTerm(ev)
 	case adviceEnded:
-		n.members.ended(ev.node, ev.cost, ev.failed, n.now())
+		n.members.ended(ev.node, ev.failed, n.now())
 	case inspectAsked:
 		n.inspector.ask(ev.Want)
 	case yielded:
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -131,7 +131,7 @@
 		if err != nil {
 			n.ports.Count("retry", "advice-failed")
 		}
-		n.send(t.ctx, adviceEnded{node: m.node, cost: e.Cost, failed: err != nil})
+		n.send(t.ctx, adviceEnded{node: m.node, failed: err != nil})
 		back(dispatch.Advised{Step: e.Step, Asked: e.Workers, Approvals: a, Failed: err != nil})
 	})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -42,7 +42,6 @@
 // adviceEnded tells that a call through a node is over.
 type adviceEnded struct {
 	node   string
-	cost   time.Duration
 	failed bool
 }
 
@@ -141,7 +140,7 @@
 	return best
 }
 
-func (m *members) ended(node string, _ time.Duration, failed bool, now time.Duration) {
+func (m *members) ended(node string, failed bool, now time.Duration) {
 	x := m.nodes[node]
 	if x == nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,7 +73,6 @@
 	// holding is the token of this node's term, or 0.
 	holding atomic.Int64
 	address string
-	stop    context.CancelFunc
 	leave   chan struct{}
 	left    chan struct{}
 	views   *views
@@ -174,8 +173,8 @@
 // Run follows the store and dispatches while this node holds the right, until
 // the context ends.
 func (n *Node) Run(ctx context.Context) {
-	ctx, n.stop = context.WithCancel(ctx)
-	defer n.stop()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
