A worker is told which ends are noted only after a hold that its present life answered

A start is answered by the next life, which took the host for heard again, so the hold after it carried the former life's number of noted ends. The next life forgot an end 'done' that nobody had read; the task was started again. Ruled out: late holds (strict lives refuse them), two holders, the start itself (it was stopped as it should be). Change: a hold carries the number only if the last hold brought lists. A crash always breaks the hold on its way. TestAnsweredStartDoesNotShowThatTheLifeIsTheSame failed first.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -346,6 +346,30 @@
 	b.Expect(running[0].Run).To(BeNumerically(">", b.starts[0].Start.Run))
 }
 
+func TestAnsweredStartDoesNotShowThatTheLifeIsTheSame(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.accept("i", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.run(time.Second)
+	w := b.workers["w1"]
+	w.end(taskName("i", 0), worker.Done)
+	b.run(time.Second)
+	b.Expect(b.holdOf("w1").Hold.LastSeen).To(BeEquivalentTo(1))
+	w.waits = true
+	b.next = append(b.next, Held{Worker: "w1", Life: b.holdOf("w1").Life, Code: worker.Unknown, Sent: b.now})
+	b.run(100 * time.Millisecond)
+	b.accept("j", testOffset+2, workflow.Step{}, workflow.Progress{})
+	b.run(100 * time.Millisecond)
+	b.Expect(b.startsOn("j")).To(Equal([]string{"w1"}), "the next life may have taken it")
+	b.next = append(b.next, Held{Worker: "w1", Life: b.holdOf("w1").Life, Code: worker.Unknown, Sent: b.now - time.Second})
+	b.run(time.Second)
+	b.Expect(b.holdOf("w1").Hold.LastSeen).To(BeZero(), "the next life may have an end of that number")
+	w.waits = false
+	b.answer(b.holdOf("w1"))
+	b.run(time.Second)
+	b.Expect(b.holdOf("w1").Hold.LastSeen).To(BeEquivalentTo(1))
+}
+
 func TestTasksOfAWorkerWhoseAddressWasReusedStartElsewhereAtOnce(t *testing.T) {
 	b := newBed(t, "w1", "w2")
 	b.list("w2")
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -50,7 +50,7 @@
 		hold.DeadlineMillis = c.clockNow(h) + c.set.Lease.Milliseconds()
 		h.granted = max(h.granted, hold.DeadlineMillis)
 	}
-	if h.silent > 0 {
+	if h.silent > 0 || h.holdFailed {
 		// Another life may answer: what this one noted must not make that one
 		// forget its own ends.
 		hold.LastSeen = 0
@@ -93,6 +93,7 @@
 		return
 	}
 	h.holding = false
+	h.holdFailed = ev.Code != worker.OK
 	switch ev.Code {
 	case worker.OK:
 	case worker.WrongLife:
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -54,7 +54,10 @@
 	toldNoted   int64
 	holding     bool
 	nextHold    time.Duration
-	health      health
+	// holdFailed tells that the last hold had no lists for an answer, so the
+	// worker may have another life since.
+	holdFailed bool
+	health     health
 	// speed is how fast runs end there by their estimates; 0 is not known yet.
 	speed float64
 	// serving counts the runs with a target of latency; fill is the capacity
