Each new life of a worker is told to stop the starts that may yet come late

A start without an answer may come up to 15 s late, and a worker may be born anew several times in that time. Only the first of these lives was told to stop it. Change: rebirth hands the doubts on. TestEveryLifeIsToldToStopAStartThatMayYetComeLate failed first.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -370,6 +370,28 @@
 	b.Expect(b.holdOf("w1").Hold.LastSeen).To(BeEquivalentTo(1))
 }
 
+func TestEveryLifeIsToldToStopAStartThatMayYetComeLate(t *testing.T) {
+	b := newBed(t, "w1", "w2")
+	b.list("w2")
+	b.run(500 * time.Millisecond)
+	w := b.workers["w1"]
+	w.silent = true
+	b.accept("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.run(100 * time.Millisecond)
+	b.Expect(b.startsOn("j")).NotTo(BeEmpty())
+	b.list()
+	first := b.starts[0].Start.Run
+	for life := int64(2); life <= 4; life++ {
+		b.stops = nil
+		w.silent, w.born = false, b.now
+		w.lists = worker.Lists{Born: life}
+		b.run(2 * time.Second)
+		b.Expect(b.stops).NotTo(BeEmpty(), "life %d", life)
+		b.Expect(b.stops[0].Stop.Run).To(Equal(first))
+		b.Expect(b.stops[0].Stop.Worker).To(Equal("w1"))
+	}
+}
+
 func TestTasksOfAWorkerWhoseAddressWasReusedStartElsewhereAtOnce(t *testing.T) {
 	b := newBed(t, "w1", "w2")
 	b.list("w2")
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -188,6 +188,8 @@
 	c.endLife(h, why)
 	next := c.newHost(info)
 	next.listed = true
+	// A life after the next may be there when they come.
+	next.doubts = late
 	for _, d := range late {
 		r := &run{task: d.task, id: d.id, number: d.number, host: next, size: d.size, sentAt: c.now, doubtful: true, load: -1}
 		r.pace.percent = fullPace
