Serving resumes sooner after an outage of the store; no yield when it is back for all

The first read of the configuration waited for a record (700 ms) before it showed that the store answers; probes were sent only by feeds that were not waiting for a peer themselves; and the holder yielded, since a peer had read the store 0.1 s before it tried again. Change: a read after a failed one doesn't wait; one prober a node tries the store every 250 ms while it is out, also while a try hangs; the holder yields only after a direct try begun after a peer's success has failed.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosaspool/mimosaspool/internal/emulator"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -314,3 +315,28 @@
 		})
 	}
 }
+
+func TestServingResumesSoonAfterAnOutageOfTheStore(t *testing.T) {
+	const outage, soon = 4 * time.Second, 350 * time.Millisecond
+	for what, fault := range map[string]func(l *emulator.Log){
+		"refusing": func(l *emulator.Log) { l.Refuse(true) },
+		"silent":   func(l *emulator.Log) { l.Down(true) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			play(t, func(c *cluster) {
+				holder := c.holder()
+				token := holder.node.holding.Load()
+				fault(c.log)
+				c.pass(outage + time.Duration(c.random.IntN(250))*time.Millisecond)
+				c.log.Calm()
+				time.Sleep(soon)
+				for _, p := range c.up() {
+					_, _, o := p.node.Desk().Match("h", "/plain/x")
+					c.Expect(o.Code).To(Equal(intake.OK), "%s: %s", p.name, o.Reason)
+				}
+				time.Sleep(2 * time.Second)
+				c.Expect(holder.node.holding.Load()).To(Equal(token), "nobody else was nearer to the store")
+			})
+		})
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -52,6 +52,7 @@
 // follow reads the feed until the context ends and hands each reading to take.
 func follow(ctx context.Context, s store.Reader, f feed, take func(reading)) {
 	next, term := int64(-1), int64(0)
+	failed := false
 	for ctx.Err() == nil {
 		if f.term != nil {
 			now := f.term()
@@ -67,11 +68,17 @@
 			next = max(next, f.position())
 		}
 		began := time.Now()
-		r := readOnce(ctx, s, f, next)
+		turn := f
+		if failed {
+			// The end of the failures is to be known before the next record comes.
+			turn.wait = 0
+		}
+		r := readOnce(ctx, s, turn, next)
 		if ctx.Err() != nil {
 			return
 		}
 		take(r)
+		failed = r.err != nil
 		switch {
 		case r.err == nil:
 			next = r.next
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 		members: newMembers(set.Node), events: make(chan any, eventQueue), address: address,
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
 	}
-	n.reader = &relay{back: make(chan struct{}), direct: ports.Store, peers: ports.Peers, addresses: n.otherAddresses, count: ports.Count}
+	n.reader = newRelay(ports.Store, ports.Peers, n.otherAddresses, ports.Count)
 	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
@@ -181,6 +181,7 @@
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
 	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
+	go n.reader.probe(ctx)
 	go n.desk.direct.run(ctx)
 	go n.register(ctx)
 	n.control(ctx)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// relayFor is how long reads go through peers after a direct one has failed;
-	// then the store is tried every probeEvery.
-	relayFor   = 500 * time.Millisecond
+	// probeEvery is how often the store is tried while it is out of reach, with
+	// a new call also while the last one waits for its answer.
 	probeEvery = 250 * time.Millisecond
 	// probeTimeout bounds such a try.
 	probeTimeout = 450 * time.Millisecond
@@ -25,6 +24,12 @@
 	relayTries = 2
 )
 
+// newRelay returns a relay whose store is taken to be in reach.
+func newRelay(direct store.Reader, peers Peers, addresses func() []string, count func(kind, reason string)) *relay {
+	return &relay{direct: direct, peers: peers, addresses: addresses, count: count,
+		back: make(chan struct{}), lost: make(chan struct{}, 1)}
+}
+
 // relay reads the store directly, or through peers while it can't be reached.
 type relay struct {
 	direct store.Reader
@@ -33,29 +38,48 @@
 	addresses func() []string
 	count     func(kind, reason string)
 
-	mu        sync.Mutex
-	downUntil time.Time
-	down      bool
+	mu   sync.Mutex
+	down bool
 	// downSince is when the present time out of reach began; throughAt is when
 	// a read through a peer last succeeded.
 	downSince, throughAt time.Time
+	// throughSince is when the first such read succeeded since downSince;
+	// cutOff tells that a direct one begun later has failed.
+	throughSince time.Time
+	cutOff       bool
 	// back is closed when the store is in reach again, so that reads that
 	// wait on silent connections are given up.
 	back chan struct{}
+	// lost gets a value when the store goes out of reach.
+	lost chan struct{}
 	// next is the peer to ask first.
 	next int
 }
 
-// state tells whether the store was out of reach, and whether it is time to
-// try it again.
-func (r *relay) state() (down, probe bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.down && time.Now().After(r.downUntil) {
-		r.downUntil = time.Now().Add(probeEvery)
-		return true, true
+// probe tries the store while it is out of reach, until the context ends.
+func (r *relay) probe(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.lost:
+		}
+		for pauseFor(ctx, probeEvery); ctx.Err() == nil && r.isDown(); pauseFor(ctx, probeEvery) {
+			go r.try(ctx)
+		}
 	}
-	return r.down, false
+}
+
+// try reads the least that there is.
+func (r *relay) try(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	began := time.Now()
+	if _, err := r.direct.Newest(ctx, tenurePartition, ""); err != nil {
+		r.missed(began)
+		return
+	}
+	r.set(false)
 }
 
 func (r *relay) set(down bool) {
@@ -65,13 +89,40 @@
 		close(r.back)
 		r.back = make(chan struct{})
 	}
+	if down != r.down {
+		r.throughSince, r.cutOff = time.Time{}, false
+	}
 	if down && !r.down {
 		r.downSince = time.Now()
-		r.downUntil = time.Now().Add(relayFor)
+		select {
+		case r.lost <- struct{}{}:
+		default:
+		}
 	}
 	r.down = down
 }
 
+// missed takes note that a direct read begun at the given time has failed.
+func (r *relay) missed(began time.Time) {
+	r.set(true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.throughSince.IsZero() && began.After(r.throughSince) {
+		r.cutOff = true
+	}
+}
+
+// through takes note of a read through a peer.
+func (r *relay) through() {
+	r.count("retry", "read-through-peer")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.throughAt = time.Now()
+	if r.throughSince.IsZero() {
+		r.throughSince = r.throughAt
+	}
+}
+
 func (r *relay) isDown() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -79,11 +130,12 @@
 }
 
 // othersReach reports whether the store has been out of reach for a time while
-// others can read it.
+// others can read it. When the store comes back for all, some see it earlier:
+// that alone doesn't count.
 func (r *relay) othersReach(after time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.down && time.Since(r.downSince) >= after && r.throughAt.After(r.downSince) && time.Since(r.throughAt) < after
+	return r.down && time.Since(r.downSince) >= after && r.cutOff && time.Since(r.throughAt) < after
 }
 
 // untilBack returns a context that also ends when the store comes back in
@@ -121,21 +173,16 @@
 func relayed[T any](ctx context.Context, r *relay, wait time.Duration, read func(context.Context, store.Reader, time.Duration) (T, error)) (T, error) {
 	ctx, cancel := r.untilBack(ctx)
 	defer cancel()
-	down, probe := r.state()
-	if down {
+	if r.isDown() {
 		wait = 0
-	}
-	if !down || probe {
-		timeout := wait + readTimeout
-		if probe {
-			timeout = probeTimeout
-		}
-		out, err := bounded(ctx, timeout, wait, r.direct, read)
+	} else {
+		began := time.Now()
+		out, err := bounded(ctx, wait+readTimeout, wait, r.direct, read)
 		if err == nil || expired(err) {
 			r.set(false)
 			return out, err
 		}
-		r.set(true)
+		r.missed(began)
 		if ctx.Err() != nil {
 			return out, err
 		}
@@ -155,10 +202,7 @@
 		r.mu.Unlock()
 		out, err = bounded(ctx, wait+relayTimeout, wait, r.peers.Reader(address), read)
 		if err == nil || expired(err) {
-			r.count("retry", "read-through-peer")
-			r.mu.Lock()
-			r.throughAt = time.Now()
-			r.mu.Unlock()
+			r.through()
 			return out, err
 		}
 		r.mu.Lock()
