Records kept for other nodes are not moved for each new one; decompressors are kept

Cause: each node keeps the newest 2,048 records of the log of jobs for the others, and copied them all for each record over the bound. Change: the older half is let go of at a time; decompressors are pooled.

--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,8 @@
 	"github.com/mimosaspool/mimosaspool/internal/store"
 )
 
-// recentRecords bounds the records that are kept for other nodes.
+// recentRecords bounds the records that are kept for other nodes; the older
+// half is let go of at a time, so that they aren't moved for each new one.
 const recentRecords = 2048
 
 // recent holds the newest records of the log of jobs without a gap, so that
@@ -40,9 +42,9 @@
 		}
 		c.records = append(c.records, r)
 	}
-	if over := len(c.records) - recentRecords; over > 0 {
+	if over := len(c.records) - recentRecords/2; len(c.records) > recentRecords {
 		c.first += int64(over)
-		c.records = append([]store.Numbered(nil), c.records[over:]...)
+		c.records = slices.Delete(c.records, 0, over)
 	}
 	close(c.more)
 	c.more = make(chan struct{})
--- /dev/null
+++ b/internal/node/recent_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+func recordsFrom(from, to int64) []store.Numbered {
+	var out []store.Numbered
+	for o := from; o < to; o++ {
+		out = append(out, store.Numbered{Offset: o, Record: store.Record{Key: strconv.FormatInt(o, 10)}})
+	}
+	return out
+}
+
+func TestRecentRecordsAreKeptWithoutAGap(t *testing.T) {
+	RegisterTestingT(t)
+	c := newRecent()
+	for o := int64(100); o < 100+5*recentRecords; o += 3 {
+		c.add(recordsFrom(o, o+3))
+		end := o + 3
+		Expect(len(c.records)).To(BeNumerically("<=", recentRecords))
+		covered := max(int64(100), end-recentRecords/2)
+		got, _, ok := c.from(covered)
+		Expect(ok).To(BeTrue())
+		Expect(got).To(HaveLen(int(end - covered)))
+		for i, r := range got {
+			if r.Offset != covered+int64(i) {
+				t.Fatalf("record %d of those from %d on has the offset %d", i, covered, r.Offset)
+			}
+		}
+	}
+	_, _, ok := c.from(100)
+	Expect(ok).To(BeFalse())
+}
+
+func TestRecentRecordsAreNotMovedForEachNewOne(t *testing.T) {
+	RegisterTestingT(t)
+	c := newRecent()
+	next := int64(0)
+	add := func() {
+		c.add(recordsFrom(next, next+1))
+		next++
+	}
+	for range 2 * recentRecords {
+		add()
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range recentRecords {
+		add()
+	}
+	runtime.ReadMemStats(&after)
+	Expect((after.TotalAlloc - before.TotalAlloc) / recentRecords).To(BeNumerically("<", 1024))
+}
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -29,6 +29,9 @@
 	return w
 }}
 
+// readers keeps decompressors, each of which has a window of its own.
+var readers = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
 // pack compresses the records of an answer if they are large enough.
 func pack(resp *api.ReadResponse) error {
 	records := &api.LogRecords{Records: resp.GetRecords()}
@@ -58,7 +61,12 @@
 	if len(resp.GetPacked()) == 0 {
 		return nil
 	}
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(resp.GetPacked())), maxUnpacked))
+	r := readers.Get().(io.Reader)
+	defer readers.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(resp.GetPacked()), nil); err != nil {
+		return errors.Wrap(err, "packed records")
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
 	if err != nil {
 		return errors.Wrap(err, "packed records")
 	}
