The holder reads the log of jobs only where its own appends don't show its end

Ruled out: a read that waits all the time; each own append would end it. Change: such an append counts as a reading, as of when its first try was sent, since a repeat is answered with the offsets of the first. A read is due 120 ms after the end was last seen; it waits 300 ms, so that an idle log is read a third as often.

--- /dev/null
+++ b/internal/node/calls_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+// calls counts the calls of the store by node and partition.
+type calls struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+// countedStore counts a process's reads.
+type countedStore struct {
+	store.Store
+	node  string
+	calls *calls
+}
+
+func (s countedStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	s.calls.mu.Lock()
+	s.calls.n[s.node+" "+p.Topic]++
+	s.calls.mu.Unlock()
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// during returns how many reads of the partition the node makes in the time.
+func (c *calls) during(d time.Duration, node string, p store.Partition) int {
+	read := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.n[node+" "+p.Topic]
+	}
+	before := read()
+	time.Sleep(d)
+	return read() - before
+}
+
+// playCounted runs nodes under traffic with their reads counted.
+func playCounted(t *testing.T, scenario func(c *cluster, n *calls)) {
+	synctest.Test(t, func(t *testing.T) {
+		c, n := newCluster(t, 1, brief), &calls{n: map[string]int{}}
+		defer c.close()
+		c.adapt = func(p *process, _ *Settings, ports *Ports) {
+			ports.Store = countedStore{ports.Store, p.name, n}
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			c.boot(name)
+		}
+		c.traffic(20*time.Second, 3)
+		time.Sleep(6 * time.Second)
+		scenario(c, n)
+		c.settle()
+	})
+}
+
+func TestHolderDoesNotReadWhatItsOwnAppendsShow(t *testing.T) {
+	playCounted(t, func(c *cluster, n *calls) {
+		c.Expect(n.during(10*time.Second, c.holder().name, jobsPartition)).To(BeNumerically("<", 60))
+	})
+}
+
+func TestHolderReadsSeldomWhileNothingIsWritten(t *testing.T) {
+	playCounted(t, func(c *cluster, n *calls) {
+		time.Sleep(30 * time.Second)
+		c.Expect(n.during(10*time.Second, c.holder().name, jobsPartition)).To(BeNumerically("<", 40))
+	})
+}
+
+// losingStore carries out each append and loses its first answer.
+type losingStore struct {
+	store.Store
+	tries int
+}
+
+func (s *losingStore) Append(ctx context.Context, p store.Partition, r []store.Record, opt store.AppendOptions) (store.Appended, error) {
+	s.tries++
+	if s.tries == 1 {
+		<-ctx.Done()
+		return store.Appended{}, store.ErrUnknown
+	}
+	return store.Appended{First: 7, End: 7 + int64(len(r))}, nil
+}
+
+func TestRepeatedAppendShowsTheLogOfItsFirstTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		shown := make(chan recordsWritten, 1)
+		w := newWriter(&losingStore{}, 3, 0, &relay{back: make(chan struct{})}, log, func(string, string) {}, func(ev recordsWritten) { shown <- ev })
+		go func() { _ = w.run(ctx) }()
+		began := time.Now()
+		_, err := w.append(ctx, []store.Record{{Key: "p/1"}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Since(began)).To(BeNumerically(">", 0))
+		g.Expect((<-shown).sent).To(Equal(began), "what others wrote since the first try may be missing")
+	})
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -37,6 +37,8 @@
 	recordsWritten struct {
 		records []store.Record
 		first   int64
+		// sent is when the append was first sent.
+		sent time.Time
 	}
 	// yielded tells that the holder of the token gives the right up.
 	yielded struct{ token int64 }
@@ -164,13 +166,17 @@
 	for i, r := range ev.records {
 		numbered[i] = store.Numbered{Offset: ev.first + int64(i), Record: r}
 	}
-	next := int64(0)
-	if ev.first <= n.table.position() {
-		// Nothing that others have written lies in between.
-		n.recent.add(numbered)
-		next = ev.first + int64(len(numbered))
+	if ev.first > n.table.position() {
+		return n.takeRecords(numbered, 0, batch)
 	}
-	return n.takeRecords(numbered, next, batch)
+	// Nothing that others have written lies in between, so that the append has
+	// shown the log's end as a reading would have.
+	r := reading{records: numbered, next: ev.first + int64(len(numbered)), sent: ev.sent, at: ev.sent, caughtUp: true}
+	n.views.note(n.viewName(jobsPartition), nil, r)
+	n.recent.add(numbered)
+	batch = n.takeRecords(numbered, r.next, batch)
+	n.table.read(r)
+	return batch
 }
 
 func (n *Node) takeRecords(records []store.Numbered, next int64, batch []dispatch.Event) []dispatch.Event {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -20,6 +20,9 @@
 	reader store.Reader
 	// position, if not nil, tells up to where the records are known otherwise.
 	position func() int64
+	// endSeen, if not nil, tells when the log's end was last seen, by a reading
+	// or otherwise.
+	endSeen func() time.Time
 	// term, if not nil, is the token of this node's term: without one the feed
 	// isn't read, and with a new one it is read from the start.
 	term func() int64
@@ -75,7 +78,7 @@
 		switch {
 		case r.err == nil:
 			next = r.next
-			pauseFor(ctx, f.pause()-time.Since(began))
+			f.rest(ctx, began)
 		case errors.As(r.err, new(*store.ExpiredError)):
 			next = -1
 		default:
@@ -84,6 +87,19 @@
 	}
 }
 
+// rest waits until the next read is due: a pause after the begin of the last
+// one, and after the log's end was last seen.
+func (f feed) rest(ctx context.Context, began time.Time) {
+	pauseFor(ctx, f.pause()-time.Since(began))
+	for f.endSeen != nil && ctx.Err() == nil {
+		left := f.pause() - time.Since(f.endSeen())
+		if left <= 0 {
+			return
+		}
+		pauseFor(ctx, left)
+	}
+}
+
 // readOnce reads all newest records when next is below 0, else those from next on.
 func readOnce(ctx context.Context, s store.Reader, f feed, next int64) reading {
 	sent := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,8 +157,11 @@
 const (
 	// viewPause bounds how far a node's view of the jobs lags behind the holder's.
 	viewPause = 100 * time.Millisecond
-	// holderPause is how far the holder lags behind what others write directly.
+	// holderPause is how far the holder lags behind what others write directly
+	// while it writes itself; holderWait is how long its reads wait otherwise,
+	// well below servedBound.
 	holderPause   = 120 * time.Millisecond
+	holderWait    = 300 * time.Millisecond
 	tenurePause   = 50 * time.Millisecond
 	operatorPause = 50 * time.Millisecond
 	workersPause  = 600 * time.Millisecond
@@ -176,7 +179,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -118,7 +118,7 @@
 // Read implements store.Reader.
 func (v *viewReader) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if v.n.holding.Load() != 0 {
-		return v.n.reader.Read(ctx, p, from, 0)
+		return v.n.reader.Read(ctx, p, from, holderWait)
 	}
 	address := v.n.holder.Load()
 	if address == nil || *address == "" || *address == v.n.address || time.Now().Before(v.restUntil) {
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -254,8 +254,11 @@
 func (t *table) read(r reading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.readAt, t.loaded = r.at, true
-	if r.caughtUp {
+	t.loaded = true
+	if r.at.After(t.readAt) {
+		t.readAt = r.at
+	}
+	if r.caughtUp && r.sent.After(t.caughtUp) {
 		t.caughtUp = r.sent
 	}
 	close(t.changed)
@@ -280,6 +283,13 @@
 	}
 }
 
+// endSeen returns when the newest read was sent that reached the log's end.
+func (t *table) endSeen() time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.caughtUp
+}
+
 // lookup returns a copy of what is known of a job.
 func (t *table) lookup(id string) (entry, bool) {
 	t.mu.RLock()
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -41,9 +41,7 @@
 func (n *Node) beginTerm(ctx context.Context) {
 	t := &term{token: n.tenure.Token(), listed: map[string]worker.Info{}, began: n.now()}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	t.writer = newWriter(n.ports.Store, t.token, n.set.MaxRequestBytes, n.reader, n.log, n.ports.Count, func(records []store.Record, first int64) {
-		n.send(t.ctx, recordsWritten{records, first})
-	})
+	t.writer = newWriter(n.ports.Store, t.token, n.set.MaxRequestBytes, n.reader, n.log, n.ports.Count, func(ev recordsWritten) { n.send(t.ctx, ev) })
 	n.term = t
 	go func() {
 		if err := t.writer.run(t.ctx); err != nil {
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -47,8 +47,8 @@
 	count     func(kind, reason string)
 	log       logrus.FieldLogger
 	queue     chan *write
-	// applied is told of what was written, with its first offset.
-	applied func(records []store.Record, first int64)
+	// applied is told of what was written.
+	applied func(recordsWritten)
 }
 
 // write is one group of records that are appended together.
@@ -58,7 +58,7 @@
 	first   int64
 }
 
-func newWriter(s store.Store, token int64, maxBytes int, r *relay, log logrus.FieldLogger, count func(kind, reason string), applied func([]store.Record, int64)) *writer {
+func newWriter(s store.Store, token int64, maxBytes int, r *relay, log logrus.FieldLogger, count func(kind, reason string), applied func(recordsWritten)) *writer {
 	return &writer{store: s, untilBack: r.untilBack, token: token, patience: leastPatience, maxBytes: max(maxBytes, 1<<16), log: log, count: count, applied: applied,
 		queue: make(chan *write, writeQueue)}
 }
@@ -158,7 +158,7 @@
 			if took := time.Since(began); took > slowWrite {
 				w.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "tries": try, "writes": len(group), "records": len(records)}).Info("slow write")
 			}
-			w.tell(group, records, res.First)
+			w.tell(group, recordsWritten{records: records, first: res.First, sent: began})
 			return nil
 		case errors.Is(err, store.ErrFenced):
 			return errors.WithStack(store.ErrFenced)
@@ -200,14 +200,14 @@
 	return res, err
 }
 
-func (w *writer) tell(group []*write, records []store.Record, first int64) {
-	at := first
+func (w *writer) tell(group []*write, ev recordsWritten) {
+	at := ev.first
 	for _, x := range group {
 		x.first = at
 		at += int64(len(x.records))
 	}
 	if w.applied != nil {
-		w.applied(records, first)
+		w.applied(ev)
 	}
 }
 
