Members are read by long reads; a read that was given up says nothing of the store

Cause: each node read the members' records each 3 s without waiting: 20 calls a minute and node for what changes when a node starts or stops. Ruled out: a longer pause; a new node would be seen later. Change: the read waits up to 10 s for a record, so that a change is seen at once once the pause is over. With it a fault shows: a read that is given up because the store is back in reach marked the store as out of reach again. It no longer does; the test failed before.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -109,3 +109,41 @@
 		g.Expect((<-shown).sent).To(Equal(began), "what others wrote since the first try may be missing")
 	})
 }
+
+func TestMembersAreReadSeldomAndSeenAtOnce(t *testing.T) {
+	playCounted(t, func(c *cluster, n *calls) {
+		c.Expect(n.during(20*time.Second, c.holder().name, memberPartition)).To(BeNumerically("<=", 3))
+		time.Sleep(membersPause)
+		before := c.up()
+		c.boot("d")
+		time.Sleep(200 * time.Millisecond)
+		for _, p := range before {
+			c.Expect(p.node.Members()).To(HaveLen(4), p.name)
+		}
+	})
+}
+
+// stuckStore answers no read until its context ends.
+type stuckStore struct{ store.Store }
+
+func (stuckStore) Read(ctx context.Context, _ store.Partition, _ int64, _ time.Duration) (store.Batch, error) {
+	<-ctx.Done()
+	return store.Batch{}, store.ErrNotDone
+}
+
+func TestReadGivenUpSaysNothingOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := &relay{back: make(chan struct{}), direct: stuckStore{}, addresses: func() []string { return nil }}
+		done := make(chan error, 1)
+		go func() {
+			_, err := r.Read(t.Context(), jobsPartition, 0, membersWait)
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		r.set(true)
+		r.set(false) // another read has reached the store again
+		g.Expect(<-done).To(HaveOccurred())
+		g.Expect(r.isDown()).To(BeFalse())
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,8 @@
 	operatorPause = 50 * time.Millisecond
 	workersPause  = 600 * time.Millisecond
 	membersPause  = 3 * time.Second
+	// membersWait is long, as members come and go seldom.
+	membersWait = 10 * time.Second
 	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
 	tenureWait = time.Second
 	jobsWait   = 500 * time.Millisecond
@@ -183,7 +185,7 @@
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
-	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
+	n.follow(ctx, feed{partition: memberPartition, wait: membersWait, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
 	go n.desk.direct.run(ctx)
 	go n.register(ctx)
 	n.control(ctx)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -135,10 +135,10 @@
 			r.set(false)
 			return out, err
 		}
-		r.set(true)
 		if ctx.Err() != nil {
-			return out, err
+			return out, err // given up, which says nothing of the store
 		}
+		r.set(true)
 	}
 	out, err := throughPeers(ctx, r, wait, read)
 	pauseFor(ctx, relayPause)
