Three nodes see each beat of the holder at once, the others read the tenure each 0.7 s

Ruled out: a slower beat, which takes from the time that a beat may be late; reading it through the holder, which would show a lost holder later. Change: the members with the three lowest hashes of their names, the holder and those that leave left out, read as before; the others pause 0.7 s between reads, below the silence of 0.95 s, so that they claim at most 0.7 s later when the holder and all three are lost. The test kills both in turn.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -147,3 +148,51 @@
 		g.Expect(r.isDown()).To(BeFalse())
 	})
 }
+
+func TestThreeNodesFollowTheHolderClosely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, n := newCluster(t, 1, brief), &calls{n: map[string]int{}}
+		defer c.close()
+		c.adapt = func(p *process, _ *Settings, ports *Ports) { ports.Store = countedStore{ports.Store, p.name, n} }
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			c.boot(name)
+		}
+		time.Sleep(8 * time.Second)
+		holder := c.holder()
+		near := closest(holder.node.Members())
+		c.Expect(near).To(HaveLen(closeFollowers))
+		c.Expect(near).NotTo(ContainElement(holder.name))
+		reads := map[string]int{}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for _, p := range c.up() {
+			wg.Go(func() {
+				r := n.during(10*time.Second, p.name, tenurePartition)
+				mu.Lock()
+				reads[p.name] = r
+				mu.Unlock()
+			})
+		}
+		wg.Wait()
+		for name, r := range reads {
+			if name == holder.name || slices.Contains(near, name) {
+				c.Expect(r).To(BeNumerically(">", 24), name)
+			} else {
+				c.Expect(r).To(BeNumerically("<", 16), name)
+			}
+		}
+		c.kill(holder)
+		began := time.Now()
+		next := c.holder()
+		c.Expect(time.Since(began)).To(BeNumerically("<", 1500*time.Millisecond))
+		c.Expect(near).To(ContainElement(next.name))
+		for _, p := range c.up() {
+			if slices.Contains(near, p.name) {
+				c.kill(p)
+			}
+		}
+		began = time.Now()
+		c.holder()
+		c.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	})
+}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
+	"hash/fnv"
 	"slices"
 	"strings"
 
@@ -49,6 +51,45 @@
 	return out
 }
 
+// closeFollowers is how many nodes beside the holder see each of its beats at
+// once. The others see a loss of the holder later by the pause between their reads.
+const closeFollowers = 3
+
+// closest returns the names of the members that are to take over first: all
+// nodes that know the same members name the same ones. They are spread over the
+// names, and so over the domains that names begin with.
+func closest(ms []Member) []string {
+	type ranked struct {
+		name string
+		rank uint32
+	}
+	var rs []ranked
+	for _, m := range ms {
+		if m.Holds || m.Leaving {
+			continue
+		}
+		h := fnv.New32a()
+		h.Write([]byte(m.Node))
+		rs = append(rs, ranked{m.Node, h.Sum32()})
+	}
+	slices.SortFunc(rs, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name))
+	})
+	var out []string
+	for _, r := range rs[:min(len(rs), closeFollowers)] {
+		out = append(out, r.name)
+	}
+	return out
+}
+
+// followsClosely reports whether this node reads each beat of the holder, or is
+// the holder, or may be either for all that it knows.
+func (n *Node) followsClosely() bool {
+	ms := n.Members()
+	others := slices.ContainsFunc(ms, func(m Member) bool { return m.Holds && m.Node != n.set.Node })
+	return !others || slices.Contains(closest(ms), n.set.Node)
+}
+
 // noteRecords keeps the newest record of each member.
 func (m *members) noteRecords(records []store.Numbered, whole bool) {
 	if whole || m.records == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,9 @@
 	holderPause   = 120 * time.Millisecond
 	holderWait    = 300 * time.Millisecond
 	tenurePause   = 50 * time.Millisecond
+	// distantTenurePause is the same on nodes that aren't among the first to
+	// take over; it must be well below the tenure's silence too.
+	distantTenurePause = 700 * time.Millisecond
 	operatorPause = 50 * time.Millisecond
 	workersPause  = 600 * time.Millisecond
 	membersPause  = 3 * time.Second
@@ -182,7 +185,7 @@
 	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
-	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
+	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: n.tenurePause}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
 	n.follow(ctx, feed{partition: memberPartition, wait: membersWait, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
@@ -191,6 +194,13 @@
 	n.control(ctx)
 }
 
+func (n *Node) tenurePause() time.Duration {
+	if n.followsClosely() {
+		return tenurePause
+	}
+	return distantTenurePause
+}
+
 func (n *Node) jobsPause() time.Duration {
 	if n.holding.Load() != 0 {
 		return holderPause
