Nodes that only follow wake up when an act of the tenure is due

Cause: the control goroutine of a node without the right woke up each 100 ms to look whether a claim was due. Change: the tenure tells when its next act is due, and the timer is set to that. A claim is no longer up to 0.1 s late for the tick's sake.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -55,15 +55,18 @@
 
 const (
 	// tickEvery is how often the control goroutine looks at the time while it
-	// dispatches, idleTick otherwise.
-	tickEvery = 25 * time.Millisecond
-	idleTick  = 100 * time.Millisecond
+	// dispatches. Otherwise it does when an act of the tenure is due, or each
+	// idleTick while the act can't be done; at the latest after longestTick.
+	tickEvery   = 25 * time.Millisecond
+	idleTick    = 100 * time.Millisecond
+	longestTick = 500 * time.Millisecond
 )
 
 // control is the one goroutine that owns the node's state.
 func (n *Node) control(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	wakeAt := n.now()
 	leave := n.leave
 	for {
 		var batch []dispatch.Event
@@ -77,20 +80,36 @@
 			batch = n.take(ctx, ev, batch)
 			batch = n.drain(ctx, batch)
 		case <-timer.C:
-			timer.Reset(n.tick())
+			wakeAt = never
 		}
 		n.actTenure(ctx)
 		n.dispatch(ctx, batch)
 		n.followRight()
 		n.publishInspection()
+		if next := n.now() + n.tick(); next < wakeAt {
+			wakeAt = next
+			timer.Reset(next - n.now())
+		}
 	}
 }
 
+// never is later than any time.
+const never = time.Duration(1<<63 - 1)
+
+// tick is the time until the control goroutine has to look at the time again.
 func (n *Node) tick() time.Duration {
 	if n.term != nil {
 		return tickEvery
 	}
-	return idleTick
+	at, ok := n.tenure.Due()
+	switch left := at - n.now(); {
+	case !ok:
+		return longestTick
+	case left <= 0:
+		return idleTick
+	default:
+		return min(left, longestTick)
+	}
 }
 
 // drain takes the events that wait already, so that they share one step.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,15 +160,15 @@
 	// holderPause is how far the holder lags behind what others write directly
 	// while it writes itself; holderWait is how long its reads wait otherwise,
 	// well below servedBound.
-	holderPause   = 120 * time.Millisecond
-	holderWait    = 300 * time.Millisecond
-	tenurePause   = 50 * time.Millisecond
+	holderPause = 120 * time.Millisecond
+	holderWait  = 300 * time.Millisecond
+	tenurePause = 50 * time.Millisecond
 	// distantTenurePause is the same on nodes that aren't among the first to
 	// take over; it must be well below the tenure's silence too.
 	distantTenurePause = 700 * time.Millisecond
-	operatorPause = 50 * time.Millisecond
-	workersPause  = 600 * time.Millisecond
-	membersPause  = 3 * time.Second
+	operatorPause      = 50 * time.Millisecond
+	workersPause       = 600 * time.Millisecond
+	membersPause       = 3 * time.Second
 	// membersWait is long, as members come and go seldom.
 	membersWait = 10 * time.Second
 	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -200,6 +200,20 @@
 	return Wait
 }
 
+// Due returns when Next tells another act if nothing else happens until then,
+// and false if nothing does.
+func (s *State) Due() (time.Duration, bool) {
+	switch {
+	case s.out || s.end < 0 || s.resign:
+		return 0, false
+	case s.Holds():
+		return max(s.retry, s.lastBeat+s.timing.Beat), true
+	case !s.readable:
+		return 0, false
+	}
+	return max(s.retry, s.quietSince+s.silence()), true
+}
+
 // silence is how long the partition must be quiet before this node claims.
 func (s *State) silence() time.Duration {
 	switch {
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -190,3 +190,27 @@
 		}
 	}
 }
+
+func TestDueIsWhenTheNextActIsTold(t *testing.T) {
+	g := NewWithT(t)
+	p := &partition{}
+	holder, follower := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 40*time.Millisecond)
+	_, ok := follower.Due()
+	g.Expect(ok).To(BeFalse(), "nothing was read")
+	p.read(holder, 0)
+	g.Expect(p.act(holder, 0)).To(Equal(Claim))
+	p.read(holder, 10*time.Millisecond)
+	p.read(follower, 10*time.Millisecond)
+	for _, x := range []struct {
+		state *State
+		act   Act
+	}{{holder, Beat}, {follower, Claim}} {
+		at, ok := x.state.Due()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(x.state.Next(at - 1)).To(Equal(Wait))
+		g.Expect(x.state.Next(at)).To(Equal(x.act))
+	}
+	follower.Begin(time.Second, Claim, "")
+	_, ok = follower.Due()
+	g.Expect(ok).To(BeFalse(), "the answer is waited for")
+}
