--- a/internal/language/parse.go
+++ b/internal/language/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -26,17 +27,22 @@
 	MaxFaults = 100
 )
 
-var tokens = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Comment", Pattern: `#[^\n]*`},
-	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
-	{Name: "Word", Pattern: `[A-Za-z0-9_./\[\]-]+`},
-	{Name: "Op", Pattern: `!=|<=|>=|[=<>~]`},
-	{Name: "Punct", Pattern: `[;,]`},
-	{Name: "Space", Pattern: `\s+`},
-	{Name: "Other", Pattern: `.`},
+// parser is built when it is first used: few programs that link it read scripts.
+var parser = sync.OnceValue(func() *participle.Parser[Statement] {
+	return participle.MustBuild[Statement](participle.Lexer(tokens()), participle.Elide("Comment", "Space"), participle.UseLookahead(2))
 })
 
-var parser = participle.MustBuild[Statement](participle.Lexer(tokens), participle.Elide("Comment", "Space"), participle.UseLookahead(2))
+var tokens = sync.OnceValue(func() *lexer.StatefulDefinition {
+	return lexer.MustSimple([]lexer.SimpleRule{
+		{Name: "Comment", Pattern: `#[^\n]*`},
+		{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
+		{Name: "Word", Pattern: `[A-Za-z0-9_./\[\]-]+`},
+		{Name: "Op", Pattern: `!=|<=|>=|[=<>~]`},
+		{Name: "Punct", Pattern: `[;,]`},
+		{Name: "Space", Pattern: `\s+`},
+		{Name: "Other", Pattern: `.`},
+	})
+})
 
 // Parse reads a script and checks all that can be checked without a server.
 // Its error is of type Faults and names every fault; the script then holds the
@@ -83,11 +89,11 @@
 
 // split divides the text at its semicolons.
 func (s *Script) split(text string) ([]group, Faults) {
-	lex, err := tokens.LexString("", text)
+	lex, err := tokens().LexString("", text)
 	if err != nil {
 		return nil, Faults{{Line: 1, Column: 1, Message: err.Error()}}
 	}
-	names := tokens.Symbols()
+	names := tokens().Symbols()
 	var groups []group
 	var faults Faults
 	var g group
@@ -139,7 +145,7 @@
 	if err != nil {
 		return nil, &Fault{Line: 1, Column: 1, Message: err.Error()}
 	}
-	st, err := parser.ParseFromLexer(lex)
+	st, err := parser().ParseFromLexer(lex)
 	if err == nil {
 		st.Text = text
 		return st, nil
