--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -37,6 +37,8 @@
 	recordsWritten struct {
 		records []store.Record
 		first   int64
+		// sent is when the append was first sent.
+		sent time.Time
 	}
 	// yielded tells that the holder of the token gives the right up.
 	yielded struct{ token int64 }
@@ -53,15 +55,18 @@
 
 const (
 	// tickEvery is how often the control goroutine looks at the time while it
-	// dispatches, idleTick otherwise.
-	tickEvery = 25 * time.Millisecond
-	idleTick  = 100 * time.Millisecond
+	// dispatches. Otherwise it does when an act of the tenure is due, or each
+	// idleTick while the act can't be done; at the latest after longestTick.
+	tickEvery   = 25 * time.Millisecond
+	idleTick    = 100 * time.Millisecond
+	longestTick = 500 * time.Millisecond
 )
 
 // control is the one goroutine that owns the node's state.
 func (n *Node) control(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	wakeAt := n.now()
 	leave := n.leave
 	for {
 		var batch []dispatch.Event
@@ -75,20 +80,36 @@
 			batch = n.take(ctx, ev, batch)
 			batch = n.drain(ctx, batch)
 		case <-timer.C:
-			timer.Reset(n.tick())
+			wakeAt = never
 		}
 		n.actTenure(ctx)
 		n.dispatch(ctx, batch)
 		n.followRight()
 		n.publishInspection()
+		if next := n.now() + n.tick(); next < wakeAt {
+			wakeAt = next
+			timer.Reset(next - n.now())
+		}
 	}
 }
 
+// never is later than any time.
+const never = time.Duration(1<<63 - 1)
+
+// tick is the time until the control goroutine has to look at the time again.
 func (n *Node) tick() time.Duration {
 	if n.term != nil {
 		return tickEvery
 	}
-	return idleTick
+	at, ok := n.tenure.Due()
+	switch left := at - n.now(); {
+	case !ok:
+		return longestTick
+	case left <= 0:
+		return idleTick
+	default:
+		return min(left, longestTick)
+	}
 }
 
 // drain takes the events that wait already, so that they share one step.
@@ -164,13 +185,17 @@
 	for i, r := range ev.records {
 		numbered[i] = store.Numbered{Offset: ev.first + int64(i), Record: r}
 	}
-	next := int64(0)
-	if ev.first <= n.table.position() {
-		// Nothing that others have written lies in between.
-		n.recent.add(numbered)
-		next = ev.first + int64(len(numbered))
+	if ev.first > n.table.position() {
+		return n.takeRecords(numbered, 0, batch)
 	}
-	return n.takeRecords(numbered, next, batch)
+	// Nothing that others have written lies in between, so that the append has
+	// shown the log's end as a reading would have.
+	r := reading{records: numbered, next: ev.first + int64(len(numbered)), sent: ev.sent, at: ev.sent, caughtUp: true}
+	n.views.note(n.viewName(jobsPartition), nil, r)
+	n.recent.add(numbered)
+	batch = n.takeRecords(numbered, r.next, batch)
+	n.table.read(r)
+	return batch
 }
 
 func (n *Node) takeRecords(records []store.Numbered, next int64, batch []dispatch.Event) []dispatch.Event {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,12 +186,20 @@
 const (
 	// viewPause bounds how far a node's view of the jobs lags behind the holder's.
 	viewPause = 100 * time.Millisecond
-	// holderPause is how far the holder lags behind what others write directly.
-	holderPause   = 120 * time.Millisecond
-	tenurePause   = 50 * time.Millisecond
-	operatorPause = 50 * time.Millisecond
-	workersPause  = 600 * time.Millisecond
-	membersPause  = 3 * time.Second
+	// holderPause is how far the holder lags behind what others write directly
+	// while it writes itself; holderWait is how long its reads wait otherwise,
+	// well below servedBound.
+	holderPause = 120 * time.Millisecond
+	holderWait  = 300 * time.Millisecond
+	tenurePause = 50 * time.Millisecond
+	// distantTenurePause is the same on nodes that aren't among the first to
+	// take over; it must be well below the tenure's silence too.
+	distantTenurePause = 700 * time.Millisecond
+	operatorPause      = 50 * time.Millisecond
+	workersPause       = 600 * time.Millisecond
+	membersPause       = 3 * time.Second
+	// membersWait is long, as members come and go seldom.
+	membersWait = 10 * time.Second
 	// tenureWait is how long a read of the tenure waits; it must be well below its silence.
 	tenureWait = time.Second
 	jobsWait   = 500 * time.Millisecond
@@ -205,17 +213,24 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position}, func(r reading) any { return jobsRead{r} })
-	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: every(tenurePause)}, func(r reading) any { return tenureRead{r} })
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: n.tenurePause}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
-	n.follow(ctx, feed{partition: memberPartition, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
+	n.follow(ctx, feed{partition: memberPartition, wait: membersWait, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
 	go n.reader.probe(ctx)
 	go n.desk.direct.run(ctx)
 	go n.register(ctx)
 	n.control(ctx)
 }
 
+func (n *Node) tenurePause() time.Duration {
+	if n.followsClosely() {
+		return tenurePause
+	}
+	return distantTenurePause
+}
+
 func (n *Node) jobsPause() time.Duration {
 	if n.holding.Load() != 0 {
 		return holderPause
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -194,10 +194,10 @@
 			r.set(false)
 			return out, err
 		}
-		r.missed(began)
 		if ctx.Err() != nil {
-			return out, err
+			return out, err // given up, which says nothing of the store
 		}
+		r.missed(began)
 	}
 	out, err := throughPeers(ctx, r, wait, read)
 	pauseFor(ctx, relayPause)
