Log lines are written whole, 4 KiB a write at most

Cause: a batch of lines went out in one write of any length.

Change: a batch is written in pieces of whole lines, each no longer than a pipe takes undivided unless a single line is. Failed writes count the lines of their own piece.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -46,6 +46,9 @@
 )
 
 const (
+	// atomicWrite is how many bytes a pipe takes in one piece (PIPE_BUF): longer
+	// writes of several processes to one pipe may be mixed.
+	atomicWrite = 4096
 	// tellEvery is how often a line tells what was left out.
 	tellEvery = time.Second
 	// maxKinds bounds the kinds that have a budget of their own.
@@ -70,7 +73,6 @@
 	pending, spare []byte
 	// recent and older hold the newest lines, written or not.
 	recent, older []byte
-	lines         int64
 	closed        bool
 	// overBudget and others hold what no line has told yet.
 	overBudget map[string]int64
@@ -170,7 +172,6 @@
 		return len(line), nil
 	}
 	w.pending = append(w.pending, line...)
-	w.lines++
 	signal(w.wake)
 	return len(line), nil
 }
@@ -223,12 +224,8 @@
 		case <-w.closing:
 			last = true
 		}
-		batch, lines, more := w.take(last)
-		if len(batch) > 0 {
-			if _, err := w.out.Write(batch); err != nil {
-				w.failed(lines)
-			}
-		}
+		batch, more := w.take(last)
+		w.write(batch)
 		if last {
 			return
 		}
@@ -238,6 +235,23 @@
 	}
 }
 
+// write writes whole lines, as many in one piece as a pipe takes undivided.
+func (w *Writer) write(batch []byte) {
+	for len(batch) > 0 {
+		n := len(batch)
+		if n > atomicWrite {
+			n = 1 + bytes.LastIndexByte(batch[:atomicWrite], '\n')
+		}
+		if n == 0 { // a line longer than that
+			n = 1 + bytes.IndexByte(batch, '\n')
+		}
+		if _, err := w.out.Write(batch[:n]); err != nil {
+			w.failed(bytes.Count(batch[:n], []byte{'\n'}))
+		}
+		batch = batch[n:]
+	}
+}
+
 // linger waits for further lines and reports whether the writer is closing.
 func (w *Writer) linger() bool {
 	t := time.NewTimer(w.set.Linger)
@@ -252,7 +266,7 @@
 }
 
 // take returns what is to be written now, and whether some loss is still to be told.
-func (w *Writer) take(last bool) (batch []byte, lines int64, more bool) {
+func (w *Writer) take(last bool) (batch []byte, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	untold := len(w.overBudget)+len(w.others) > 0
@@ -260,10 +274,10 @@
 		w.tell()
 		untold = false
 	}
-	batch, lines = w.pending, w.lines
-	w.pending, w.spare, w.lines = w.spare[:0], batch, 0
+	batch = w.pending
+	w.pending, w.spare = w.spare[:0], batch
 	w.closed = last
-	return batch, lines, untold
+	return batch, untold
 }
 
 // tell adds the line that counts what was left out. It goes over the bound of
@@ -284,17 +298,16 @@
 	}
 	if line, err := w.format.Format(e); err == nil {
 		w.pending = append(w.pending, line...)
-		w.lines++
 	}
 	w.overBudget, w.others, w.toldAt = map[string]int64{}, map[string]int64{}, now
 }
 
 // failed counts lines that the output did not take.
-func (w *Writer) failed(lines int64) {
+func (w *Writer) failed(lines int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.others[reasonFailed] += int64(lines)
 	for range lines {
-		w.others[reasonFailed]++
 		w.lose(reasonFailed)
 	}
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -122,6 +122,40 @@
 	})
 }
 
+// pieces keeps what is written, write by write.
+type pieces [][]byte
+
+func (p *pieces) Write(b []byte) (int, error) {
+	*p = append(*p, bytes.Clone(b))
+	return len(b), nil
+}
+
+// TestWholeLines checks that every write holds whole lines, and no more than a
+// pipe takes undivided unless one line is longer.
+func TestWholeLines(t *testing.T) {
+	g := NewWithT(t)
+	var out pieces
+	logger, writer := newLogger(&out, Settings{Linger: time.Minute})
+	const lines = 300
+	for i := range lines {
+		text := "x"
+		if i == lines/2 {
+			text = strings.Repeat("x", 2*atomicWrite)
+		}
+		logger.WithField("n", i).Info(text)
+	}
+	g.Expect(writer.Close(time.Second)).To(BeTrue())
+	shown := 0
+	for _, p := range out {
+		n := bytes.Count(p, []byte{'\n'})
+		shown += n
+		g.Expect(bytes.HasSuffix(p, []byte{'\n'})).To(BeTrue())
+		g.Expect(len(p) <= atomicWrite || n == 1).To(BeTrue(), "%d bytes, %d lines", len(p), n)
+	}
+	g.Expect(shown).To(Equal(lines))
+	g.Expect(len(out)).To(BeNumerically("<", lines/10))
+}
+
 type broken struct{}
 
 func (broken) Write([]byte) (int, error) { return 0, errors.New("broken") }
