Stories say why a job was kept; failed requests are listed; metrics port

Ruled out: a further command for each cause, since all that is needed is in the same lines.

Change: newCluster reads from the lines that name no job when nodes lost the store, held the right to place, and were started and stopped.

When metrics are fetched stays a question in docs/design/platform.md.

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -14,27 +15,60 @@
 	"github.com/mimosaspool/mimosaspool/internal/story"
 )
 
-// trace tells one job's story from the processes' logs.
+// defaultLate is how long nothing of a job runs before it counts as late.
+const defaultLate = 3 * time.Second
+
+// trace tells one job's story from the processes' logs, or lists failed requests.
 func (t *tool) trace() *cobra.Command {
-	return &cobra.Command{
-		Use:   "trace ID FILE...",
+	var failed bool
+	var late time.Duration
+	cmd := &cobra.Command{
+		Use:   "trace {ID | --failed} FILE...",
 		Short: "Tell from the processes' logs what became of a job, and why",
 		Long: `Tell from the processes' logs what became of a job, and why.
 
 Each FILE holds JSON log lines of one or more nodes, in any order; what a
 collector has put before the JSON is passed over. FILE may be - for the standard
-input.`,
-		Args: cobra.MinimumNArgs(2),
+input.
+
+With --failed it lists instead the requests that failed: refused, of unknown
+outcome, carried out in vain, never started or late; each with its job's id and
+its cause.`,
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
+			if failed {
+				return t.listFailed(args, late)
+			}
+			if len(args) < 2 {
+				return errors.New("trace needs an ID and at least one FILE, or --failed")
+			}
 			log := story.NewLog(args[0])
-			for _, name := range args[1:] {
-				if err := t.readLog(log, name); err != nil {
-					return err
-				}
+			if err := t.readLogs(log, args[1:]); err != nil {
+				return err
 			}
 			return t.tellStory(log, nil)
 		},
 	}
+	cmd.Flags().BoolVar(&failed, "failed", false, "list the requests that failed")
+	cmd.Flags().DurationVar(&late, "late", defaultLate, "with --failed: how long nothing of a job runs before it counts as late")
+	return cmd
+}
+
+func (t *tool) listFailed(files []string, late time.Duration) error {
+	log := story.NewLog("")
+	if err := t.readLogs(log, files); err != nil {
+		return err
+	}
+	return story.RenderFailures(t.out, log.Failures(late))
+}
+
+func (t *tool) readLogs(log *story.Log, files []string) error {
+	for _, name := range files {
+		if err := t.readLog(log, name); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (t *tool) readLog(log *story.Log, name string) error {
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -150,26 +150,59 @@
 		d.platform.Settings.ReadyAddress:   d.platform.Ready(desk),
 		d.internal:                         inner,
 	}
-	if d.metrics != "" {
-		handlers[d.metrics] = d.telemetry.Handler()
-	}
 	failed := make(chan error, len(handlers))
 	var servers []*http.Server
 	for addr, h := range handlers {
 		if addr == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", addr)
+		s, l, err := open(addr, h)
 		if err != nil {
-			return nil, nil, errors.Wrapf(err, "listen on %s", addr)
+			return nil, nil, err
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, s)
 		go func() { failed <- s.Serve(l) }()
 	}
+	if s := d.serveMetrics(); s != nil {
+		servers = append(servers, s)
+	}
 	return servers, failed, nil
 }
 
+// open listens on the address for a server of the handler.
+func open(addr string, h http.Handler) (*http.Server, net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen on %s", addr)
+	}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l, nil
+}
+
+// serveMetrics serves the metrics on the further port, if there is one. The
+// platform doesn't promise that it is free, and a node serves callers without it.
+func (d *daemon) serveMetrics() *http.Server {
+	if d.metrics == "" {
+		return nil
+	}
+	routes := http.NewServeMux()
+	routes.Handle("/metrics", d.telemetry.Handler())
+	s, l, err := open(d.metrics, routes)
+	if err != nil {
+		d.metricsLost(err)
+		return nil
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.metricsLost(err)
+		}
+	}()
+	return s
+}
+
+func (d *daemon) metricsLost(err error) {
+	d.log.WithError(err).WithField("address", d.metrics).Warn("metrics are served between nodes only")
+}
+
 // recent serves the newest log lines that have to do with a job: those that
 // name it, and those that name none.
 func (d *daemon) recent(w http.ResponseWriter, r *http.Request) {
--- a/internal/story/read.go
+++ b/internal/story/read.go
@@ -1,4 +1,4 @@
-// Package story tells what became of one job, from the log lines of many processes.
+// Package story tells what became of jobs, and why, from the log lines of many processes.
 package story
 
 import (
@@ -46,19 +46,32 @@
 	}
 }
 
-// Log is what of some processes' logs has to do with one job.
+// millis returns a field that holds milliseconds, 0 if there is none.
+func (l *Line) millis(field string) time.Duration {
+	n, err := strconv.ParseInt(l.Text(field), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// Log holds lines of some processes' logs: all of them, or those that have to
+// do with one job.
 type Log struct {
+	// id is the job, empty for all of them.
 	id string
-	// own holds the job's lines, others those that name no job.
+	// own holds lines that name a job, others those that name none.
 	own, others []Line
+	// ends counts the ends of all jobs' runs by worker.
+	ends map[string]*tally
 	// Unreadable counts lines with a JSON object that can't be read.
 	Unreadable int
 }
 
-// NewLog returns an empty log of the job.
-func NewLog(id string) *Log { return &Log{id: strings.ToLower(id)} }
+// NewLog returns an empty log of the job; without an ID it is of all jobs.
+func NewLog(id string) *Log { return &Log{id: strings.ToLower(id), ends: map[string]*tally{}} }
 
-var jobField, timeField = []byte(`"job":`), []byte(`"time":`)
+var jobField, timeField, endKind = []byte(`"job":`), []byte(`"time":`), []byte(`"task-ended"`)
 
 // Read takes in a log. Each line holds a JSON object, after whatever its
 // collector has put before; other lines are passed over.
@@ -85,7 +98,7 @@
 	}
 	prefix, object := text[:begin], text[begin:]
 	torn := bytes.Count(object, timeField) > 1
-	if !torn && !l.names(object) && bytes.Contains(object, jobField) {
+	if !torn && !l.names(object) && bytes.Contains(object, jobField) && !bytes.Contains(object, endKind) {
 		return
 	}
 	line, ok := parse(object)
@@ -105,14 +118,29 @@
 		v, err := strconv.ParseFloat(words[max(0, len(words)-2)], 64)
 		line.collected, line.hasOwn = v, err == nil
 	}
+	if line.Kind == "task-ended" {
+		l.count(&line)
+	}
 	switch {
 	case line.Job == "":
 		l.others = append(l.others, line)
-	case strings.EqualFold(line.Job, l.id):
+	case l.id == "" || strings.EqualFold(line.Job, l.id):
 		l.own = append(l.own, line)
 	}
 }
 
+func (l *Log) count(end *Line) {
+	t := l.ends[end.Text("worker")]
+	if t == nil {
+		t = &tally{}
+		l.ends[end.Text("worker")] = t
+	}
+	t.all++
+	if end.Text("outcome") == "failed" {
+		t.failed++
+	}
+}
+
 func (l *Log) names(object []byte) bool {
 	return bytes.Contains(bytes.ToLower(object), []byte(l.id))
 }
@@ -136,6 +164,13 @@
 	return l, true
 }
 
+// sorted returns all lines in order.
+func (l *Log) sorted() []Line {
+	all := append(append([]Line(nil), l.own...), l.others...)
+	sortLines(all)
+	return all
+}
+
 // sortLines orders lines by the processes' times; where these are of whole
 // seconds only, by the collector's.
 func sortLines(lines []Line) {
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -15,6 +15,9 @@
 	Lines []Line
 	// Cause says in one sentence how the job stands, and why.
 	Cause string
+	// Why tells what lay behind each refusal, and behind each time in which
+	// nothing of the job ran.
+	Why []string
 	// Notes tell what the logs can't show.
 	Notes []string
 }
@@ -39,8 +42,7 @@
 		s.Notes = leftOut(l.others, nil)
 		return s
 	}
-	all := append(append([]Line(nil), l.own...), l.others...)
-	sortLines(all)
+	all := l.sorted()
 	// A job that was taken up and isn't over is told to the logs' end.
 	first, last, open := -1, -1, false
 	over := false
@@ -79,11 +81,24 @@
 			s.Lines = append(s.Lines, x)
 		}
 	}
-	s.Cause = cause(s.Lines)
+	own := ownLines(s.Lines)
+	f := newFacts(own)
+	s.Cause, s.Why = f.cause(), l.why(own, f, newCluster(all))
 	s.Notes = append(leftOut(span, nodes), clocks(s.Lines)...)
 	return s
 }
 
+// ownLines returns the lines that name a job.
+func ownLines(lines []Line) []Line {
+	var own []Line
+	for i := range lines {
+		if lines[i].Job != "" {
+			own = append(own, lines[i])
+		}
+	}
+	return own
+}
+
 // concerns reports whether a line that names no job has to do with this one.
 // That the right has moved is told once for each token.
 func concerns(l *Line, nodes, workers, moved map[string]bool) bool {
@@ -140,70 +155,98 @@
 	return []string{fmt.Sprintf("the clock of %s is at least %d ms before that of %s", accepted.Node, apart.Milliseconds(), ordered.Node)}
 }
 
-// cause says how the job stands by its newest telling line.
-func cause(lines []Line) string {
-	started := false
-	var start, waited, waits, refused, unknown, accepted, ended *Line
-	failed := map[string]int{}
-	for i := range lines {
-		l := &lines[i]
+// facts are the telling lines of one job, nil where there is none.
+type facts struct {
+	accepted, unknown, refused, ended *Line
+	// refusals counts the tries that were refused.
+	refusals int
+	// start is the first start, waited what it had waited for before; waits is
+	// what tasks wait for since the last start.
+	start, waited, waits *Line
+	// failed counts ends and refused starts by outcome, but for those that are done.
+	failed map[string]int
+}
+
+func newFacts(own []Line) *facts {
+	f := &facts{failed: map[string]int{}}
+	for i := range own {
+		l := &own[i]
 		switch l.Kind {
 		case "task-started":
-			if !started {
-				start, waited = l, waits
+			if f.start == nil {
+				f.start, f.waited = l, f.waits
 			}
-			started, waits = true, nil
+			f.waits = nil
 		case "task-ended", "start-refused":
 			if o := l.Text("outcome"); o != "done" {
-				failed[o]++
+				f.failed[o]++
 			}
 		case "job-waits":
-			waits = l
+			f.waits = l
 		case "job-refused":
-			refused = l
+			f.refused = l
+			f.refusals++
 		case "job-unknown":
-			unknown = l
+			f.unknown = l
 		case "job-accepted":
-			accepted = l
+			f.accepted = l
 		case "job-ended":
-			ended = l
+			f.ended = l
 		}
 	}
+	return f
+}
+
+// taken reports whether the job was surely taken up.
+func (f *facts) taken() bool {
+	return f.ended != nil || f.start != nil || f.waits != nil || f.accepted != nil
+}
+
+// cause says how the job stands.
+func (f *facts) cause() string {
 	var b strings.Builder
 	switch {
-	case ended != nil:
-		fmt.Fprintf(&b, "the job is over: %s%s", ended.Text("outcome"), because(ended))
-	case started:
+	case f.ended != nil:
+		fmt.Fprintf(&b, "the job is over: %s%s", f.ended.Text("outcome"), because(f.ended))
+	case f.start != nil:
 		b.WriteString("the job has started, and no line tells its end")
-		if waits != nil {
-			fmt.Fprintf(&b, "; tasks still wait for %s%s", waits.Text("outcome"), because(waits))
+		if f.waits != nil {
+			fmt.Fprintf(&b, "; tasks still wait for %s%s", f.waits.Text("outcome"), because(f.waits))
 		}
-	case waits != nil:
-		fmt.Fprintf(&b, "the job was never started: its tasks wait for %s%s", waits.Text("outcome"), because(waits))
-	case accepted != nil:
+	case f.waits != nil:
+		fmt.Fprintf(&b, "the job was never started: its tasks wait for %s%s", f.waits.Text("outcome"), because(f.waits))
+	case f.accepted != nil:
 		b.WriteString("the job is accepted, and no line tells of a start")
-	case unknown != nil:
-		fmt.Fprintf(&b, "the caller was told that the outcome is unknown by %s%s; no holder has taken the job up", unknown.Node, because(unknown))
-	case refused != nil:
-		fmt.Fprintf(&b, "the job was refused by %s%s; nothing was stored", refused.Node, because(refused))
+	case f.unknown != nil:
+		fmt.Fprintf(&b, "the caller was told that the outcome is unknown by %s%s; no holder has taken the job up", f.unknown.Node, because(f.unknown))
+	case f.refused != nil:
+		fmt.Fprintf(&b, "the job was refused by %s%s; nothing was stored", f.refused.Node, because(f.refused))
 	default:
 		b.WriteString("the lines tell neither an acceptance nor an end")
 	}
-	if waited != nil {
-		fmt.Fprintf(&b, "; its first start came after %s ms, last for want of %s%s", start.Text("queued_ms"), waited.Text("outcome"), because(waited))
+	f.before(&b)
+	return b.String()
+}
+
+// before adds what went before the job stood so.
+func (f *facts) before(b *strings.Builder) {
+	if f.waited != nil {
+		fmt.Fprintf(b, "; its first start came after %s ms, last for want of %s%s", f.start.Text("queued_ms"), f.waited.Text("outcome"), because(f.waited))
 	}
-	if len(failed) > 0 && (ended == nil || ended.Text("outcome") != "completed") {
-		for _, o := range sortedKeys(failed) {
-			fmt.Fprintf(&b, "; %d × %s", failed[o], o)
+	if f.ended == nil || f.ended.Text("outcome") != "completed" {
+		for _, o := range sortedKeys(f.failed) {
+			fmt.Fprintf(b, "; %d × %s", f.failed[o], o)
 		}
 	}
-	if unknown != nil && (ended != nil || started || accepted != nil) {
-		fmt.Fprintf(&b, "; at %s its caller was told that the outcome is unknown%s", unknown.Time.Format(clockLayout), because(unknown))
+	if !f.taken() {
+		return
 	}
-	if refused != nil && (ended != nil || started || accepted != nil) {
-		fmt.Fprintf(&b, "; at %s a try was refused%s", refused.Time.Format(clockLayout), because(refused))
+	if f.unknown != nil {
+		fmt.Fprintf(b, "; at %s its caller was told that the outcome is unknown%s", f.unknown.Time.Format(clockLayout), because(f.unknown))
+	}
+	if f.refused != nil {
+		fmt.Fprintf(b, "; at %s a try was refused%s", f.refused.Time.Format(clockLayout), because(f.refused))
 	}
-	return b.String()
 }
 
 func because(l *Line) string {
@@ -229,6 +272,9 @@
 			width, l.Node, l.Kind, fields(l, nil))
 	}
 	fmt.Fprintf(&b, "cause: %s\n", s.Cause)
+	for _, w := range s.Why {
+		fmt.Fprintf(&b, "why: %s\n", w)
+	}
 	for _, n := range s.Notes {
 		fmt.Fprintf(&b, "note: %s\n", n)
 	}
