Stories: an outage counts also where no line tells the holder

Cause: "no line says why" for a job that waited while the store was out, since the log at hand did not hold the lines of the term.

Change: the node whose line began the wait stands in for the holder. An unknown outcome is worded as such, and a failed task without other runs on its workers is not compared.

--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -13,6 +13,8 @@
 // still is a time in which nothing of an open job ran.
 type still struct {
 	from, to time.Time
+	// node is the one whose line began it.
+	node string
 	// open tells that the logs end before anything ran again.
 	open bool
 	// waits is the newest line that says what the job waited for.
@@ -27,7 +29,7 @@
 	running := map[string]bool{}
 	var all []still
 	var now *still
-	begin := func(at time.Time) { now = &still{from: at} }
+	begin := func(l *Line, at time.Time) { now = &still{from: at, node: l.Node} }
 	finish := func(at time.Time, open bool) {
 		if now != nil && at.Sub(now.from) >= stillBound {
 			now.to, now.open = at, open
@@ -42,12 +44,12 @@
 		switch l.Kind {
 		case "job-accepted", "job-unknown":
 			if !taken {
-				begin(l.Time)
+				begin(l, l.Time)
 			}
 			taken = true
 		case "job-waits":
 			if !taken {
-				begin(l.Time.Add(-l.millis("age_ms")))
+				begin(l, l.Time.Add(-l.millis("age_ms")))
 			}
 			taken = true
 			if now != nil {
@@ -59,7 +61,7 @@
 		case "task-ended", "task-stopped", "run-lost", "start-refused":
 			delete(running, run)
 			if len(running) == 0 && now == nil {
-				begin(l.Time)
+				begin(l, l.Time)
 			}
 		case "job-ended", "job-cancelled":
 			finish(l.Time, false)
@@ -116,8 +118,11 @@
 
 // refusal tells what lay behind a refusal or an unknown outcome.
 func (c *cluster) refusal(l *Line, times int) string {
-	text := fmt.Sprintf("%s by %s at %s%s", map[bool]string{true: "unknown", false: "refused"}[l.Kind == "job-unknown"], l.Node,
-		l.Time.Format(clockLayout), because(l))
+	said := "refused"
+	if l.Kind == "job-unknown" {
+		said = "told that the outcome is unknown"
+	}
+	text := fmt.Sprintf("%s by %s at %s%s", said, l.Node, l.Time.Format(clockLayout), because(l))
 	if times > 1 {
 		text += fmt.Sprintf(", the last of %d times", times)
 	}
@@ -150,10 +155,8 @@
 		causes = append(causes, what+because(s.waits))
 	}
 	causes = append(causes, c.takeovers(s.from, s.to)...)
-	if h := c.holder(s.from); h != "" && s.waits == nil {
-		if out := c.storeOut(h, s.from.Add(s.length()/2)); out != "" {
-			causes = append(causes, out)
-		}
+	if out := c.storeOut(c.holder(s.from, s.node), s.from.Add(s.length()/2)); out != "" && s.waits == nil {
+		causes = append(causes, out)
 	}
 	if len(causes) == 0 {
 		causes = append(causes, "no line says why; a job with a time of its own waits for it without a line")
@@ -161,9 +164,9 @@
 	return text + ": " + strings.Join(causes, "; ")
 }
 
-// holder returns the node that held the right to place at a time.
-func (c *cluster) holder(at time.Time) string {
-	node := ""
+// holder returns the node that held the right to place at a time, the given one
+// if no line tells it.
+func (c *cluster) holder(at time.Time, node string) string {
 	for i := range c.terms {
 		if !c.terms[i].began.After(at) {
 			node = c.terms[i].node
@@ -206,12 +209,14 @@
 			others.all += t.all - n
 		}
 	}
-	text := fmt.Sprintf("%s failed %d times on %s; of the other %d runs that ended there, %d failed",
-		strings.TrimPrefix(task, ended.Job+"."), failed, strings.Join(sortedKeys(onWorker), ", "), others.all, others.failed)
+	text := fmt.Sprintf("%s failed %d times on %s", strings.TrimPrefix(task, ended.Job+"."), failed, strings.Join(sortedKeys(onWorker), ", "))
+	if others.all == 0 {
+		return []string{text}
+	}
+	text += fmt.Sprintf("; of the other %d runs that ended there, %d failed", others.all, others.failed)
 	switch {
-	case others.all == 0:
 	case float64(others.failed) >= manyFailed*float64(others.all):
-		text += ": look after the worker"
+		text += ": look after the workers"
 	case len(onWorker) > 1:
 		text += ": the task's own fault"
 	}
