Lines of requests hold the caller's own ID

Ruled out: that callers send none. A trial copy that logs headers shows Request-Id on each request.

Change: a request's line holds it as "request", bounded to 64 bytes; trace and explain take either ID.

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -1,8 +1,10 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -29,7 +31,7 @@
 
 Each FILE holds JSON log lines of one or more nodes, in any order; what a
 collector has put before the JSON is passed over. FILE may be - for the standard
-input.
+input. ID is the job's, or the one that the caller gave its request.
 
 With --failed it lists instead the requests that failed: refused, of unknown
 outcome, carried out in vain, never started or late; each with its job's id and
@@ -42,11 +44,7 @@
 			if len(args) < 2 {
 				return errors.New("trace needs an ID and at least one FILE, or --failed")
 			}
-			log := story.NewLog(args[0])
-			if err := t.readLogs(log, args[1:]); err != nil {
-				return err
-			}
-			return t.tellStory(log, nil)
+			return t.traceID(args[0], args[1:])
 		},
 	}
 	cmd.Flags().BoolVar(&failed, "failed", false, "list the requests that failed")
@@ -54,6 +52,35 @@
 	return cmd
 }
 
+// traceID tells the story of a job, by its ID or by that of a request for it.
+func (t *tool) traceID(id string, files []string) error {
+	var input []byte
+	for _, name := range files {
+		if name == "-" {
+			data, err := io.ReadAll(t.in)
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			input = data
+		}
+	}
+	read := func(id string) (*story.Log, error) {
+		t.in = bytes.NewReader(input)
+		log := story.NewLog(id)
+		return log, t.readLogs(log, files)
+	}
+	log, err := read(id)
+	if err != nil {
+		return err
+	}
+	if job := log.Asked(); job != "" {
+		if log, err = read(job); err != nil {
+			return err
+		}
+	}
+	return t.tellStory(log, nil)
+}
+
 func (t *tool) listFailed(files []string, late time.Duration) error {
 	log := story.NewLog("")
 	if err := t.readLogs(log, files); err != nil {
@@ -97,6 +124,18 @@
 	ctx, cancel := context.WithTimeout(ctx, t.flags.Timeout)
 	defer cancel()
 	t.showView(ctx, id)
+	log, notes := t.readNodes(ctx, id)
+	if job := log.Asked(); job != "" {
+		log, notes = t.readNodes(ctx, job)
+	}
+	if len(notes) == len(t.flags.Nodes) {
+		return errors.Errorf("no node answered:\n  %s", strings.Join(notes, "\n  "))
+	}
+	return t.tellStory(log, notes)
+}
+
+// readNodes reads what the nodes keep of a job, and names those out of reach.
+func (t *tool) readNodes(ctx context.Context, id string) (*story.Log, []string) {
 	log := story.NewLog(id)
 	var notes []string
 	for _, base := range t.flags.Nodes {
@@ -104,10 +143,7 @@
 			notes = append(notes, fmt.Sprintf("out of reach: %s: %v", base, err))
 		}
 	}
-	if len(notes) == len(t.flags.Nodes) {
-		return errors.Errorf("no node answered:\n  %s", strings.Join(notes, "\n  "))
-	}
-	return t.tellStory(log, notes)
+	return log, notes
 }
 
 func (t *tool) readRecent(ctx context.Context, log *story.Log, base, id string) error {
--- a/internal/noded/requests.go
+++ b/internal/noded/requests.go
@@ -74,6 +74,13 @@
 	text   []byte
 }
 
+// headerRequestID is the header in which callers give a request an ID of their
+// own, by which they ask for it later.
+const headerRequestID = "Request-Id"
+
+// maxRequestID bounds what is logged of it.
+const maxRequestID = 64
+
 // maxRefusalText bounds what is logged of a refusal that the desk has not made.
 const maxRefusalText = 200
 
@@ -111,6 +118,9 @@
 	if age := l.age(); age >= 0 {
 		f["age_ms"] = age.Milliseconds()
 	}
+	if id := r.Header.Get(headerRequestID); id != "" {
+		f["request"] = id[:min(len(id), maxRequestID)]
+	}
 	if req.known {
 		f["job"], f["queue"], f["outcome"] = req.job, req.queue, req.outcome.Code.String()
 		if req.outcome.Reason != "" {
--- a/internal/noded/requests_test.go
+++ b/internal/noded/requests_test.go
@@ -31,7 +31,29 @@
 }
 
 func ask(l *requestLog, method string) {
-	l.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(method, "/queue/00000000000000aa", strings.NewReader("{}")))
+	askAs(l, method, "")
+}
+
+// askAs asks under a request ID of the caller's own.
+func askAs(l *requestLog, method, id string) {
+	r := httptest.NewRequest(method, "/queue/00000000000000aa", strings.NewReader("{}"))
+	if id != "" {
+		r.Header.Set(headerRequestID, id)
+	}
+	l.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+// TestRequestIDs checks that a line names the request as its caller does, in bounds.
+func TestRequestIDs(t *testing.T) {
+	g := NewWithT(t)
+	log, hook := logtest.NewNullLogger()
+	l := &requestLog{next: serving(intake.Outcome{}, 200), log: log, age: func() time.Duration { return 0 }, observe: func(string, time.Duration) {}}
+	askAs(l, "POST", "7179691d34cf3987")
+	g.Expect(hook.LastEntry().Data).To(HaveKeyWithValue("request", "7179691d34cf3987"))
+	askAs(l, "POST", strings.Repeat("x", 2*maxRequestID))
+	g.Expect(hook.LastEntry().Data).To(HaveKeyWithValue("request", strings.Repeat("x", maxRequestID)))
+	ask(l, "POST")
+	g.Expect(hook.LastEntry().Data).NotTo(HaveKey("request"))
 }
 
 // TestRequestLines checks the line of each ending of a request.
--- a/internal/story/failed.go
+++ b/internal/story/failed.go
@@ -31,8 +31,10 @@
 // Failure is one request that failed.
 type Failure struct {
 	// At is when the caller was answered, or when the wait began.
-	At      time.Time
-	Job     string
+	At  time.Time
+	Job string
+	// Request is the caller's newest ID of the request, if it gave one.
+	Request string
 	Queue   string
 	Node    string
 	Outcome Outcome
@@ -72,6 +74,9 @@
 		if q := own[i].Text("queue"); q != "" {
 			v.Queue = q
 		}
+		if r := own[i].Text("request"); r != "" && strings.HasPrefix(own[i].Kind, "job-") {
+			v.Request = r
+		}
 	}
 	at := func(x *Line, o Outcome, why string) (Failure, bool) {
 		v.At, v.Node, v.Outcome, v.Why = x.Time, x.Node, o, why
@@ -105,7 +110,7 @@
 	for i := range failures {
 		f := &failures[i]
 		counts[string(f.Outcome)]++
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", f.At.Format(clockLayout), f.Job, f.Queue, f.Node, f.Outcome, f.Why)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", f.At.Format(clockLayout), f.Request, f.Job, f.Queue, f.Node, f.Outcome, f.Why)
 	}
 	if err := t.Flush(); err != nil {
 		return errors.WithStack(err)
--- a/internal/story/read.go
+++ b/internal/story/read.go
@@ -60,6 +60,8 @@
 type Log struct {
 	// id is the job, empty for all of them.
 	id string
+	// asked is the job of the request that has the ID, if one has.
+	asked string
 	// own holds lines that name a job, others those that name none.
 	own, others []Line
 	// ends counts the ends of all jobs' runs by worker.
@@ -126,9 +128,20 @@
 		l.others = append(l.others, line)
 	case l.id == "" || strings.EqualFold(line.Job, l.id):
 		l.own = append(l.own, line)
+	case strings.EqualFold(line.Text("request"), l.id):
+		l.asked = line.Job
 	}
 }
 
+// Asked returns the job of the request that has the log's ID, empty if the ID
+// is that of a job itself or no line names it.
+func (l *Log) Asked() string {
+	if len(l.own) > 0 {
+		return ""
+	}
+	return l.asked
+}
+
 func (l *Log) count(end *Line) {
 	t := l.ends[end.Text("worker")]
 	if t == nil {
