A job that waits says what it needs

Cause: "room 13, of 13 workers" did not tell whether the job could ever be placed, or why others passed it.

Change: the decision job-waits has Needs: the step's tasks, whether all at once, what each needs, and how many workers of the pool are large enough. It is worked out only when the line is made: after 1 s, and for each change of the reason. Nothing of placement changes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -451,6 +451,8 @@
 	Run     int64
 	Outcome string
 	Reason  string
+	// Needs, of a step that waits, is what it asks for.
+	Needs string
 	// Age is how old the deciding input was.
 	Age time.Duration
 	// Queued, of a job's first start, is the time since its acceptance.
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -42,8 +44,29 @@
 		return
 	}
 	s.wait.reason = reason
+	needs := ""
+	if slices.Contains(refusals, reason) {
+		needs = c.needs(s)
+	}
 	c.decide(Decision{Kind: "job-waits", Job: s.occ.job.def.ID, Task: t.id().String(), Outcome: reason, Reason: detail,
-		Age: c.now - max(s.readyAt, t.waitingSince)})
+		Needs: needs, Age: c.now - max(s.readyAt, t.waitingSince)})
+}
+
+// needs tells what a step asks for, and how many workers of its pool could give
+// a task that if they were empty.
+func (c *Core) needs(s *step) string {
+	z, able := s.def.Counted(), 0
+	for _, h := range c.pools[s.occ.job.queue.Pool] {
+		if h.hasLabel(s.def.Requires) && z.Within(h.info.Capacity) {
+			able++
+		}
+	}
+	together := ""
+	if s.def.Gang {
+		together = " at once"
+	}
+	return fmt.Sprintf("%d tasks%s, each %g cores, %d MiB, %d accelerators; workers large enough: %d", s.def.Count, together,
+		float64(z.MilliCPU)/1000, z.MemoryMiB, z.Accelerators, able)
 }
 
 // firstWaiting returns a task without a run, one that may start now if there is one.
--- a/internal/dispatch/wait_test.go
+++ b/internal/dispatch/wait_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -35,3 +36,30 @@
 	g.Expect(waits[1].Outcome).To(Equal(reasonNoWorker))
 	g.Expect(waits[1].Reason).To(Equal("pool p"))
 }
+
+// TestWaitsTellNeeds checks that a wait for workers says what the step asks
+// for, and how many workers are large enough.
+func TestWaitsTellNeeds(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Settings{Lease: time.Second}, 0, 1000)
+	size := workflow.Size{MilliCPU: 1500, MemoryMiB: 10, Accelerators: 1}
+	job := &workflow.Job{ID: "aa00000000000001", Queue: "q", Steps: []workflow.Step{{Count: 2, Size: size, Gang: true}}}
+	var waits []Decision
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		events := []Event{RightConfirmed{Until: at + time.Second}}
+		if at == 0 {
+			events = append(events,
+				Configured{Catalog: &workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p"}}}},
+				JobAccepted{Job: job, Offset: 1},
+				WorkersListed{Workers: []worker.Info{{ID: "small", Pool: "p", Capacity: workflow.Size{MilliCPU: 1000}}, {ID: "large", Pool: "p", Capacity: size}}})
+		}
+		c.Step(at, 1000+at.Milliseconds(), events...)
+		for _, d := range c.Decisions() {
+			if d.Kind == "job-waits" {
+				waits = append(waits, d)
+			}
+		}
+	}
+	g.Expect(waits).NotTo(BeEmpty())
+	g.Expect(waits[0].Needs).To(Equal("2 tasks at once, each 1.5 cores, 10 MiB, 1 accelerators; workers large enough: 1"))
+}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -96,6 +96,7 @@
 		put("worker", d.Worker)
 		put("outcome", d.Outcome)
 		put("reason", d.Reason)
+		put("needs", d.Needs)
 		if d.Run != 0 {
 			f["run"] = d.Run
 		}
--- a/internal/story/failed.go
+++ b/internal/story/failed.go
@@ -90,6 +90,12 @@
 	case !f.taken() && f.refused != nil:
 		return at(f.refused, Refused, c.refusal(f.refused, f.refusals))
 	}
+	if f.ended != nil && f.ended.Time.Sub(f.endedFirst.Time) >= late {
+		return at(f.endedFirst, Late, c.endedAgain(f))
+	}
+	if f.accepted != nil && f.refused != nil && f.accepted.Time.Sub(own[0].Time) >= late && f.refused.Time.Before(f.accepted.Time) {
+		return at(&own[0], Late, c.refusal(f.refused, f.refusals))
+	}
 	for _, s := range stills(own, c.end) {
 		if s.length() < late || s.waits == nil && s.open {
 			continue // without a line that it waits, its time may not have come
@@ -103,6 +109,14 @@
 	return v, false
 }
 
+// dash stands for what no line tells.
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
 // RenderFailures writes a line for each failure, and counts them by outcome.
 func RenderFailures(w io.Writer, failures []Failure) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -110,7 +124,7 @@
 	for i := range failures {
 		f := &failures[i]
 		counts[string(f.Outcome)]++
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", f.At.Format(clockLayout), f.Request, f.Job, f.Queue, f.Node, f.Outcome, f.Why)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", f.At.Format(clockLayout), dash(f.Request), f.Job, dash(f.Queue), f.Node, f.Outcome, f.Why)
 	}
 	if err := t.Flush(); err != nil {
 		return errors.WithStack(err)
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -157,7 +157,11 @@
 
 // facts are the telling lines of one job, nil where there is none.
 type facts struct {
-	accepted, unknown, refused, ended *Line
+	accepted, unknown, refused *Line
+	// endedFirst and ended are the first and the last that tell its end.
+	endedFirst, ended *Line
+	// queries are questions for its state that were refused.
+	queries []*Line
 	// refusals counts the tries that were refused.
 	refusals int
 	// start is the first start, waited what it had waited for before; waits is
@@ -191,7 +195,12 @@
 		case "job-accepted":
 			f.accepted = l
 		case "job-ended":
+			if f.endedFirst == nil {
+				f.endedFirst = l
+			}
 			f.ended = l
+		case "query-refused":
+			f.queries = append(f.queries, l)
 		}
 	}
 	return f
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -107,9 +107,38 @@
 	if f.ended != nil && f.ended.Text("outcome") == "failed" {
 		out = append(out, l.blame(own, f.ended)...)
 	}
+	out = append(out, c.endedAgain(f), c.queries(f))
 	return slices.DeleteFunc(out, func(s string) bool { return s == "" })
 }
 
+// endedAgain tells that a job's end was lost with its holder: callers saw it
+// only when the next one had recorded it.
+func (c *cluster) endedAgain(f *facts) string {
+	if f.ended == nil || f.endedFirst == f.ended {
+		return ""
+	}
+	text := fmt.Sprintf("it had ended at %s, and its end was recorded anew by %s at %s, %.1f s later", f.endedFirst.Time.Format(clockLayout),
+		f.ended.Node, f.ended.Time.Format(clockLayout), f.ended.Time.Sub(f.endedFirst.Time).Seconds())
+	if over := c.takeovers(f.endedFirst.Time, f.ended.Time); len(over) > 0 {
+		text += ": " + strings.Join(over, "; ")
+	}
+	return text
+}
+
+// queries tells of a caller's questions that were refused.
+func (c *cluster) queries(f *facts) string {
+	if len(f.queries) == 0 {
+		return ""
+	}
+	first, last := f.queries[0], f.queries[len(f.queries)-1]
+	text := fmt.Sprintf("%d questions for its state were refused from %s to %s%s", len(f.queries), first.Time.Format(clockLayout),
+		last.Time.Format(clockLayout), because(last))
+	if out := c.storeOut(last.Node, last.Time); out != "" && ofStore[last.Text("reason")] {
+		text += ": " + out
+	}
+	return text
+}
+
 // ofStore are the reasons of refusals that the store has to do with.
 var ofStore = map[string]bool{
 	"no-configuration": true, "configuration-stale": true, "view-stale": true, "store-unreachable": true,
@@ -152,6 +181,9 @@
 		if what == "" {
 			what = s.waits.Text("outcome")
 		}
+		if needs := s.waits.Text("needs"); needs != "" {
+			what = "it needs " + needs + "; " + what
+		}
 		causes = append(causes, what+because(s.waits))
 	}
 	causes = append(causes, c.takeovers(s.from, s.to)...)
