--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -24,8 +24,9 @@
 func (t *tool) trace() *cobra.Command {
 	var failed bool
 	var late time.Duration
+	var node, at string
 	cmd := &cobra.Command{
-		Use:   "trace {ID | --failed} FILE...",
+		Use:   "trace {ID | --failed | --node NODE --at TIME} FILE...",
 		Short: "Tell from the processes' logs what became of a job, and why",
 		Long: `Tell from the processes' logs what became of a job, and why.
 
@@ -35,23 +36,47 @@
 
 With --failed it lists instead the requests that failed: refused, of unknown
 outcome, carried out in vain, never started or late; each with its job's id and
-its cause.`,
+its cause. With --node and --at it tells what a node did around a time of day,
+for requests that no line names.`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if failed {
 				return t.listFailed(args, late)
 			}
+			if node != "" {
+				return t.tellNode(node, at, args)
+			}
 			if len(args) < 2 {
-				return errors.New("trace needs an ID and at least one FILE, or --failed")
+				return errors.New("trace needs an ID and at least one FILE, or --failed, or --node and --at")
 			}
 			return t.traceID(args[0], args[1:])
 		},
 	}
 	cmd.Flags().BoolVar(&failed, "failed", false, "list the requests that failed")
 	cmd.Flags().DurationVar(&late, "late", defaultLate, "with --failed: how long nothing of a job runs before it counts as late")
+	cmd.Flags().StringVar(&node, "node", "", "tell what this node did around --at")
+	cmd.Flags().StringVar(&at, "at", "", "time of day in the logs, like 15:04:05")
+	cmd.MarkFlagsRequiredTogether("node", "at")
+	cmd.MarkFlagsMutuallyExclusive("node", "failed")
 	return cmd
 }
 
+func (t *tool) tellNode(node, at string, files []string) error {
+	clock, err := story.ParseClock(at)
+	if err != nil {
+		return err
+	}
+	log := story.NewLog("")
+	if err := t.readLogs(log, files); err != nil {
+		return err
+	}
+	s, err := log.TellNode(node, clock)
+	if err != nil {
+		return err
+	}
+	return s.Render(t.out)
+}
+
 // traceID tells the story of a job, by its ID or by that of a request for it.
 func (t *tool) traceID(id string, files []string) error {
 	var input []byte
