--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -108,7 +108,7 @@
 	if f.ended != nil && f.ended.Text("outcome") == "failed" {
 		out = append(out, l.blame(own, f.ended)...)
 	}
-	out = append(out, c.endedAgain(f), c.queries(f))
+	out = append(out, l.slowest(own), c.endedAgain(f), c.queries(f))
 	return slices.DeleteFunc(out, func(s string) bool { return s == "" })
 }
 
