Lost and regained services have lines; words for waits are held together

Cause: of the dependencies of a node only what is read from the store had a line when it was lost. The policy service and the list of machines were counted only (advice-failed) or not at all.

Change: the answers of both go the way of the views' readings, so that the first failure and the first success after it are told, as dependency-lost and dependency-regained with view advice or machines. They have no age, and a story doesn't take them for the store. The message is "calls fail".

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -129,6 +129,7 @@
 			a, err = n.ports.Peers.Advise(ctx, m.address, e.Step, e.Workers)
 		}
 		n.ports.Observe("advice", time.Since(began))
+		n.views.called(serviceAdvice, err)
 		if err != nil {
 			n.ports.Count("retry", "advice-failed")
 		}
--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -299,6 +299,7 @@
 		sent := n.now()
 		go n.bounded(t, listTimeout, func(ctx context.Context) {
 			machines, err := n.ports.Machines.List(ctx)
+			n.views.called(serviceMachines, err)
 			back(upkeep.Listed{Machines: machines, Sent: sent, Failed: err != nil})
 		})
 	case upkeep.OrderUpkeep:
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -68,13 +68,24 @@
 		if !read.IsZero() {
 			f["age_ms"] = r.at.Sub(read).Milliseconds()
 		}
-		v.log.WithFields(f).WithError(r.err).Warn("reads fail")
+		v.log.WithFields(f).WithError(r.err).Warn("calls fail")
 	case r.err == nil && !before.IsZero():
 		v.log.WithFields(logrus.Fields{"kind": "dependency-regained", "view": name,
-			"after_ms": r.at.Sub(before).Milliseconds()}).Info("reads succeed again")
+			"after_ms": r.at.Sub(before).Milliseconds()}).Info("calls succeed again")
 	}
 }
 
+// Services that are called, and not read as feeds.
+const (
+	serviceAdvice   = "advice"
+	serviceMachines = "machines"
+)
+
+// called takes note of a call to a service, which is no view and has no age.
+func (v *views) called(service string, err error) {
+	v.note(service, func() bool { return false }, reading{err: err, at: time.Now()})
+}
+
 // ages returns how long ago each view that is followed now was read.
 func (v *views) ages() map[string]time.Duration {
 	v.mu.Lock()
--- a/internal/story/cluster.go
+++ b/internal/story/cluster.go
@@ -35,6 +35,9 @@
 // life is one process of a node.
 type life struct{ started, leaves, stopped time.Time }
 
+// notOfStore are the dependencies that are not read from the store.
+var notOfStore = map[string]bool{"advice": true, "machines": true}
+
 func newCluster(lines []Line) *cluster {
 	c := &cluster{nodes: map[string]bool{}, lives: map[string][]life{}}
 	for i := range lines {
@@ -42,6 +45,9 @@
 		c.nodes[l.Node], c.end = true, l.Time
 		switch l.Kind {
 		case "dependency-lost":
+			if notOfStore[l.Text("view")] {
+				continue
+			}
 			c.outages = append(c.outages, outage{node: l.Node, view: l.Text("view"), from: l.Time.Add(-l.millis("age_ms"))})
 		case "dependency-regained":
 			c.regained(l)
--- a/internal/story/why_test.go
+++ b/internal/story/why_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -205,3 +206,32 @@
 	g.Expect(l.Read(strings.NewReader(string(data)))).To(Succeed())
 	g.Expect(l.Asked()).To(BeEmpty())
 }
+
+// TestWaitsAreWorded checks that the story has words for each outcome of
+// job-waits that the dispatcher decides.
+func TestWaitsAreWorded(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../dispatch/wait.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	decided := map[string]bool{}
+	for _, m := range regexp.MustCompile(`(?m)^	reason\w+\s+= "([a-z-]+)"`).FindAllStringSubmatch(string(data), -1) {
+		decided[m[1]] = true
+	}
+	_, list, found := strings.Cut(string(data), "var refusals = []string{")
+	g.Expect(found).To(BeTrue())
+	list, _, _ = strings.Cut(list, "}")
+	for _, m := range regexp.MustCompile(`"([a-z-]+)"`).FindAllStringSubmatch(list, -1) {
+		decided[m[1]] = true
+	}
+	g.Expect(decided).To(HaveLen(len(missing)))
+	for outcome := range missing {
+		g.Expect(decided).To(HaveKey(outcome))
+	}
+}
+
+// TestOtherServices checks that a lost policy service is not taken for the store.
+func TestOtherServices(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := tell(t, jobA, at(12, "e1", "job-refused", "job", jobA, "reason", "view-stale"), strings.ReplaceAll(outageOf("e1", 10, 14), `"jobs"`, `"advice"`))
+	g.Expect(s.Why).To(Equal([]string{"refused by e1 at 10:00:12.000 (view-stale)"}))
+}
