--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -96,6 +96,7 @@
 		put("worker", d.Worker)
 		put("outcome", d.Outcome)
 		put("reason", d.Reason)
+		put("needs", d.Needs)
 		if d.Run != 0 {
 			f["run"] = d.Run
 		}
@@ -128,6 +129,7 @@
 			a, err = n.ports.Peers.Advise(ctx, m.address, e.Step, e.Workers)
 		}
 		n.ports.Observe("advice", time.Since(began))
+		n.views.called(serviceAdvice, err)
 		if err != nil {
 			n.ports.Count("retry", "advice-failed")
 		}
