Nodes with the most processor time take over first

Any node could come to hold the right. Change: nodes record their share of a core; the three that follow the holder closely are those with the largest, among equals by the hash of their names; a node with less than 0.3 of a core claims 0.4 s later. That one node carries all workers stays the limit; see docs/CAPACITY.md.

--- a/internal/node/inspect_test.go
+++ b/internal/node/inspect_test.go
@@ -102,3 +102,13 @@
 		c.Expect(err).To(MatchError(ErrNoInspection))
 	})
 }
+
+func TestNodesWithTheMostProcessorTimeTakeOverFirst(t *testing.T) {
+	g := NewWithT(t)
+	ms := []Member{{Node: "a", CPUShare: 0.2}, {Node: "b", CPUShare: 0.8, Holds: true}, {Node: "c", CPUShare: 0.8}, {Node: "d", CPUShare: 0.2},
+		{Node: "e", CPUShare: 0.8, Leaving: true}, {Node: "f", CPUShare: 0.4}, {Node: "g", CPUShare: 0.8}}
+	g.Expect(closest(ms)).To(ConsistOf("c", "g", "f"))
+	ms[2].Leaving = true
+	g.Expect(closest(ms)).To(ContainElements("g", "f"))
+	g.Expect(closest(ms)).To(HaveLen(closeFollowers))
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -27,6 +27,8 @@
 	Address string `json:"a"`
 	// Leaving is set by a process that stops as planned.
 	Leaving bool `json:"l,omitempty"`
+	// CPUShare is the share of a core that the process has.
+	CPUShare float64 `json:"c,omitempty"`
 }
 
 // members is the holder's view of the nodes that can ask the policy service.
@@ -157,7 +159,7 @@
 // register writes this node into the store, so that the holder finds it.
 func (n *Node) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		value, _ := json.Marshal(memberRecord{Address: n.address, Leaving: n.desk.leaving.Load()})
+		value, _ := json.Marshal(memberRecord{Address: n.address, Leaving: n.desk.leaving.Load(), CPUShare: n.set.Limits.CPUShare})
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.ports.Store.Append(callCtx, memberPartition, []store.Record{{Key: n.set.Node, Value: value}}, store.AppendOptions{})
 		cancel()
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -20,6 +20,8 @@
 	Token int64
 	// Leaving tells that its process stops as planned, or has done so.
 	Leaving bool
+	// CPUShare is the share of a core that it has.
+	CPUShare float64
 }
 
 // Membership says who is a member, who holds the right to place and who is
@@ -34,7 +36,7 @@
 		if json.Unmarshal(value, &rec) != nil {
 			continue
 		}
-		m := Member{Node: name, Address: rec.Address, Leaving: rec.Leaving}
+		m := Member{Node: name, Address: rec.Address, Leaving: rec.Leaving, CPUShare: rec.CPUShare}
 		if token != 0 && name == holder.Node {
 			// The holder's own record is newer than what it wrote at its start.
 			m.Holds, m.Token, held = true, token, true
@@ -55,13 +57,15 @@
 // once. The others see a loss of the holder later by the pause between their reads.
 const closeFollowers = 3
 
-// closest returns the names of the members that are to take over first: all
-// nodes that know the same members name the same ones. They are spread over the
-// names, and so over the domains that names begin with.
+// closest returns the names of the members that are to take over first: those
+// with the most processor time, as the holder does the work for all workers.
+// All nodes that know the same members name the same ones. Among equals they are
+// spread over the names, and so over the domains that names begin with.
 func closest(ms []Member) []string {
 	type ranked struct {
-		name string
-		rank uint32
+		name  string
+		share float64
+		rank  uint32
 	}
 	var rs []ranked
 	for _, m := range ms {
@@ -70,10 +74,10 @@
 		}
 		h := fnv.New32a()
 		h.Write([]byte(m.Node))
-		rs = append(rs, ranked{m.Node, h.Sum32()})
+		rs = append(rs, ranked{m.Node, m.CPUShare, h.Sum32()})
 	}
 	slices.SortFunc(rs, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name))
 	})
 	var out []string
 	for _, r := range rs[:min(len(rs), closeFollowers)] {
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -42,6 +42,10 @@
 	flushTime = 300 * time.Millisecond
 	// claimSpread spreads the claims of nodes that start at the same time.
 	claimSpread = 100 * time.Millisecond
+	// smallShare is the share of a core below which a node claims by smallDelay
+	// later: all nodes start within 0.3 s.
+	smallShare = 0.3
+	smallDelay = 400 * time.Millisecond
 	// recentBytes is how much of the newest log lines is kept for explain.
 	recentBytes = 512 << 10
 	// memoryShare is the share of the memory limit that the heap may take.
@@ -84,7 +88,7 @@
 	if opt.MetricsPort > 0 {
 		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
 	}
-	d.node = node.New(set, ports, log, internal, uuid.NewString(), claimDelay(set.Node))
+	d.node = node.New(set, ports, log, internal, uuid.NewString(), claimDelay(set.Node, set.Limits.CPUShare))
 	return d, t.Watch(telemetry.Watched{Ages: d.node.Ages, Holds: d.node.Holds, Ready: d.node.Desk().Ready})
 }
 
@@ -96,11 +100,16 @@
 	}
 }
 
-// claimDelay spreads claims by the node's name.
-func claimDelay(name string) time.Duration {
+// claimDelay spreads claims by the node's name, and has nodes with little
+// processor time claim after the others.
+func claimDelay(name string, share float64) time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(name))
-	return time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
+	delay := time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
+	if share < smallShare {
+		delay += smallDelay
+	}
+	return delay
 }
 
 // serve runs the node and its servers until a planned stop or a failure.
