--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -24,7 +24,7 @@
 func (w workerStub) Write(_ context.Context, req *api.WriteRequest) (*api.WriteReply, error) {
 	now := time.Now().UnixMilli()
 	reply := &api.WriteReply{NowMs: now, BootMs: now - 1e6, Digest: stubDigest, Unchanged: req.Digest == stubDigest}
-	reply.Mark = &api.Mark{Holder: req.Holder, ExpiryMs: now + 6000, SinceMs: now - 1e5}
+	reply.Mark = &api.Mark{Holder: req.Holder}
 	if !reply.Unchanged {
 		reply.Tasks, reply.Capacity = w.tasks, &api.Resources{MilliCpu: 64000, MemoryMib: 256 << 10, Accelerators: 2}
 	}
@@ -66,8 +66,8 @@
 func renewal(srv *wire, s []scheduler.Start) scheduler.WriteWorker {
 	now := time.Duration(time.Now().UnixMilli()) * time.Millisecond
 	return scheduler.WriteWorker{
-		Worker: "worker-0001", Address: srv.address(), Holder: "entry-west-1-1#dhk3hq1l2k3",
-		MarkExpiry: now + time.Minute, RenewExpiry: now + time.Minute, Starts: s,
+		Worker: "worker-0001", Address: srv.address(), Token: 123456789,
+		RenewExpiry: now + time.Minute, Starts: s,
 	}
 }
 
--- a/internal/fakeworker/cell.go
+++ b/internal/fakeworker/cell.go
@@ -19,6 +19,8 @@
 	Hosts   []scheduler.Host
 	// Offset is that of the log's next record.
 	Offset int64
+	// Tenure holds the records of the domain's tenure partition.
+	Tenure Partition
 	// Mute workers get no write, and writes to silent ones fail.
 	Mute, Silent map[string]bool
 	// Written, if set, is told of each write before its worker gets it.
@@ -68,6 +70,7 @@
 		c.Workers[name] = New(name, capacity(i), ClockAhead-time.Minute, ownership.DefaultTiming(), h)
 	}
 	c.Step(Hosts, scheduler.HostsRead{Hosts: c.Hosts})
+	c.Step(Other, c.Tenure.Read(0))
 	c.Declare(append([]configuration.Op{{Domain: d}}, ops...)...)
 	return c
 }
@@ -91,6 +94,10 @@
 			if !c.Mute[eff.Worker] {
 				queue = append(queue, c.do(c.write(eff))...)
 			}
+		case scheduler.AppendTenure:
+			if ev := c.Tenure.Append(eff); eff.End >= 0 {
+				queue = append(queue, c.do(Other, ev)...)
+			}
 		case scheduler.AppendRecord:
 			if c.Appended != nil {
 				c.Appended(eff.Record)
@@ -125,6 +132,9 @@
 func (c *Cell) Run(d time.Duration) {
 	for end := c.Now + d; c.Now < end; {
 		c.Now += TickInterval
+		if !c.Core.Leader() {
+			c.Step(Other, c.Tenure.Read(0))
+		}
 		c.Step(Tick, scheduler.Tick{})
 	}
 }
--- a/internal/fakeworker/codec.go
+++ b/internal/fakeworker/codec.go
@@ -13,7 +13,7 @@
 // Decode returns the write that a worker got in the platform's protocol.
 func Decode(req *api.WriteRequest) scheduler.WriteWorker {
 	eff := scheduler.WriteWorker{
-		Holder: req.Holder, Boot: millis(req.BootMs), MarkExpiry: millis(req.MarkExpiryMs), RenewExpiry: millis(req.RenewExpiryMs),
+		Token: platform.Token(req.Holder), Boot: millis(req.BootMs), RenewExpiry: millis(req.RenewExpiryMs),
 		Forget: req.Forget, Digest: req.Digest,
 	}
 	for _, s := range req.Starts {
@@ -30,16 +30,11 @@
 	return eff
 }
 
-// Encode returns the answer to the holder's write in the platform's protocol.
-func (w *Worker) Encode(holder string, ev scheduler.WriteReplied) *api.WriteReply {
+// Encode returns the answer to a write in the platform's protocol.
+func Encode(ev scheduler.WriteReplied) *api.WriteReply {
 	r := &api.WriteReply{NowMs: ev.Reply.Now.Milliseconds(), BootMs: ev.Reply.Boot.Milliseconds(), Unchanged: ev.Unchanged, Digest: ev.Digest}
-	for h, k := range w.Marks {
-		m := &api.Mark{Holder: h, ExpiryMs: k.Expiry.Milliseconds(), SinceMs: k.Since.Milliseconds()}
-		if h == holder {
-			r.Mark = m
-		} else {
-			r.Others = append(r.Others, m)
-		}
+	if ev.Reply.Token > 0 {
+		r.Mark = &api.Mark{Holder: platform.Holder(ev.Reply.Token)}
 	}
 	if !ev.Unchanged {
 		r.Capacity = platform.Resources(ev.Capacity)
--- a/internal/fakeworker/fakeworker.go
+++ b/internal/fakeworker/fakeworker.go
@@ -1,5 +1,5 @@
 // Package fakeworker is a worker as the platform's protocol describes it, in
-// virtual time: it obeys, and refuses nothing but what has lapsed. What runs on
+// virtual time: it obeys, and refuses nothing but lower tokens and what has lapsed. What runs on
 // it, for how long, and who judges it is the business of its hooks.
 package fakeworker
 
@@ -43,9 +43,6 @@
 	sum uint64
 }
 
-// Mark is a lease of no size, in the worker's clock.
-type Mark struct{ Expiry, Since time.Duration }
-
 // Worker is a machine. It isn't safe for concurrent use.
 type Worker struct {
 	Hooks
@@ -58,8 +55,8 @@
 	// FailAfter is how long a task lasts while the worker fails all that it
 	// starts; 0 is not at all.
 	FailAfter time.Duration
-	// Marks holds the live marks by holder.
-	Marks map[string]Mark
+	// Token is the highest that the worker has seen since its start.
+	Token int64
 
 	timing ownership.Timing
 	// digest sums up the list of tasks.
@@ -69,14 +66,14 @@
 // New returns a worker that started the given time ago. It lacks the guards
 // that the timing is without.
 func New(name string, capacity resource.Vector, up time.Duration, timing ownership.Timing, h Hooks) *Worker {
-	w := &Worker{Hooks: h, Name: name, Capacity: capacity, timing: timing, Marks: map[string]Mark{}, Tasks: map[uint64]*Task{}}
+	w := &Worker{Hooks: h, Name: name, Capacity: capacity, timing: timing, Tasks: map[uint64]*Task{}}
 	w.Boot = w.Now() - up
 	return w
 }
 
 func (w *Worker) lacks(g ownership.Guard) bool { return w.timing.Without&g != 0 }
 
-// Restart loses marks and tasks.
+// Restart loses the token and all tasks.
 func (w *Worker) Restart() {
 	w.Boot = w.Now()
 	w.Lose()
@@ -87,9 +84,8 @@
 	for _, t := range w.Live() {
 		w.End(t, scheduler.Lapsed)
 	}
-	clear(w.Marks)
 	clear(w.Tasks)
-	w.digest = 0
+	w.Token, w.digest = 0, 0
 }
 
 // Live returns the running tasks by attempt, lapsed ones included that nothing
@@ -124,14 +120,18 @@
 }
 
 // Write takes one message of a scheduler and returns the answer. A message
-// meant for another start of the worker has no effect.
+// meant for another start of the worker, or under a lower token than it has
+// seen, has no effect.
 func (w *Worker) Write(eff scheduler.WriteWorker) scheduler.WriteReplied {
 	now := w.Now()
 	w.Sweep()
 	if eff.Boot != 0 && eff.Boot != w.Boot && !w.lacks(ownership.GuardBoot) {
 		return w.reply(now, eff)
 	}
-	w.setMark(now, eff)
+	if eff.Token < w.Token && !w.lacks(ownership.GuardFence) {
+		return w.reply(now, eff)
+	}
+	w.Token = eff.Token
 	if eff.RenewExpiry > now {
 		w.renew(eff.RenewExpiry)
 	}
@@ -150,29 +150,9 @@
 	return w.reply(now, eff)
 }
 
-func (w *Worker) setMark(now time.Duration, eff scheduler.WriteWorker) {
-	if eff.MarkExpiry < 0 {
-		delete(w.Marks, eff.Holder)
-		return
-	}
-	if eff.MarkExpiry <= now && !w.lacks(ownership.GuardExpiry) || eff.MarkExpiry == 0 {
-		return
-	}
-	old, ok := w.Marks[eff.Holder]
-	if !ok {
-		old.Since = now
-	}
-	w.Marks[eff.Holder] = Mark{max(old.Expiry, eff.MarkExpiry), old.Since}
-}
-
 // Sweep ends what has lapsed or is done by now.
 func (w *Worker) Sweep() {
 	now := w.Now()
-	for h, k := range w.Marks {
-		if k.Expiry <= now {
-			delete(w.Marks, h)
-		}
-	}
 	var over []*Task
 	for _, t := range w.Tasks {
 		switch {
@@ -265,7 +245,7 @@
 		if !w.lacks(ownership.GuardExpiry) {
 			return
 		}
-		expiry = now + w.timing.Mark
+		expiry = now + w.timing.Start
 	}
 	t := &Task{ObservedTask: scheduler.ObservedTask{Task: s.Task, Attempt: s.Attempt, Size: s.Size, Expiry: expiry}}
 	if s.RunMillis > 0 {
@@ -282,14 +262,7 @@
 }
 
 func (w *Worker) reply(now time.Duration, eff scheduler.WriteWorker) scheduler.WriteReplied {
-	ev := scheduler.WriteReplied{Worker: eff.Worker, Reply: ownership.Reply{Write: eff.Write, Now: now, Boot: w.Boot}}
-	for h, k := range w.Marks {
-		if h == eff.Holder {
-			ev.Reply.Expiry, ev.Reply.Since = k.Expiry, k.Since
-		} else {
-			ev.Reply.Others++
-		}
-	}
+	ev := scheduler.WriteReplied{Worker: eff.Worker, Reply: ownership.Reply{Write: eff.Write, Now: now, Boot: w.Boot, Token: w.Token}}
 	if ev.Digest = w.digest | 1; ev.Digest == eff.Digest {
 		ev.Unchanged = true
 		return ev
--- a/internal/measure/simulate.go
+++ b/internal/measure/simulate.go
@@ -45,6 +45,7 @@
 	length  time.Duration
 	domain  string
 	core    *scheduler.Core
+	tenure  fakeworker.Partition
 	workers map[string]*worker
 	queue   timeline.Queue
 	random  *rand.Rand
@@ -143,6 +144,9 @@
 }
 
 func (s *simulation) tick() {
+	if !s.core.Leader() {
+		s.step(s.tenure.Read(0))
+	}
 	s.step(scheduler.Tick{})
 	s.after(tick, s.tick)
 }
@@ -166,6 +170,8 @@
 		switch e := e.(type) {
 		case scheduler.WriteWorker:
 			s.send(e)
+		case scheduler.AppendTenure:
+			s.after(logDelay, func() { s.step(s.tenure.Append(e)) })
 		case scheduler.AppendRecord:
 			s.out.Appends++
 			s.after(logDelay, func() {
@@ -196,7 +202,7 @@
 		ev := w.Write(eff)
 		if s.now >= warmUp && s.now < warmUp+s.length {
 			s.out.Messages++
-			s.out.Bytes += int64(proto.Size(w.Encode(eff.Holder, ev)))
+			s.out.Bytes += int64(proto.Size(fakeworker.Encode(ev)))
 		}
 		if s.faults && s.random.IntN(1000) < lostReplies {
 			s.after(time.Second, overdue)
--- a/internal/operator/workload.go
+++ b/internal/operator/workload.go
@@ -5,7 +5,6 @@
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/language"
-	"github.com/mimosaspool/mimosaspool/internal/ownership"
 )
 
 func (p *plan) declareDomain(st *language.Statement, d *language.Domain) {
@@ -20,13 +19,6 @@
 		}
 	}
 	old, there := p.domains.get(v.Name)
-	if there && len(old.Workers) > 0 && !ownership.Compatible(old.Workers, v.Workers) {
-		p.fault(d.Name, "too many of the %d workers change at once: a term of the old list must share a worker with every term of the new one; change fewer in one script, and wait until all hosts have it in force", len(old.Workers))
-		return
-	}
-	if there && !slices.Equal(old.Workers, v.Workers) && !p.inForce(d.Name, old) {
-		return
-	}
 	detail := configuration.DescribeDomain(old, v)
 	act := action(there, detail)
 	p.touch(st, configuration.KindDomain, v.Name, act, detail)
@@ -36,19 +28,6 @@
 	}
 }
 
-// inForce reports whether every entry host of a domain is known to have the
-// domain's last change in force, so that no term rests on an earlier list of seats.
-func (p *plan) inForce(w *language.Word, d configuration.Domain) bool {
-	version, _ := p.catalog.Version(configuration.KindDomain, d.Name)
-	for _, host := range d.Entries {
-		if at, ok := p.at.positions[host]; p.at.positions != nil && (!ok || at <= version) {
-			p.fault(w, "entry host %s is not known to have the domain's last change (offset %d) in force; workers can come and go once it has", host, version)
-			return false
-		}
-	}
-	return true
-}
-
 func (p *plan) declareWorkload(st *language.Statement, w *language.Workload) {
 	v := w.Value()
 	old, there := p.workloads.get(v.Name)
--- a/internal/platform/malformed.go
+++ b/internal/platform/malformed.go
@@ -35,9 +35,12 @@
 
 // checkReply refuses amounts below zero, unknown states and tasks without a name.
 func checkReply(r *api.WriteReply) error {
-	if r.NowMs < 0 || r.BootMs < 0 || r.GetMark().GetExpiryMs() < 0 || r.GetMark().GetSinceMs() < 0 {
+	if r.NowMs < 0 || r.BootMs < 0 {
 		return malformed("time below zero")
 	}
+	if r.Mark != nil && Token(r.Mark.Holder) == 0 {
+		return malformed("token %.40q", r.Mark.Holder)
+	}
 	if !valid(r.Capacity) {
 		return malformed("capacity %s", Vector(r.Capacity))
 	}
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -19,9 +19,11 @@
 	}
 	Expect(checkReply(task(func(*api.Task) {}))).To(Succeed())
 	Expect(checkReply(&api.WriteReply{Unchanged: true})).To(Succeed())
+	Expect(checkReply(&api.WriteReply{Mark: &api.Mark{Holder: "7"}})).To(Succeed())
 	for i, r := range []*api.WriteReply{
 		{NowMs: -1},
-		{Mark: &api.Mark{ExpiryMs: -1}},
+		{Mark: &api.Mark{Holder: "-1"}},
+		{Mark: &api.Mark{Holder: "h1"}},
 		{Capacity: &api.Resources{MemoryMib: -1}},
 		{Capacity: &api.Resources{MilliCpu: 1 << 62}},
 		task(func(t *api.Task) { t.Task = "" }),
--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -213,7 +213,7 @@
 		if done {
 			return
 		}
-		h.log.append(data, func(int64) { done = true })
+		h.log.append(data, anyEnd, func(int64, bool) { done = true })
 		h.after(callLimit, try)
 	}
 	h.after(h.upTo(20*time.Millisecond), try)
--- a/internal/proof/platform.go
+++ b/internal/proof/platform.go
@@ -18,27 +18,40 @@
 	slowest   = 4 * time.Second
 )
 
-// log is the platform's append-only log.
-type log struct {
-	w       *World
-	first   int64
-	records []configuration.Numbered
-	// down and slow hold until when the log does not answer, or answers late.
+// store is what befalls the platform's log and its partitions.
+type store struct {
+	// down and slow hold until when it does not answer, or answers late.
 	down, slow time.Duration
 	// forgetful is the chance in thousandths that an append's reply is lost.
 	forgetful int
-	waiting   []func()
 }
 
+// log is the platform's append-only log, or a partition of it.
+type log struct {
+	w *World
+	*store
+	first   int64
+	records []configuration.Numbered
+	waiting []func()
+}
+
+// anyEnd lets a record be appended wherever the log ends.
+const anyEnd = -1
+
 func (l *log) next() int64 { return l.first + int64(len(l.records)) }
 
-// append adds a record; answer is not called when the reply is lost.
-func (l *log) append(data []byte, answer func(offset int64)) {
+// append adds a record if the log ends at the given offset; answer is not
+// called when the reply is lost.
+func (l *log) append(data []byte, end int64, answer func(offset int64, ok bool)) {
 	if l.w.now < l.down {
 		return
 	}
 	l.w.after(l.pace(), func() {
 		offset := l.next()
+		if end != anyEnd && end != offset {
+			answer(0, false)
+			return
+		}
 		l.records = append(l.records, configuration.Numbered{Offset: offset, TimeMillis: l.w.now.Milliseconds(), Data: data})
 		waiting := l.waiting
 		l.waiting = nil
@@ -46,7 +59,7 @@
 			wake()
 		}
 		if l.w.now >= l.down && !l.w.chance(l.forgetful) {
-			answer(offset)
+			answer(offset, true)
 		}
 	})
 }
@@ -59,7 +72,7 @@
 }
 
 // read answers with the records from an offset on, and waits for one.
-func (l *log) read(from int64, answer func(first int64, records []configuration.Numbered)) {
+func (l *log) read(from int64, wait time.Duration, answer func(first int64, records []configuration.Numbered)) {
 	if l.w.now < l.down {
 		return
 	}
@@ -82,7 +95,7 @@
 		}
 	}
 	l.waiting = append(l.waiting, once)
-	l.w.after(readWait, once)
+	l.w.after(wait, once)
 }
 
 // publish makes the present hosts of a domain visible in the list, after a lag.
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -6,6 +6,7 @@
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
 )
 
 // The pace of a scheduler's process, as in the program.
@@ -14,6 +15,9 @@
 	hostsInterval     = 2 * time.Second
 	heartbeatInterval = time.Second
 	retryWait         = 500 * time.Millisecond
+	tenureWait        = 300 * time.Millisecond
+	tenureTimeout     = 1500 * time.Millisecond
+	tenureRetry       = 250 * time.Millisecond
 )
 
 // process runs one core as the scheduler's program does.
@@ -37,6 +41,7 @@
 	p.every(hostsInterval, p.pollHosts)
 	p.every(heartbeatInterval, p.heartbeat)
 	p.readLog()
+	p.readTenure(0)
 }
 
 func (p *process) tick() { p.step(scheduler.Tick{}) }
@@ -67,6 +72,8 @@
 				p.write(eff)
 			case scheduler.AppendRecord:
 				p.append(eff)
+			case scheduler.AppendTenure:
+				p.appendTenure(eff)
 			}
 		})
 	})
@@ -91,7 +98,7 @@
 	}
 	id := eff.Record.ID
 	p.call(platformHost, callLimit, func(answer func(func())) {
-		p.w.log.append(data, func(int64) { answer(func() { p.step(scheduler.AppendDone{ID: id}) }) })
+		p.w.log.append(data, anyEnd, func(int64, bool) { answer(func() { p.step(scheduler.AppendDone{ID: id}) }) })
 	}, func() { p.step(scheduler.AppendDone{ID: id, Failed: true}) })
 }
 
@@ -99,7 +106,7 @@
 	from := p.core.NextOffset()
 	again := func() { p.later(retryWait, p.readLog) }
 	p.call(platformHost, callLimit, func(answer func(func())) {
-		p.w.log.read(from, func(first int64, records []configuration.Numbered) {
+		p.w.log.read(from, readWait, func(first int64, records []configuration.Numbered) {
 			answer(func() {
 				if len(records) > 0 || !p.core.Ready() {
 					p.learn(first, records)
@@ -110,6 +117,42 @@
 	}, again)
 }
 
+func (p *process) appendTenure(eff scheduler.AppendTenure) {
+	done := scheduler.TenureAppended{Record: eff.Record}
+	sent := p.local()
+	end := func(offset int64, ok bool) {
+		done.Offset, done.Failed, done.Took = offset, !ok, p.local()-sent
+		if eff.End >= 0 {
+			p.step(done)
+		}
+	}
+	p.call(platformHost, tenureTimeout, func(answer func(func())) {
+		p.w.tenures[p.domain].append(eff.Record.Encode(), eff.End, func(offset int64, ok bool) { answer(func() { end(offset, ok) }) })
+	}, func() { end(0, false) })
+}
+
+func (p *process) readTenure(from int64) {
+	p.call(platformHost, callLimit, func(answer func(func())) {
+		p.w.tenures[p.domain].read(from, tenureWait, func(first int64, records []configuration.Numbered) {
+			answer(func() {
+				ev := scheduler.TenureRead{First: first, End: from}
+				for _, n := range records {
+					r, err := tenure.Decode(n.Data)
+					if err != nil {
+						panic(err) // cores write records that can be read
+					}
+					ev.Offsets, ev.Records, ev.End = append(ev.Offsets, n.Offset), append(ev.Records, r), n.Offset+1
+				}
+				p.step(ev)
+				p.later(0, func() { p.readTenure(ev.End) })
+			})
+		})
+	}, func() {
+		p.step(scheduler.TenureUnread{})
+		p.later(tenureRetry, func() { p.readTenure(from) })
+	})
+}
+
 // recentMost bounds the records kept for peers.
 const recentMost = 5000
 
@@ -140,16 +183,14 @@
 	}
 }
 
-// greet tells a peer this process's state and takes the peer's, and records.
+// greet tells a peer how far this process has read the log, and takes records from it.
 func (p *process) greet(o *process) {
-	mine, position := p.state(), p.core.NextOffset()
+	position := p.core.NextOffset()
 	p.call(o.host, callLimit, func(answer func(func())) {
 		o.run(o.number, func() {
 			if !o.up {
 				return
 			}
-			o.heard(mine, p.domain)
-			theirs := o.state()
 			var records []configuration.Numbered
 			for _, r := range o.recent {
 				if r.Offset >= position {
@@ -157,7 +198,6 @@
 				}
 			}
 			answer(func() {
-				p.heard(theirs, o.domain)
 				if len(records) > 0 {
 					p.learn(-1, records)
 				}
@@ -165,15 +205,3 @@
 		})
 	}, func() {})
 }
-
-func (p *process) heard(s scheduler.PeerHeard, domain string) {
-	if domain == p.domain {
-		p.step(s)
-	}
-}
-
-func (p *process) state() scheduler.PeerHeard {
-	return scheduler.PeerHeard{
-		Host: p.host, Holder: fmt.Sprintf("%s#%d", p.host, p.number), Position: p.core.NextOffset(), Leader: p.core.Leader(),
-	}
-}
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -34,6 +34,8 @@
 	link      link
 	cuts      map[route]time.Duration
 	log       *log
+	// tenures holds the partition of each domain's tenure.
+	tenures   map[string]*log
 	processes []*process
 	entries   []*entry
 	runners   map[string]*runner
@@ -63,11 +65,13 @@
 		addresses: map[string]*machine{}, hosts: map[string][]scheduler.Host{}, listed: map[string][]scheduler.Host{}, published: map[string]int{}, shown: map[string]int{},
 		lastStart: map[string]time.Duration{}, firstStart: map[string]time.Duration{}, Tasks: checker.NewTasks(), Changes: checker.NewChanges(), Requests: checker.NewRequests(), runners: map[string]*runner{},
 	}
-	w.log = &log{w: w}
+	w.log = &log{w: w, store: &store{}}
+	w.tenures = map[string]*log{}
 	rec := configuration.Record{ID: "site", Actor: "test"}
 	for d := range s.Domains {
 		domain := configuration.Domain{Name: fmt.Sprintf("d%d", d+1)}
 		w.domains = append(w.domains, domain.Name)
+		w.tenures[domain.Name] = &log{w: w, store: w.log.store}
 		for i := range s.Schedulers {
 			p := &process{life: life{w: w, host: hostName(d+1, i+1), domain: domain.Name}}
 			w.processes = append(w.processes, p)
@@ -107,7 +111,7 @@
 	if err != nil {
 		panic(err) // records of tests can be written
 	}
-	w.log.append(data, func(int64) {})
+	w.log.append(data, anyEnd, func(int64, bool) {})
 }
 
 // Run lets virtual time pass up to the given time.
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -24,8 +24,6 @@
 	slot   int
 	// touched is set while the worker is listed in the core's touched workers.
 	touched bool
-	// owned is whether the worker was owned when the term was last worked out.
-	owned bool
 	// flushAt puts off a write that only brings new starts.
 	flushAt time.Duration
 	// drained is set while operators have taken the worker out of use.
@@ -90,8 +88,8 @@
 	}
 }
 
-// reseat makes the agenda and the cell of the workers after the seats changed.
-func (c *Core) reseat() {
+// rebuild makes the agenda and the cell of the workers after these changed.
+func (c *Core) rebuild() {
 	c.agenda = c.agenda[:0]
 	c.cell.Reset(len(c.order))
 	for _, name := range c.order {
@@ -100,7 +98,7 @@
 		c.agenda.Push(w)
 	}
 	heap.Init(&c.agenda)
-	c.termStale, c.seenAll, c.orphansStale = true, false, true
+	c.seenAll, c.orphansStale = false, true
 	c.forgetPlaces()
 	c.touched = c.touched[:0]
 	for _, name := range c.order {
@@ -120,15 +118,11 @@
 	c.queue.activateAll()
 }
 
-// expire gives up claims and writes whose time has passed, before anything
-// else may rely on them. prev is the time of the step before.
-func (c *Core) expire(prev time.Duration) {
-	if c.held && c.now >= c.term.Until() {
-		c.refreshTerm(prev)
-	}
+// expire gives up what has run out, before anything else may rely on it.
+func (c *Core) expire() {
 	for len(c.agenda) > 0 && c.agenda[0].wakeAt <= c.now {
 		w := c.agenda[0]
-		w.claim.Expire(c.now)
+		w.fence.Expire(c.now)
 		c.touch(w)
 		w.wakeAt = never
 		heap.Fix(&c.agenda, 0)
@@ -150,15 +144,15 @@
 }
 
 // nextLook returns the earliest time at which w changes without an event: a
-// write falls due or is given up, the claim lapses, or leases have run out.
+// write falls due or is given up, its answer is no longer fresh, or leases have run out.
 func (c *Core) nextLook(w *worker) time.Duration {
 	at := never
 	switch {
-	case w.claim.Pending():
-		at = w.claim.SentAt() + c.set.Timing.Reply
-	case w.address != "" && c.election.claiming:
+	case w.fence.Pending():
+		at = w.fence.SentAt() + c.set.Timing.Reply
+	case w.address != "" && c.term.Token() != 0:
 		at = c.dueAt(w)
-		if len(w.starts) > 0 && w.claim.Owned(c.now) {
+		if len(w.starts) > 0 && w.fence.Owned(c.now) {
 			at = min(at, w.flushAt)
 		}
 	}
@@ -168,8 +162,8 @@
 	if c.now < w.orderedAt+orderRetry && w.orderedAt > 0 {
 		at = min(at, w.orderedAt+orderRetry)
 	}
-	if w.claim.Owned(c.now) {
-		at = min(at, w.claim.ValidUntil())
+	if w.fence.Owned(c.now) {
+		at = min(at, w.fence.ValidUntil())
 	} else if len(w.bound) > 0 {
 		at = min(at, c.nextLoss(w))
 	}
@@ -187,10 +181,10 @@
 // dueAt returns when the next write to w is due: at its renewal, or sooner
 // while work waits whose policy spends messages to learn early of tasks' ends.
 func (c *Core) dueAt(w *worker) time.Duration {
-	if !c.polling || len(w.bound) == 0 || !w.claim.Owned(c.now) {
+	if !c.polling || len(w.bound) == 0 || !w.fence.Owned(c.now) {
 		return w.due
 	}
-	return min(w.due, w.claim.SentAt()+max(pollLeast, time.Duration(len(c.order))*pollShare))
+	return min(w.due, w.fence.SentAt()+max(pollLeast, time.Duration(len(c.order))*pollShare))
 }
 
 // nextLoss returns when the tasks bound to a worker that isn't owned may next be lost.
--- a/internal/scheduler/attention_test.go
+++ b/internal/scheduler/attention_test.go
@@ -20,11 +20,11 @@
 		if !reflect.DeepEqual(want, got) {
 			return fmt.Sprintf("%v: node %+v, want %+v", c.now, got, want)
 		}
-		if at := w.claim.SentAt() + c.set.Timing.Reply; w.claim.Pending() && w.wakeAt > at {
+		if at := w.fence.SentAt() + c.set.Timing.Reply; w.fence.Pending() && w.wakeAt > at {
 			return name + ": no look when the reply is overdue"
 		}
-		if w.claim.Owned(c.now) && w.wakeAt > w.claim.ValidUntil() {
-			return name + ": no look when the claim lapses"
+		if w.fence.Owned(c.now) && w.wakeAt > w.fence.ValidUntil() {
+			return name + ": no look when its answer is no longer fresh"
 		}
 	}
 	for _, t := range c.tasks {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sort"
 	"time"
 
@@ -21,25 +20,14 @@
 	Incarnation string
 	Domain      string
 	Timing      ownership.Timing
-	// LeaderSilence is how long a domain's leader is trusted without a word from it.
-	LeaderSilence time.Duration
-	// QuorumWait is how long a claimant tries for a quorum before it yields.
-	QuorumWait time.Duration
 }
 
 // DefaultSettings returns the settings of the given host of the domain.
 func DefaultSettings(host, incarnation, domain string) Settings {
-	return Settings{
-		Host:          host,
-		Incarnation:   incarnation,
-		Domain:        domain,
-		Timing:        ownership.DefaultTiming(),
-		LeaderSilence: 3 * time.Second,
-		QuorumWait:    4 * time.Second,
-	}
+	return Settings{Host: host, Incarnation: incarnation, Domain: domain, Timing: ownership.DefaultTiming()}
 }
 
-// Holder is the name that this scheduler's marks carry.
+// Holder is the name of this process.
 func (s Settings) Holder() string { return s.Host + "#" + s.Incarnation }
 
 // Core is the control state.
@@ -48,19 +36,17 @@
 	now  time.Duration
 	view *configuration.View
 	term *ownership.Term
-	// workers holds the domain's seats by name; order lists them sorted.
+	// workers holds the domain's workers by name; order lists them sorted.
 	workers map[string]*worker
 	order   []string
 	// tasks holds the domain's wanted tasks by name.
 	tasks map[string]*task
-	peers map[string]peer
 	hosts map[string]Host
 	// attempts numbers the starts of this incarnation.
 	attempts uint64
 	// termAttempts is the number that the present term began with.
 	termAttempts uint64
-	// election state: see election.go.
-	election election
+	tenancy  tenancy
 	ended    endings
 	snapshot snapshots
 	leaving  bool
@@ -77,13 +63,12 @@
 	agenda  agenda
 	// strays holds running attempts that are not their tasks' own, by task.
 	strays map[string][]stray
-	// leftUnseen is set when a machine left its seat unseen in this term: until
-	// the term has lasted long enough, any unknown task may run there.
+	// leftUnseen is set when a machine that may run tasks can't be asked, since
+	// it is behind no worker's name: until the term has lasted long enough, any
+	// unknown task may run there.
 	leftUnseen bool
-	// termStale is set when a claim was won or lost since the term was worked out.
-	termStale bool
-	// seats is the version of the domain's declaration whose seats are in place.
-	seats seatsVersion
+	// declared is the version of the domain's declaration whose workers are in place.
+	declared domainVersion
 	placer
 	departures
 }
@@ -97,11 +82,11 @@
 		workers: map[string]*worker{},
 		tasks:   map[string]*task{},
 		strays:  map[string][]stray{},
-		peers:   map[string]peer{},
 		hosts:   map[string]Host{},
 		ended:   newEndings(),
 		applied: -1,
 		reasons: Counters{},
+		tenancy: newTenancy(set),
 		placer:  newPlacer(),
 
 		departures: departures{moves: map[string][]move{}},
@@ -114,15 +99,11 @@
 // Step takes one event at the local time now, the time since the process
 // started, and returns what is to be done. Times never decrease.
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
-	prev, claiming := c.now, c.election.claiming
 	c.now = now
 	c.out = nil
-	c.expire(prev)
+	c.expire()
 	c.touchFor(ev)
 	c.take(ev)
-	if c.election.claiming != claiming {
-		c.touchAll()
-	}
 	c.updateTerm()
 	c.reconcile()
 	return c.out
@@ -131,7 +112,7 @@
 func (c *Core) take(ev Event) {
 	switch ev := ev.(type) {
 	case Tick:
-		c.elect()
+		c.proceed()
 		c.flushEnded()
 		c.takeSnapshot()
 	case LogRead:
@@ -142,8 +123,14 @@
 		c.replied(ev)
 	case WriteFailed:
 		c.failed(ev)
-	case PeerHeard:
-		c.peers[ev.Host] = peer{PeerHeard: ev, at: c.now}
+	case TenureRead:
+		c.readTenure(ev)
+		c.proceed()
+	case TenureUnread:
+		c.tenancy.state.ReadFailed(c.now)
+	case TenureAppended:
+		c.tenureAppended(ev)
+		c.proceed()
 	case AppendDone:
 		c.appended(ev)
 	case SlotsIdle:
@@ -153,49 +140,6 @@
 	}
 }
 
-// updateTerm works the term out anew when a claim was won or lost or the time
-// has come up to which it was known to hold. In between it can only hold longer.
-func (c *Core) updateTerm() {
-	for _, w := range c.touched {
-		if owned := w.claim.Owned(c.now); owned != w.owned {
-			w.owned, c.termStale = owned, true
-		}
-	}
-	if !c.termStale && (!c.held || c.now < c.term.Until()) {
-		return
-	}
-	c.termStale = false
-	c.refreshTerm(c.now)
-	held := c.term.Held(c.now)
-	if !c.held && held {
-		c.beginTerm()
-	}
-	if c.held != held {
-		c.dirDirty = true
-		c.touchAll()
-	}
-	c.held = held
-}
-
-func (c *Core) refreshTerm(now time.Duration) {
-	claims := make([]*ownership.Claim, 0, len(c.order))
-	for _, name := range c.order {
-		claims = append(claims, c.workers[name].claim)
-	}
-	c.term.Update(now, claims)
-}
-
-// beginTerm counts what was seen on the owned workers as known in the new term.
-func (c *Core) beginTerm() {
-	c.termAttempts = c.attempts
-	for _, name := range c.order {
-		w := c.workers[name]
-		if w.claim.Owned(c.now) && w.seenAt >= 0 {
-			c.confirm(w)
-		}
-	}
-}
-
 func (c *Core) readLog(ev LogRead) {
 	c.view.Adopt(ev.State)
 	for _, o := range c.view.Feed(ev.First, ev.Records) {
@@ -212,16 +156,12 @@
 	}
 }
 
-// configure brings seats and wanted tasks in line with the catalog.
+// configure brings workers and wanted tasks in line with the catalog.
 func (c *Core) configure() {
 	d, declared := c.view.Catalog.Domains[c.set.Domain]
-	if seats := (seatsVersion{declared, d.Version}); seats != c.seats {
-		if _, shrunk := c.view.Catalog.Shrunk[c.set.Domain]; shrunk && c.seats == (seatsVersion{}) {
-			// What runs on the seats that left is not known to a new process.
-			c.leftUnseen = true
-		}
-		c.seats = seats
-		c.setSeats(d.Value.Workers)
+	if v := (domainVersion{declared, d.Version}); v != c.declared {
+		c.declared = v
+		c.setWorkers(d.Value.Workers)
 	}
 	c.setDrained()
 	c.setTasks()
@@ -229,16 +169,13 @@
 	c.dirDirty = true
 }
 
-// seatsVersion tells one declaration of the domain from another, and from none.
-type seatsVersion struct {
+// domainVersion tells one declaration of the domain from another, and from none.
+type domainVersion struct {
 	declared bool
 	version  int64
 }
 
-func (c *Core) setSeats(names []string) {
-	if len(c.workers) == 0 {
-		c.election.quietSince = c.now
-	}
+func (c *Core) setWorkers(names []string) {
 	want := map[string]bool{}
 	for _, n := range names {
 		want[n] = true
@@ -248,7 +185,7 @@
 	}
 	for _, n := range c.order {
 		if !want[n] {
-			c.dropSeat(n)
+			c.dropWorker(n)
 		}
 	}
 	c.order = c.order[:0]
@@ -256,7 +193,7 @@
 		c.order = append(c.order, n)
 	}
 	sort.Strings(c.order)
-	c.reseat()
+	c.rebuild()
 	c.applyHosts()
 }
 
@@ -272,12 +209,12 @@
 	moved := false
 	for _, n := range c.order {
 		if h, ok := c.hosts[n]; ok && c.workers[n].address != "" && c.workers[n].address != h.Address {
-			c.moveSeat(n)
+			c.replaceMachine(n)
 			moved = true
 		}
 	}
 	if moved {
-		c.reseat()
+		c.rebuild()
 		c.setDrained()
 		c.adoptOrphans()
 	}
@@ -292,6 +229,7 @@
 		}
 		w.address, w.rack, w.leaving = h.Address, h.Rack, h.Leaving
 	}
+	c.setEnlisted()
 }
 
 // Ready reports whether the core knows its configuration.
@@ -322,8 +260,3 @@
 	c.attempts++
 	return fmt.Sprintf("%s-%d", c.set.Holder(), c.attempts)
 }
-
-// seat returns this host's place among its domain's entry hosts.
-func (c *Core) seat() int {
-	return max(0, slices.Index(c.view.Catalog.Domains[c.set.Domain].Value.Entries, c.set.Host))
-}
--- a/internal/scheduler/declare.go
+++ b/internal/scheduler/declare.go
@@ -98,7 +98,7 @@
 }
 
 // adoptOrphans keeps track of tasks that were left on a machine no longer
-// behind a seat. One that a returned seat shows again is bound anew.
+// behind a worker's name. One that a returned worker shows again is bound anew.
 func (c *Core) adoptOrphans() {
 	if !c.orphansStale {
 		return
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -32,29 +32,24 @@
 	Address string
 	// Leaving runners take no new requests.
 	Leaving bool
-	// Fresh runners were started in the present unbroken term.
+	// Fresh runners were started in the present term.
 	Fresh bool
 }
 
 // Term is the term that the core holds or last held.
 type Term struct {
 	Held bool
-	// Began and Until bound the unbroken term in local time.
+	// Began and Until bound the term in local time.
 	Began, Until time.Duration
 }
 
 // At reports whether the term surely holds at the local time now.
 func (t Term) At(now time.Duration) bool { return t.Held && now < t.Until }
 
-// termAhead is how much of a term is left when its end is worked out anew.
-const termAhead = 2 * time.Second
-
-// Term returns the newest term. Its end is worked out anew only when it is near.
+// Term returns the newest term. It counts as held only once no former holder
+// of the tenure gives orders, since two would fill the same slots.
 func (c *Core) Term() Term {
-	if c.held && c.term.Until()-c.now < termAhead {
-		c.refreshTerm(c.now)
-	}
-	return Term{Held: c.term.Held(c.now), Began: c.term.Began(), Until: c.term.Until()}
+	return Term{Held: c.term.Alone(c.now), Began: c.term.Began(), Until: c.term.Until()}
 }
 
 // Directory returns the newest directory.
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -9,8 +9,9 @@
 	"github.com/mimosaspool/mimosaspool/internal/slots"
 )
 
-// drainBound is how long a leaving runner is left to its requests at most: by
-// then no entry's lease on its slots is left, and the longest request has ended.
+// drainBound is how long a leaving runner is left to its requests at most, from
+// when no former holder of the tenure grants slots: by then no entry's lease on
+// its slots is left, and the longest request has ended.
 var drainBound = slots.DefaultTiming().Silent()
 
 // moveShare bounds the runners of a service that move off their workers at the
@@ -124,7 +125,8 @@
 		return false
 	}
 	idle := c.isIdle(o.Attempt, d)
-	if !idle && c.now < d.since+drainBound || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
+	overdue := c.term.Alone(c.now) && c.now >= max(d.since, c.term.AloneAt())+drainBound
+	if !idle && !overdue || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
 		return false
 	}
 	if !idle && !d.overdue {
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -6,6 +6,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
+	"github.com/mimosaspool/mimosaspool/internal/tenure"
 )
 
 // Event is something that happened outside the core.
@@ -92,14 +93,30 @@
 	Write  uint64
 }
 
-// PeerHeard brings the state of another scheduler of the same domain.
-type PeerHeard struct {
+// TenureRead brings records of the domain's tenure partition, those without
+// news included.
+type TenureRead struct {
 	isEvent
-	Host     string
-	Holder   string
-	Position int64
-	Leader   bool
-	Leaving  bool
+	// First is the offset of the oldest record that the partition still has,
+	// and End that of the next one to come.
+	First, End int64
+	// Offsets are those of the records.
+	Offsets []int64
+	Records []tenure.Record
+}
+
+// TenureUnread tells that the tenure partition could not be read.
+type TenureUnread struct{ isEvent }
+
+// TenureAppended tells how the append of a record to the tenure partition
+// ended. A failed append may have taken effect.
+type TenureAppended struct {
+	isEvent
+	Record tenure.Record
+	Offset int64
+	Failed bool
+	// Took is how long the answer took.
+	Took time.Duration
 }
 
 // AppendDone tells how an append ended. A failed append may have taken effect.
@@ -120,7 +137,7 @@
 	Attempts []uint64
 }
 
-// Leave begins a planned stop: the core gives up what it owns.
+// Leave begins a planned stop: the core gives up its tenure.
 type Leave struct{ isEvent }
 
 // Effect is something that the core wants done outside.
@@ -137,13 +154,13 @@
 	isEffect
 	Worker  string
 	Address string
-	Holder  string
-	Write   uint64
+	// Token is that of the sender's tenure. A worker that has seen a higher one
+	// only answers.
+	Token int64
+	Write uint64
 	// Boot is the worker's time of the start that the write is meant for. A
 	// worker that started at another time only answers it; 0 names none.
 	Boot time.Duration
-	// MarkExpiry is the new expiry of the mark; 0 leaves it, negative releases it.
-	MarkExpiry time.Duration
 	// RenewExpiry extends the leases of the worker's live tasks; 0 leaves them.
 	RenewExpiry time.Duration
 	Starts      []Start
@@ -158,7 +175,7 @@
 	Attempt uint64
 	Size    resource.Vector
 	// Expiry is the first lease's end and the latest time at which the start
-	// counts. Invariant: no later than the sender's confirmed mark.
+	// counts. Invariant: based on a reading of the worker's clock.
 	Expiry     time.Duration
 	Service    string
 	RunMillis  int64
@@ -190,3 +207,11 @@
 	isEffect
 	Record configuration.Record
 }
+
+// AppendTenure appends to the domain's tenure partition if it ends at End, or
+// in any case if End is negative; the end comes back as TenureAppended.
+type AppendTenure struct {
+	isEffect
+	Record tenure.Record
+	End    int64
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -17,10 +17,10 @@
 	queue queue
 	// random feeds the random baseline.
 	random placement.Random
-	// seenAll is whether every seat was seen in the term that began at seenIn.
+	// seenAll is whether every worker was seen in the term that began at seenIn.
 	seenAll bool
 	seenIn  time.Duration
-	// orphans are tasks bound to seats that left the configuration.
+	// orphans are tasks bound to machines that are no longer behind a worker's name.
 	orphans []*task
 	// discard lists tasks that may have to be forgotten.
 	discard []*task
@@ -41,7 +41,7 @@
 	probe placement.Request
 	// retryAt is when blocked groups that hold or want kept room are tried again.
 	retryAt time.Duration
-	// orphansStale is set when seats changed since orphans were listed.
+	// orphansStale is set when workers changed since orphans were listed.
 	orphansStale bool
 	// clearFrom is where the next search for victims begins.
 	clearFrom int
@@ -109,7 +109,7 @@
 
 func (c *Core) blocked(w *worker) placement.Reason {
 	switch {
-	case !w.claim.Owned(c.now) || w.seenAt < 0:
+	case !w.fence.Owned(c.now) || w.seenAt < c.term.Began() || !w.enlisted:
 		return placement.NotOwned
 	case w.leaving:
 		return placement.Leaving
@@ -207,10 +207,10 @@
 func (c *Core) Refusal(w *configuration.Workload) *job.Refusal {
 	s := job.Shapes{Domain: c.set.Domain}
 	for _, name := range c.order {
-		if seat := c.workers[name]; seat.capacity.IsZero() {
+		if w := c.workers[name]; w.capacity.IsZero() {
 			s.Unknown++
 		} else {
-			s.Known = append(s.Known, seat.capacity)
+			s.Known = append(s.Known, w.capacity)
 		}
 	}
 	return job.Refuse(w, s)
--- a/internal/scheduler/query.go
+++ b/internal/scheduler/query.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
-	"github.com/mimosaspool/mimosaspool/internal/ownership"
 	"github.com/mimosaspool/mimosaspool/internal/placement"
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
@@ -124,7 +123,7 @@
 	Free     resource.Vector
 }
 
-// Workers lists the domain's seats by name.
+// Workers lists the domain's workers by name.
 func (c *Core) Workers() []WorkerInfo {
 	list := make([]WorkerInfo, 0, len(c.order))
 	for _, name := range c.order {
@@ -210,9 +209,9 @@
 	case WaitNoTerm:
 		e.change("this scheduler must hold the domain's term: see explain domain %s", c.set.Domain)
 	case WaitBackoff:
-		e.change("its last %d attempts failed; it is tried again in %s", t.failures, (t.notBefore - c.now).Round(claimRetry))
+		e.change("its last %d attempts failed; it is tried again in %s", t.failures, (t.notBefore - c.now).Round(writeRetry))
 	case WaitUnseen:
-		e.change("an earlier attempt may still run on a worker that was not reached since this term began; it is placed once every worker has answered, or in %s at the latest", (c.term.HiddenUntil() - c.now).Round(claimRetry))
+		e.change("an earlier attempt may still run on a worker that was not reached since this term began; it is placed once every worker has answered, or in %s at the latest", (c.term.HiddenUntil() - c.now).Round(writeRetry))
 	}
 	c.explainGroup(e, why, spec)
 	req := placement.Request{Task: t.name, Workload: spec, Size: spec.Size}
@@ -289,7 +288,7 @@
 	return part(m.MilliCPU, size.MilliCPU) + part(m.MemoryMiB, size.MemoryMiB) + part(m.Accelerators, size.Accelerators)
 }
 
-// ExplainWorker explains a worker of the domain; nil when it has no such seat.
+// ExplainWorker explains a worker of the domain; nil when it has no such worker.
 func (c *Core) ExplainWorker(name string) *Explanation {
 	w := c.workers[name]
 	if w == nil {
@@ -311,8 +310,8 @@
 		e.change("the platform's list shows %s as leaving; it takes nothing until the list shows it as live", name)
 	case info.State == string(placement.Draining):
 		e.change("return %s", name)
-	case w.claim.Phase() != ownership.Owned:
-		e.change("this scheduler must own %s: its mark there is not confirmed", name)
+	case !w.fence.Owned(c.now):
+		e.change("%s must answer this scheduler under its token", name)
 	}
 	return e
 }
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -13,7 +13,7 @@
 		c.publish()
 		return
 	}
-	if c.term.Held(c.now) {
+	if c.held {
 		c.steps++
 		c.collectLost()
 		c.mendGangs()
@@ -66,7 +66,7 @@
 	for i := 0; i < len(c.touched); i++ {
 		w := c.touched[i]
 		lapsed := c.now >= w.renewedUntil || c.lacks(ownership.GuardRenewed)
-		if len(w.bound) > 0 && !w.claim.Owned(c.now) && lapsed {
+		if len(w.bound) > 0 && !w.fence.Owned(c.now) && lapsed {
 			c.forgetTasks(w)
 		}
 	}
@@ -112,7 +112,7 @@
 	for i := 0; i < len(c.touched); i++ {
 		w := c.touched[i]
 		c.depart(w)
-		if !w.claim.Owned(c.now) || w.claim.Pending() || len(w.orders) > 0 || w.orderedAt > 0 && c.now < w.orderedAt+orderRetry {
+		if !w.fence.Owned(c.now) || w.fence.Pending() || len(w.orders) > 0 || w.orderedAt > 0 && c.now < w.orderedAt+orderRetry {
 			continue
 		}
 		for _, a := range w.attempts() {
@@ -150,7 +150,7 @@
 	return c.allSeen()
 }
 
-// allSeen reports whether every seat was seen while owned in this term.
+// allSeen reports whether every worker was seen in this term.
 func (c *Core) allSeen() bool {
 	began := c.term.Began()
 	if c.leftUnseen {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -32,7 +32,7 @@
 	term time.Duration
 	// known is set once this scheduler has placed or seen the task.
 	known bool
-	// goneAt is the local time by which the task's lease on a removed seat has run out.
+	// goneAt is the local time by which the task's lease on a machine that was replaced has run out.
 	goneAt time.Duration
 	// since is when the task began to wait.
 	since time.Duration
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -9,14 +9,16 @@
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
 
-// worker is a seat of the domain as this scheduler knows it.
+// worker is a worker of the domain as this scheduler knows it.
 type worker struct {
 	name     string
 	address  string
 	rack     string
 	leaving  bool
 	capacity resource.Vector
-	claim    *ownership.Claim
+	fence    *ownership.Fence
+	// enlisted tells that the machine is recorded in the tenure partition.
+	enlisted bool
 	// observed holds the live tasks of the newest counted reply, by attempt.
 	observed map[uint64]ObservedTask
 	digest   uint64
@@ -33,7 +35,7 @@
 	endedAt map[uint64]time.Duration
 	// due is when the next write is to be sent.
 	due time.Duration
-	// seenAt is when the worker's tasks were last told while it was owned.
+	// seenAt is when the worker's tasks were last told in a term.
 	seenAt time.Duration
 	// departures holds the serving runners that have to leave, by attempt.
 	departures map[uint64]*departure
@@ -43,7 +45,7 @@
 func newWorker(name string, t ownership.Timing) *worker {
 	return &worker{
 		name:     name,
-		claim:    ownership.NewClaim(t),
+		fence:    ownership.NewFence(t),
 		observed: map[uint64]ObservedTask{},
 		assumed:  map[uint64]Start{},
 		endedAt:  map[uint64]time.Duration{},
@@ -77,16 +79,16 @@
 	return h.Sum64() &^ (1<<24 - 1)
 }
 
-// claimRetry is the wait before an unowned worker is written to again.
-const claimRetry = 500 * time.Millisecond
+// writeRetry is the wait before a worker is written to again that isn't owned.
+const writeRetry = 500 * time.Millisecond
 
 // writeDue sends the writes whose time has come.
 func (c *Core) writeDue() {
 	for _, w := range c.inOrder() {
-		if w.address == "" || w.claim.Pending() || !c.election.claiming || c.workers[w.name] != w {
+		if w.address == "" || w.fence.Pending() || c.term.Token() == 0 || c.workers[w.name] != w {
 			continue
 		}
-		urgent := (len(w.orders) > 0 || len(w.starts) > 0 && c.now >= w.flushAt) && w.claim.Owned(c.now)
+		urgent := (len(w.orders) > 0 || len(w.starts) > 0 && c.now >= w.flushAt) && w.fence.Owned(c.now)
 		if c.now >= c.dueAt(w) || urgent {
 			c.write(w)
 		}
@@ -94,15 +96,13 @@
 }
 
 func (c *Core) write(w *worker) {
-	eff := WriteWorker{Worker: w.name, Address: w.address, Holder: w.claim.Holder(c.set.Holder()), Boot: w.claim.Boot(), Digest: w.digest}
-	if !w.claim.Owned(c.now) || !c.term.Held(c.now) {
-		c.abandon(w)
-	}
-	if w.claim.Owned(c.now) {
+	eff := WriteWorker{Worker: w.name, Address: w.address, Token: c.term.Token(), Boot: w.fence.Boot(), Digest: w.digest}
+	if c.held && w.fence.Owned(c.now) {
 		c.fill(w, &eff)
+	} else {
+		c.abandon(w)
 	}
-	m := w.claim.Send(c.now)
-	eff.Write, eff.MarkExpiry = m.Write, m.Expiry
+	eff.Write = w.fence.Send(c.now, eff.Token)
 	w.due = c.now + c.set.Timing.Renew
 	if len(eff.Starts) > 0 {
 		w.due = min(w.due, c.firstRenewal(w))
@@ -111,32 +111,29 @@
 }
 
 // firstRenewal returns when the lease of a task that is started now has to be
-// renewed: early enough for one more write before the confirmed mark runs out,
-// which bounds the lease.
+// renewed: early enough for one more write before it runs out.
 func (c *Core) firstRenewal(w *worker) time.Duration {
-	return max(w.claim.ValidUntil()-c.set.Timing.Reply, c.now+claimRetry)
+	return max(w.fence.ValidUntil()-c.set.Timing.Reply, c.now+writeRetry)
 }
 
-// fill adds to a write to an owned worker what only its owner may send.
+// fill adds to a write to an owned worker what may only be sent in the term.
 func (c *Core) fill(w *worker, eff *WriteWorker) {
-	if c.term.Held(c.now) {
-		var until time.Duration
-		eff.RenewExpiry, until = w.claim.TaskExpiry(c.now)
-		w.renewedUntil = max(w.renewedUntil, until)
-	}
+	var until time.Duration
+	eff.RenewExpiry, until = w.fence.TaskExpiry(c.now)
+	w.renewedUntil = max(w.renewedUntil, until)
 	for _, s := range w.starts {
-		s.Expiry = w.claim.StartExpiry()
+		s.Expiry = w.fence.StartExpiry()
 		if !c.lacks(ownership.GuardAssumed) {
 			w.assumed[s.Attempt] = s
 		}
 		eff.Starts = append(eff.Starts, s)
 	}
 	for _, o := range w.orders {
-		o.ValidUntil = w.claim.StartExpiry()
+		o.ValidUntil = w.fence.StartExpiry()
 		eff.Orders = append(eff.Orders, o)
 	}
 	if len(eff.Starts) > 0 {
-		w.renewedUntil = max(w.renewedUntil, c.now+c.set.Timing.Lengthen(c.set.Timing.Mark))
+		w.renewedUntil = max(w.renewedUntil, c.now+c.set.Timing.Lengthen(c.set.Timing.Start))
 	}
 	eff.Forget = c.forgettable(w)
 	w.starts, w.orders = nil, nil
@@ -152,7 +149,7 @@
 			delete(w.endedAt, a)
 			continue
 		}
-		if w.claim.Reading() >= at+c.set.Timing.Mark && !c.ended.unrecorded(t) {
+		if w.fence.Reading() >= at+c.set.Timing.Start && !c.ended.unrecorded(t) {
 			list = append(list, a)
 		}
 	}
@@ -176,11 +173,15 @@
 	if w == nil {
 		return
 	}
-	was := w.claim.Phase()
-	if !w.claim.Receive(ev.Reply) {
+	owned, boot := w.fence.Owned(c.now), w.fence.Boot()
+	if !w.fence.Receive(ev.Reply) {
 		c.reasons["stale-reply"]++
 		return
 	}
+	if ev.Reply.Token > c.term.Token() && c.term.Token() != 0 {
+		c.reasons["fenced"]++
+		c.tenancy.state.Lost()
+	}
 	if !ev.Unchanged {
 		w.digest, w.capacity = ev.Digest, ev.Capacity
 		c.observe(w, ev)
@@ -188,17 +189,22 @@
 	c.settle(w, ev.Reply.Now)
 	// No lease given before the reply reaches further than this.
 	w.renewedUntil = max(w.renewedUntil, c.now+c.set.Timing.Lengthen(c.set.Timing.Task))
-	if w.claim.Owned(c.now) {
+	switch now := w.fence.Owned(c.now); {
+	case now && c.held && w.fence.SentAt() >= c.term.Began():
 		c.confirm(w)
-		if was != ownership.Owned {
+		fallthrough
+	case now:
+		if !owned {
 			w.due = c.now
 		}
-		return
+	case w.fence.Boot() != boot:
+		w.due = c.now
+	default:
+		w.due = c.now + writeRetry
 	}
-	c.afterLost(w, was, ev.Reply)
 }
 
-// confirm notes that the tasks on an owned worker are known in this term.
+// confirm notes that the tasks on a worker are known in this term.
 func (c *Core) confirm(w *worker) {
 	w.seenAt = c.now
 	for _, o := range w.observed {
@@ -208,19 +214,6 @@
 	}
 }
 
-// afterLost puts off the next claim of a worker that somebody else holds.
-func (c *Core) afterLost(w *worker, was ownership.Phase, r ownership.Reply) {
-	w.due = c.now + claimRetry
-	if was == ownership.Idle {
-		w.due = c.now
-	}
-	if r.Others > 0 {
-		c.reasons["worker-held"]++
-		// Else the mark would keep the other claimant, too, from owning the worker.
-		c.release(w)
-	}
-}
-
 // settle drops assumed starts that the worker shows, or that came too late.
 func (c *Core) settle(w *worker, workerNow time.Duration) {
 	for a, s := range w.assumed {
@@ -244,44 +237,35 @@
 		return
 	}
 	c.reasons["write-failed"]++
-	w.claim.Fail(ev.Write)
-	w.due = max(c.now+claimRetry, w.due-c.set.Timing.Renew+claimRetry)
-}
-
-// release gives a worker up. The worker is told so only when nothing sent
-// before can still take effect there; else the mark runs out by itself.
-func (c *Core) release(w *worker) {
-	if !w.claim.Marked() {
-		return
-	}
-	c.abandon(w)
-	quiet := !w.claim.Pending() && len(w.assumed) == 0 || c.lacks(ownership.GuardQuiet)
-	if quiet {
-		holder := w.claim.Holder(c.set.Holder())
-		c.out = append(c.out, WriteWorker{Worker: w.name, Address: w.address, Holder: holder, Boot: w.claim.Boot(), MarkExpiry: -1})
-	}
-	w.claim.Release(quiet)
+	w.fence.Fail(ev.Write)
+	w.due = max(c.now+writeRetry, w.due-c.set.Timing.Renew+writeRetry)
 }
 
-// moveSeat takes note that another machine is behind a seat. The former one
-// may run its tasks until their leases have run out.
-func (c *Core) moveSeat(name string) {
-	c.dropSeat(name)
+// replaceMachine takes note that another machine is behind a worker's name. The
+// former one may run its tasks until their leases have run out.
+func (c *Core) replaceMachine(name string) {
+	c.dropWorker(name)
 	c.workers[name] = newWorker(name, c.set.Timing)
 }
 
-// dropSeat forgets the machine behind a seat. Its tasks stay bound to it until
-// their leases have surely run out.
-func (c *Core) dropSeat(name string) {
+// dropWorker forgets the machine behind a worker's name. Its tasks stay bound
+// to it until their leases have surely run out.
+func (c *Core) dropWorker(name string) {
 	w := c.workers[name]
-	if !c.term.Held(c.now) || w.seenAt < c.term.Began() {
+	until := max(w.renewedUntil, c.now, 1)
+	clear := until
+	if !c.held || w.seenAt < c.term.Began() {
 		c.leftUnseen = true
+		clear = max(until, c.term.HiddenUntil())
 	}
-	c.release(w)
+	if w.address != "" {
+		c.tenancy.gone[w.machine()] = clear
+	}
+	c.abandon(w)
 	delete(c.workers, name)
 	for _, t := range c.tasks {
 		if t.worker == name && t.state != waiting {
-			t.goneAt = max(w.renewedUntil, c.now, 1)
+			t.goneAt = until
 		}
 	}
 }
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -22,6 +22,8 @@
 	// Peers are the base URLs of the other schedulers.
 	Peers   []string
 	Log     platform.Log
+	// Tenure is the partition of the domain's tenure.
+	Tenure  platform.Partition
 	Hosts   platform.Hosts
 	Workers platform.Workers
 	Client  *http.Client
@@ -92,10 +94,10 @@
 	return d
 }
 
-// Run steps the core until ctx ends, then gives up its workers.
+// Run steps the core until ctx ends, then gives up its tenure.
 func (d *Daemon) Run(ctx context.Context) {
 	io, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){d.followLog, d.pollHosts, d.tick, d.directory.watchIdle} {
+	for _, loop := range []func(context.Context){d.followLog, d.followTenure, d.pollHosts, d.tick, d.directory.watchIdle} {
 		d.wg.Go(func() { loop(ctx) })
 	}
 	for _, url := range d.opt.Peers {
@@ -103,7 +105,6 @@
 	}
 	d.loop(ctx, io)
 	d.step(io, scheduler.Leave{})
-	d.goodbye(io)
 	done := make(chan struct{})
 	go func() { d.wg.Wait(); close(done) }()
 	d.drain(io, done)
@@ -160,6 +161,8 @@
 	switch eff := eff.(type) {
 	case scheduler.WriteWorker:
 		d.wg.Go(func() { d.writeWorker(ctx, eff) })
+	case scheduler.AppendTenure:
+		d.wg.Go(func() { d.appendTenure(ctx, eff) })
 	case scheduler.AppendRecord:
 		d.wg.Go(func() { d.append(ctx, eff) })
 	}
--- a/internal/schedulerd/main.go
+++ b/internal/schedulerd/main.go
@@ -43,7 +43,7 @@
 func run(parent context.Context, f flags) error {
 	lifecycle.TuneControl()
 	log := f.Logger()
-	ctx, cancel := lifecycle.Signals(parent, func() { log.Warn("stopped at once; owned workers were not released") })
+	ctx, cancel := lifecycle.Signals(parent, func() { log.Warn("stopped at once; the tenure was not released") })
 	defer cancel()
 	t, err := telemetry.New("mimosaspool-scheduler")
 	if err != nil {
@@ -64,6 +64,7 @@
 		Region:   f.Region,
 		Peers:    f.Peers,
 		Log:      platform.NewLog(f.Platform, client),
+		Tenure:   platform.NewPartition(f.Platform, platform.TenurePartition(f.Domain), client),
 		Hosts:    platform.NewHosts(f.Platform, client),
 		Workers:  platform.NewWorkers(client),
 		Client:   client,
--- a/internal/schedulerd/metrics.go
+++ b/internal/schedulerd/metrics.go
@@ -62,6 +62,7 @@
 const (
 	reasonLog       = "log-unanswered"
 	reasonHosts     = "hosts-unanswered"
+	reasonTenure    = "tenure-unanswered"
 	reasonPeer      = "heartbeat-unanswered"
 	reasonMalformed = "reply-malformed"
 )
@@ -95,7 +96,7 @@
 	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry", "gang-torn": "retry",
 	"quarantined": "quarantine", "preempted": "preemption",
 	"task-moved": "drain", "stop-overdue": "drain",
-	"append-failed": "retry", "stale-reply": "retry", "worker-held": "retry",
+	"append-failed": "retry", "stale-reply": "retry", "tenure-unconfirmed": "retry", "tenure-lost": "loss", "fenced": "loss",
 }
 
 func kindOfReason(reason string) string {
--- a/internal/schedulerd/peer.go
+++ b/internal/schedulerd/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,15 +11,11 @@
 	"github.com/mimosaspool/mimosaspool/internal/scheduler"
 )
 
-const (
-	// heartbeatRecords bounds the records in one reply.
-	heartbeatRecords = 500
-	// goodbyeTimeout bounds the last message to a peer.
-	goodbyeTimeout = time.Second
-)
+// heartbeatRecords bounds the records in one reply.
+const heartbeatRecords = 500
 
-// heartbeat tells a peer this scheduler's state and learns the peer's, with
-// records of the log and, where this scheduler knows nothing, the whole state.
+// heartbeat tells a peer how far this scheduler has read the log, and learns
+// records from it and, where this scheduler knows nothing, the whole state.
 func (d *Daemon) heartbeat(ctx context.Context, url string) {
 	client := control.NewPeerProtobufClient(url, d.opt.Client)
 	every(ctx, heartbeatInterval, func() {
@@ -29,7 +24,6 @@
 			d.unanswered(reasonPeer, err)
 			return
 		}
-		d.heard(ctx, reply.State)
 		d.adopt(ctx, reply.StateJson)
 		var records []configuration.Numbered
 		for _, r := range reply.Records {
@@ -54,30 +48,6 @@
 	d.send(ctx, scheduler.LogRead{First: -1, State: state})
 }
 
-// goodbye tells every peer that this scheduler leaves, so that none waits out
-// its silence.
-func (d *Daemon) goodbye(ctx context.Context) {
-	state := d.state()
-	state.Leaving, state.Leader = true, false
-	for _, url := range d.opt.Peers {
-		d.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
-			defer cancel()
-			client := control.NewPeerProtobufClient(url, d.opt.Client)
-			if _, err := client.Heartbeat(ctx, &control.HeartbeatRequest{State: state}); err != nil {
-				d.unanswered(reasonPeer, err)
-			}
-		})
-	}
-}
-
-func (d *Daemon) heard(ctx context.Context, s *control.SchedulerState) {
-	if s.GetDomain() != d.opt.Settings.Domain {
-		return
-	}
-	d.send(ctx, scheduler.PeerHeard{Host: s.Host, Holder: s.Holder, Position: s.Position, Leader: s.Leader, Leaving: s.Leaving})
-}
-
 func (d *Daemon) state() *control.SchedulerState {
 	s, _ := d.snapshot()
 	set := d.opt.Settings
@@ -90,7 +60,6 @@
 
 // Heartbeat implements control.Peer.
 func (p peerService) Heartbeat(ctx context.Context, req *control.HeartbeatRequest) (*control.HeartbeatReply, error) {
-	p.d.heard(ctx, req.State)
 	reply := &control.HeartbeatReply{State: p.d.state()}
 	if req.GetState().GetUnready() {
 		reply.StateJson = p.d.wholeState(ctx)
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -85,16 +85,23 @@
 		l.mu.Unlock()
 		return nil, twirp.ResourceExhausted.Error("too many appends")
 	}
-	offset := l.add(req.Data)
+	offset, ok := l.add(ctx, req.Data)
+	if !ok {
+		return nil, twirp.FailedPrecondition.Error("the log has another end")
+	}
 	if x, lost := l.faults.On(LogLostReply, "log"); lost && rand.Int64N(100) < x.Value {
 		return nil, errOut()
 	}
 	return &api.AppendReply{Offset: offset}, nil
 }
 
-func (l *Log) add(data []byte) int64 {
+// add appends data unless the context asks for another end of the log.
+func (l *Log) add(ctx context.Context, data []byte) (int64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if end, asked := ctx.Value(endKey{}).(int64); asked && end != l.next() {
+		return 0, false
+	}
 	rec := &api.LogRecord{Offset: l.next(), TimeMs: time.Now().UnixMilli(), Data: data}
 	l.records = append(l.records, rec)
 	l.use.Appends++
@@ -102,7 +109,7 @@
 	l.trim()
 	close(l.grown)
 	l.grown = make(chan struct{})
-	return rec.Offset
+	return rec.Offset, true
 }
 
 func (l *Log) next() int64 { return l.first + int64(len(l.records)) }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -48,6 +48,7 @@
 	gone        map[string]bool
 	servers     map[string]*http.Server
 	platforms   map[string]string
+	partitions  map[string]*Log
 
 	// told guards hosts.told.
 	told sync.RWMutex
@@ -66,6 +67,7 @@
 		gone:        map[string]bool{},
 		servers:     map[string]*http.Server{},
 		platforms:   map[string]string{},
+		partitions:  map[string]*Log{},
 	}
 	s.Log = NewLog(opt.Log, s.Faults)
 	s.Links = NewLinks(s.Faults)
@@ -134,6 +136,7 @@
 	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, from})} {
 		r.PathPrefix(srv.PathPrefix()).Handler(srv)
 	}
+	r.PathPrefix("/partition/{name}/").HandlerFunc(s.servePartition)
 	addr, err := s.serve(platformName+" of "+from, r)
 	if err != nil {
 		return "", err
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -100,7 +100,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.use.Writes++
-	return w.Encode(req.Holder, w.Worker.Write(fakeworker.Decode(req)))
+	return fakeworker.Encode(w.Worker.Write(fakeworker.Decode(req)))
 }
 
 // began sets what is true of a task that starts, has it judged, and serves it.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -18,8 +18,11 @@
 	Incarnation string `json:"i"`
 	// Token is 0 in a claim, whose own offset gives it.
 	Token int64 `json:"t,omitempty"`
-	// Beat tells a holder's records apart.
+	// Beat tells a process's records apart.
 	Beat int64 `json:"b,omitempty"`
+	// Members are what the holder gives orders to; a record without any leaves
+	// them as they were.
+	Members []string `json:"m,omitempty"`
 	// Released gives the right back.
 	Released bool `json:"r,omitempty"`
 	// StoreMillis is how long the store took to answer the holder lately.
@@ -86,6 +89,10 @@
 	holder Record
 	// token of the present holder, 0 if there is none.
 	token int64
+	// members are those of the newest record that has some.
+	members []string
+	// released tells that the present holder's claim followed a release.
+	released bool
 	// lost is the highest token that this node has had and lost.
 	lost int64
 	// quietSince is since when the partition was read without a gap and without news.
@@ -140,13 +147,20 @@
 	s.quietSince = now
 	switch {
 	case r.Token == 0:
+		s.released = s.token == 0 && s.holder.Released
 		s.holder, s.token = r, offset+1
 	case r.Token >= s.token:
 		s.holder, s.token = r, r.Token
 	}
+	if len(r.Members) > 0 {
+		s.members = r.Members
+	}
 	if r.Released && r.Token == s.token {
 		s.token = 0
 	}
+	if r.Node == s.node && r.Incarnation == s.incarnation && r.Beat > 0 && r.Beat == s.beats {
+		s.Confirm(s.outAt)
+	}
 	s.end = max(s.end, offset+1)
 }
 
@@ -156,6 +170,12 @@
 	return s.token > s.lost && s.holder.Node == s.node && s.holder.Incarnation == s.incarnation
 }
 
+// Members returns what the holders give orders to, as recorded last.
+func (s *State) Members() []string { return s.members }
+
+// Released reports whether the present holder's claim followed a release.
+func (s *State) Released() bool { return s.released }
+
 // Token returns the present holder's token, 0 if there is none.
 func (s *State) Token() int64 { return s.token }
 
@@ -224,10 +244,12 @@
 func (s *State) Begin(now time.Duration, act Act, address string) (Record, int64) {
 	s.out, s.outAt = true, now
 	s.lastBeat = now
-	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address, StoreMillis: s.took.Milliseconds()}
+	s.beats++
+	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address, StoreMillis: s.took.Milliseconds(), Beat: s.beats}
 	if act == Beat {
-		s.beats++
-		r.Token, r.Beat = s.token, s.beats
+		r.Token = s.token
+	} else {
+		r.Members = s.members
 	}
 	return r, s.end
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -190,3 +190,39 @@
 		}
 	}
 }
+
+func TestMembersOutliveTheirHolder(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	a, b := New(DefaultTiming(), "a", "1", 0), New(DefaultTiming(), "b", "1", 0)
+	p.live(&now, 2*time.Second, a, b)
+	r, end := a.Begin(now, Beat, "")
+	r.Members = []string{"w1", "w2"}
+	offset, done := p.append(now, r, end)
+	a.Appended(now, r, offset, done)
+	p.live(&now, 3*time.Second, a, b)
+	g.Expect(b.Members()).To(Equal([]string{"w1", "w2"}), "records without members leave them")
+	p.live(&now, 6*time.Second, b)
+	g.Expect(b.Holds()).To(BeTrue())
+	g.Expect(b.Released()).To(BeFalse())
+	g.Expect(p.records[b.Token()-1].Members).To(Equal([]string{"w1", "w2"}), "a claim carries them on")
+	p.records, p.claimed = append(p.records, b.Release()), append(p.claimed, now)
+	c := New(DefaultTiming(), "c", "1", 0)
+	p.live(&now, now+time.Second, c)
+	g.Expect(c.Holds()).To(BeTrue())
+	g.Expect(c.Released()).To(BeTrue())
+}
+
+func TestRecordOfItsOwnThatIsReadConfirms(t *testing.T) {
+	g := NewWithT(t)
+	p := &partition{}
+	a := New(DefaultTiming(), "a", "1", 0)
+	p.read(a, time.Second)
+	r, end := a.Begin(time.Second, Claim, "")
+	p.append(time.Second, r, end)
+	a.Appended(2*time.Second, r, 0, false)
+	g.Expect(a.Holds()).To(BeFalse())
+	p.read(a, 3*time.Second)
+	g.Expect(a.Holds()).To(BeTrue())
+	g.Expect(a.ConfirmedUntil()).To(Equal(time.Second + DefaultTiming().Confidence))
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -46,7 +46,7 @@
 func init() {
 	for _, ev := range []scheduler.Event{
 		scheduler.Tick{}, scheduler.LogRead{}, scheduler.HostsRead{}, scheduler.WriteReplied{},
-		scheduler.WriteFailed{}, scheduler.PeerHeard{}, scheduler.AppendDone{}, scheduler.Leave{},
+		scheduler.WriteFailed{}, scheduler.TenureRead{}, scheduler.TenureUnread{}, scheduler.TenureAppended{}, scheduler.AppendDone{}, scheduler.Leave{},
 		scheduler.SlotsIdle{},
 	} {
 		t := reflect.TypeOf(ev)
