--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -43,7 +43,8 @@
 	next    int64
 	script  *language.Script
 	req     Request
-	at      surroundings
+	// rooms are those of the domains whose leader answered.
+	rooms map[string]*Room
 
 	// Objects as the statements so far leave them.
 	domains   overlay[configuration.Domain]
@@ -107,9 +108,9 @@
 	return o.sorted
 }
 
-func newPlan(c *configuration.Catalog, script *language.Script, req Request, at surroundings) *plan {
+func newPlan(c *configuration.Catalog, script *language.Script, req Request, rooms map[string]*Room) *plan {
 	return &plan{
-		catalog: c, next: c.Next, script: script, req: req, at: at,
+		catalog: c, next: c.Next, script: script, req: req, rooms: rooms,
 		domains: newOverlay(c.Domains), teams: newOverlay(c.Teams), workloads: newOverlay(c.Workloads), drained: newOverlay(c.Drained),
 		relied: map[object]bool{},
 		record: configuration.Record{ID: req.ChangeID, Actor: req.Actor},
--- a/internal/operator/rooms.go
+++ b/internal/operator/rooms.go
@@ -5,7 +5,6 @@
 	"context"
 	"hash/fnv"
 	"slices"
-	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/configuration"
 	"github.com/mimosaspool/mimosaspool/internal/language"
@@ -61,38 +60,18 @@
 	return r
 }
 
-// surroundings are what the schedulers in reach tell before a change.
-type surroundings struct {
-	// rooms are those of the domains whose leader answered.
-	rooms map[string]*Room
-	// positions are those of the hosts that answered; nil if none was asked.
-	positions map[string]int64
-}
-
-// look asks the schedulers in reach when the script declares work or domains.
-func (s *Service) look(ctx context.Context, script *language.Script) surroundings {
-	var wait time.Duration
-	for _, st := range script.Statements {
-		switch {
-		case st.Declare == nil || st.Declare.Team != nil:
-		case st.Declare.Domain != nil:
-			wait = askTime
-		default:
-			wait = max(wait, roomTime)
-		}
-	}
-	if wait == 0 {
-		return surroundings{}
-	}
-	all := s.members(ctx, "", wait)
-	at := surroundings{rooms: map[string]*Room{}, positions: map[string]int64{}}
-	for _, r := range all {
-		at.positions[r.Member.Host] = r.Member.Position
+// look asks the domains' leaders in reach for their room when the script declares work.
+func (s *Service) look(ctx context.Context, script *language.Script) map[string]*Room {
+	if !slices.ContainsFunc(script.Statements, func(st *language.Statement) bool {
+		return st.Declare != nil && st.Declare.Team == nil && st.Declare.Domain == nil
+	}) {
+		return nil
 	}
-	for _, r := range leadersOf(all) {
-		at.rooms[r.Member.Domain] = r.Room
+	rooms := map[string]*Room{}
+	for _, r := range leadersOf(s.members(ctx, "", roomTime)) {
+		rooms[r.Member.Domain] = r.Room
 	}
-	return at
+	return rooms
 }
 
 // divide gives a workload homes among the named domains: services evenly,
@@ -100,7 +79,7 @@
 func (p *plan) divide(w configuration.Workload, domains []string) []configuration.Home {
 	var fit []string
 	for _, d := range domains {
-		if p.at.rooms[d].fits(w.Size) {
+		if p.rooms[d].fits(w.Size) {
 			fit = append(fit, d)
 		}
 	}
@@ -111,7 +90,7 @@
 	turn := int(hash(w.Name) % uint32(len(fit)))
 	fit = append(fit[turn:], fit[:turn]...)
 	slices.SortStableFunc(fit, func(a, b string) int {
-		return -cmp.Compare(p.at.rooms[a].tasks(w.Size, w.Count), p.at.rooms[b].tasks(w.Size, w.Count))
+		return -cmp.Compare(p.rooms[a].tasks(w.Size, w.Count), p.rooms[b].tasks(w.Size, w.Count))
 	})
 	parts := 1
 	if w.Kind == configuration.Service {
@@ -134,7 +113,7 @@
 
 // take counts planned tasks as placed.
 func (p *plan) take(domain string, size resource.Vector) {
-	if r := p.at.rooms[domain]; r != nil {
+	if r := p.rooms[domain]; r != nil {
 		r.Free = r.Free.Sub(size)
 	}
 }
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -201,7 +201,7 @@
 // against the catalog.
 func (s *Service) further(ctx context.Context, req Request, script *language.Script, faults language.Faults) language.Faults {
 	_ = s.onCore(ctx, func(c *scheduler.Core) {
-		p := newPlan(c.Catalog(), script, req, surroundings{})
+		p := newPlan(c.Catalog(), script, req, nil)
 		p.run()
 		for _, f := range p.faults {
 			if !script.Doubtful(f.Word) {
@@ -236,13 +236,13 @@
 	}
 	var p *plan
 	var prior *Outcome
-	at := s.look(ctx, script)
+	rooms := s.look(ctx, script)
 	err := s.onCore(ctx, func(c *scheduler.Core) {
 		if out, ok := c.Catalog().Applied[req.ChangeID]; ok {
 			prior = outcome(req.ChangeID, out)
 			return
 		}
-		p = newPlan(c.Catalog(), script, req, at)
+		p = newPlan(c.Catalog(), script, req, rooms)
 		p.run()
 	})
 	if err != nil {
--- a/internal/operator/workload.go
+++ b/internal/operator/workload.go
@@ -81,7 +81,7 @@
 		return
 	}
 	for _, h := range v.Homes {
-		if room := p.at.rooms[h.Domain]; h.Count > 0 && !room.fits(v.Size) {
+		if room := p.rooms[h.Domain]; h.Count > 0 && !room.fits(v.Size) {
 			p.fault(w, "%s: no worker of domain %s is large enough for %s", v.Name, h.Domain, v.Size)
 			return
 		}
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -27,13 +27,13 @@
 
 // World is a site in virtual time.
 type World struct {
-	now       time.Duration
-	queue     timeline.Queue
-	rand      *rand.Rand
-	timing    ownership.Timing
-	link      link
-	cuts      map[route]time.Duration
-	log       *log
+	now    time.Duration
+	queue  timeline.Queue
+	rand   *rand.Rand
+	timing ownership.Timing
+	link   link
+	cuts   map[route]time.Duration
+	log    *log
 	// tenures holds the partition of each domain's tenure.
 	tenures   map[string]*log
 	processes []*process
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -144,7 +144,8 @@
 }
 
 // nextLook returns the earliest time at which w changes without an event: a
-// write falls due or is given up, its answer is no longer fresh, or leases have run out.
+// write falls due or is given up, its answer is no longer fresh, a leaving
+// runner is overdue, or leases have run out.
 func (c *Core) nextLook(w *worker) time.Duration {
 	at := never
 	switch {
@@ -162,6 +163,11 @@
 	if c.now < w.orderedAt+orderRetry && w.orderedAt > 0 {
 		at = min(at, w.orderedAt+orderRetry)
 	}
+	for _, d := range w.departures {
+		if overdue := c.overdueAt(d); overdue > c.now {
+			at = min(at, overdue)
+		}
+	}
 	if w.fence.Owned(c.now) {
 		at = min(at, w.fence.ValidUntil())
 	} else if len(w.bound) > 0 {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -46,10 +46,10 @@
 	attempts uint64
 	// termAttempts is the number that the present term began with.
 	termAttempts uint64
-	tenancy  tenancy
-	ended    endings
-	snapshot snapshots
-	leaving  bool
+	tenancy      tenancy
+	ended        endings
+	snapshot     snapshots
+	leaving      bool
 	// held is whether the term was held when it was last worked out.
 	held     bool
 	applied  int64
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -117,6 +117,14 @@
 	return idle && c.idle.Began == d.began && c.idle.Version >= d.version
 }
 
+// overdueAt returns when a leaving runner is left to its requests no longer.
+func (c *Core) overdueAt(d *departure) time.Duration {
+	if c.term.AloneAt() < 0 {
+		return never
+	}
+	return max(d.since, c.term.AloneAt()) + drainBound
+}
+
 // mayStop reports whether a serving runner may be stopped: its requests have
 // ended, or it was left to them for long enough, and a wanted one has its turn.
 func (c *Core) mayStop(w *worker, o ObservedTask) bool {
@@ -125,8 +133,7 @@
 		return false
 	}
 	idle := c.isIdle(o.Attempt, d)
-	overdue := c.term.Alone(c.now) && c.now >= max(d.since, c.term.AloneAt())+drainBound
-	if !idle && !overdue || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
+	if !idle && c.now < c.overdueAt(d) || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
 		return false
 	}
 	if !idle && !d.overdue {
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -32,6 +32,10 @@
 	// gone holds machines that are no longer behind a worker's name, by when
 	// the leases on them have surely run out.
 	gone map[string]time.Duration
+	// yields counts the terms given up in vain, and notBefore is the earliest
+	// time of the next claim.
+	yields    int
+	notBefore time.Duration
 }
 
 // claimSpread is the range of the delays that schedulers add to the silence
@@ -97,7 +101,11 @@
 		return
 	}
 	act := t.state.Next(c.now)
-	if act == tenure.Wait {
+	if act == tenure.Wait || act == tenure.Claim && c.now < t.notBefore {
+		return
+	}
+	if act == tenure.Beat && c.isCutOff() {
+		c.yield()
 		return
 	}
 	r, end := t.state.Begin(c.now, act, "")
@@ -108,6 +116,37 @@
 	c.out = append(c.out, AppendTenure{Record: r, End: end})
 }
 
+// yieldAfter is how long a holder that reaches no majority of its machines keeps
+// the tenure; it doubles with each time that it has not helped, up to yieldMost times.
+const (
+	yieldAfter = 6 * time.Second
+	yieldMost  = 5
+)
+
+// yieldPause is how long a holder that yielded leaves the tenure to others.
+const yieldPause = 3 * time.Second
+
+// isCutOff reports whether another scheduler may reach more of the machines.
+func (c *Core) isCutOff() bool {
+	t := &c.tenancy
+	if !c.term.Alone(c.now) || len(t.members) == 0 {
+		return false
+	}
+	asked := c.vouchedAt()
+	if c.now-asked < yieldAfter {
+		t.yields = 0
+	}
+	return c.now-max(asked, c.term.Began()) >= yieldAfter<<t.yields
+}
+
+// yield gives the tenure up for a peer to take.
+func (c *Core) yield() {
+	t := &c.tenancy
+	c.reasons["yielded"]++
+	t.yields, t.notBefore = min(t.yields+1, yieldMost), c.now+yieldPause
+	c.out = append(c.out, AppendTenure{Record: t.state.Yield(), End: anyEnd})
+}
+
 // enlist names the holder's machines in a record, if they have changed or were
 // last named long ago.
 func (c *Core) enlist(r *tenure.Record) {
--- a/internal/schedulerd/daemon.go
+++ b/internal/schedulerd/daemon.go
@@ -20,8 +20,8 @@
 	Settings scheduler.Settings
 	Region   string
 	// Peers are the base URLs of the other schedulers.
-	Peers   []string
-	Log     platform.Log
+	Peers []string
+	Log   platform.Log
 	// Tenure is the partition of the domain's tenure.
 	Tenure  platform.Partition
 	Hosts   platform.Hosts
--- a/internal/schedulerd/metrics.go
+++ b/internal/schedulerd/metrics.go
@@ -96,7 +96,7 @@
 	"task-lost": "loss", "task-failed": "loss", "start-lost": "retry", "write-failed": "retry", "gang-torn": "retry",
 	"quarantined": "quarantine", "preempted": "preemption",
 	"task-moved": "drain", "stop-overdue": "drain",
-	"append-failed": "retry", "stale-reply": "retry", "tenure-unconfirmed": "retry", "tenure-lost": "loss", "fenced": "loss",
+	"append-failed": "retry", "stale-reply": "retry", "tenure-unconfirmed": "retry", "tenure-lost": "loss", "yielded": "loss", "fenced": "loss",
 }
 
 func kindOfReason(reason string) string {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -287,8 +287,15 @@
 // Confirm takes note that a record sent at the given time is in the partition.
 func (s *State) Confirm(sentAt time.Duration) { s.confirmedAt = max(s.confirmedAt, sentAt) }
 
-// Release returns the record that gives the right back, and stops further
-// claims. It needs no condition: under a newer token it has no effect.
+// Yield returns the record that gives the right back, and takes it as lost. It
+// needs no condition: under a newer token it has no effect.
+func (s *State) Yield() Record {
+	r := Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true}
+	s.Lost()
+	return r
+}
+
+// Release is Yield for good: it stops further claims.
 func (s *State) Release() Record {
 	s.resign = true
 	return Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true}
