--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -105,7 +105,7 @@
 		return workload(fmt.Sprintf("workload-%05d", i), configuration.Batch, 4)
 	})
 	catalogOfTeams = catalogOf(func(i int) configuration.Op {
-		return configuration.Op{Team: &configuration.Team{Name: fmt.Sprintf("team-%03d", i), Weight: 1, Quota: seatSize}}
+		return configuration.Op{Team: &configuration.Team{Name: fmt.Sprintf("team-%03d", i), Weight: 1, Quota: workerSize}}
 	})
 	catalogOfDomains = catalogOf(func(i int) configuration.Op {
 		d := &configuration.Domain{Name: fmt.Sprintf("domain-%02d", i), Region: "region", Entries: []string{"entry-1", "entry-2", "entry-3"}}
--- a/internal/capacity/drive.go
+++ b/internal/capacity/drive.go
@@ -37,7 +37,7 @@
 // rackSize is how many workers share a rack.
 const rackSize = 20
 
-var seatSize = resource.Vector{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 2}
+var workerSize = resource.Vector{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 2}
 
 // newCell returns a cell of the given workers with the records applied.
 func newCell(workers int, ops ...configuration.Op) *cell {
@@ -46,7 +46,7 @@
 			t.Address = "10.20.30.40:40000"
 		}
 	}
-	size := func(int) resource.Vector { return seatSize }
+	size := func(int) resource.Vector { return workerSize }
 	c := &cell{Cell: fakeworker.NewCell(workers, rackSize, size, fakeworker.Hooks{Began: began}, ops...), spent: map[fakeworker.Kind]spent{}}
 	c.Around, c.Written = c.time, c.count
 	return c
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -69,7 +69,7 @@
 		{sizing.RecordEnded, "tasks", "B", small, recordEnded},
 		{sizing.SnapshotWork, "workloads", "B", []int{600, 1200, 2400, 4800, 9700}, snapshotOf(catalogOfWorkloads)},
 		{sizing.SnapshotTeams, "teams", "B", []int{20, 40, 80, 160, 350}, snapshotOf(catalogOfTeams)},
-		{sizing.SnapshotSeats, "domains of 138 workers", "B", []int{2, 4, 8, 16, 32}, snapshotOf(catalogOfDomains)},
+		{sizing.SnapshotDomains, "domains of 138 workers", "B", []int{2, 4, 8, 16, 32}, snapshotOf(catalogOfDomains)},
 		{sizing.HeapChanges, "changes of one team", "KiB", []int{250, 500, 1000, 2000, 4000, 8000}, heapOf(catalogOfChanges)},
 		{sizing.ApplyWorkloads, "workloads", "us", []int{600, 1200, 2400, 4800, 9700}, applying},
 		{sizing.InForce, "hosts", "ms", []int{3, 6, 12, 24, 48}, inForce},
--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -57,7 +57,7 @@
 	expiry := time.Duration(time.Now().UnixMilli())*time.Millisecond + time.Minute
 	for i := range n {
 		list = append(list, scheduler.Start{
-			Task: fmt.Sprintf("survey/123456/west-1/%d", i), Attempt: 1<<62 + uint64(from+i), Size: seatSize, Expiry: expiry,
+			Task: fmt.Sprintf("survey/123456/west-1/%d", i), Attempt: 1<<62 + uint64(from+i), Size: workerSize, Expiry: expiry,
 		})
 	}
 	return list
--- a/internal/configuration/catalog.go
+++ b/internal/configuration/catalog.go
@@ -30,9 +30,6 @@
 	Ended     map[string]map[string]Ended `json:"ended,omitempty"`
 	// Finished lists finished workloads, oldest first.
 	Finished []Finished `json:"finished,omitempty"`
-	// Shrunk holds the offset of the last change that took a seat out of a
-	// domain, whose tasks may run on for a while.
-	Shrunk map[string]int64 `json:"shrunk,omitempty"`
 	// Applied keeps the outcome of recent records with operations by ID. What
 	// other records say has no further effect when it is said twice.
 	Applied map[string]Outcome `json:"applied,omitempty"`
@@ -91,9 +88,6 @@
 	if c.Ended == nil {
 		c.Ended = map[string]map[string]Ended{}
 	}
-	if c.Shrunk == nil {
-		c.Shrunk = map[string]int64{}
-	}
 	if c.Applied == nil {
 		c.Applied = map[string]Outcome{}
 	}
@@ -230,7 +224,6 @@
 func (c *Catalog) changeOne(offset int64, actor string, op Op) {
 	switch {
 	case op.Domain != nil:
-		c.noteShrunk(offset, op.Domain.Name, op.Domain.Workers)
 		put(c.Domains, op.Domain.Name, *op.Domain, offset, actor)
 	case op.Team != nil:
 		put(c.Teams, op.Team.Name, *op.Team, offset, actor)
@@ -262,19 +255,9 @@
 	delete(c.Ended, workload)
 }
 
-// noteShrunk takes note of a change that leaves seats out.
-func (c *Catalog) noteShrunk(offset int64, domain string, seats []string) {
-	for _, seat := range c.Domains[domain].Value.Workers {
-		if !slices.Contains(seats, seat) {
-			c.Shrunk[domain] = offset
-		}
-	}
-}
-
 func (c *Catalog) remove(offset int64, r Remove) {
 	switch r.Kind {
 	case KindDomain:
-		c.noteShrunk(offset, r.Name, nil)
 		delete(c.Domains, r.Name)
 	case KindTeam:
 		delete(c.Teams, r.Name)
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -60,8 +60,8 @@
 	Cancel   *Cancel   `json:"cancel,omitempty"`
 }
 
-// Domain declares a failure domain: its worker seats and its entry hosts. A
-// seat keeps its name when the machine behind it is replaced.
+// Domain declares a failure domain: its workers and its entry hosts. A worker
+// keeps its name when the machine behind it is replaced.
 type Domain struct {
 	Name    string   `json:"name"`
 	Region  string   `json:"region"`
--- a/internal/configuration/view.go
+++ b/internal/configuration/view.go
@@ -138,7 +138,7 @@
 	f := *c
 	f.Domains, f.Teams = maps.Clone(c.Domains), maps.Clone(c.Teams)
 	f.Workloads, f.Drained = maps.Clone(c.Workloads), maps.Clone(c.Drained)
-	f.Applied, f.Shrunk = maps.Clone(c.Applied), maps.Clone(c.Shrunk)
+	f.Applied = maps.Clone(c.Applied)
 	f.Recent, f.History = slices.Clone(c.Recent), slices.Clone(c.History)
 	f.Finished = slices.Clone(c.Finished)
 	f.Ended = make(map[string]map[string]Ended, len(c.Ended))
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -20,7 +20,7 @@
 	}{
 		"fits":                  {configuration.Batch, resource.Vector{MilliCPU: 4000}, 0, []configuration.Home{{Domain: "d", Count: 9}}, ""},
 		"no shape has both":     {configuration.Batch, resource.Vector{MilliCPU: 4000, MemoryMiB: 400}, 0, []configuration.Home{{Domain: "d", Count: 1}}, job.TaskTooLarge},
-		"an unknown seat might": {configuration.Batch, resource.Vector{MilliCPU: 9000}, 1, []configuration.Home{{Domain: "d", Count: 1}}, ""},
+		"an unknown worker might": {configuration.Batch, resource.Vector{MilliCPU: 9000}, 1, []configuration.Home{{Domain: "d", Count: 1}}, ""},
 		"not at home here":      {configuration.Batch, resource.Vector{MilliCPU: 9000}, 0, []configuration.Home{{Domain: "e", Count: 1}}, ""},
 		"gang too large":        {configuration.Gang, resource.Vector{MilliCPU: 1000}, 0, []configuration.Home{{Domain: "d", Count: 7}}, job.GangTooLarge},
 		"gang split":            {configuration.Gang, resource.Vector{MilliCPU: 1000}, 1, []configuration.Home{{Domain: "d", Count: 1}, {Domain: "e", Count: 1}}, job.GangSplit},
--- a/internal/measure/trace.go
+++ b/internal/measure/trace.go
@@ -24,7 +24,7 @@
 	Jobs    []Job
 }
 
-// Worker is one seat of a domain.
+// Worker is one worker of a domain.
 type Worker struct {
 	Name, Domain, Rack string
 	Capacity           resource.Vector
--- a/internal/proof/fault.go
+++ b/internal/proof/fault.go
@@ -116,8 +116,8 @@
 	p.down(down, p.boot)
 }
 
-// replace restarts a worker, puts another machine under its address, moves its
-// seat to a new address, or replaces an entry host.
+// replace restarts a worker, puts another machine under its address or at
+// another one, or replaces an entry host.
 func (h *history) replace() {
 	w := h.World
 	domain := pick(w, w.domains)
--- a/internal/proof/history.go
+++ b/internal/proof/history.go
@@ -50,7 +50,7 @@
 	// effects holds what each record sets, by offset.
 	effects map[int64][]checker.Set
 	changes int
-	// short tells which domains lack their last seat now.
+	// short tells which domains lack workers now.
 	short    map[string]bool
 	replaced int
 	requests uint64
@@ -124,7 +124,7 @@
 	case 4:
 		h.endSome()
 	case 5:
-		h.reseat()
+		h.redeclare()
 	case 2, 3:
 		if name, ok := h.any(); ok {
 			h.cancel(configuration.Cancel{Workloads: []string{name}})
@@ -235,8 +235,9 @@
 	}
 }
 
-// reseat takes a domain's last seat out of the configuration, or returns it.
-func (h *history) reseat() {
+// redeclare takes some of a domain's workers out of the configuration, or
+// returns all.
+func (h *history) redeclare() {
 	d := pick(h.World, h.domains)
 	domain := configuration.Domain{Name: d}
 	for _, p := range h.processes {
@@ -247,8 +248,11 @@
 	for _, host := range h.hosts[d] {
 		domain.Workers = append(domain.Workers, host.Name)
 	}
-	if n := len(domain.Workers); n > 4 && !h.short[d] {
-		domain.Workers = domain.Workers[:n-1]
+	if n := len(domain.Workers); !h.short[d] {
+		h.rand.Shuffle(n, func(i, j int) {
+			domain.Workers[i], domain.Workers[j] = domain.Workers[j], domain.Workers[i]
+		})
+		domain.Workers = domain.Workers[:1+h.rand.IntN(n)]
 	}
 	h.short[d] = !h.short[d]
 	h.append("op1", configuration.Op{Domain: &domain}, nil)
--- a/internal/proof/rivals_test.go
+++ b/internal/proof/rivals_test.go
@@ -8,7 +8,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/resource"
 )
 
-// settled bounds the time until two schedulers that claim a domain's workers at
+// settled bounds the time until two schedulers that claim a domain's tenure at
 // the same moment have settled who leads it.
 const settled = 8 * second
 
--- a/internal/proof/scenario_test.go
+++ b/internal/proof/scenario_test.go
@@ -123,8 +123,8 @@
 	w.expectHeld(t)
 }
 
-// seats declares the domain anew with the given seats.
-func (w *World) seats(id string, machines []*machine) {
+// redeclare declares the domain anew with the given workers.
+func (w *World) redeclare(id string, machines []*machine) {
 	d := configuration.Domain{Name: "d1"}
 	for _, p := range w.processes {
 		d.Entries = append(d.Entries, p.host)
@@ -135,33 +135,33 @@
 	w.Append(configuration.Record{ID: id, Ops: []configuration.Op{{Domain: &d}}})
 }
 
-// TestSeatRemovedUnseen: a seat leaves the configuration before the successor
+// TestWorkerRemovedUnseen: a worker leaves the configuration before the successor
 // of a killed holder of the term has seen what runs there.
-func TestSeatRemovedUnseen(t *testing.T) {
+func TestWorkerRemovedUnseen(t *testing.T) {
 	w := small(3, 6)
 	leader := w.leader("d1")
 	last := w.machines[5]
 	w.cutBoth(w.other(leader).host, last.Name, 300*second)
 	leader.kill()
-	w.seats("fewer", w.machines[:5])
+	w.redeclare("fewer", w.machines[:5])
 	w.Run(90 * second)
 	w.expectHeld(t)
 }
 
-// TestSeatRemovedAndReturned: a task that was on the seat runs again.
-func TestSeatRemovedAndReturned(t *testing.T) {
+// TestWorkerRemovedAndReturned: a task that was on the worker runs again.
+func TestWorkerRemovedAndReturned(t *testing.T) {
 	w := small(4, 6)
 	last := w.machines[5]
-	w.seats("fewer", w.machines[:5])
+	w.redeclare("fewer", w.machines[:5])
 	w.Run(22 * second)
 	last.Restart()
-	w.seats("all", w.machines)
+	w.redeclare("all", w.machines)
 	w.expectAllRun(t, 120*second)
 }
 
-// TestSeatMoves: the list shows a seat at a new address while the former
+// TestMachineReplaced: the list shows a worker at a new address while the former
 // machine goes on running its tasks.
-func TestSeatMoves(t *testing.T) {
+func TestMachineReplaced(t *testing.T) {
 	w := small(5, 6)
 	m, _ := w.place("")
 	w.host(m).Address = "moved"
@@ -174,11 +174,10 @@
 // another machine under the same address, whose clock is behind.
 func TestClockOfFormerMachine(t *testing.T) {
 	w := small(6, 6)
-	leader := w.leader("d1")
 	m, a := w.place("")
 	task := m.Tasks[a].Task
 	late := scheduler.WriteWorker{
-		Worker: m.Name, Address: m.Name, Holder: leader.host + "#1", Write: 1 << 40, Boot: m.Boot,
+		Worker: m.Name, Address: m.Name, Token: m.Token, Write: 1 << 40, Boot: m.Boot,
 		Starts: []scheduler.Start{{Task: task, Attempt: 7, Size: resource.Vector{MilliCPU: 1000}, Expiry: m.now() + 5*second}},
 	}
 	m.dead = true
@@ -190,13 +189,13 @@
 	w.expectHeld(t)
 }
 
-// TestSeatRemovedBeforeStart: a scheduler that starts after a seat was taken
+// TestWorkerRemovedBeforeStart: a scheduler that starts after a worker was taken
 // out takes over from one that is killed.
-func TestSeatRemovedBeforeStart(t *testing.T) {
+func TestWorkerRemovedBeforeStart(t *testing.T) {
 	w := small(7, 6)
 	leader := w.leader("d1")
 	w.other(leader).kill()
-	w.seats("fewer", w.machines[:5])
+	w.redeclare("fewer", w.machines[:5])
 	w.Run(21 * second)
 	leader.kill()
 	w.Run(22 * second)
--- a/internal/sizing/model.go
+++ b/internal/sizing/model.go
@@ -263,12 +263,12 @@
 func Log(z Size, s Slopes) []LogUse {
 	d := z.share()
 	const mb = 1e6
-	snapshot := s.at(SnapshotWork, z.catalogJobs()) + s.at(SnapshotTeams, z.Teams) + s.at(SnapshotSeats, z.Domains)
+	snapshot := s.at(SnapshotWork, z.catalogJobs()) + s.at(SnapshotTeams, z.Teams) + s.at(SnapshotDomains, z.Domains)
 	ended := d.meanStarts() * z.Domains
 	return []LogUse{
 		{"jobs declared", z.JobsPerDay / secondsPerDay, z.JobsPerDay * s.at(RecordOps, 1) / mb, 10 * z.JobsPerDay / secondsPerDay, "one record a job; " + RecordOps + "; the peak is taken as ten times the mean"},
 		{"changes of configuration", z.ChangesPerDay / secondsPerDay, z.ChangesPerDay * s.at(RecordOps, 1) / mb, 10 * z.ChangesPerDay / secondsPerDay, "one record a change; " + RecordOps},
 		{"ended tasks", min(ended, z.Domains), ended * secondsPerDay * s.at(RecordEnded, 1) / mb, z.Domains, "at most one record a second a domain; " + RecordEnded},
-		{"snapshots", snapshotsPerDay / secondsPerDay, snapshotsPerDay * snapshot / mb, snapshotsPerDay / secondsPerDay, "one each half hour; " + SnapshotWork + "; " + SnapshotTeams + "; " + SnapshotSeats},
+		{"snapshots", snapshotsPerDay / secondsPerDay, snapshotsPerDay * snapshot / mb, snapshotsPerDay / secondsPerDay, "one each half hour; " + SnapshotWork + "; " + SnapshotTeams + "; " + SnapshotDomains},
 	}
 }
