--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -18,12 +18,12 @@
 		homes   []configuration.Home
 		want    job.Cause
 	}{
-		"fits":                  {configuration.Batch, resource.Vector{MilliCPU: 4000}, 0, []configuration.Home{{Domain: "d", Count: 9}}, ""},
-		"no shape has both":     {configuration.Batch, resource.Vector{MilliCPU: 4000, MemoryMiB: 400}, 0, []configuration.Home{{Domain: "d", Count: 1}}, job.TaskTooLarge},
+		"fits":                    {configuration.Batch, resource.Vector{MilliCPU: 4000}, 0, []configuration.Home{{Domain: "d", Count: 9}}, ""},
+		"no shape has both":       {configuration.Batch, resource.Vector{MilliCPU: 4000, MemoryMiB: 400}, 0, []configuration.Home{{Domain: "d", Count: 1}}, job.TaskTooLarge},
 		"an unknown worker might": {configuration.Batch, resource.Vector{MilliCPU: 9000}, 1, []configuration.Home{{Domain: "d", Count: 1}}, ""},
-		"not at home here":      {configuration.Batch, resource.Vector{MilliCPU: 9000}, 0, []configuration.Home{{Domain: "e", Count: 1}}, ""},
-		"gang too large":        {configuration.Gang, resource.Vector{MilliCPU: 1000}, 0, []configuration.Home{{Domain: "d", Count: 7}}, job.GangTooLarge},
-		"gang split":            {configuration.Gang, resource.Vector{MilliCPU: 1000}, 1, []configuration.Home{{Domain: "d", Count: 1}, {Domain: "e", Count: 1}}, job.GangSplit},
+		"not at home here":        {configuration.Batch, resource.Vector{MilliCPU: 9000}, 0, []configuration.Home{{Domain: "e", Count: 1}}, ""},
+		"gang too large":          {configuration.Gang, resource.Vector{MilliCPU: 1000}, 0, []configuration.Home{{Domain: "d", Count: 7}}, job.GangTooLarge},
+		"gang split":              {configuration.Gang, resource.Vector{MilliCPU: 1000}, 1, []configuration.Home{{Domain: "d", Count: 1}, {Domain: "e", Count: 1}}, job.GangSplit},
 	} {
 		r := job.Refuse(&configuration.Workload{Name: "w", Kind: c.kind, Size: c.size, Homes: c.homes}, job.Shapes{Domain: "d", Known: known, Unknown: c.unknown})
 		if got := r; (got == nil) != (c.want == "") || got != nil && got.Cause != c.want {
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -39,6 +39,8 @@
 	boot     time.Duration
 	// start and renew are the ends of leases in the worker's clock; 0 is none.
 	start, renew time.Duration
+	// based is the reading of the worker's clock that its sender knew.
+	based time.Duration
 }
 
 // modelWorker is a worker whose clock is ahead of the true time.
@@ -155,14 +157,15 @@
 }
 
 // send lets a holder write to a worker, in its term with a start and a renewal.
-func (m *model) send(i, to int) {
+// It returns the write's place, -1 if there is none.
+func (m *model) send(i, to int) int {
 	h := m.holders[i]
 	now := m.step(h)
 	if h.term.Token() == 0 {
-		return
+		return -1
 	}
 	f := h.fences[to]
-	w := message{from: i, to: to, token: h.term.Token(), boot: f.Boot()}
+	w := message{from: i, to: to, token: h.term.Token(), boot: f.Boot(), based: f.Reading()}
 	if h.term.Held(now) && f.Owned(now) {
 		w.start = f.StartExpiry()
 		w.renew, _ = f.TaskExpiry(now)
@@ -170,6 +173,7 @@
 	}
 	w.write = f.Send(now, w.token)
 	m.writes = append(m.writes, w)
+	return len(m.writes) - 1
 }
 
 // arrive lets a worker take a write.
@@ -187,6 +191,7 @@
 	r := ownership.Reply{Write: w.write, Now: now, Boot: k.boot, Token: k.token}
 	m.replies = append(m.replies, func() {
 		h := m.holders[w.from]
+		m.step(h) // what has run out is given up before a reply counts
 		h.fences[w.to].Receive(r)
 		if r.Token > h.term.Token() {
 			h.term.End()
@@ -207,6 +212,9 @@
 		k.lease = max(k.lease, w.start)
 		m.starts++
 		m.judge(k, w)
+		if f := m.holders[w.from].fences[w.to]; f.Boot() == k.boot && f.Reading() >= w.based+m.timing.Start {
+			m.breach = fmt.Sprintf("%v: a start takes effect on worker %d, which its sender knows to be past the start's end", m.now, w.to)
+		}
 	}
 }
 
@@ -228,6 +236,21 @@
 	}
 }
 
+// judgeTerms finds a former holder whose token counts as confirmed while a later
+// one takes itself to be alone.
+func (m *model) judgeTerms() {
+	for i, a := range m.holders {
+		for j, b := range m.holders {
+			if a.term.Token() == 0 || a.term.Token() >= b.term.Token() {
+				continue
+			}
+			if a.term.Confirmed(m.now-100*tick+a.offset) && b.term.Alone(m.now-100*tick+b.offset) {
+				m.breach = fmt.Sprintf("%v: holder %d is alone, and holder %d is confirmed until %v", m.now, j, i, a.term.Until()+100*tick-a.offset)
+			}
+		}
+	}
+}
+
 // restart loses the token and all tasks; the clock goes on, or is behind as that
 // of another machine.
 func (m *model) restart(k *modelWorker, behind bool) {
@@ -262,9 +285,8 @@
 
 // roundTrip lets a holder write to a worker and get its answer at once.
 func (m *model) roundTrip(i, to int) {
-	before := len(m.writes)
-	if m.send(i, to); len(m.writes) > before {
-		m.deliver(len(m.writes)-1, false)
+	if k := m.send(i, to); k >= 0 {
+		m.deliver(k, false)
 		m.answer(len(m.replies) - 1)
 	}
 }
@@ -286,8 +308,10 @@
 			m.now += rapid.SampledFrom(waits).Draw(t, "wait")
 		case 3, 4, 5, 6, 7:
 			m.roundTrip(i, k)
-		case 8, 9:
+		case 8:
 			m.send(i, k)
+		case 9:
+			m.deliver(m.send(i, k), false)
 		case 10, 11:
 			m.deliver(rapid.IntRange(-1, len(m.writes)-1).Draw(t, "write"), rapid.Bool().Draw(t, "again"))
 		case 12:
@@ -305,6 +329,7 @@
 		case 17:
 			m.restart(m.workers[k], rapid.Bool().Draw(t, "behind"))
 		}
+		m.judgeTerms()
 	}
 	return m
 }
@@ -327,13 +352,13 @@
 }
 
 // TestGuardsAreNeeded takes one guard out at a time: a history then breaks what
-// a later holder relies on. The guards assumed, renewed and newest have their
-// histories in internal/proof.
+// its sender or a later holder relies on. The guards assumed, hidden and renewed
+// have their histories in internal/proof.
 func TestGuardsAreNeeded(t *testing.T) {
 	for name, g := range map[string]ownership.Guard{
-		"expiry": ownership.GuardExpiry, "fence": ownership.GuardFence, "confidence": ownership.GuardConfidence,
-		"former": ownership.GuardFormer, "boot": ownership.GuardBoot, "settle": ownership.GuardSettle,
-		"hidden": ownership.GuardHidden,
+		"expiry": ownership.GuardExpiry, "bound": ownership.GuardBound, "fence": ownership.GuardFence,
+		"confidence": ownership.GuardConfidence, "former": ownership.GuardFormer, "boot": ownership.GuardBoot,
+		"settle": ownership.GuardSettle, "newest": ownership.GuardNewest,
 	} {
 		t.Run(name, func(t *testing.T) {
 			histories := rapid.Custom(func(t *rapid.T) string { return explore(t, g).breach })
--- a/internal/proof/guards_test.go
+++ b/internal/proof/guards_test.go
@@ -40,24 +40,20 @@
 }
 
 // TestCheckerCatches takes one guard out and plays a history that then breaks
-// a promise. The rarer guards have their histories in TestGuardsAreNeeded.
+// a promise. The guards bound, confidence, boot, settle and newest have their
+// histories in internal/ownership.
 func TestCheckerCatches(t *testing.T) {
 	for name, c := range map[string]struct {
 		guard   ownership.Guard
 		promise checker.Promise
 		from    uint64
 	}{
-		"assumed starts count as taken":            {ownership.GuardAssumed, checker.Capacity, 0},
-		"workers refuse lower tokens":              {ownership.GuardFence, checker.OnePlace, 0},
-		"holders without confirmation stop":        {ownership.GuardConfidence, checker.OnePlace, 0},
-		"terms wait for the former holder's end":   {ownership.GuardFormer, checker.OnePlace, 0},
-		"lapsed starts have no effect":             {ownership.GuardExpiry, checker.OnePlace, 0},
-		"starts end with the reading of the clock": {ownership.GuardBound, checker.OnePlace, 0},
-		"writes name the worker's start":           {ownership.GuardBoot, checker.OnePlace, 0},
-		"restarted workers wait":                   {ownership.GuardSettle, checker.OnePlace, 0},
-		"silent workers' leases run out":           {ownership.GuardRenewed, checker.OnePlace, 0},
-		"unseen tasks wait":                        {ownership.GuardHidden, checker.OnePlace, 0},
-		"only the newest write's reply counts":     {ownership.GuardNewest, checker.OnePlace, 0},
+		"assumed starts count as taken":          {ownership.GuardAssumed, checker.Capacity, 0},
+		"workers refuse lower tokens":            {ownership.GuardFence, checker.OnePlace, 0},
+		"terms wait for the former holder's end": {ownership.GuardFormer, checker.OnePlace, 100},
+		"lapsed starts have no effect":           {ownership.GuardExpiry, checker.OnePlace, 0},
+		"silent workers' leases run out":         {ownership.GuardRenewed, checker.OnePlace, 0},
+		"unseen tasks wait":                      {ownership.GuardHidden, checker.OnePlace, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/scheduler/agenda.go
+++ b/internal/scheduler/agenda.go
@@ -118,7 +118,8 @@
 	c.queue.activateAll()
 }
 
-// expire gives up what has run out, before anything else may rely on it.
+// expire gives up what has run out, before anything else may rely on it: a
+// reply that comes too late must not confirm a tenure anew.
 func (c *Core) expire() {
 	for len(c.agenda) > 0 && c.agenda[0].wakeAt <= c.now {
 		w := c.agenda[0]
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -64,8 +64,6 @@
 	go s.Run(ctx)
 	r := lifecycle.Router(func() bool { return true }, nil)
 	s.Register(r)
-	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, "direct"})} {
-		r.PathPrefix(srv.PathPrefix()).Handler(srv)
-	}
+	s.registerPlatform(r, "direct")
 	return lifecycle.Serve(ctx, f.Listen, r)
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -133,10 +133,7 @@
 		return s.Links.Address(from, platformName, addr)
 	}
 	r := mux.NewRouter()
-	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, from})} {
-		r.PathPrefix(srv.PathPrefix()).Handler(srv)
-	}
-	r.PathPrefix("/partition/{name}/").HandlerFunc(s.servePartition)
+	s.registerPlatform(r, from)
 	addr, err := s.serve(platformName+" of "+from, r)
 	if err != nil {
 		return "", err
@@ -145,6 +142,14 @@
 	return s.Links.Address(from, platformName, addr)
 }
 
+// registerPlatform adds the log, its partitions and the list of hosts to a router.
+func (s *Site) registerPlatform(r *mux.Router, from string) {
+	for _, srv := range []api.TwirpServer{api.NewLogServer(s.Log), api.NewHostsServer(hostsFor{s, from})} {
+		r.PathPrefix(srv.PathPrefix()).Handler(srv)
+	}
+	r.PathPrefix("/partition/{name}/").HandlerFunc(s.servePartition)
+}
+
 // platformName is the name of the log and the list of hosts as an end of links.
 const platformName = "platform"
 
