--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -30,6 +30,9 @@
 	Reply time.Duration
 	// DriftPerMille bounds the difference in rate between two clocks.
 	DriftPerMille int64
+	// Grant is how long after its confirmation a token allows grants of slots. It
+	// is shorter than Tenure.Confidence, so that a successor may grant early.
+	Grant time.Duration
 	// Tenure are the bounds of the tenure.
 	Tenure tenure.Timing
 	// Without names the guards that a test has taken out.
@@ -47,10 +50,19 @@
 		Task:          15 * time.Second,
 		Reply:         time.Second,
 		DriftPerMille: 5,
-		Tenure:        tenure.DefaultTiming(),
+		Grant:         3 * time.Second,
+		Tenure:        tenureTiming(),
 	}
 }
 
+// tenureTiming gives the peers patience for one beat whose answer is lost and
+// its repetition.
+func tenureTiming() tenure.Timing {
+	t := tenure.DefaultTiming()
+	t.Beat, t.Silence = 500*time.Millisecond, 2500*time.Millisecond
+	return t
+}
+
 // Shorten returns d less the drift that may have gathered over it.
 func (t Timing) Shorten(d time.Duration) time.Duration {
 	return d - d*time.Duration(t.DriftPerMille)/1000
--- a/internal/ownership/term.go
+++ b/internal/ownership/term.go
@@ -40,6 +40,8 @@
 	// alone is when the former holder's orders are surely over, whatever it
 	// reaches.
 	alone time.Duration
+	// grants is the same for its grants of slots.
+	grants time.Duration
 	until time.Duration
 	began time.Duration
 	held  bool
@@ -53,7 +55,7 @@
 
 // Claim takes note that the tenure was claimed under the token.
 func (t *Term) Claim(token int64) {
-	*t = Term{timing: t.timing, token: token, majorityAt: -1, alone: -1}
+	*t = Term{timing: t.timing, token: token, majorityAt: -1, alone: -1, grants: -1}
 }
 
 // End takes note that the tenure is over.
@@ -76,10 +78,10 @@
 	none := f.Over || f.Workers == 0 || t.timing.lacks(GuardFormer)
 	switch {
 	case none && t.alone < 0:
-		t.alone = now
+		t.alone, t.grants = now, now
 	case t.majorityAt < 0 && f.Fenced >= Majority(f.Workers):
 		t.majorityAt = now
-		t.alone = now + t.timing.LastOrder()
+		t.alone, t.grants = now+t.timing.LastOrder(), now+t.timing.Lengthen(t.timing.Grant)
 	}
 	over := t.alone >= 0 && now >= t.alone || f.Fenced == f.Workers
 	if !t.held && over {
@@ -95,6 +97,17 @@
 	return t.Held(now) && t.alone >= 0 && now >= t.alone
 }
 
+// GrantsSlots reports whether the holder may grant slots at the local time now:
+// no former holder does.
+func (t *Term) GrantsSlots(now time.Duration) bool {
+	return t.Held(now) && t.grants >= 0 && now >= t.grants && now < t.GrantsUntil()
+}
+
+// GrantsUntil returns the local time up to which the confirmation allows grants.
+func (t *Term) GrantsUntil() time.Duration {
+	return t.until - t.timing.Tenure.Confidence + t.timing.Grant
+}
+
 // Until returns the local time up to which the token is confirmed.
 func (t *Term) Until() time.Duration { return t.until }
 
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -46,10 +46,9 @@
 // At reports whether the term surely holds at the local time now.
 func (t Term) At(now time.Duration) bool { return t.Held && now < t.Until }
 
-// Term returns the newest term. It counts as held only once no former holder
-// of the tenure gives orders, since two would fill the same slots.
+// Term returns the newest term, as far as slots may be granted in it.
 func (c *Core) Term() Term {
-	return Term{Held: c.term.Alone(c.now), Began: c.term.Began(), Until: c.term.Until()}
+	return Term{Held: c.term.GrantsSlots(c.now), Began: c.term.Began(), Until: c.term.GrantsUntil()}
 }
 
 // Directory returns the newest directory.
