--- a/internal/ownership/term.go
+++ b/internal/ownership/term.go
@@ -42,9 +42,9 @@
 	alone time.Duration
 	// grants is the same for its grants of slots.
 	grants time.Duration
-	until time.Duration
-	began time.Duration
-	held  bool
+	until  time.Duration
+	began  time.Duration
+	held   bool
 }
 
 // NewTerm returns a term that is not held.
