--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -32,29 +32,23 @@
 	Address string
 	// Leaving runners take no new requests.
 	Leaving bool
-	// Fresh runners were started in the present unbroken term.
+	// Fresh runners were started in the present term.
 	Fresh bool
 }
 
 // Term is the term that the core holds or last held.
 type Term struct {
 	Held bool
-	// Began and Until bound the unbroken term in local time.
+	// Began and Until bound the term in local time.
 	Began, Until time.Duration
 }
 
 // At reports whether the term surely holds at the local time now.
 func (t Term) At(now time.Duration) bool { return t.Held && now < t.Until }
 
-// termAhead is how much of a term is left when its end is worked out anew.
-const termAhead = 2 * time.Second
-
-// Term returns the newest term. Its end is worked out anew only when it is near.
+// Term returns the newest term, as far as slots may be granted in it.
 func (c *Core) Term() Term {
-	if c.held && c.term.Until()-c.now < termAhead {
-		c.refreshTerm(c.now)
-	}
-	return Term{Held: c.term.Held(c.now), Began: c.term.Began(), Until: c.term.Until()}
+	return Term{Held: c.term.GrantsSlots(c.now), Began: c.term.Began(), Until: c.term.GrantsUntil()}
 }
 
 // Directory returns the newest directory.
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -9,8 +9,9 @@
 	"github.com/mimosaspool/mimosaspool/internal/slots"
 )
 
-// drainBound is how long a leaving runner is left to its requests at most: by
-// then no entry's lease on its slots is left, and the longest request has ended.
+// drainBound is how long a leaving runner is left to its requests at most, from
+// when no former holder of the tenure grants slots: by then no entry's lease on
+// its slots is left, and the longest request has ended.
 var drainBound = slots.DefaultTiming().Silent()
 
 // moveShare bounds the runners of a service that move off their workers at the
@@ -116,6 +117,14 @@
 	return idle && c.idle.Began == d.began && c.idle.Version >= d.version
 }
 
+// overdueAt returns when a leaving runner is left to its requests no longer.
+func (c *Core) overdueAt(d *departure) time.Duration {
+	if c.term.AloneAt() < 0 {
+		return never
+	}
+	return max(d.since, c.term.AloneAt()) + drainBound
+}
+
 // mayStop reports whether a serving runner may be stopped: its requests have
 // ended, or it was left to them for long enough, and a wanted one has its turn.
 func (c *Core) mayStop(w *worker, o ObservedTask) bool {
@@ -124,7 +133,7 @@
 		return false
 	}
 	idle := c.isIdle(o.Attempt, d)
-	if !idle && c.now < d.since+drainBound || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
+	if !idle && c.now < c.overdueAt(d) || c.wants(w, o) && !c.takesTurn(c.tasks[o.Task]) {
 		return false
 	}
 	if !idle && !d.overdue {
