Calls of workers wait as long as their way takes

After one lost answer, holds were given up after 150 ms beside their wait, for 4 s. Ruled out: ends not processed by the core (the same runs show their leases lapsed in the log); the store (no call of it failed). Change: each worker's round trip is smoothed over answers that it gives at once; the patience of holds, starts and stops is the fixed part and two round trips.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -70,7 +70,8 @@
 		hold.Wait, slack = min(hold.Wait, lossWait), lossSlack
 	}
 	h.toldNoted = hold.LastSeen
-	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: hold.Wait + slack})
+	h.heldFor = hold.Wait
+	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: hold.Wait + slack + h.wayOver()})
 }
 
 // awaitsList reports whether a list is wanted at once, to see runs gone.
@@ -125,6 +126,9 @@
 		h.info.Born = b
 	}
 	c.heard(h)
+	if h.heldFor == 0 {
+		h.answeredIn(c.now - ev.Sent)
+	}
 	h.absences = 0
 	h.confirmedAt = max(h.confirmedAt, ev.Sent)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -53,8 +53,12 @@
 	seen, noted int64
 	toldNoted   int64
 	holding     bool
-	nextHold    time.Duration
-	health      health
+	// heldFor is the wait of the last hold.
+	heldFor  time.Duration
+	nextHold time.Duration
+	// trip is the smoothed time from an order to its answer; 0 is not known yet.
+	trip   time.Duration
+	health health
 	// speed is how fast runs end there by their estimates; 0 is not known yet.
 	speed float64
 	// serving counts the runs with a target of latency; fill is the capacity
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -81,11 +81,12 @@
 	failureBackoff = 50 * time.Millisecond
 )
 
-func patience(try int) time.Duration {
-	if try <= 1 {
-		return firstPatience
+// patience is how long the answer to the run's order is waited for.
+func (r *run) patience() time.Duration {
+	if r.tries <= 1 {
+		return firstPatience + r.host.wayOver()
 	}
-	return laterPatience
+	return laterPatience + r.host.wayOver()
 }
 
 // unanswered takes note of an order without an answer. A worker that has
@@ -149,7 +150,7 @@
 	c.emit(StartTask{Life: h.life, Start: worker.Start{
 		Order: c.orderTo(h), Task: r.id, Run: r.number, Spec: r.task.step.occ.job.def.Spec,
 		DeadlineMillis: deadline, Checkpoint: r.from, Ticket: r.ticket,
-	}, Patience: patience(r.tries)})
+	}, Patience: r.patience()})
 }
 
 func (c *Core) runOf(workerID string, life int64, id workflow.TaskID, number int64) *run {
@@ -179,6 +180,7 @@
 	r.orderOut = false
 	h := r.host
 	if ev.Code != worker.Unknown && ev.Code != worker.NotDone && ev.Code != worker.Absent {
+		h.answeredIn(c.now - r.orderAt)
 		c.heard(h)
 	}
 	if r.state != starting {
@@ -259,7 +261,7 @@
 func (c *Core) sendStop(r *run) {
 	r.tries++
 	r.orderOut, r.orderAt, r.host.chase = true, c.now, true
-	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: patience(r.tries)})
+	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: r.patience()})
 }
 
 func (c *Core) stopAnswered(ev StopAnswered) {
