Occurrences that a former holder has begun go on, whatever the clock says

The successor's time of day was 4 s behind, the former holder's had been 3 s ahead: by the successor's clock the occurrence wasn't due. Its ends were taken note of without effect, its runs were stopped as not wanted, and progress recorded for it was left out of the job's next record; at the due time all its tasks were started again. Ruled out: an end not taken note of (the worker had been told it as seen); two holders at once (terms in the log follow each other). Change: an occurrence with recorded progress is made ready when the job is taken in, and one that a worker lists when it is listed, with all before it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -257,6 +257,9 @@
 		j.restored[o.Number] = o
 	}
 	c.live = append(c.live, j)
+	for k := range j.restored {
+		c.wakeThrough(j, k)
+	}
 	c.wake(j)
 	c.dirty = true
 }
@@ -272,20 +275,32 @@
 
 func (c *Core) wake(j *job) {
 	for !j.over() && j.next < j.def.Occurrences() && j.def.Due(j.next) <= c.wall {
-		k := j.next
-		j.next++
-		if j.later[k] {
-			continue
-		}
-		o := newOccurrence(j, k, c.now)
-		j.active = append(j.active, o)
-		if o.left == 0 {
-			c.finishOccurrence(o)
-			continue
-		}
-		for _, s := range o.steps {
-			c.readyStep(s)
-		}
+		c.wakeNext(j)
+	}
+}
+
+// wakeThrough makes the occurrences up to k ready. A former holder has begun
+// them by its clock, which may be ahead of this one's.
+func (c *Core) wakeThrough(j *job, k int) {
+	for !j.over() && j.next < j.def.Occurrences() && j.next <= k {
+		c.wakeNext(j)
+	}
+}
+
+func (c *Core) wakeNext(j *job) {
+	k := j.next
+	j.next++
+	if j.later[k] {
+		return
+	}
+	o := newOccurrence(j, k, c.now)
+	j.active = append(j.active, o)
+	if o.left == 0 {
+		c.finishOccurrence(o)
+		return
+	}
+	for _, s := range o.steps {
+		c.readyStep(s)
 	}
 }
 
@@ -380,6 +395,7 @@
 	if j == nil {
 		return nil
 	}
+	c.wakeThrough(j, id.Occurrence)
 	for _, o := range j.active {
 		if o.number == id.Occurrence {
 			if id.Step < 0 || id.Step >= len(o.steps) {
