Calls for advice of steps that have waited for 8 s may go to nodes kept for urgent ones

Ruled out: takeovers (two, whole within 0.1 s), lost approvals, room. Change: Advise tells whether its step is overdue; choose() then passes over the share that is kept.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -18,6 +18,9 @@
 	emptyRetry = time.Second
 	// adviceNames bounds the workers named in one call.
 	adviceNames = 100
+	// overdueAdvice is how long a step waits before its calls may take the
+	// service from urgent ones.
+	overdueAdvice = 8 * time.Second
 	// freshSteps is how many waiting steps of a pool keep valid tickets while
 	// there is no room for them.
 	freshSteps = 4
@@ -76,7 +79,7 @@
 	a.out = true
 	c.reasons["advice-asked"]++
 	c.emit(Advise{Step: s.id(), Workers: names, Cost: policy.Decision + time.Duration(len(names))*policy.PerWorker,
-		Urgent: s.occ.job.queue.Priority == 0})
+		Urgent: s.occ.job.queue.Priority == 0, Overdue: s.ready && c.now-s.readyAt > overdueAdvice})
 }
 
 // question is what a waiting step would ask the policy service about.
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -89,3 +89,40 @@
 	o.run(4 * time.Second)
 	o.Expect(o.startsOn("free")).To(Equal([]string{"w2"}))
 }
+
+func TestCallsOfStepsThatWaitForLongAreOverdue(t *testing.T) {
+	b := newBed(t, "w1")
+	policy := &workflow.Advice{Decision: 100 * time.Millisecond, Validity: time.Second}
+	b.next = []Event{Configured{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{
+		"q": {Name: "q", Pool: "p", Priority: 1, Advice: policy}}}}}
+	b.list()
+	b.accept("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	asked := func() (last Advise) {
+		events := append(b.next, RightConfirmed{b.now + 5*time.Second})
+		b.next = nil
+		for _, e := range b.core.Step(b.now, b.now.Milliseconds(), events...) {
+			if q, ok := e.(Advise); ok {
+				last = q
+				b.next = append(b.next, Advised{Step: q.Step, Asked: q.Workers, Failed: true})
+				continue
+			}
+			b.answer(e)
+		}
+		b.now += tickTime
+		return last
+	}
+	var early, late Advise
+	for began := b.now; b.now < began+overdueAdvice+time.Second; {
+		q := asked()
+		switch {
+		case len(q.Workers) == 0:
+		case b.now < began+time.Second:
+			early = q
+		default:
+			late = q
+		}
+	}
+	b.Expect(early.Workers).NotTo(BeEmpty())
+	b.Expect(early.Overdue).To(BeFalse())
+	b.Expect(late.Overdue).To(BeTrue())
+}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -156,6 +156,9 @@
 	Cost time.Duration
 	// Urgent calls are sent at once; others may be refused while the service is busy.
 	Urgent bool
+	// Overdue calls are of steps that have waited for long: they may go to nodes
+	// that are kept free for urgent ones.
+	Overdue bool
 }
 
 // Commit writes to the log, all or none; its end comes back as Committed.
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -112,7 +112,7 @@
 
 // advise sends the question to the node that is expected to have it answered first.
 func (n *Node) advise(t *term, e dispatch.Advise, back func(dispatch.Event)) {
-	m := n.members.choose(n.now(), e.Cost, e.Urgent)
+	m := n.members.choose(n.now(), e.Cost, e.Urgent, e.Overdue)
 	if m == nil {
 		n.ports.Count("retry", "advice-busy")
 		go back(dispatch.Advised{Step: e.Step, Asked: e.Workers, Failed: true})
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -108,9 +108,10 @@
 )
 
 // choose books a call on the node that is expected to be done with it first.
-// Long calls are kept off a part of the nodes, and off busy ones, so that
-// urgent calls, which are short, never wait for many: nil asks to come back.
-func (m *members) choose(now, cost time.Duration, urgent bool) *member {
+// Long calls are kept off a part of the nodes, unless they are overdue, and off
+// busy ones, so that urgent calls, which are short, never wait for many: nil
+// asks to come back.
+func (m *members) choose(now, cost time.Duration, urgent, overdue bool) *member {
 	names := make([]string, 0, len(m.nodes))
 	for n := range m.nodes {
 		names = append(names, n)
@@ -121,7 +122,7 @@
 	kept := len(names) / keptShare
 	for i, name := range names {
 		x := m.nodes[name]
-		if !urgent && (x.busy(now) > busyBound || cost > longCall && i < kept) {
+		if !urgent && (x.busy(now) > busyBound || cost > longCall && !overdue && i < kept) {
 			continue
 		}
 		if now < x.downUntil && name != m.self {
