The protocol has fields of its own for tokens and conditions; marks are gone

Cause: without protoc, a write's token went to the worker as a decimal in the field of the mark's holder and came back in the reply's mark; a conditional append carried its offset in the header If-Match. Change: WriteRequest.token, WriteReply.token (0 for none) and AppendRequest.end; the numbers of the removed fields are reserved. The adapters, the stand-in, the worker double and the slopes' stub use them. All programs of a site must change together: neither side reads the old fields. A token that is no number fails at decoding.

--- a/internal/capacity/messages.go
+++ b/internal/capacity/messages.go
@@ -23,8 +23,7 @@
 
 func (w workerStub) Write(_ context.Context, req *api.WriteRequest) (*api.WriteReply, error) {
 	now := time.Now().UnixMilli()
-	reply := &api.WriteReply{NowMs: now, BootMs: now - 1e6, Digest: stubDigest, Unchanged: req.Digest == stubDigest}
-	reply.Mark = &api.Mark{Holder: req.Holder}
+	reply := &api.WriteReply{NowMs: now, BootMs: now - 1e6, Token: req.Token, Digest: stubDigest, Unchanged: req.Digest == stubDigest}
 	if !reply.Unchanged {
 		reply.Tasks, reply.Capacity = w.tasks, &api.Resources{MilliCpu: 64000, MemoryMib: 256 << 10, Accelerators: 2}
 	}
--- a/internal/fakeworker/codec.go
+++ b/internal/fakeworker/codec.go
@@ -13,7 +13,7 @@
 // Decode returns the write that a worker got in the platform's protocol.
 func Decode(req *api.WriteRequest) scheduler.WriteWorker {
 	eff := scheduler.WriteWorker{
-		Token: platform.Token(req.Holder), Boot: millis(req.BootMs), RenewExpiry: millis(req.RenewExpiryMs),
+		Token: req.Token, Boot: millis(req.BootMs), RenewExpiry: millis(req.RenewExpiryMs),
 		Forget: req.Forget, Digest: req.Digest,
 	}
 	for _, s := range req.Starts {
@@ -32,9 +32,9 @@
 
 // Encode returns the answer to a write in the platform's protocol.
 func Encode(ev scheduler.WriteReplied) *api.WriteReply {
-	r := &api.WriteReply{NowMs: ev.Reply.Now.Milliseconds(), BootMs: ev.Reply.Boot.Milliseconds(), Unchanged: ev.Unchanged, Digest: ev.Digest}
-	if ev.Reply.Token > 0 {
-		r.Mark = &api.Mark{Holder: platform.Holder(ev.Reply.Token)}
+	r := &api.WriteReply{
+		NowMs: ev.Reply.Now.Milliseconds(), BootMs: ev.Reply.Boot.Milliseconds(), Token: ev.Reply.Token,
+		Unchanged: ev.Unchanged, Digest: ev.Digest,
 	}
 	if !ev.Unchanged {
 		r.Capacity = platform.Resources(ev.Capacity)
--- a/internal/platform/malformed.go
+++ b/internal/platform/malformed.go
@@ -38,8 +38,8 @@
 	if r.NowMs < 0 || r.BootMs < 0 {
 		return malformed("time below zero")
 	}
-	if r.Mark != nil && Token(r.Mark.Holder) == 0 {
-		return malformed("token %.40q", r.Mark.Holder)
+	if r.Token < 0 {
+		return malformed("token %d", r.Token)
 	}
 	if !valid(r.Capacity) {
 		return malformed("capacity %s", Vector(r.Capacity))
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,18 +40,13 @@
 // PartitionPrefix returns the path prefix of a partition's calls.
 func PartitionPrefix(name string) string { return "/partition/" + name + "/twirp" }
 
-// HeaderEnd carries the offset at which a partition has to end for an append.
-const HeaderEnd = "If-Match"
-
 // Append implements Partition.
 func (p *RemotePartition) Append(ctx context.Context, data []byte, end int64) (int64, error) {
+	req := &api.AppendRequest{Data: data}
 	if end >= 0 {
-		var err error
-		if ctx, err = twirp.WithHTTPRequestHeaders(ctx, http.Header{HeaderEnd: {strconv.FormatInt(end, 10)}}); err != nil {
-			return 0, errors.WithStack(err)
-		}
+		req.End = &end
 	}
-	r, err := p.client.Append(ctx, &api.AppendRequest{Data: data})
+	r, err := p.client.Append(ctx, req)
 	var refused twirp.Error
 	if errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition {
 		return 0, errors.Wrapf(ErrMoved, "append: %v", err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -129,19 +128,6 @@
 	return writeReplied(eff, r), nil
 }
 
-// Holder returns a token as the platform's protocol has it, where it is the name
-// of a worker's holder.
-func Holder(token int64) string { return strconv.FormatInt(token, 10) }
-
-// Token returns the token of a holder's name, 0 if it isn't one.
-func Token(holder string) int64 {
-	token, err := strconv.ParseInt(holder, 10, 64)
-	if err != nil || token < 0 {
-		return 0
-	}
-	return token
-}
-
 func millis(d time.Duration) int64 { return d.Milliseconds() }
 
 func duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -149,7 +135,7 @@
 // WriteRequest returns a write as the platform's protocol has it.
 func WriteRequest(eff scheduler.WriteWorker) *api.WriteRequest {
 	req := &api.WriteRequest{
-		Holder:        Holder(eff.Token),
+		Token:         eff.Token,
 		RenewExpiryMs: millis(eff.RenewExpiry),
 		Forget:        eff.Forget,
 		Digest:        eff.Digest,
@@ -173,7 +159,7 @@
 	ev := scheduler.WriteReplied{
 		Worker: eff.Worker,
 		Reply: ownership.Reply{
-			Write: eff.Write, Now: duration(r.NowMs), Boot: duration(r.BootMs), Token: Token(r.GetMark().GetHolder()),
+			Write: eff.Write, Now: duration(r.NowMs), Boot: duration(r.BootMs), Token: r.Token,
 		},
 		Unchanged: r.Unchanged,
 		Digest:    r.Digest,
