--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -29,12 +29,9 @@
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease    time.Duration
 	StopTimeout time.Duration
-	GangTimeout time.Duration
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor    float64
-	CheckpointEvery time.Duration
 	StatusRetention time.Duration
-	Notice          time.Duration
 }
 
 // clockDrift is by how much a worker's steady clock may be slow.
--- a/internal/dispatch/core_bench_test.go
+++ b/internal/dispatch/core_bench_test.go
@@ -53,7 +53,7 @@
 func benchSettings() Settings {
 	return Settings{Token: testToken, TermOffset: testOffset, Lease: 6 * time.Second, MaxLease: 10 * time.Second,
 		FormerBound: 11500 * time.Millisecond, Confidence: 5 * time.Second, StopTimeout: 2 * time.Second,
-		GangTimeout: 5 * time.Second, RemoteFactor: 2, CheckpointEvery: 2 * time.Second, StatusRetention: time.Minute}
+		RemoteFactor: 2, StatusRetention: time.Minute}
 }
 
 func benchWorkers(n int) []worker.Info {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -49,7 +49,7 @@
 	b := &bed{WithT: NewWithT(t), now: time.Minute, workers: map[string]*testWorker{}}
 	set := Settings{Token: testToken, TermOffset: testOffset, Lease: 6 * time.Second, MaxLease: 10 * time.Second,
 		FormerBound: 11500 * time.Millisecond, Confidence: 5 * time.Second, StopTimeout: 2 * time.Second,
-		GangTimeout: 5 * time.Second, RemoteFactor: 2, CheckpointEvery: 2 * time.Second, StatusRetention: time.Minute}
+		RemoteFactor: 2, StatusRetention: time.Minute}
 	b.core = New(set, b.now, b.now.Milliseconds())
 	for _, id := range workers {
 		b.workers[id] = &testWorker{born: b.now - time.Second}
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -343,19 +343,26 @@
 	}
 }
 
+// countDirectWrites counts the jobs that nodes booted from now on write past the
+// holder of the right.
+func (c *cluster) countDirectWrites() *atomic.Int64 {
+	direct := &atomic.Int64{}
+	c.adapt = func(_ *process, _ *Settings, ports *Ports) {
+		ports.Count = func(_, reason string) {
+			if reason == "direct-write" {
+				direct.Add(1)
+			}
+		}
+	}
+	return direct
+}
+
 func TestSlowStoreIsNotLoadedWithDirectWrites(t *testing.T) {
 	const slowness = 150
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, standard)
 		defer c.close()
-		var direct atomic.Int64
-		c.adapt = func(_ *process, _ *Settings, ports *Ports) {
-			ports.Count = func(_, reason string) {
-				if reason == "direct-write" {
-					direct.Add(1)
-				}
-			}
-		}
+		direct := c.countDirectWrites()
 		for _, name := range []string{"a", "b", "c"} {
 			c.boot(name)
 		}
@@ -382,14 +389,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 2, standard)
 		defer c.close()
-		var direct atomic.Int64
-		c.adapt = func(_ *process, _ *Settings, ports *Ports) {
-			ports.Count = func(_, reason string) {
-				if reason == "direct-write" {
-					direct.Add(1)
-				}
-			}
-		}
+		direct := c.countDirectWrites()
 		for _, name := range []string{"a", "b", "c"} {
 			c.boot(name)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,8 +285,7 @@
 	return dispatch.Settings{
 		Token: token, TermOffset: offset, Lease: lease, MaxLease: l.MaxLease,
 		FormerBound: time.Duration(former) + leaseSlack, Confidence: tenure.DefaultTiming().Confidence,
-		StopTimeout: l.StopTimeout, GangTimeout: l.GangTimeout, RemoteFactor: l.RemoteFactor,
-		CheckpointEvery: l.CheckpointInterval, StatusRetention: l.StatusRetention, Notice: l.Notice,
+		StopTimeout: l.StopTimeout, RemoteFactor: l.RemoteFactor, StatusRetention: l.StatusRetention,
 	}
 }
 
