A machine has one identity for all schedulers, so that a successor knows it

After a kill of the north's holder its peer claimed 2.5 s later and beat, but knew none of the recorded machines, so it fenced no majority of them and had no term: nothing was granted or placed in the domain again, and its requests were refused for no-grant. Change: Host.machine identifies the machine in all replies; without it the address does, as before. A change of it behind a name is a replaced machine, also at the same address. The stand-in sets it to the worker's own address. Schedulers of before and after name machines differently: the former ones must be stopped in a planned way. Tests: a takeover at other addresses (failed first: no start in 60 s), a machine replaced at the same address (failed first), and the stand-in's lists to two hosts.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,7 +104,9 @@
 		if x.Name == "" {
 			continue
 		}
-		hosts = append(hosts, scheduler.Host{Name: x.Name, Domain: x.Domain, Rack: x.Rack, Address: x.Address, Leaving: x.Leaving, Entry: x.Entry})
+		hosts = append(hosts, scheduler.Host{
+			Name: x.Name, Domain: x.Domain, Rack: x.Rack, Address: x.Address, Leaving: x.Leaving, Entry: x.Entry, Machine: x.Machine,
+		})
 	}
 	return hosts, nil
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -208,7 +208,8 @@
 func (c *Core) applyHosts() {
 	moved := false
 	for _, n := range c.order {
-		if h, ok := c.hosts[n]; ok && c.workers[n].address != "" && c.workers[n].address != h.Address {
+		w := c.workers[n]
+		if h, ok := c.hosts[n]; ok && w.address != "" && (w.address != h.Address || w.identity != h.Machine) {
 			c.replaceMachine(n)
 			moved = true
 		}
@@ -227,7 +228,7 @@
 		if w.leaving != h.Leaving {
 			c.dirDirty = true
 		}
-		w.address, w.rack, w.leaving = h.Address, h.Rack, h.Leaving
+		w.address, w.identity, w.rack, w.leaving = h.Address, h.Machine, h.Rack, h.Leaving
 	}
 	c.setEnlisted()
 }
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -44,6 +44,9 @@
 	Address string
 	Leaving bool
 	Entry   bool
+	// Machine identifies the machine behind the name to all schedulers, whose
+	// addresses for it may differ. Without it the address does.
+	Machine string `json:",omitempty"`
 }
 
 // WriteReplied brings a worker's answer to a write.
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -47,9 +47,13 @@
 	return tenancy{state: tenure.New(set.Timing.Tenure, set.Host, set.Incarnation, delay), gone: map[string]time.Duration{}}
 }
 
-// machine names the machine behind a worker's name; another one behind the
-// name has another address.
-func (w *worker) machine() string { return w.name + "@" + w.address }
+// machine names the machine behind a worker's name.
+func (w *worker) machine() string {
+	if w.identity != "" {
+		return w.name + "@" + w.identity
+	}
+	return w.name + "@" + w.address
+}
 
 func (c *Core) readTenure(ev TenureRead) {
 	t := &c.tenancy
--- a/internal/scheduler/tenure_test.go
+++ b/internal/scheduler/tenure_test.go
@@ -124,6 +124,29 @@
 		Expect(c.firstStart(time.Minute)).To(BeNumerically(">=", timing.LastOrder()+timing.Task))
 	})
 
+	It("takes over machines that the former holder reached at other addresses", func() {
+		c := newCell(2, small)
+		for i, h := range c.Hosts {
+			c.Hosts[i].Machine, c.Hosts[i].Address = h.Name, "by-h1-"+h.Name
+		}
+		c.step(scheduler.HostsRead{Hosts: c.Hosts})
+		c.formerly("w0000", "w0001")
+		c.Declare(service(1))
+		Expect(c.firstStart(time.Minute)).To(BeNumerically("<", timing.LastOrder()))
+		Expect(c.Tenure.Members()).To(Equal([]string{"w0000@w0000", "w0001@w0001"}))
+	})
+
+	It("takes another machine behind a worker's name as such at the same address too", func() {
+		c := newCell(1, small)
+		c.Declare(service(1))
+		c.Run(5 * time.Second)
+		Expect(c.started).To(HaveLen(1))
+		c.Hosts[0].Machine = "other"
+		c.step(scheduler.HostsRead{Hosts: c.Hosts})
+		c.Run(5 * time.Second)
+		Expect(c.Tenure.Members()).To(ConsistOf("w0000@w0000", "w0000@other"))
+	})
+
 	It("starts tasks only on machines that it has recorded", func() {
 		c := newCell(3, small)
 		c.Declare(service(3))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -11,8 +11,10 @@
 
 // worker is a worker of the domain as this scheduler knows it.
 type worker struct {
-	name     string
-	address  string
+	name    string
+	address string
+	// identity is the machine's, as the list of hosts has it.
+	identity string
 	rack     string
 	leaving  bool
 	capacity resource.Vector
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -119,7 +119,7 @@
 			if err != nil {
 				return nil, twirp.InternalErrorWith(err)
 			}
-			x.Address = addr
+			x.Address, x.Machine = addr, h.Address
 		}
 		reply.Hosts = append(reply.Hosts, x)
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -175,6 +175,23 @@
 		Expect(promises()).To(BeEmpty())
 	})
 
+	It("names a machine alike to all hosts, whatever its addresses", func() {
+		s.sweep()
+		list := func(from string) []scheduler.Host {
+			addr, err := s.Platform(from)
+			Expect(err).NotTo(HaveOccurred())
+			hosts, err := platform.NewHosts("http://"+addr, platform.NewHTTPClient(time.Second)).List(ctx, "d")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(hosts).To(HaveLen(2))
+			return hosts
+		}
+		e, f := list("e"), list("f")
+		Expect(e[0].Address).NotTo(Equal(f[0].Address))
+		Expect(e[0].Machine).NotTo(BeEmpty())
+		Expect(e[0].Machine).To(Equal(f[0].Machine))
+		Expect(e[0].Machine).NotTo(Equal(e[1].Machine))
+	})
+
 	It("records work for a host that the list has long shown as leaving", func() {
 		order(Fault{Kind: HostLeaving, Target: "w-d-01"})
 		s.sweep()
