Workers that left are recorded as such, so that a successor need not wait for them

Where a hold was on its way as the worker left, contact was recorded as lost and the takeover took 0.1 s. Ruled out: the store (stable by then), the right (claimed 0.1 s after the start), advice. Change: a worker missing from the list for 1 s is recorded as silent (nothing is started there while it isn't listed). TestWorkerThatLeftIsRecordedSoThatASuccessorNeedNotWaitForIt failed first.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -392,6 +392,30 @@
 	}
 }
 
+func TestWorkerThatLeftIsRecordedSoThatASuccessorNeedNotWaitForIt(t *testing.T) {
+	b := newBed(t, "w1", "w2")
+	b.list()
+	b.run(500 * time.Millisecond)
+	b.list("w2")
+	b.workers["w2"].silent = true
+	b.run(1500 * time.Millisecond)
+	var last Engagement
+	for _, c := range b.commits {
+		for _, e := range c.Engaged {
+			if e.Worker == "w2" {
+				last = e
+			}
+		}
+	}
+	b.Expect(last.Silent).To(BeTrue())
+	b.Expect(last.Runs).To(BeEmpty())
+	b.workers["w2"].silent = false
+	b.list()
+	b.accept("j", testOffset+1, workflow.Step{Count: 2}, workflow.Progress{})
+	b.run(time.Second)
+	b.Expect(b.startsOn("j")).To(ConsistOf("w1", "w2"))
+}
+
 func TestTasksOfAWorkerWhoseAddressWasReusedStartElsewhereAtOnce(t *testing.T) {
 	b := newBed(t, "w1", "w2")
 	b.list("w2")
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -14,6 +14,8 @@
 	life int64
 	// listed tells that the worker is in the platform's list.
 	listed bool
+	// unlistedAt is when a list first lacked it.
+	unlistedAt time.Duration
 	// inherited hosts may run work of a former holder.
 	inherited bool
 	// fenced hosts have answered a hold of this holder, so no former one can act there.
@@ -85,7 +87,7 @@
 // newHost adds a book for a life of a worker.
 func (c *Core) newHost(info worker.Info) *host {
 	c.lives++
-	h := &host{info: info, life: c.lives, free: info.Capacity, runs: map[runKey]*run{}, heardAt: c.now}
+	h := &host{info: info, life: c.lives, free: info.Capacity, runs: map[runKey]*run{}, heardAt: c.now, unlistedAt: c.now}
 	if last, ok := c.lastEnds[info.ID]; ok && info.Born != 0 && last.born == info.Born {
 		h.seen, h.noted = last.seen, last.seen // the same life is listed again
 	}
@@ -96,7 +98,9 @@
 func (c *Core) listWorkers(infos []worker.Info) {
 	changed := false
 	for _, h := range c.hosts {
-		h.listed = false
+		if h.listed {
+			h.listed, h.unlistedAt = false, c.now
+		}
 	}
 	for _, info := range infos {
 		h := c.hosts[info.ID]
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // silenceRecord is what the log says of contact with a worker. While contact
 // is lost nothing is started there, so a successor that can't reach the worker
 // either knows all that may run on it.
@@ -30,11 +32,11 @@
 func (c *Core) tellSilence() {
 	for _, h := range c.order {
 		switch {
-		case h.lost() && h.silence == silenceNone && h.engaged && h.fenced:
+		case (h.lost() || c.left(h)) && h.silence == silenceNone && h.engaged && h.fenced:
 			h.silence = silenceTelling
 			c.decide(Decision{Kind: "contact-lost", Worker: h.info.ID, Age: c.now - h.heardAt})
 			c.commits.tell(h)
-		case h.silent == 0 && h.fenced && h.silence == silenceTold:
+		case h.silent == 0 && h.listed && h.fenced && h.silence == silenceTold:
 			h.silence = silenceEnding
 			c.decide(Decision{Kind: "contact-regained", Worker: h.info.ID})
 			c.commits.tell(h)
@@ -42,6 +44,14 @@
 	}
 }
 
+// left reports whether the worker has been missing from the platform's list for
+// a while. Nothing is started there, and without runs it isn't held either, so
+// that its end would not be seen.
+func (c *Core) left(h *host) bool { return !h.listed && c.now-h.unlistedAt > leftAfter }
+
+// leftAfter is how long an entry may be missing, as after an outage of the store.
+const leftAfter = time.Second
+
 // suspected reports whether the task may run on a worker that can't be fenced.
 func (c *Core) suspected(t *task) bool {
 	if len(c.suspects) == 0 {
