One place each: the holder's address, the run of an answered order, the record of a release

Node.recordAtHolder, holderWrites and viewReader.Read each worked out where the holder answers; startAnswered, stopAnswered and paceAnswered each began with the same check of the fence and the same look-up (runOf had no other caller); Yield and Release of the tenure each built the record.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -70,11 +70,7 @@
 }
 
 func (c *Core) paceAnswered(ev PaceAnswered) {
-	if ev.Code == worker.Fenced {
-		c.stepDown()
-		return
-	}
-	r := c.runOf(ev.Worker, ev.Life, ev.Task, ev.Run)
+	r := c.answered(ev.Code, ev.Worker, ev.Life, ev.Task, ev.Run)
 	if r == nil {
 		return
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -153,7 +153,13 @@
 	}, Patience: r.patience()})
 }
 
-func (c *Core) runOf(workerID string, life int64, id workflow.TaskID, number int64) *run {
+// answered returns the run that an order's answer is about, nil for one that is
+// no longer booked. A fenced answer ends the holder's right.
+func (c *Core) answered(code worker.Code, workerID string, life int64, id workflow.TaskID, number int64) *run {
+	if code == worker.Fenced {
+		c.stepDown()
+		return nil
+	}
 	h := c.hosts[workerID]
 	if h == nil || h.life != life {
 		return nil
@@ -169,11 +175,7 @@
 }
 
 func (c *Core) startAnswered(ev Started) {
-	if ev.Code == worker.Fenced {
-		c.stepDown()
-		return
-	}
-	r := c.runOf(ev.Worker, ev.Life, ev.Task, ev.Run)
+	r := c.answered(ev.Code, ev.Worker, ev.Life, ev.Task, ev.Run)
 	if r == nil {
 		return
 	}
@@ -265,11 +267,7 @@
 }
 
 func (c *Core) stopAnswered(ev StopAnswered) {
-	if ev.Code == worker.Fenced {
-		c.stepDown()
-		return
-	}
-	r := c.runOf(ev.Worker, ev.Life, ev.Task, ev.Run)
+	r := c.answered(ev.Code, ev.Worker, ev.Life, ev.Task, ev.Run)
 	if r == nil {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,18 +139,28 @@
 	if n.writer.Load() != nil {
 		return n.Record(ctx, records)
 	}
-	h := n.holder.Load()
-	if h == nil || *h == "" || *h == n.address {
+	h, ok := n.holderAddress()
+	if !ok {
 		return false, nil
 	}
-	done, err := n.ports.Peers.Record(ctx, *h, records)
+	done, err := n.ports.Peers.Record(ctx, h, records)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		n.tryout(holderAbsent{*h})
+		n.tryout(holderAbsent{h})
 		return false, nil // it was never sent
 	}
 	return done, err
 }
 
+// holderAddress returns where the holder of the right answers, if that is
+// another node.
+func (n *Node) holderAddress() (string, bool) {
+	h := n.holder.Load()
+	if h == nil || *h == "" || *h == n.address {
+		return "", false
+	}
+	return *h, true
+}
+
 // Writes reports whether this node writes callers' records and the store has
 // answered it lately: what was handed to it is on its way then.
 func (n *Node) Writes() bool { return n.writer.Load() != nil && n.reader.answered(answerBound) }
@@ -163,13 +173,13 @@
 	if n.writer.Load() != nil {
 		return n.Writes()
 	}
-	h := n.holder.Load()
-	if h == nil || *h == "" || *h == n.address {
+	h, ok := n.holderAddress()
+	if !ok {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, writesTimeout)
 	defer cancel()
-	writes, err := n.ports.Peers.Writes(ctx, *h)
+	writes, err := n.ports.Peers.Writes(ctx, h)
 	return err == nil && writes
 }
 
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -120,13 +120,13 @@
 	if v.n.holding.Load() != 0 {
 		return v.n.reader.Read(ctx, p, from, holderWait)
 	}
-	address := v.n.holder.Load()
-	if address == nil || *address == "" || *address == v.n.address || time.Now().Before(v.restUntil) {
+	address, ok := v.n.holderAddress()
+	if !ok || time.Now().Before(v.restUntil) {
 		return v.n.reader.Read(ctx, p, from, wait)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+holderTimeout)
 	defer cancel()
-	b, err := v.n.ports.Peers.Reader(*address).Read(callCtx, p, from, wait)
+	b, err := v.n.ports.Peers.Reader(address).Read(callCtx, p, from, wait)
 	if err == nil || expired(err) {
 		return b, err
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -308,14 +308,17 @@
 // Yield returns the record that gives the right back, and takes it as lost. It
 // needs no condition: under a newer token it has no effect.
 func (s *State) Yield() Record {
-	r := Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true}
-	s.Lost()
-	return r
+	defer s.Lost()
+	return s.release()
 }
 
 // Release is Yield for good: it stops further claims.
 func (s *State) Release() Record {
 	s.resign = true
+	return s.release()
+}
+
+func (s *State) release() Record {
 	return Record{Node: s.node, Incarnation: s.incarnation, Token: s.token, Released: true, Address: s.holder.Address}
 }
 
