--- /dev/null
+++ b/internal/dispatch/pass_test.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+func TestEventsInQuickSuccessionShareAPlacementPass(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.run(200 * time.Millisecond)
+	b.accept("first", 1, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
+	b.accept("waits", 2, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
+	b.run(200 * time.Millisecond)
+	b.Expect(b.core.waiting).To(HaveLen(1))
+
+	passes, last := 0, b.core.placedAt
+	for range 100 {
+		b.now += time.Millisecond
+		b.core.Step(b.now, b.now.Milliseconds(), JobAccepted{Job: b.waitingJob(), Offset: 3}, RightConfirmed{b.now + time.Second})
+		if b.core.placedAt != last {
+			passes, last = passes+1, b.core.placedAt
+		}
+	}
+	b.Expect(passes).To(BeNumerically("<=", 11), "passes in 100 ms with a change each millisecond")
+	b.Expect(passes).To(BeNumerically(">=", 9))
+}
+
+// waitingJob returns a job, of a new ID each time, for which there is no room.
+func (b *bed) waitingJob() *workflow.Job {
+	return &workflow.Job{ID: b.now.String(), Queue: "q", Spec: "s",
+		Steps: []workflow.Step{{Count: 1, Size: workflow.Size{MilliCPU: 1000}, EstimateMillis: 60000}}}
+}
