Placement passes are at least 10 ms apart

Cause: the core made a placement pass for each batch of events that changed anything. Work that came late made the line longer: a burst of 4 s was not over 20 s later.

Change: a pass follows the last one by 10 ms at least; the node wakes the core when a pass that was put off is due.

--- a/internal/dispatch/pass_test.go
+++ b/internal/dispatch/pass_test.go
@@ -30,6 +30,23 @@
 	b.Expect(passes).To(BeNumerically(">=", 9))
 }
 
+func TestPassThatWasPutOffIsDue(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.run(200 * time.Millisecond)
+	b.accept("first", 1, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
+	b.run(200 * time.Millisecond)
+	b.core.Step(b.now, b.now.Milliseconds(), JobAccepted{Job: b.waitingJob(), Offset: 2}, RightConfirmed{b.now + time.Second})
+	placed := b.core.placedAt
+	b.now += time.Millisecond
+	b.core.Step(b.now, b.now.Milliseconds(), JobAccepted{Job: b.waitingJob(), Offset: 3})
+	at, due := b.core.PassDue()
+	b.Expect(due).To(BeTrue())
+	b.Expect(b.core.placedAt).To(Equal(placed))
+	b.core.Step(at, at.Milliseconds())
+	b.Expect(b.core.placedAt).To(Equal(at))
+}
+
 // waitingJob returns a job, of a new ID each time, for which there is no room.
 func (b *bed) waitingJob() *workflow.Job {
 	return &workflow.Job{ID: b.now.String(), Queue: "q", Spec: "s",
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -9,7 +9,7 @@
 
 // place starts waiting tasks, the most urgent first.
 func (c *Core) place() {
-	if !c.mayOrder() || !c.dirty && c.now-c.placedAt < placeEvery {
+	if !c.mayOrder() || c.now < c.nextPass() {
 		return
 	}
 	c.placedAt = c.now
@@ -39,6 +39,23 @@
 	c.askInTurn()
 }
 
+// nextPass is when the next pass is due. Changes that come close together share
+// a pass, whose cost grows with the number of waiting steps.
+func (c *Core) nextPass() time.Duration {
+	switch {
+	case c.placedAt == 0:
+		return 0
+	case c.dirty:
+		return c.placedAt + passGap
+	}
+	return c.placedAt + placeEvery
+}
+
+// PassDue returns when a pass that was put off is due, and false if none was.
+func (c *Core) PassDue() (time.Duration, bool) {
+	return c.nextPass(), c.dirty && len(c.waiting) > 0 && c.mayOrder()
+}
+
 // line counts a pool's waiting steps within one pass.
 type line struct {
 	// waiting is how many there are, seen how many were passed in order.
@@ -84,6 +101,8 @@
 const (
 	// placeEvery is how often a pass is made when nothing has changed.
 	placeEvery = 50 * time.Millisecond
+	// passGap is the least time between two passes.
+	passGap = 10 * time.Millisecond
 	// lineHead and linePart bound the waiting steps of a pool that are looked at in one pass.
 	lineHead, linePart = 24, 16
 )
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -99,7 +99,7 @@
 // tick is the time until the control goroutine has to look at the time again.
 func (n *Node) tick() time.Duration {
 	if n.term != nil {
-		return tickEvery
+		return n.term.tick(n.now())
 	}
 	at, ok := n.tenure.Due()
 	switch left := at - n.now(); {
@@ -112,6 +112,17 @@
 	}
 }
 
+// tick is the time until the dispatcher has to look at the time again.
+func (t *term) tick(now time.Duration) time.Duration {
+	if t.core == nil {
+		return tickEvery
+	}
+	if at, ok := t.core.PassDue(); ok {
+		return max(0, min(at-now, tickEvery))
+	}
+	return tickEvery
+}
+
 // drain takes the events that wait already, so that they share one step.
 func (n *Node) drain(ctx context.Context, batch []dispatch.Event) []dispatch.Event {
 	for range eventQueue {
