A right that was yielded goes to a larger node: the wait for them counts from when it is free

Cause: a node with little processor time adds 400 ms to its wait, and tenure counted the whole of it from the last record. A holder that the store turns away beats no more, and yields 0.7 s or more after its last confirmed beat. So at the yield the wait of every node was over, and large and small ones claimed at once; the first append won.

Change: tenure.State.Defer holds the wait for other nodes apart from the spread by names. While nobody has the right it counts from when this node learnt of that, or could read again. Nodes without such a wait claim when they did before.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -148,7 +148,7 @@
 	case inspectAsked:
 		n.inspector.ask(ev.Want)
 	case yielded:
-		n.tenure.Yielded(ev.token)
+		n.tenure.Yielded(n.now(), ev.token)
 	case holderAbsent:
 		if h, ok := n.tenure.Holder(); ok && h.Address == ev.address {
 			n.tenure.Suspect(n.now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 const eventQueue = 4096
 
 // New returns a node. address is where its peers reach it; incarnation tells
-// this process from earlier ones of the same node.
+// this process from earlier ones of the same node; delay is as of ClaimDelay.
 func New(set Settings, ports Ports, log logrus.FieldLogger, address, incarnation string, delay time.Duration) *Node {
 	t := newTable()
 	n := &Node{
@@ -100,6 +100,7 @@
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
 	}
 	n.reader = newRelay(ports.Store, ports.Peers, n.otherAddresses, ports.Count)
+	n.tenure.Defer(deferral(set.Limits.CPUShare))
 	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"hash/fnv"
 	"net"
 	"net/http"
 	"os"
@@ -40,12 +39,6 @@
 	idleTimeout   = 15 * time.Second
 	// flushTime bounds the wait for the last log lines to be read.
 	flushTime = 300 * time.Millisecond
-	// claimSpread spreads the claims of nodes that start at the same time.
-	claimSpread = 100 * time.Millisecond
-	// smallShare is the share of a core below which a node claims by smallDelay
-	// later: all nodes start within 0.3 s.
-	smallShare = 0.3
-	smallDelay = 400 * time.Millisecond
 	// recentBytes is how much of the newest log lines is kept for explain.
 	recentBytes = 512 << 10
 	// memoryShare is the share of the memory limit that the heap may take.
@@ -88,7 +81,7 @@
 	if opt.MetricsPort > 0 {
 		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
 	}
-	d.node = node.New(set, ports, log, internal, uuid.NewString(), claimDelay(set.Node, set.Limits.CPUShare))
+	d.node = node.New(set, ports, log, internal, uuid.NewString(), node.ClaimDelay(set.Node))
 	return d, t.Watch(telemetry.Watched{Ages: d.node.Ages, Holds: d.node.Holds, Ready: d.node.Desk().Ready})
 }
 
@@ -100,18 +93,6 @@
 	}
 }
 
-// claimDelay spreads claims by the node's name, and has nodes with little
-// processor time claim after the others.
-func claimDelay(name string, share float64) time.Duration {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	delay := time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
-	if share < smallShare {
-		delay += smallDelay
-	}
-	return delay
-}
-
 // serve runs the node and its servers until a planned stop or a failure.
 func (d *daemon) serve(parent context.Context, hangups <-chan os.Signal) error {
 	defer d.lines.Close(flushTime)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -97,14 +97,19 @@
 	lost int64
 	// quietSince is since when the partition was read without a gap and without news.
 	quietSince time.Duration
-	lastRead   time.Duration
-	readable   bool
+	// freeSince is when this node learnt that nobody has the right, or could read
+	// the partition again; it counts while there is no holder.
+	freeSince time.Duration
+	lastRead  time.Duration
+	readable  bool
 	// confirmedAt is when the newest confirmed record of this node was sent.
 	confirmedAt time.Duration
 	lastBeat    time.Duration
 	beats       int64
 	// delay is added to the silence, so that the nodes don't claim at once.
 	delay time.Duration
+	// deferral is how much longer this node leaves a free right to other nodes.
+	deferral time.Duration
 	// out tells that an append waits for its answer.
 	out    bool
 	outAt  time.Duration
@@ -121,6 +126,10 @@
 	return &State{timing: timing, node: node, incarnation: incarnation, end: -1, delay: delay}
 }
 
+// Defer sets how much longer this node leaves a free right to others that are to
+// have it first. It counts from when the right became free.
+func (s *State) Defer(by time.Duration) { s.deferral = by }
+
 // readGap is how long reads may be missing before silence is counted anew.
 const readGap = 1500 * time.Millisecond
 
@@ -132,7 +141,7 @@
 // Read takes in the partition's records up to end. Offsets are those of the records.
 func (s *State) Read(now time.Duration, offsets []int64, records []Record, end int64) {
 	if !s.readable || now-s.lastRead > readGap+s.timing.Beat {
-		s.quietSince = now
+		s.quietSince, s.freeSince = now, now
 	}
 	s.readable, s.lastRead = true, now
 	for i, r := range records {
@@ -156,7 +165,7 @@
 		s.members = r.Members
 	}
 	if r.Released && r.Token == s.token {
-		s.token = 0
+		s.free(now)
 	}
 	if r.Node == s.node && r.Incarnation == s.incarnation && r.Beat > 0 && r.Beat == s.beats {
 		s.Confirm(s.outAt)
@@ -164,6 +173,11 @@
 	s.end = max(s.end, offset+1)
 }
 
+// free takes note that the present right is given up.
+func (s *State) free(now time.Duration) {
+	s.token, s.freeSince = 0, now
+}
+
 // Holds reports whether this node holds the right, as far as it knows. A right
 // that it has given up or lost it never holds again: it claims a new one.
 func (s *State) Holds() bool {
@@ -218,7 +232,7 @@
 	if !s.readable || now-s.lastRead > readGap {
 		return Wait
 	}
-	if now-s.quietSince >= s.silence() {
+	if now >= s.claimAt() {
 		return Claim
 	}
 	return Wait
@@ -235,23 +249,25 @@
 	case !s.readable:
 		return 0, false
 	}
-	return max(s.retry, s.quietSince+s.silence()), true
+	return max(s.retry, s.claimAt()), true
 }
 
-// silence is how long the partition must be quiet before this node claims.
-func (s *State) silence() time.Duration {
+// claimAt returns when this node claims if it reads nothing until then.
+func (s *State) claimAt() time.Duration {
 	switch {
+	case s.token == 0 && s.deferral > 0:
+		return s.freeSince + s.delay + s.deferral
 	case s.token == 0:
-		return s.delay
+		return s.quietSince + s.delay
 	case s.holder.Node == s.node:
 		// An earlier process of this node held it; that one has ended.
-		return 0
-	}
-	if s.suspectedAt > s.quietSince {
-		return s.timing.Suspicion + s.delay
+		return s.quietSince
+	case s.suspectedAt > s.quietSince:
+		return s.quietSince + s.timing.Suspicion + s.delay + s.deferral
 	}
 	// A slow store delays the holder's beats on their way.
-	return s.timing.Silence + s.delay + slowFactor*time.Duration(s.holder.StoreMillis)*time.Millisecond
+	slow := slowFactor * time.Duration(s.holder.StoreMillis) * time.Millisecond
+	return s.quietSince + s.timing.Silence + slow + s.delay + s.deferral
 }
 
 // slowFactor is how many of the store's answers are added to the silence.
@@ -290,9 +306,9 @@
 }
 
 // Yielded takes note that the holder of the token has given the right up.
-func (s *State) Yielded(token int64) {
-	if s.token == token && !s.Holds() {
-		s.token = 0
+func (s *State) Yielded(now time.Duration, token int64) {
+	if s.token == token && token != 0 && !s.Holds() {
+		s.free(now)
 	}
 }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -122,7 +122,8 @@
 }
 
 // TestFormerHolderIsNotConfirmedPastItsSuccessorsClaim plays histories in which
-// reads fail, answers get lost or come late, and processes stand still.
+// reads fail, answers get lost or come late, processes stand still, and holders
+// yield. Node c leaves a free right to the others for a time.
 func TestFormerHolderIsNotConfirmedPastItsSuccessorsClaim(t *testing.T) {
 	type late struct {
 		s      *State
@@ -135,7 +136,12 @@
 		p := &partition{}
 		states := map[string]*State{}
 		var answers []late
-		start := func(name, life string) { states[name] = New(DefaultTiming(), name, life, 0) }
+		start := func(name, life string) {
+			states[name] = New(DefaultTiming(), name, life, 0)
+			if name == "c" {
+				states[name].Defer(later)
+			}
+		}
 		for i, name := range []string{"a", "b", "c"} {
 			start(name, fmt.Sprint(i))
 		}
@@ -150,6 +156,11 @@
 					if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 						start(name, fmt.Sprint(name, i))
 					}
+				case 6:
+					if token := s.Token(); s.Holds() && rapid.IntRange(0, 4).Draw(t, "yield") == 0 {
+						s.Lost()
+						states[rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "told")].Yielded(now, token)
+					}
 				default:
 					p.read(s, now)
 				}
@@ -250,3 +261,44 @@
 	g.Expect(a.Holds()).To(BeTrue())
 	g.Expect(a.ConfirmedUntil()).To(Equal(time.Second + DefaultTiming().Confidence))
 }
+
+// later is by how much small nodes leave a free right to larger ones here.
+const later = 400 * time.Millisecond
+
+// smallState returns the state of a node that leaves a free right to larger ones.
+func smallState(node, incarnation string) *State {
+	s := New(DefaultTiming(), node, incarnation, 0)
+	s.Defer(later)
+	return s
+}
+
+func TestSmallNodeWaitsForLargerOnesAfterAYield(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	small, large := smallState("small", "1"), New(DefaultTiming(), "large", "1", 0)
+	p.live(&now, now+2*time.Second, New(DefaultTiming(), "holder", "1", 0), small, large)
+	p.live(&now, now+600*time.Millisecond, small, large)
+	small.Yielded(now, small.Token())
+	large.Yielded(now, large.Token())
+	g.Expect(large.Next(now)).To(Equal(Claim))
+	for end := now + later; now < end; now += step {
+		p.read(small, now)
+		g.Expect(small.Next(now)).To(Equal(Wait), "the right was not free before the yield")
+	}
+	p.read(small, now)
+	g.Expect(small.Next(now)).To(Equal(Claim), "no larger one has claimed")
+}
+
+func TestSmallNodeWaitsForLargerOnesWhenTheStoreIsBackAfterARelease(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	small, holder := smallState("small", "1"), New(DefaultTiming(), "holder", "1", 0)
+	p.live(&now, now+2*time.Second, holder, small)
+	p.records, p.claimed = append(p.records, holder.Release()), append(p.claimed, now)
+	p.read(small, now)
+	small.ReadFailed(now)
+	now += 5 * time.Second
+	p.read(small, now)
+	g.Expect(small.Next(now + later - 1)).To(Equal(Wait))
+	g.Expect(small.Next(now + later)).To(Equal(Claim))
+}
