A beat that is read after its holder's yield doesn't bring the right back

Cause: a yield comes from the holder itself, the records through the store. A node that reads the tenure each 0.7 s can be told of the yield before it has read the last beats. It took these for the holder's return and waited for the whole silence again, counted from when it read them, while nodes that had read them claimed.

Change: a token that was given up, by a yield or a release, stays so; a claim gives a new one. A yield still counts only for the token that the node takes for the present one.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -95,6 +95,8 @@
 	released bool
 	// lost is the highest token that this node has had and lost.
 	lost int64
+	// given is the highest token that is known to be given up.
+	given int64
 	// quietSince is since when the partition was read without a gap and without news.
 	quietSince time.Duration
 	// freeSince is when this node learnt that nobody has the right, or could read
@@ -158,7 +160,7 @@
 	case r.Token == 0:
 		s.released = s.token == 0 && s.holder.Released
 		s.holder, s.token = r, offset+1
-	case r.Token >= s.token:
+	case r.Token >= s.token && r.Token > s.given:
 		s.holder, s.token = r, r.Token
 	}
 	if len(r.Members) > 0 {
@@ -173,8 +175,10 @@
 	s.end = max(s.end, offset+1)
 }
 
-// free takes note that the present right is given up.
+// free takes note that the present right is given up. Records under it that are
+// read later are older than that.
 func (s *State) free(now time.Duration) {
+	s.given = s.token
 	s.token, s.freeSince = 0, now
 }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -302,3 +302,25 @@
 	g.Expect(small.Next(now + later - 1)).To(Equal(Wait))
 	g.Expect(small.Next(now + later)).To(Equal(Claim))
 }
+
+func TestBeatReadAfterAYieldDoesNotBringTheRightBack(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	holder, late, small := New(DefaultTiming(), "holder", "1", 0), New(DefaultTiming(), "late", "1", 0), smallState("small", "1")
+	p.live(&now, now+2*time.Second, holder, late, small)
+	p.live(&now, now+500*time.Millisecond, holder)
+	late.Yielded(now, late.Token())
+	small.Yielded(now, small.Token())
+	yielded := now
+	now += step
+	p.read(late, now)
+	p.read(small, now)
+	_, held := late.Holder()
+	g.Expect(held).To(BeFalse(), "the beats are older than the yield")
+	g.Expect(late.Next(now)).To(Equal(Claim))
+	due, _ := small.Due()
+	g.Expect(due).To(Equal(yielded+later), "the right has been free since the yield")
+	g.Expect(p.act(late, now)).To(Equal(Claim))
+	p.read(small, now)
+	g.Expect(small.Token()).To(Equal(late.Token()), "a later claim counts")
+}
