A free right is left to the larger members, for as long as they may take to see that it is free

Cause: only three nodes read the tenure without pauses; the others read it each 0.7 s and count the silence from when they read the last beat. With the holder and those three lost, a node with little processor time that happened to read the last beat early was done with its 400 ms before a larger one that read it late.

Change: how long a node waits for others goes by the members instead of by a fixed size. With more than three that have over 1.5 times its processor time it waits for 800 ms more, which is the pause between their reads and the spread of their claims; with one to three, which all read without pauses, for 400 ms; with none not at all. The former holder and leaving nodes don't count. Until the members were read and somebody has held the right, as at the first start, a node with less than 0.3 of a core still waits for 400 ms.

Ruled out: reads without pauses on all large nodes, which would have a dozen of them read each beat; a rank for each node, by which the last of many equals would claim late.

A killed node stays a member, so where all larger ones are lost for good the others take over 400 ms later than before; TestSmallNodeTakesOverWhenNoLargerOneDoes bounds that by 3 s.

--- a/internal/node/claim_test.go
+++ b/internal/node/claim_test.go
@@ -92,6 +92,20 @@
 	})
 }
 
+func TestLargeNodeFollowsWhenThoseThatFollowCloselyAreLostToo(t *testing.T) {
+	sized(t, 2*distantTenurePause, append(several("l", 5), several("s", 12)...), func(c *cluster) {
+		p := c.holder()
+		near := closest(p.node.Members())
+		for _, o := range c.up() {
+			if o == p || slices.Contains(near, o.name) {
+				c.kill(o)
+			}
+		}
+		c.Expect(c.largeOnes()).To(HaveLen(1))
+		c.Expect(c.next(p).name).To(HavePrefix("l"))
+	})
+}
+
 func TestLargeNodeFollowsAPlannedStop(t *testing.T) {
 	sized(t, startTime, append(several("s", 12), several("l", 5)...), func(c *cluster) {
 		for len(c.largeOnes()) > 1 {
@@ -148,9 +162,24 @@
 	latest, earliest := time.Duration(0), time.Hour
 	for i := range 100 {
 		name := fmt.Sprint("node", i)
-		latest = max(latest, ClaimDelay(name)+deferral(0.4))
-		earliest = min(earliest, ClaimDelay(name)+deferral(0.2))
+		latest = max(latest, ClaimDelay(name)+deferral(name, 0.4, "", nil, false))
+		earliest = min(earliest, ClaimDelay(name)+deferral(name, 0.2, "", nil, false))
 	}
 	g.Expect(latest).To(BeNumerically("<", claimSpread))
 	g.Expect(earliest).To(BeNumerically(">=", latest+apart))
 }
+
+func TestRightIsLeftToLargerNodesAsLongAsTheyMayTakeToSeeIt(t *testing.T) {
+	g := NewWithT(t)
+	ms := []Member{{Node: "former", CPUShare: 0.8}, {Node: "leaving", CPUShare: 0.8, Leaving: true}, {Node: "self", CPUShare: 0.2}, {Node: "equal", CPUShare: 0.25}}
+	left := func(share float64) time.Duration { return deferral("self", share, "former", ms, true) }
+	g.Expect(left(0.2)).To(BeZero(), "no larger one can take it")
+	for i := range closeFollowers {
+		ms = append(ms, Member{Node: fmt.Sprint("large", i), CPUShare: 0.8})
+		g.Expect(left(0.2)).To(Equal(smallDelay), "all larger ones see each beat at once")
+	}
+	ms = append(ms, Member{Node: "distant", CPUShare: 0.8})
+	g.Expect(left(0.2)).To(BeNumerically(">=", distantTenurePause+claimSpread))
+	g.Expect(left(0.4)).To(BeNumerically(">=", distantTenurePause+claimSpread), "it goes by the other members, not by a size")
+	g.Expect(left(0.8)).To(BeZero())
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -247,6 +247,8 @@
 		n.publishPeers()
 		h, _ := n.tenure.Holder()
 		n.log.WithFields(logrus.Fields{"holder": h.Node, "token": t, "former": before}).Info("the right to place has moved")
+	} else if t == 0 {
+		n.deferClaims(n.Members())
 	}
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -115,6 +115,7 @@
 	h, _ := n.tenure.Holder()
 	ms := Membership(n.members.records, h, n.tenure.Token())
 	n.membership.Store(&ms)
+	n.deferClaims(ms)
 	n.members.token = n.tenure.Token()
 	address := ""
 	if former, ok := n.tenure.Former(); ok && former.Address != n.address {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
 	}
 	n.reader = newRelay(ports.Store, ports.Peers, n.otherAddresses, ports.Count)
-	n.tenure.Defer(deferral(set.Limits.CPUShare))
+	n.deferClaims(nil)
 	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
