A small node gives its former process's right back to larger ones instead of claiming it at once

Cause: a node whose earlier process was the holder claims without any wait, as it knows that this one has ended. Where a small node held the right and all nodes are restarted together, it took the right again before the larger ones, which wait for its silence. The same held for a process that has lost its own right, such as by a yield.

Change: the act GiveBack. Such a node, if it knows larger ones, appends a release of the former token, on condition that the partition ends where it was read to. So the larger ones claim without waiting for silence, and it claims itself after its usual wait if none does. It needs no view of the jobs for that. The record has no address, as nobody goes on until the next claim. A node without larger ones claims at once as before (TestLargeFormerHolderClaimsAtOnceWhenAllAreRestarted).

Ruled out: letting it wait for its own silence like the others. That is safe too, and leaves a second without a holder.

--- a/internal/node/claim_test.go
+++ b/internal/node/claim_test.go
@@ -117,6 +117,30 @@
 	})
 }
 
+func TestLargeNodeFollowsASmallHolderWhenAllAreRestarted(t *testing.T) {
+	sized(t, startTime, append(several("s", 4), several("l", 2)...), func(c *cluster) {
+		for _, p := range c.largeOnes() {
+			c.kill(p)
+		}
+		former := c.next(nil)
+		c.Expect(former.name).To(HavePrefix("s"))
+		time.Sleep(2 * time.Second)
+		small := c.up()
+		for _, p := range small {
+			c.kill(p)
+		}
+		time.Sleep(time.Duration(c.random.IntN(3000)) * time.Millisecond)
+		for _, p := range small {
+			c.boot(p.name)
+		}
+		c.boot("l0")
+		c.boot("l1")
+		began := time.Now()
+		c.Expect(c.next(nil).name).To(HavePrefix("l"))
+		c.Expect(time.Since(began)).To(BeNumerically("<", time.Second), "nobody waits for the former holder's silence")
+	})
+}
+
 func TestLargeFormerHolderClaimsAtOnceWhenAllAreRestarted(t *testing.T) {
 	sized(t, startTime, append(several("s", 4), several("l", 3)...), func(c *cluster) {
 		former, all := c.holder(), c.up()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -264,7 +264,8 @@
 		n.beginTerm(ctx)
 	}
 	act := n.tenure.Next(n.now())
-	if act == tenure.Wait || act == tenure.Claim && !n.mayClaim() {
+	switch {
+	case act == tenure.Wait, act == tenure.Claim && !n.mayClaim(), act == tenure.GiveBack && n.reader.isDown():
 		return
 	}
 	rec, end := n.tenure.Begin(n.now(), act, n.address)
@@ -336,6 +337,9 @@
 		n.ports.Count("retry", "tenure-"+errorReason(ev.err))
 		return
 	}
+	if ev.record.Released {
+		n.log.WithField("token", ev.record.Token).Info("the right to place is left to larger nodes")
+	}
 	if ev.record.Token == 0 {
 		n.log.WithFields(logrus.Fields{"token": n.tenure.Token(), "quiet": "yes"}).Info("claimed the right to place")
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -77,6 +77,9 @@
 	Claim
 	// Beat confirms the right, on the same condition.
 	Beat
+	// GiveBack releases the right of an earlier process of this node, or one that
+	// it has lost, for nodes that are to have it first. The condition is the same.
+	GiveBack
 )
 
 // State is one node's view of the right. It isn't safe for concurrent use.
@@ -236,10 +239,13 @@
 	if !s.readable || now-s.lastRead > readGap {
 		return Wait
 	}
-	if now >= s.claimAt() {
-		return Claim
+	switch {
+	case now < s.claimAt():
+		return Wait
+	case s.heldBefore() && s.deferral > 0:
+		return GiveBack
 	}
-	return Wait
+	return Claim
 }
 
 // Due returns when Next tells another act if nothing else happens until then,
@@ -263,8 +269,7 @@
 		return s.freeSince + s.delay + s.deferral
 	case s.token == 0:
 		return s.quietSince + s.delay
-	case s.holder.Node == s.node:
-		// An earlier process of this node held it; that one has ended.
+	case s.heldBefore():
 		return s.quietSince
 	case s.suspectedAt > s.quietSince:
 		return s.quietSince + s.timing.Suspicion + s.delay + s.deferral
@@ -274,6 +279,10 @@
 	return s.quietSince + s.timing.Silence + slow + s.delay + s.deferral
 }
 
+// heldBefore reports whether the holder is an earlier process of this node, which
+// has ended, or this one, which has lost the right.
+func (s *State) heldBefore() bool { return s.token != 0 && s.holder.Node == s.node && !s.Holds() }
+
 // slowFactor is how many of the store's answers are added to the silence.
 const slowFactor = 3
 
@@ -284,9 +293,13 @@
 	s.lastBeat = now
 	s.beats++
 	r := Record{Node: s.node, Incarnation: s.incarnation, Address: address, StoreMillis: s.took.Milliseconds(), Beat: s.beats}
-	if act == Beat {
+	switch act {
+	case Beat:
 		r.Token = s.token
-	} else {
+	case GiveBack:
+		// The former holder doesn't go on until the next one's claim, so that it has no address.
+		r.Token, r.Released, r.Address, r.Members = s.token, true, "", s.members
+	default:
 		r.Members = s.members
 	}
 	return r, s.end
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -324,3 +324,43 @@
 	p.read(small, now)
 	g.Expect(small.Token()).To(Equal(late.Token()), "a later claim counts")
 }
+
+func TestSmallNodeOfAFormerHolderDoesNotReclaimBeforeLargerOnes(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	former := smallState("small", "1")
+	p.live(&now, 3*time.Second, former)
+	g.Expect(former.Holds()).To(BeTrue())
+	again, large := smallState("small", "2"), New(DefaultTiming(), "large", "1", 0)
+	p.read(again, now)
+	p.read(large, now)
+	g.Expect(large.Next(now)).To(Equal(Wait), "it can't tell that the holder has ended")
+	g.Expect(p.act(again, now)).To(Equal(GiveBack))
+	p.read(large, now)
+	g.Expect(large.Next(now)).To(Equal(Claim))
+	for end := now + later; now < end; now += step {
+		p.read(again, now)
+		g.Expect(again.Next(now)).To(Equal(Wait))
+	}
+	p.read(again, now)
+	g.Expect(p.act(again, now)).To(Equal(Claim), "no larger one has claimed")
+	g.Expect(again.Holds()).To(BeTrue())
+	g.Expect(again.Token()).To(BeNumerically(">", former.Token()))
+}
+
+func TestRightThatIsGivenBackTooLateHasItsNewHolder(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	p.live(&now, 3*time.Second, smallState("small", "1"))
+	again, large := smallState("small", "2"), New(DefaultTiming(), "large", "1", 0)
+	p.read(again, now)
+	r, end := again.Begin(now, GiveBack, "")
+	p.live(&now, now+2*time.Second, large)
+	g.Expect(large.Holds()).To(BeTrue())
+	offset, done := p.append(now, r, end)
+	g.Expect(done).To(BeFalse())
+	again.Appended(now, r, offset, done)
+	p.read(again, now)
+	g.Expect(again.Token()).To(Equal(large.Token()))
+	g.Expect(again.Next(now)).To(Equal(Wait))
+}
