A small node that finds nothing listening at the holder's address waits as long as one that doesn't know

Cause: nothing listening at the holder's address shortens the silence from 0.95 s to 0.6 s, and only a node that had a caller's record to pass on learns of it. For a small node that took 350 ms off the 400 ms by which it claims after larger ones, so that one with a small delay by its name claimed before a larger one with a long one. Failing before:

TestSmallNodeThatSuspectsTheHolderDoesNotClaimBeforeLargerOnes: due at 3.60 s, 3.95 s expected; the larger one at 3.65 s

Change: the shorter silence is only for nodes that leave the right to nobody. The others wait for the whole one.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -271,8 +271,10 @@
 		return s.quietSince + s.delay
 	case s.heldBefore():
 		return s.quietSince
-	case s.suspectedAt > s.quietSince:
-		return s.quietSince + s.timing.Suspicion + s.delay + s.deferral
+	case s.suspectedAt > s.quietSince && s.deferral == 0:
+		// Nodes that suspect nothing wait for the whole silence, and those that
+		// are to have the right first may be among them.
+		return s.quietSince + s.timing.Suspicion + s.delay
 	}
 	// A slow store delays the holder's beats on their way.
 	slow := slowFactor * time.Duration(s.holder.StoreMillis) * time.Millisecond
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -364,3 +364,18 @@
 	g.Expect(again.Token()).To(Equal(large.Token()))
 	g.Expect(again.Next(now)).To(Equal(Wait))
 }
+
+func TestSmallNodeThatSuspectsTheHolderDoesNotClaimBeforeLargerOnes(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	const spread = 100 * time.Millisecond
+	small, large := smallState("small", "1"), New(DefaultTiming(), "large", "1", spread)
+	p.live(&now, now+2*time.Second, New(DefaultTiming(), "holder", "1", 0), small, large)
+	small.Suspect(now)
+	first, _ := large.Due()
+	second, _ := small.Due()
+	g.Expect(second).To(Equal(first+later-spread), "the large one suspects nothing")
+	large.Suspect(now)
+	sooner, _ := large.Due()
+	g.Expect(sooner).To(Equal(first - (DefaultTiming().Silence - DefaultTiming().Suspicion)))
+}
