--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -159,7 +159,7 @@
 	case inspectAsked:
 		n.inspector.ask(ev.Want)
 	case yielded:
-		n.tenure.Yielded(ev.token)
+		n.tenure.Yielded(n.now(), ev.token)
 	case holderAbsent:
 		if h, ok := n.tenure.Holder(); ok && h.Address == ev.address {
 			n.tenure.Suspect(n.now())
@@ -258,6 +258,8 @@
 		n.publishPeers()
 		h, _ := n.tenure.Holder()
 		n.log.WithFields(logrus.Fields{"holder": h.Node, "token": t, "former": before}).Info("the right to place has moved")
+	} else if t == 0 {
+		n.deferClaims(n.Members())
 	}
 }
 
@@ -273,7 +275,8 @@
 		n.beginTerm(ctx)
 	}
 	act := n.tenure.Next(n.now())
-	if act == tenure.Wait || act == tenure.Claim && !n.mayClaim() {
+	switch {
+	case act == tenure.Wait, act == tenure.Claim && !n.mayClaim(), act == tenure.GiveBack && n.reader.isDown():
 		return
 	}
 	rec, end := n.tenure.Begin(n.now(), act, n.address)
@@ -345,6 +348,9 @@
 		n.ports.Count("retry", "tenure-"+errorReason(ev.err))
 		return
 	}
+	if ev.record.Released {
+		n.log.WithField("token", ev.record.Token).Info("the right to place is left to larger nodes")
+	}
 	if ev.record.Token == 0 {
 		n.log.WithFields(logrus.Fields{"token": n.tenure.Token(), "quiet": "yes"}).Info("claimed the right to place")
 	}
