The node's own delay isn't taken for workers' silence

What callers saw: lasting tasks that lapsed though their workers were sound (LOST), and work begun again and again.

Patience was learned only from calls that were answered in time, so calls went on to end by their own timeouts; one lost answer shortened the patience for holds at all workers for 4 s; orders that never got a connection in time counted as silence without a look at when the worker was heard last. Ruled out: faults of workers and links (none after 15.9 s), the control loop being blocked (p90 of the gap between batches 12 to 21 ms).

Change: the core smooths by how much answers come late beyond their way, over all workers, and adds it to its patience. While that is large, a worker heard within 2.5 s isn't silent, and lost answers are no reason to ask more often. A silent worker is asked without a wait.

Tests: TestAnswersThatABusyNodeReadsLateDoNotEndContact failed before (12 contacts lost of 12); TestSilenceOfAFewWorkersIsStillSeenAtOnce passed before and after.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -69,6 +69,8 @@
 	watchAt    time.Duration
 	// lossUntil is until when answers of workers are taken to get lost.
 	lossUntil time.Duration
+	// delay is by how much answers are late beyond their way, smoothed over all workers.
+	delay time.Duration
 	// formerEnd is since when no former holder can have its right confirmed, or 0.
 	formerEnd time.Duration
 	times     []time.Duration
--- /dev/null
+++ b/internal/dispatch/delay_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// newCrowd returns a bed of many workers at a distance, each with a task.
+func newCrowd(t *testing.T, trip time.Duration, count int) *distance {
+	var ids []string
+	for i := range count {
+		ids = append(ids, fmt.Sprintf("w%02d", i))
+	}
+	d := newDistance(t, trip, ids...)
+	var infos []worker.Info
+	for _, id := range ids {
+		infos = append(infos, worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: 1, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}})
+	}
+	d.next = append(d.next, WorkersListed{infos})
+	d.accept("j", testOffset+1, workflow.Step{Count: count}, workflow.Progress{})
+	d.run(3 * time.Second)
+	d.Expect(d.startsOn("j")).To(HaveLen(count))
+	return d
+}
+
+func TestAnswersThatABusyNodeReadsLateDoNotEndContact(t *testing.T) {
+	d := newCrowd(t, 5*time.Millisecond, 12)
+	d.trip = 450 * time.Millisecond
+	d.lose = 1
+	d.run(20 * time.Second)
+	d.Expect(d.lose).To(BeZero())
+	d.Expect(d.lost).To(BeZero(), "contacts lost with workers that all answer")
+	d.Expect(d.startsOn("j")).To(HaveLen(12), "no task is started again")
+}
+
+func TestSilenceOfAFewWorkersIsStillSeenAtOnce(t *testing.T) {
+	d := newCrowd(t, 5*time.Millisecond, 12)
+	for _, id := range []string{"w00", "w01"} {
+		d.workers[id].waits = true
+	}
+	d.run(2500 * time.Millisecond)
+	d.Expect(d.lost).To(Equal(2))
+	d.Expect(d.core.late()).To(BeFalse())
+
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -65,13 +65,16 @@
 		hold.Wait = holdWait
 	}
 	slack := holdSlack
-	if c.now < c.lossUntil {
+	switch {
+	case h.silent > 0:
+		hold.Wait = 0
+	case c.now < c.lossUntil:
 		// A lost answer hides ends until the next hold: ask often.
 		hold.Wait, slack = min(hold.Wait, lossWait), lossSlack
 	}
 	h.toldNoted = hold.LastSeen
-	h.heldFor = hold.Wait
-	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: hold.Wait + slack + h.wayOver()})
+	h.heldFor, h.holdSlack = hold.Wait, slack+h.wayOver()+c.allowance()
+	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: h.heldFor + h.holdSlack})
 }
 
 // awaitsList reports whether a list is wanted at once, to see runs gone.
@@ -109,11 +112,11 @@
 		return
 	default:
 		h.absences = 0
-		h.unanswered(ev.Sent)
+		c.unanswered(h, ev.Sent, h.holdSlack)
 		h.nextHold = c.now + holdRetry
 		if h.silent <= 1 {
 			h.nextHold = c.now // one lost answer
-			c.lossUntil = c.now + lossTime
+			c.answerLost()
 		}
 		c.reasons["hold-"+ev.Code.String()]++
 		return
@@ -127,8 +130,10 @@
 		h.info.Born = b
 	}
 	c.heard(h)
-	if h.heldFor == 0 {
-		h.answeredIn(c.now - ev.Sent)
+	if took := c.now - ev.Sent; h.heldFor == 0 {
+		c.answeredIn(h, took)
+	} else if took >= h.heldFor {
+		c.delayed(took - h.heldFor - h.shortest)
 	}
 	h.absences = 0
 	h.confirmedAt = max(h.confirmedAt, ev.Sent)
@@ -153,6 +158,13 @@
 	}
 }
 
+// answerLost takes answers to get lost for a while, unless they are late.
+func (c *Core) answerLost() {
+	if !c.late() {
+		c.lossUntil = c.now + lossTime
+	}
+}
+
 // engage records the life before the first task is started on it.
 func (c *Core) engage(h *host) {
 	if h.engaged || h.engaging {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -56,14 +56,17 @@
 	toldNoted   int64
 	holding     bool
 	// heldFor is the wait of the last hold.
-	heldFor  time.Duration
-	nextHold time.Duration
+	heldFor time.Duration
+	// holdSlack is how long its answer was waited for beside that.
+	holdSlack time.Duration
+	nextHold  time.Duration
 	// holdFailed tells that the last hold had no lists for an answer, so the
 	// worker may have another life since.
 	holdFailed bool
-	// trip is the smoothed time from an order to its answer; 0 is not known yet.
-	trip   time.Duration
-	health health
+	// trip is the smoothed time from an order to its answer, shortest the least
+	// one of late; 0 is not known yet.
+	trip, shortest time.Duration
+	health         health
 	// speed is how fast runs end there by their estimates; 0 is not known yet.
 	speed float64
 	// serving counts the runs with a target of latency; fill is the capacity
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -82,19 +82,11 @@
 )
 
 // patience is how long the answer to the run's order is waited for.
-func (r *run) patience() time.Duration {
+func (c *Core) patience(r *run) time.Duration {
 	if r.tries <= 1 {
-		return firstPatience + r.host.wayOver()
-	}
-	return laterPatience + r.host.wayOver()
-}
-
-// unanswered takes note of an order without an answer. A worker that has
-// answered anything since it was sent is not silent.
-func (h *host) unanswered(sent time.Duration) {
-	if h.heardAt <= sent {
-		h.silent++
+		return firstPatience + r.host.wayOver() + c.allowance()
 	}
+	return laterPatience + r.host.wayOver() + c.allowance()
 }
 
 // lostContact is how many orders in a row without an answer mean that contact is lost.
@@ -150,7 +142,7 @@
 	c.emit(StartTask{Life: h.life, Start: worker.Start{
 		Order: c.orderTo(h), Task: r.id, Run: r.number, Spec: r.task.step.occ.job.def.Spec,
 		DeadlineMillis: deadline, Checkpoint: r.from, Ticket: r.ticket,
-	}, Patience: r.patience()})
+	}, Patience: c.patience(r)})
 }
 
 // answered returns the run that an order's answer is about, nil for one that is
@@ -182,7 +174,7 @@
 	r.orderOut = false
 	h := r.host
 	if ev.Code != worker.Unknown && ev.Code != worker.NotDone && ev.Code != worker.Absent {
-		h.answeredIn(c.now - r.orderAt)
+		c.answeredIn(h, c.now-r.orderAt)
 		c.heard(h)
 	}
 	if r.state != starting {
@@ -199,9 +191,9 @@
 	case worker.Unknown:
 		r.doubtful = true
 		h.remember(r, c.now)
-		h.unanswered(r.orderAt)
+		c.unanswered(h, r.orderAt, c.now-r.orderAt)
 		if h.silent == 0 {
-			c.lossUntil = c.now + lossTime
+			c.answerLost()
 		}
 		c.reasons["start-unanswered"]++
 		r.nextOrder = c.now
@@ -224,7 +216,11 @@
 		s.advice.drop(r.host)
 	case worker.NoRoom:
 		r.host.health.pauseUntil = c.now + roomPause
-	case worker.NotDone, worker.Absent:
+	case worker.NotDone:
+		// It got no connection in time, or the worker takes nothing now.
+		r.host.health.pauseUntil = c.now + roomPause
+		c.unanswered(r.host, r.orderAt, c.now-r.orderAt)
+	case worker.Absent:
 		r.host.silent++
 	}
 	if r.doubtful {
@@ -263,7 +259,7 @@
 func (c *Core) sendStop(r *run) {
 	r.tries++
 	r.orderOut, r.orderAt, r.host.chase = true, c.now, true
-	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: r.patience()})
+	c.emit(StopTask{Life: r.host.life, Stop: worker.Stop{Order: c.orderTo(r.host), Task: r.id, Run: r.number}, Patience: c.patience(r)})
 }
 
 func (c *Core) stopAnswered(ev StopAnswered) {
@@ -285,7 +281,7 @@
 		r.nextOrder = c.now + orderRetry*time.Duration(min(r.tries, 6))
 		c.reasons["stop-"+ev.Code.String()]++
 		if ev.Code == worker.Unknown {
-			r.host.unanswered(r.orderAt)
+			c.unanswered(r.host, r.orderAt, c.now-r.orderAt)
 		}
 	}
 }
--- a/internal/dispatch/trip.go
+++ b/internal/dispatch/trip.go
@@ -8,11 +8,27 @@
 	// mostTrip bounds what one answer says of the way, since the answer may have
 	// been held up at this node.
 	mostTrip = 400 * time.Millisecond
+	// shortestGain lets a worker's shortest trip follow a way that has become longer.
+	shortestGain = 0.02
+	// delayGain is the weight of the newest answer in the node's smoothed delay,
+	// and mostDelay bounds what one answer says of it.
+	delayGain = 1.0 / 16
+	mostDelay = time.Second
+	// delayFactor is how many of the node's delays are added to its patience.
+	delayFactor = 3
+	// lateDelay is the delay from which on a missing answer says little of the worker.
+	lateDelay = 100 * time.Millisecond
 )
 
 // answeredIn takes note of how long an answer took that the worker gave at once.
-func (h *host) answeredIn(took time.Duration) {
-	took = min(max(took, 0), mostTrip)
+func (c *Core) answeredIn(h *host, took time.Duration) {
+	took = max(took, 0)
+	if h.shortest == 0 || took < h.shortest {
+		h.shortest = took
+	}
+	h.shortest += time.Duration(shortestGain * float64(took-h.shortest))
+	c.delayed(took - h.shortest)
+	took = min(took, mostTrip)
 	if h.trip == 0 {
 		h.trip = took
 		return
@@ -20,6 +36,31 @@
 	h.trip += time.Duration(tripGain * float64(took-h.trip))
 }
 
+// delayed takes note of how much longer than its way an answer took. Late answers
+// of many workers mean that this node itself is late to send or to read.
+func (c *Core) delayed(by time.Duration) {
+	c.delay += time.Duration(delayGain * float64(min(max(by, 0), mostDelay)-c.delay))
+}
+
+// allowance is what the node's own delay adds to the patience for an answer.
+func (c *Core) allowance() time.Duration { return delayFactor * c.delay }
+
+// late reports whether answers are late by this node's own delay.
+func (c *Core) late() bool { return c.delay > lateDelay }
+
+// unanswered takes note of a call sent at the given time whose answer was waited
+// for in vain, beside the worker's own wait. A worker that has answered anything
+// since is not silent, nor is one that was heard lately while answers are late.
+func (c *Core) unanswered(h *host, sent, waited time.Duration) {
+	if h.silent == 0 {
+		c.delayed(waited - h.shortest)
+	}
+	if h.heardAt > sent || c.late() && c.now-h.heardAt < contactBound {
+		return
+	}
+	h.silent++
+}
+
 // wayOver is how long an answer is on its way: the trip, and another one to
 // open a connection, as after a call that was given up.
 func (h *host) wayOver() time.Duration { return 2 * h.trip }
--- a/internal/dispatch/trip_test.go
+++ b/internal/dispatch/trip_test.go
@@ -91,8 +91,8 @@
 	if d.closed[id] {
 		took += d.trip
 	}
-	lost := d.lose > 0
-	if lost {
+	lost := d.lose > 0 || d.workers[id].waits
+	if d.lose > 0 {
 		d.lose--
 	}
 	d.closed[id] = lost || took > patience
