--- a/internal/emulator/crew.go
+++ b/internal/emulator/crew.go
@@ -358,6 +358,7 @@
 		delete(f.live, r.task)
 	}
 	if how != vanished && r.life.alive {
+		f.ends[how]++
 		r.life.list(r, how)
 	}
 }
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -117,6 +118,7 @@
 	lines       map[string]*adviceLine
 	adviceDown  bool
 	codes       map[worker.Code]int
+	ends        map[worker.How]int
 	// disrupted is the time of the last change of a fault.
 	disrupted time.Time
 	judge     *Judge
@@ -143,6 +145,7 @@
 		tickets:     map[string]ticket{},
 		lines:       map[string]*adviceLine{},
 		codes:       map[worker.Code]int{},
+		ends:        map[worker.How]int{},
 	}
 	f.judge = &Judge{fleet: f, units: map[workflow.TaskID]*unit{}}
 	return f
@@ -197,6 +200,35 @@
 	return codes
 }
 
+// Ends returns how many runs have ended in each way that a worker lists.
+func (f *Fleet) Ends() map[worker.How]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.ends)
+}
+
+// Idle returns the tasks of a job without dependencies that are neither done
+// nor running.
+func (f *Fleet) Idle(job string) []workflow.TaskID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.jobs[job]
+	if k == nil {
+		return nil
+	}
+	var idle []workflow.TaskID
+	for i := range k.job.Steps {
+		step := &k.job.Steps[i]
+		for index := range step.Count {
+			id := workflow.TaskID{StepID: workflow.StepID{Job: job, Step: i}, Index: index}
+			if !k.done[unitOf(id, step)] && len(f.live[id]) == 0 {
+				idle = append(idle, id)
+			}
+		}
+	}
+	return idle
+}
+
 // Publish writes the entries of the workers that are up to the log, each
 // Heartbeat until the context ends, and drops those of workers that have left
 // or were silent for three of them. Nothing is written while the log is down
