Starts that are out are bounded by a window that shrinks while answers are late

What callers saw: after a takeover in a burst all that waited was started at once; the starts' timeouts ran while they waited for this node's processor, so they were sent again and stopped, and contact with sound workers was lost.

Cause: nothing bounded the starts of a pass, and patience counts from when they are handed out.

Change: a window of starts without an answer, 16 at first; it grows by one with each answer in time and is halved, at most four times a second, while answers are late. Starts to workers that don't answer count for 0.1 s beside the allowance only, so that a few of them keep no others back.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -70,7 +70,8 @@
 	// lossUntil is until when answers of workers are taken to get lost.
 	lossUntil time.Duration
 	// delay is by how much answers are late beyond their way, smoothed over all workers.
-	delay time.Duration
+	delay  time.Duration
+	window window
 	// formerEnd is since when no former holder can have its right confirmed, or 0.
 	formerEnd time.Duration
 	times     []time.Duration
@@ -100,8 +101,8 @@
 func New(set Settings, now time.Duration, wall int64) *Core {
 	return &Core{
 		set: set, now: now, wall: wall, began: now, barrier: true,
-		catalog: &workflow.Catalog{},
-		hosts:   map[string]*host{}, pools: map[string][]*host{},
+		catalog: &workflow.Catalog{}, window: window{size: firstWindow},
+		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspects: map[string]*host{}, lastEnds: map[string]lastEnd{}, lines: map[string]*line{}, reasons: Counters{}, commits: newCommits(),
 	}
 }
--- a/internal/dispatch/core_bench_test.go
+++ b/internal/dispatch/core_bench_test.go
@@ -75,6 +75,7 @@
 	for _, w := range infos {
 		y.ids = append(y.ids, w.ID)
 	}
+	y.core.window.size = 1 << 20
 	y.step(Configured{benchCatalog()}, WorkersListed{infos})
 	var events []Event
 	rows := make([][]worker.Running, z.workers)
@@ -241,7 +242,7 @@
 				b.StopTimer()
 				y.pass(benchTick)
 				jobs := y.accept()
-				y.core.out, y.core.dirty = nil, true
+				y.core.out, y.core.dirty, y.core.placedAt = nil, true, 0
 				b.StartTimer()
 				y.core.place()
 				b.StopTimer()
@@ -274,7 +275,7 @@
 			for b.Loop() {
 				b.StopTimer()
 				y.pass(benchTick)
-				y.core.out, y.core.dirty = nil, true
+				y.core.out, y.core.dirty, y.core.placedAt = nil, true, 0
 				b.StartTimer()
 				y.core.place()
 			}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,6 +13,11 @@
 		return
 	}
 	c.placedAt = c.now
+	c.adjustWindow()
+	if !c.window.open() {
+		c.dirty = true
+		return
+	}
 	c.round++
 	c.sortWaiting()
 	c.countWaiting()
@@ -35,7 +40,7 @@
 		c.waiting[i] = nil
 	}
 	c.waiting = kept
-	c.dirty = false
+	c.dirty = !c.window.open()
 	c.askInTurn()
 }
 
@@ -158,7 +163,7 @@
 		if t.done || len(t.runs) > 0 && !t.stoppingOnly() {
 			continue
 		}
-		if full || !t.waits(c.now) || c.suspected(t) {
+		if full || !t.waits(c.now) || c.suspected(t) || !c.window.open() {
 			left = true
 			continue
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -137,6 +137,9 @@
 	h := r.host
 	r.tries++
 	r.orderOut, r.orderAt, h.chase = true, c.now, true
+	if r.tries == 1 {
+		c.window.sent(r)
+	}
 	deadline := c.clockNow(h) + c.set.Lease.Milliseconds()
 	h.granted = max(h.granted, deadline)
 	c.emit(StartTask{Life: h.life, Start: worker.Start{
@@ -186,6 +189,9 @@
 	}
 	switch ev.Code {
 	case worker.OK:
+		if !c.late() {
+			c.window.answered()
+		}
 		r.state = running
 		r.beganAt, r.percentAt = c.now, c.now
 	case worker.Unknown:
