Runs are judged as stalled by their worker's last list

Cause: a run counts as stalled when its progress hasn't risen for 1.5 s and its worker was heard since. Answers to starts count as heard, but say nothing of progress: while a list was late, every run of a worker that takes starts looked stalled. Change: a list must have come in that time. TestRunIsNotStalledWhileItsWorkersListIsOld failed before (a stop for no progress).

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -33,7 +33,8 @@
 	sorted []*run
 	// chase tells that orders may have to be sent again.
 	chase bool
-	// clock is the worker's clock at the local time clockAt, a lower bound.
+	// clock is the worker's clock at the local time clockAt, when its last lists
+	// came; a lower bound.
 	clock   int64
 	clockAt time.Duration
 	// granted is the latest lease end that was ever sent, on the worker's clock.
--- /dev/null
+++ b/internal/dispatch/stall_test.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// acceptSmall brings a job of one task of which ten fit on a worker.
+func (b *bed) acceptSmall(id string, offset int64) {
+	b.next = append(b.next, JobAccepted{Offset: offset, Job: &workflow.Job{ID: id, Queue: "q", Spec: "s",
+		Steps: []workflow.Step{{Count: 1, Size: workflow.Size{MilliCPU: 100}}}}})
+}
+
+func TestRunIsNotStalledWhileItsWorkersListIsOld(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.acceptSmall("works", 1)
+	b.run(2 * time.Second)
+	b.workers["w1"].waits = true // its next list is on the way for long
+	for i := range 5 {
+		b.acceptSmall("later"+string(rune('0'+i)), int64(2+i))
+		b.run(400 * time.Millisecond)
+	}
+	b.Expect(b.starts).To(HaveLen(6), "the worker answers starts")
+	b.Expect(b.stops).To(BeEmpty(), "runs of which no list says that they stand still")
+}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -67,7 +67,7 @@
 	}
 	s := t.step
 	stall := r.stallTime()
-	if c.now-r.percentAt > stall && r.host.heardAt > r.percentAt+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
+	if c.now-r.percentAt > stall && r.host.clockAt > r.percentAt+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
 		c.moveRun(r, "it shows no progress")
 		return true
 	}
