A gang is stalled when none of its members gets on

Cause: a gang's members end together, so a member that is through shows no progress while it waits for slower ones. Change: the newest progress of any member counts; the log says at which percent a run was judged. TestGangIsNotStalledWhileAMemberThatIsThroughWaitsForTheOthers failed before; TestGangIsStalledWhenNoMemberGetsOn passes before and after.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -39,6 +39,8 @@
 	silent bool
 	// waits is set while holds get no answer yet.
 	waits bool
+	// stands is the percent that its runs show and stay at; 0 lets them get on.
+	stands float64
 	// foreign tells that another worker listens at the address.
 	foreign bool
 	// refuse is the answer to starts.
@@ -151,6 +153,9 @@
 	l := worker.Lists{ClockMillis: w.clock(now), Born: w.lists.Born}
 	for _, r := range w.lists.Running {
 		r.Percent = 100 * now.Seconds() / longTask.Seconds()
+		if w.stands > 0 {
+			r.Percent = w.stands
+		}
 		l.Running = append(l.Running, r)
 	}
 	l.Ends = append(l.Ends, w.lists.Ends...)
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -28,3 +28,27 @@
 	b.Expect(b.starts).To(HaveLen(6), "the worker answers starts")
 	b.Expect(b.stops).To(BeEmpty(), "runs of which no list says that they stand still")
 }
+
+// acceptGang brings a gang of one task on each of two workers, which both run.
+func acceptGang(t *testing.T) *bed {
+	b := newBed(t, "w1", "w2")
+	b.list()
+	b.accept("gang", 1, workflow.Step{Count: 2, Gang: true}, workflow.Progress{})
+	b.run(time.Second)
+	b.Expect(b.startsOn("gang")).To(ConsistOf("w1", "w2"))
+	return b
+}
+
+func TestGangIsNotStalledWhileAMemberThatIsThroughWaitsForTheOthers(t *testing.T) {
+	b := acceptGang(t)
+	b.workers["w1"].stands = 100
+	b.run(5 * time.Second)
+	b.Expect(b.stops).To(BeEmpty(), "members that get on or are through")
+}
+
+func TestGangIsStalledWhenNoMemberGetsOn(t *testing.T) {
+	b := acceptGang(t)
+	b.workers["w1"].stands, b.workers["w2"].stands = 100, 50
+	b.run(5 * time.Second)
+	b.Expect(b.stops).NotTo(BeEmpty())
+}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"sort"
 	"time"
 )
@@ -67,8 +68,9 @@
 	}
 	s := t.step
 	stall := r.stallTime()
-	if c.now-r.percentAt > stall && r.host.clockAt > r.percentAt+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
-		c.moveRun(r, "it shows no progress")
+	at := r.progressedAt()
+	if c.now-at > stall && r.host.clockAt > at+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
+		c.moveRun(r, fmt.Sprintf("it shows no progress at %.0f%%", r.percent))
 		return true
 	}
 	if s.def.Gang || c.now-r.beganAt < settleElapsed || r.percent <= r.percentFrom {
@@ -89,6 +91,21 @@
 	return false
 }
 
+// progressedAt is when the run last got on. A gang's members end together, so
+// that one that is through waits for those that get on.
+func (r *run) progressedAt() time.Duration {
+	at := r.percentAt
+	if !r.task.step.def.Gang {
+		return at
+	}
+	for i := range r.task.step.tasks {
+		for _, x := range r.task.step.tasks[i].runs {
+			at = max(at, x.percentAt)
+		}
+	}
+	return at
+}
+
 // stallTime is how long the run may show no progress: progress is told in
 // whole percents, which of a long task take long.
 func (r *run) stallTime() time.Duration {
