A view read at another node carries when the log was read

Cause: a read that the holder serves from its memory counted at the other nodes as a reading of the log at the time of the answer, though the holder's view may be servedBound old, and older by the read's wait since it was looked at before the wait only. A whole reading counted at its last page, though its end is the first page's. With a hop more this would add up.

Change: store.Batch.ReadAt says when the log was last read up to Next, and reading.at, and so table.readAt (fresh, JobsAge, the views' ages), goes by it. recent keeps it with the records under one lock, and follows whole readings, after which it had answered "nothing new" at its old end. On the wire it is an age at the time the request came; the reader subtracts it from the time at which it sent the request. No clocks are compared, and neither the way nor a stop of either process makes the view look newer. served.Read looks at the age again at the end of its wait. table.caughtUp is untouched: such answers have no End, so only the store's answers let a node say that a job does not exist.

The tests of recent pass readings now instead of records; what they check is the same.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -171,9 +171,8 @@
 	}
 	if r.whole {
 		n.table.replace(r.records, r.next)
-	} else {
-		n.recent.add(r.records)
 	}
+	n.recent.add(r)
 	batch = n.takeRecords(r.records, r.next, batch)
 	n.table.read(r)
 	return batch
@@ -192,7 +191,7 @@
 	// shown the log's end as a reading would have.
 	r := reading{records: numbered, next: ev.first + int64(len(numbered)), sent: ev.sent, at: ev.sent, caughtUp: true}
 	n.views.note(n.viewName(jobsPartition), nil, r)
-	n.recent.add(numbered)
+	n.recent.add(r)
 	batch = n.takeRecords(numbered, r.next, batch)
 	n.table.read(r)
 	return batch
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -36,7 +36,8 @@
 	// whole readings replace what was known before.
 	whole bool
 	err   error
-	// at is when the answer came: the reading is older by its way at most.
+	// at is when the log was read: what it held then has been brought. Where the
+	// answer doesn't tell, it is when that came, later by its way at most.
 	at time.Time
 	// sent is when the read was sent; caughtUp tells that it reached the end.
 	sent     time.Time
@@ -114,12 +115,20 @@
 		ctx, cancel := context.WithTimeout(ctx, 2*followTimeout)
 		defer cancel()
 		records, end, err := store.ReadAll(ctx, s, f.partition)
-		return reading{records: records, next: end, whole: true, err: err, at: time.Now(), sent: sent, caughtUp: true}
+		r := reading{records: records, next: end, whole: true, err: err, at: time.Now(), sent: sent, caughtUp: true}
+		if err == nil {
+			r.at = sent // the end is that of the first page
+		}
+		return r
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
-	return reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.End >= 0 && b.Next >= b.End}
+	r := reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.End >= 0 && b.Next >= b.End}
+	if err == nil && !b.ReadAt.IsZero() {
+		r.at = b.ReadAt
+	}
+	return r
 }
 
 func pauseFor(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/node/fresh_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+// seenEnd is an end that the log of jobs had at the time at the latest.
+type seenEnd struct {
+	at  time.Time
+	end int64
+}
+
+// truth checks what the nodes claim of their views against the log itself.
+type truth struct {
+	c    *cluster
+	mu   sync.Mutex
+	ends []seenEnd
+}
+
+// wayBound is the most that a direct read's answer takes back to its reader.
+const wayBound = 30 * time.Millisecond
+
+// watchTruth compares until the cluster's context ends: a view that was read at
+// a time holds all that the log held then.
+func watchTruth(c *cluster) *truth {
+	x := &truth{c: c}
+	c.wg.Go(func() {
+		s := c.log.Client("truth")
+		for ; c.ctx.Err() == nil; pauseFor(c.ctx, 10*time.Millisecond) {
+			page, err := s.Newest(c.ctx, jobsPartition, "")
+			if err != nil {
+				continue
+			}
+			x.mu.Lock()
+			x.ends = append(x.ends, seenEnd{time.Now(), page.End})
+			x.mu.Unlock()
+			for _, p := range c.up() {
+				x.check(p)
+			}
+		}
+	})
+	return x
+}
+
+func (x *truth) check(p *process) {
+	t := p.node.table
+	t.mu.RLock()
+	next, readAt, loaded := t.next, t.readAt, t.loaded
+	t.mu.RUnlock()
+	if end := x.endAt(readAt.Add(-wayBound)); loaded && next < end {
+		x.c.t.Errorf("the view of %s is %v old by its own account and lacks records that are older: it ends at %d, the log at %d",
+			p.name, time.Since(readAt), next, end)
+	}
+}
+
+// endAt returns the newest end known to have been there at the time, or 0.
+func (x *truth) endAt(at time.Time) int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := len(x.ends) - 1; i >= 0; i-- {
+		if !x.ends[i].at.After(at) {
+			return x.ends[i].end
+		}
+	}
+	return 0
+}
+
+// scribble has records written past the nodes, as a node cut from the holder
+// does, until the context ends.
+func scribble(c *cluster, every time.Duration) {
+	c.wg.Go(func() {
+		for ; c.ctx.Err() == nil; pauseFor(c.ctx, every) {
+			c.log.Put(jobsPartition, store.Record{Key: "x", Value: []byte("{}")})
+		}
+	})
+}
+
+func TestViewIsNoFresherThanWhatItShows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, brief)
+		defer c.close()
+		for _, name := range []string{"a", "b", "c"} {
+			c.boot(name)
+		}
+		time.Sleep(6 * time.Second)
+		watchTruth(c)
+		scribble(c, 50*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		p := c.holder()
+		c.log.Down(true, p.name)
+		c.pass(4 * time.Second)
+		c.calm()
+		time.Sleep(2 * time.Second)
+		p = c.holder()
+		p.stall()
+		c.pass(4 * time.Second)
+		p.resume()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -22,25 +22,29 @@
 	// first is the offset of records[0].
 	first   int64
 	records []store.Numbered
-	// more is closed and replaced when records are added.
+	// readAt is when the log was last read to the end of the records.
+	readAt time.Time
+	// more is closed and replaced with each reading.
 	more chan struct{}
 }
 
 func newRecent() *recent { return &recent{first: -1, more: make(chan struct{})} }
 
-// add appends records that follow without a gap; otherwise it begins anew.
-func (c *recent) add(records []store.Numbered) {
+// add appends a reading's records that follow without a gap; otherwise it
+// begins anew.
+func (c *recent) add(r reading) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range records {
-		end := c.first + int64(len(c.records))
-		switch {
-		case c.first >= 0 && r.Offset < end:
-			continue
-		case c.first < 0 || r.Offset > end:
-			c.first, c.records = r.Offset, nil
+	if !r.whole {
+		for _, x := range r.records {
+			c.append(x)
 		}
-		c.records = append(c.records, r)
+	}
+	if c.first < 0 || r.next > c.end() {
+		c.first, c.records = r.next, nil
+	}
+	if r.at.After(c.readAt) {
+		c.readAt = r.at
 	}
 	if over := len(c.records) - recentRecords/2; len(c.records) > recentRecords {
 		c.first += int64(over)
@@ -50,49 +54,71 @@
 	c.more = make(chan struct{})
 }
 
-// from returns the records from an offset on, and a channel that closes when
-// there are more; ok is false if the offset isn't covered.
-func (c *recent) from(offset int64) (records []store.Numbered, more <-chan struct{}, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	end := c.first + int64(len(c.records))
-	if c.first < 0 || offset < c.first || offset > end {
-		return nil, nil, false
+func (c *recent) append(r store.Numbered) {
+	switch end := c.end(); {
+	case c.first >= 0 && r.Offset < end:
+		return
+	case c.first < 0 || r.Offset > end:
+		c.first, c.records = r.Offset, nil
 	}
-	return append([]store.Numbered(nil), c.records[offset-c.first:]...), c.more, true
+	c.records = append(c.records, r)
 }
 
-// served reads for other nodes.
-type served struct{ n *Node }
+func (c *recent) end() int64 { return c.first + int64(len(c.records)) }
 
-// Read implements store.Reader.
-func (s *served) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
-	if p != jobsPartition || s.n.holding.Load() == 0 {
-		return s.n.ports.Store.Read(ctx, p, from, wait)
+// from returns the records from an offset on with the time at which they were
+// all, and a channel that closes when there may be more; ok is false if the
+// offset isn't covered.
+func (c *recent) from(offset int64) (b store.Batch, more <-chan struct{}, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b = store.Batch{Next: c.end(), End: -1, ReadAt: c.readAt}
+	if c.first < 0 || offset < c.first || offset > b.Next {
+		return b, c.more, false
 	}
+	b.Records = append(b.Records, c.records[offset-c.first:]...)
+	return b, c.more, true
+}
+
+// await returns the records from an offset on as soon as there are some, none
+// after the wait. Its error is store.ErrNotDone: the log was not read for longer
+// than the bound. ok is false if the offset isn't covered.
+func (c *recent) await(ctx context.Context, offset int64, wait, bound time.Duration) (b store.Batch, ok bool, err error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
-	for {
-		if !s.n.table.fresh(time.Now(), servedBound) {
-			return store.Batch{}, errors.WithStack(store.ErrNotDone)
-		}
-		records, more, ok := s.n.recent.from(from)
-		if !ok {
-			return s.n.ports.Store.Read(ctx, p, from, 0)
+	for last := wait <= 0; ; {
+		b, more, ok := c.from(offset)
+		if time.Since(b.ReadAt) > bound {
+			return store.Batch{}, false, errors.WithStack(store.ErrNotDone)
 		}
-		if next := from + int64(len(records)); len(records) > 0 {
-			return store.Batch{Records: records, Next: next, End: -1}, nil
+		if !ok || last || len(b.Records) > 0 {
+			return b, ok, nil
 		}
 		select {
 		case <-more:
 		case <-timeout.C:
-			return store.Batch{Next: from, End: -1}, nil
+			last = true
 		case <-ctx.Done():
-			return store.Batch{}, errors.WithStack(store.ErrNotDone)
+			return store.Batch{}, false, errors.WithStack(store.ErrNotDone)
 		}
 	}
 }
 
+// served reads for other nodes.
+type served struct{ n *Node }
+
+// Read implements store.Reader.
+func (s *served) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if p != jobsPartition || s.n.holding.Load() == 0 {
+		return s.n.ports.Store.Read(ctx, p, from, wait)
+	}
+	b, ok, err := s.n.recent.await(ctx, from, wait, servedBound)
+	if err == nil && !ok {
+		return s.n.ports.Store.Read(ctx, p, from, 0)
+	}
+	return b, err
+}
+
 // Newest implements store.Reader.
 func (s *served) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
 	return s.n.ports.Store.Newest(ctx, p, after)
--- a/internal/node/recent_test.go
+++ b/internal/node/recent_test.go
@@ -22,14 +22,14 @@
 	RegisterTestingT(t)
 	c := newRecent()
 	for o := int64(100); o < 100+5*recentRecords; o += 3 {
-		c.add(recordsFrom(o, o+3))
+		c.add(reading{records: recordsFrom(o, o+3), next: o + 3})
 		end := o + 3
 		Expect(len(c.records)).To(BeNumerically("<=", recentRecords))
 		covered := max(int64(100), end-recentRecords/2)
 		got, _, ok := c.from(covered)
 		Expect(ok).To(BeTrue())
-		Expect(got).To(HaveLen(int(end - covered)))
-		for i, r := range got {
+		Expect(got.Records).To(HaveLen(int(end - covered)))
+		for i, r := range got.Records {
 			if r.Offset != covered+int64(i) {
 				t.Fatalf("record %d of those from %d on has the offset %d", i, covered, r.Offset)
 			}
@@ -44,7 +44,7 @@
 	c := newRecent()
 	next := int64(0)
 	add := func() {
-		c.add(recordsFrom(next, next+1))
+		c.add(reading{records: recordsFrom(next, next+1), next: next + 1})
 		next++
 	}
 	for range 2 * recentRecords {
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -59,7 +59,8 @@
 	newest map[string]int64
 	// next is the offset from which the log was not read yet.
 	next int64
-	// readAt is when the log was last read without fail.
+	// readAt is when the log was last read without fail, by this node or by the
+	// one whose view it reads: what the log held then is in the table.
 	readAt time.Time
 	// caughtUp is when the newest read was sent that reached the log's end.
 	caughtUp time.Time
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -75,6 +75,7 @@
 
 // Read implements the Peer service.
 func (s *server) Read(ctx context.Context, req *api.ReadRequest) (*api.ReadResponse, error) {
+	came := time.Now()
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
 	b, err := s.node.Reader().Read(ctx, p, req.GetFrom(), time.Duration(req.GetWaitMillis())*time.Millisecond)
 	var expired *store.ExpiredError
@@ -84,10 +85,33 @@
 	if err != nil {
 		return nil, err
 	}
+	return encodeBatch(b, came)
+}
+
+// encodeBatch returns the answer to a request that came at the time. The age of
+// a view goes by the request, which was sent before: the clocks of two nodes
+// aren't compared, and no time on the way makes the view look newer.
+func encodeBatch(b store.Batch, came time.Time) (*api.ReadResponse, error) {
 	resp := &api.ReadResponse{Records: encode(b.Records), Next: b.Next, End: b.End}
+	if !b.ReadAt.IsZero() {
+		resp.Viewed = true
+		resp.AgeMillis = (came.Sub(b.ReadAt) + time.Millisecond - 1).Milliseconds()
+	}
 	return resp, pack(resp)
 }
 
+// decodeBatch returns what the answer to a request sent at the time has brought.
+func decodeBatch(resp *api.ReadResponse, sent time.Time) (store.Batch, error) {
+	if err := unpack(resp); err != nil {
+		return store.Batch{}, &relayError{err}
+	}
+	b := store.Batch{Records: decode(resp.GetRecords()), Next: resp.GetNext(), End: resp.GetEnd()}
+	if resp.GetViewed() {
+		b.ReadAt = sent.Add(-time.Duration(resp.GetAgeMillis()) * time.Millisecond)
+	}
+	return b, nil
+}
+
 // Newest implements the Peer service.
 func (s *server) Newest(ctx context.Context, req *api.NewestRequest) (*api.NewestResponse, error) {
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
@@ -176,6 +200,7 @@
 
 // Read implements store.Reader.
 func (r *reader) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	sent := time.Now()
 	resp, err := r.peer.Read(ctx, &api.ReadRequest{Topic: p.Topic, Part: int32(p.Number), From: from, WaitMillis: wait.Milliseconds()})
 	if err != nil {
 		return store.Batch{}, &relayError{err}
@@ -183,10 +208,7 @@
 	if resp.GetExpired() {
 		return store.Batch{}, &store.ExpiredError{First: resp.GetFirst()}
 	}
-	if err := unpack(resp); err != nil {
-		return store.Batch{}, &relayError{err}
-	}
-	return store.Batch{Records: decode(resp.GetRecords()), Next: resp.GetNext(), End: resp.GetEnd()}, nil
+	return decodeBatch(resp, sent)
 }
 
 // Newest implements store.Reader.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,9 @@
 	Next int64
 	// End is the partition's end when it was read, -1 if that isn't known.
 	End int64
+	// ReadAt is when the partition was last read up to Next, if that was earlier
+	// than this read: the records come from another node's view. Zero otherwise.
+	ReadAt time.Time
 }
 
 // Page is a part of the newest records of all keys. Pages aren't a snapshot.
