One node of each failure domain reads the log of jobs for the others

Cause: every other node reads the whole log of jobs from the holder, some ten requests a second each, across regions too, and the holder is the node that is short of processor time.

Change: a member's record names its failure domain. Of the domains other than the holder's, the member with the most processor time (then by hash and name, as in closest) reads at the holder; the others of the domain read from its memory, by the new call Follow with long polling on recent.more. The holder's own domain, nodes or a holder without a domain in their records, and times without a known holder are as before.

Loops: a node follows only members that come before it in that order, and a node is followed only while its own last read was at the holder or the store (Node.direct), so that one that sees other members refuses. There is one hop more, never two.

Freshness: reading.at, from Batch.ReadAt, is carried on unchanged; the wait of reads in such a domain is followWait, as the ages add up, and a view older than followedBound is refused, during the wait too. Follow answers from memory alone with End -1: what needs the log's end (awaitEnd by desk.catchUp) reads the store, or through peers, as before. That is why Follow is a call of its own: served.Read at a node that isn't the holder still reads the store, which a node cut from it relies on.

A call that fails has the node read at the holder at once, and leaves the reader alone for holderRest, doubling up to readerRestMost, as a lost node stays a member. The next node of the domain is asked meanwhile.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -29,22 +29,27 @@
 }
 
 func (s countedStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
-	s.calls.mu.Lock()
-	s.calls.n[s.node+" "+p.Topic]++
-	s.calls.mu.Unlock()
+	s.calls.add(s.node, p)
 	return s.Store.Read(ctx, p, from, wait)
 }
 
+func (c *calls) add(node string, p store.Partition) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n[node+" "+p.Topic]++
+}
+
+func (c *calls) count(node string, p store.Partition) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n[node+" "+p.Topic]
+}
+
 // during returns how many reads of the partition the node makes in the time.
 func (c *calls) during(d time.Duration, node string, p store.Partition) int {
-	read := func() int {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.n[node+" "+p.Topic]
-	}
-	before := read()
+	before := c.count(node, p)
 	time.Sleep(d)
-	return read() - before
+	return c.count(node, p) - before
 }
 
 // playCounted runs nodes under traffic with their reads counted.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -372,6 +372,15 @@
 	return done && err == nil, err
 }
 
+// Follow implements Peers.
+func (p peers) Follow(ctx context.Context, address string, from int64, wait time.Duration) (b store.Batch, err error) {
+	err = p.call(ctx, address, func(ctx context.Context, n *Node) error {
+		b, err = n.Followed(ctx, from, wait)
+		return err
+	})
+	return b, err
+}
+
 // Reader implements Peers.
 func (p peers) Reader(address string) store.Reader { return peerReader{p, address} }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -29,6 +29,8 @@
 	Leaving bool `json:"l,omitempty"`
 	// CPUShare is the share of a core that the process has.
 	CPUShare float64 `json:"c,omitempty"`
+	// Domain is the failure domain that the node is in.
+	Domain string `json:"d,omitempty"`
 }
 
 // members is the holder's view of the nodes that can ask the policy service.
@@ -160,7 +162,7 @@
 // register writes this node into the store, so that the holder finds it.
 func (n *Node) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		value, _ := json.Marshal(memberRecord{Address: n.address, Leaving: n.desk.leaving.Load(), CPUShare: n.set.Limits.CPUShare})
+		value, _ := json.Marshal(memberRecord{Address: n.address, Leaving: n.desk.leaving.Load(), CPUShare: n.set.Limits.CPUShare, Domain: n.set.Domain})
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		_, err := n.ports.Store.Append(callCtx, memberPartition, []store.Record{{Key: n.set.Node, Value: value}}, store.AppendOptions{})
 		cancel()
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -22,6 +22,8 @@
 	Leaving bool
 	// CPUShare is the share of a core that it has.
 	CPUShare float64
+	// Domain is the failure domain that it is in, empty if that isn't known.
+	Domain string
 }
 
 // Membership says who is a member, who holds the right to place and who is
@@ -36,7 +38,7 @@
 		if json.Unmarshal(value, &rec) != nil {
 			continue
 		}
-		m := Member{Node: name, Address: rec.Address, Leaving: rec.Leaving, CPUShare: rec.CPUShare}
+		m := Member{Node: name, Address: rec.Address, Leaving: rec.Leaving, CPUShare: rec.CPUShare, Domain: rec.Domain}
 		if token != 0 && name == holder.Node {
 			// The holder's own record is newer than what it wrote at its start.
 			m.Holds, m.Token, held = true, token, true
@@ -62,26 +64,57 @@
 // All nodes that know the same members name the same ones. Among equals they are
 // spread over the names, and so over the domains that names begin with.
 func closest(ms []Member) []string {
-	type ranked struct {
-		name  string
-		share float64
-		rank  uint32
+	rs := ranked(ms)
+	var out []string
+	for _, r := range rs[:min(len(rs), closeFollowers)] {
+		out = append(out, r.Node)
 	}
-	var rs []ranked
-	for _, m := range ms {
-		if m.Holds || m.Leaving {
-			continue
-		}
+	return out
+}
+
+// ranked returns the members that neither hold the right nor are leaving, those
+// with the most processor time first, and among equals by a hash of their names.
+func ranked(ms []Member) []Member {
+	rs := slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Holds || m.Leaving })
+	rank := make(map[string]uint32, len(rs))
+	for _, m := range rs {
 		h := fnv.New32a()
 		h.Write([]byte(m.Node))
-		rs = append(rs, ranked{m.Node, m.CPUShare, h.Sum32()})
+		rank[m.Node] = h.Sum32()
 	}
-	slices.SortFunc(rs, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name))
+	slices.SortFunc(rs, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(rank[a.Node], rank[b.Node]), strings.Compare(a.Node, b.Node))
 	})
-	var out []string
-	for _, r := range rs[:min(len(rs), closeFollowers)] {
-		out = append(out, r.name)
+	return rs
+}
+
+// readers says where a node follows the log of jobs.
+type readers struct {
+	// ahead are the addresses of the nodes of its failure domain that come
+	// before it: the first that answers is the domain's reader. With none the
+	// node reads at the holder.
+	ahead []string
+	// shared tells that other nodes of the domain may follow the log through it.
+	shared bool
+}
+
+// readersOf returns the readers of a member. A domain has one, so that the
+// holder serves one node of each and not all; in the holder's own, and where a
+// domain isn't known, each node reads at the holder itself.
+func readersOf(ms []Member, node string) readers {
+	holder := slices.IndexFunc(ms, func(m Member) bool { return m.Holds })
+	self := slices.IndexFunc(ms, func(m Member) bool { return m.Node == node })
+	if holder < 0 || self < 0 || ms[holder].Domain == "" || ms[self].Domain == "" || ms[self].Domain == ms[holder].Domain {
+		return readers{}
+	}
+	domain := slices.DeleteFunc(ranked(ms), func(m Member) bool { return m.Domain != ms[self].Domain })
+	at := slices.IndexFunc(domain, func(m Member) bool { return m.Node == node })
+	if at < 0 {
+		return readers{} // it is leaving
+	}
+	out := readers{shared: len(domain) > 1}
+	for _, m := range domain[:at] {
+		out.ahead = append(out.ahead, m.Address)
 	}
 	return out
 }
@@ -115,6 +148,8 @@
 	h, _ := n.tenure.Holder()
 	ms := Membership(n.members.records, h, n.tenure.Token())
 	n.membership.Store(&ms)
+	rs := readersOf(ms, n.set.Node)
+	n.readers.Store(&rs)
 	n.members.token = n.tenure.Token()
 	address := ""
 	if former, ok := n.tenure.Former(); ok && former.Address != n.address {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,9 @@
 	Yield(ctx context.Context, address string, token int64) error
 	// Reader returns the store as the node at the address reads it.
 	Reader(address string) store.Reader
+	// Follow reads the log of jobs from the memory of the node at the address,
+	// as Node.Followed does. After an error nothing was read.
+	Follow(ctx context.Context, address string, from int64, wait time.Duration) (store.Batch, error)
 }
 
 // Ports are what the node speaks to the world by.
@@ -81,7 +84,12 @@
 	views   *views
 	// membership is published for all goroutines.
 	membership atomic.Pointer[[]Member]
-	inspector  inspector
+	// readers is published for the goroutine that follows the log of jobs.
+	readers atomic.Pointer[readers]
+	// direct tells that this node has read the log of jobs at the holder or the
+	// store, and not through another node of its domain.
+	direct    atomic.Bool
+	inspector inspector
 	// waves are the operators' waves, by the keys of their records.
 	waves map[string]askedWave
 }
@@ -99,6 +107,7 @@
 		members: newMembers(set.Node), events: make(chan any, eventQueue), address: address,
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
 	}
+	n.readers.Store(&readers{})
 	n.reader = newRelay(ports.Store, ports.Peers, n.otherAddresses, ports.Count)
 	n.inspector.latest.Store(&Inspection{next: make(chan struct{})})
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
@@ -223,7 +232,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: &viewReader{n: n}, position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: newViewReader(n), position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: n.tenurePause}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -16,7 +16,8 @@
 const recentRecords = 2048
 
 // recent holds the newest records of the log of jobs without a gap, so that
-// the other nodes read them from the holder and not from the store.
+// the other nodes read them from the holder, or from the reader of their failure
+// domain, and not from the store.
 type recent struct {
 	mu sync.Mutex
 	// first is the offset of records[0].
@@ -67,43 +68,57 @@
 func (c *recent) end() int64 { return c.first + int64(len(c.records)) }
 
 // from returns the records from an offset on with the time at which they were
-// all, and a channel that closes when there may be more; ok is false if the
-// offset isn't covered.
+// all, and a channel that closes when there may be more; ok is false if some of
+// them aren't kept.
 func (c *recent) from(offset int64) (b store.Batch, more <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b = store.Batch{Next: c.end(), End: -1, ReadAt: c.readAt}
-	if c.first < 0 || offset < c.first || offset > b.Next {
+	b = store.Batch{Next: max(offset, c.end()), End: -1, ReadAt: c.readAt}
+	if c.first < 0 || offset < c.first {
 		return b, c.more, false
 	}
-	b.Records = append(b.Records, c.records[offset-c.first:]...)
+	// One that asks from beyond the end has read the store itself.
+	if offset < c.end() {
+		b.Records = append(b.Records, c.records[offset-c.first:]...)
+	}
 	return b, c.more, true
 }
 
 // await returns the records from an offset on as soon as there are some, none
 // after the wait. Its error is store.ErrNotDone: the log was not read for longer
-// than the bound. ok is false if the offset isn't covered.
+// than the bound. ok is false if some of the records aren't kept.
 func (c *recent) await(ctx context.Context, offset int64, wait, bound time.Duration) (b store.Batch, ok bool, err error) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for last := wait <= 0; ; {
+	until := time.Now().Add(wait)
+	for {
 		b, more, ok := c.from(offset)
-		if time.Since(b.ReadAt) > bound {
+		fresh := bound - time.Since(b.ReadAt)
+		if fresh <= 0 {
 			return store.Batch{}, false, errors.WithStack(store.ErrNotDone)
 		}
-		if !ok || last || len(b.Records) > 0 {
+		left := time.Until(until)
+		if !ok || left <= 0 || len(b.Records) > 0 {
 			return b, ok, nil
 		}
-		select {
-		case <-more:
-		case <-timeout.C:
-			last = true
-		case <-ctx.Done():
+		if !awaitMore(ctx, more, min(left, fresh)) {
 			return store.Batch{}, false, errors.WithStack(store.ErrNotDone)
 		}
 	}
 }
 
+// awaitMore waits for the channel to close, for a time at most. It reports
+// false if the context ends first.
+func awaitMore(ctx context.Context, more <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-more:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // served reads for other nodes.
 type served struct{ n *Node }
 
@@ -124,30 +139,119 @@
 	return s.n.ports.Store.Newest(ctx, p, after)
 }
 
+// Followed returns the records of the log of jobs from an offset on, for the
+// other nodes of the failure domain, as soon as there are some and none after
+// the wait. They are from this node's memory alone. Its error is
+// store.ErrNotDone; it is one also while the node follows the log through
+// another, so that no two follow it through each other.
+func (n *Node) Followed(ctx context.Context, from int64, wait time.Duration) (store.Batch, error) {
+	if n.desk.leaving.Load() || !n.direct.Load() {
+		return store.Batch{}, errors.WithStack(store.ErrNotDone)
+	}
+	b, ok, err := n.recent.await(ctx, from, wait, followedBound)
+	if err == nil && !ok {
+		return store.Batch{}, errors.WithStack(store.ErrNotDone)
+	}
+	return b, err
+}
+
 const (
 	// servedBound is how old the holder's view may be to be read by others.
 	servedBound = 600 * time.Millisecond
-	// holderTimeout bounds a read at the holder beside its wait.
-	holderTimeout = 400 * time.Millisecond
-	// holderRest is how long the store is read after the holder did not answer.
-	holderRest = 700 * time.Millisecond
+	// followedBound is the same of another node's view: as the other asks again
+	// after followWait and followedTimeout at most, well below storeSilence.
+	followedBound = time.Second
+	// followWait bounds the wait of reads in a domain that shares a reader, for
+	// the views' ages add up.
+	followWait = 200 * time.Millisecond
+	// holderTimeout bounds a read at the holder beside its wait, followedTimeout
+	// one at another node.
+	holderTimeout   = 400 * time.Millisecond
+	followedTimeout = 300 * time.Millisecond
+	// holderRest is how long the store is read after the holder did not answer,
+	// and the holder after a reader did not. A reader's rest doubles with each
+	// failure up to readerRestMost, as a lost node stays a member.
+	holderRest     = 700 * time.Millisecond
+	readerRestMost = 12 * time.Second
 )
 
-// viewReader reads the log of jobs from the holder of the right, which has it
-// at hand; from the store if this node is the holder or it does not answer.
+// rest keeps reads away from a node that did not answer.
+type rest struct {
+	until    time.Time
+	failures int
+}
+
+// viewReader reads the log of jobs from the reader of the node's domain, or else
+// from the holder of the right; both have it at hand. It reads the store if this
+// node is the holder or the holder does not answer.
 type viewReader struct {
 	n *Node
-	// restUntil is when the holder is asked again. One goroutine reads.
-	restUntil time.Time
+	// holderRest and readerRests, by address, say when who is asked again. One
+	// goroutine reads.
+	holderRest  time.Time
+	readerRests map[string]rest
 }
 
+func newViewReader(n *Node) *viewReader { return &viewReader{n: n, readerRests: map[string]rest{}} }
+
 // Read implements store.Reader.
 func (v *viewReader) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	rs := v.n.readers.Load()
+	if rs.shared {
+		wait = min(wait, followWait)
+	}
+	if address, ok := v.reader(rs.ahead); ok {
+		b, err := v.follow(ctx, address, from, wait)
+		if err == nil {
+			v.n.direct.Store(false)
+			return b, nil
+		}
+		wait = 0 // what the reader has withheld is waiting
+	}
+	b, err := v.readDirect(ctx, p, from, wait)
+	if err == nil {
+		v.n.direct.Store(true)
+	}
+	return b, err
+}
+
+// reader returns the address of the first node ahead that does not rest.
+func (v *viewReader) reader(ahead []string) (string, bool) {
+	if v.n.holding.Load() != 0 {
+		return "", false
+	}
+	for _, address := range ahead {
+		if !time.Now().Before(v.readerRests[address].until) {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// follow reads at the reader of the domain.
+func (v *viewReader) follow(ctx context.Context, address string, from int64, wait time.Duration) (store.Batch, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+followedTimeout)
+	defer cancel()
+	b, err := v.n.ports.Peers.Follow(callCtx, address, from, wait)
+	if err == nil {
+		delete(v.readerRests, address)
+		return b, nil
+	}
+	v.n.ports.Count("retry", "reader-unanswered")
+	r := v.readerRests[address]
+	r.until = time.Now().Add(min(holderRest<<min(r.failures, 6), readerRestMost))
+	r.failures++
+	v.readerRests[address] = r
+	return b, err
+}
+
+// readDirect reads at the holder, or from the store.
+func (v *viewReader) readDirect(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if v.n.holding.Load() != 0 {
 		return v.n.reader.Read(ctx, p, from, holderWait)
 	}
 	address, ok := v.n.holderAddress()
-	if !ok || time.Now().Before(v.restUntil) {
+	if !ok || time.Now().Before(v.holderRest) {
 		return v.n.reader.Read(ctx, p, from, wait)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+holderTimeout)
@@ -156,7 +260,7 @@
 	if err == nil || expired(err) {
 		return b, err
 	}
-	v.restUntil = time.Now().Add(holderRest)
+	v.holderRest = time.Now().Add(holderRest)
 	return v.n.reader.Read(ctx, p, from, 0)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,8 @@
 	Yielded(token int64)
 	// Reader reads the store directly.
 	Reader() store.Reader
+	// Followed reads the log of jobs from the node's memory alone.
+	Followed(ctx context.Context, from int64, wait time.Duration) (store.Batch, error)
 }
 
 // Handler serves the other nodes.
@@ -112,6 +114,16 @@
 	return b, nil
 }
 
+// Follow implements the Peer service.
+func (s *server) Follow(ctx context.Context, req *api.FollowRequest) (*api.ReadResponse, error) {
+	came := time.Now()
+	b, err := s.node.Followed(ctx, req.GetFrom(), time.Duration(req.GetWaitMillis())*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return encodeBatch(b, came)
+}
+
 // Newest implements the Peer service.
 func (s *server) Newest(ctx context.Context, req *api.NewestRequest) (*api.NewestResponse, error) {
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
@@ -193,6 +205,17 @@
 	return errors.Wrap(err, "peer "+address)
 }
 
+// Follow reads the log of jobs from the memory of the node at the address, as
+// Node.Followed does. After an error nothing was read.
+func (c *Client) Follow(ctx context.Context, address string, from int64, wait time.Duration) (store.Batch, error) {
+	sent := time.Now()
+	resp, err := c.node(address).Follow(ctx, &api.FollowRequest{From: from, WaitMillis: wait.Milliseconds()})
+	if err != nil {
+		return store.Batch{}, &relayError{err}
+	}
+	return decodeBatch(resp, sent)
+}
+
 // Reader returns the store as the node at the address reads it.
 func (c *Client) Reader(address string) store.Reader { return &reader{c.node(address)} }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -36,6 +36,10 @@
 
 func (v viewing) Reader() store.Reader { return viewReader{v} }
 
+func (v viewing) Followed(ctx context.Context, from int64, wait time.Duration) (store.Batch, error) {
+	return v.Reader().Read(ctx, store.Partition{}, from, wait)
+}
+
 type viewReader struct{ v viewing }
 
 func (r viewReader) Read(context.Context, store.Partition, int64, time.Duration) (store.Batch, error) {
@@ -55,18 +59,27 @@
 	const there, back = 40 * time.Millisecond, 700 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		read := func(v viewing) (store.Batch, time.Time) {
+		follow := false
+		read := func(v viewing) (b store.Batch, at time.Time) {
 			c := NewClient(slowWay{Handler(v), there, back})
 			sent := time.Now()
-			b, err := c.Reader("a:1").Read(t.Context(), store.Partition{Topic: "t"}, 3, time.Second)
+			var err error
+			if follow {
+				b, err = c.Follow(t.Context(), "a:1", 3, time.Second)
+			} else {
+				b, err = c.Reader("a:1").Read(t.Context(), store.Partition{Topic: "t"}, 3, time.Second)
+			}
 			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(b.Next).To(Equal(int64(3)))
 			return b, sent.Add(there + v.held - v.age)
 		}
 		for _, held := range []time.Duration{0, 250 * time.Millisecond, 900 * time.Millisecond} {
 			for _, age := range []time.Duration{time.Microsecond, 70 * time.Millisecond, 700400 * time.Microsecond} {
-				b, at := read(viewing{held: held, age: age})
-				g.Expect(b.ReadAt.After(at)).To(BeFalse(), "held %v, age %v", held, age)
-				g.Expect(at.Sub(b.ReadAt)).To(BeNumerically("<=", there+2*time.Millisecond), "held %v, age %v", held, age)
+				for _, follow = range []bool{false, true} {
+					b, at := read(viewing{held: held, age: age})
+					g.Expect(b.ReadAt.After(at)).To(BeFalse(), "held %v, age %v", held, age)
+					g.Expect(at.Sub(b.ReadAt)).To(BeNumerically("<=", there+2*time.Millisecond), "held %v, age %v", held, age)
+				}
 			}
 		}
 		b, _ := read(viewing{})
