A direct read whose answer waited out a stop counts from when it was sent

Cause: a process that stood still after a read was answered took the answer for new as it went on.

Change: an answer that took longer than the read's own bound (its wait and readTimeout) counts from when the read was sent. A shorter stop can still make a direct reading look newer, by that bound at most; views read at other nodes count from the request in any case.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -170,7 +170,13 @@
 // Read implements store.Reader.
 func (r *relay) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	return relayed(ctx, r, wait, func(ctx context.Context, s store.Reader, wait time.Duration) (store.Batch, error) {
-		return s.Read(ctx, p, from, wait)
+		sent := time.Now()
+		b, err := s.Read(ctx, p, from, wait)
+		if err == nil && b.ReadAt.IsZero() && time.Since(sent) > wait+readTimeout {
+			// This process has stood still: the answer may be as old as the read.
+			b.ReadAt = sent
+		}
+		return b, err
 	})
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,8 +62,8 @@
 	Next int64
 	// End is the partition's end when it was read, -1 if that isn't known.
 	End int64
-	// ReadAt is when the partition was last read up to Next, if another node has
-	// read it: now or, where the records come from its view, earlier. Zero otherwise.
+	// ReadAt is when the partition was last read up to Next, if that isn't as this
+	// read ends: the records come by way of another node. Zero otherwise.
 	ReadAt time.Time
 }
 
