--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -70,8 +70,10 @@
 	// lossUntil is until when answers of workers are taken to get lost.
 	lossUntil time.Duration
 	// delay is by how much answers are late beyond their way, smoothed over all workers.
-	delay  time.Duration
-	window window
+	delay time.Duration
+	// toldLate tells that the last decision about it was that they are late.
+	toldLate bool
+	window   window
 	// formerEnd is since when no former holder can have its right confirmed, or 0.
 	formerEnd time.Duration
 	times     []time.Duration
@@ -126,6 +128,7 @@
 	c.liftBarrier()
 	c.wakeOccurrences()
 	c.chaseOrders()
+	c.tellDelay()
 	c.tellSilence()
 	c.watchRuns()
 	c.drainHosts()
--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -36,6 +36,7 @@
 	d.run(20 * time.Second)
 	d.Expect(d.lose).To(BeZero())
 	d.Expect(d.lost).To(BeZero(), "contacts lost with workers that all answer")
+	d.Expect(d.core.Counters()).To(HaveKeyWithValue("answers-late", BeNumerically(">=", 1)), "what the log tells of it")
 	d.Expect(d.startsOn("j")).To(HaveLen(12), "no task is started again")
 }
 
--- a/internal/dispatch/trip.go
+++ b/internal/dispatch/trip.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// tripGain is the weight of the newest answer in a worker's smoothed trip.
@@ -18,6 +21,8 @@
 	delayFactor = 3
 	// lateDelay is the delay from which on a missing answer says little of the worker.
 	lateDelay = 100 * time.Millisecond
+	// timelyDelay is the delay from which down answers are told to be in time again.
+	timelyDelay = 50 * time.Millisecond
 )
 
 // answeredIn takes note of how long an answer took that the worker gave at once.
@@ -64,3 +69,15 @@
 // wayOver is how long an answer is on its way: the trip, and another one to
 // open a connection, as after a call that was given up.
 func (h *host) wayOver() time.Duration { return 2 * h.trip }
+
+// tellDelay decides that answers are late, or in time again.
+func (c *Core) tellDelay() {
+	switch {
+	case c.late() && !c.toldLate:
+		c.toldLate = true
+		c.decide(Decision{Kind: "answers-late", Reason: fmt.Sprintf("at most %d starts at once", c.window.size), Age: c.delay})
+	case c.delay < timelyDelay && c.toldLate:
+		c.toldLate = false
+		c.decide(Decision{Kind: "answers-in-time", Age: c.delay})
+	}
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -148,7 +148,10 @@
 	}
 	batch = append(batch, t.takeOrders()...)
 	batch = append(batch, dispatch.RightConfirmed{Until: n.tenure.ConfirmedUntil()})
-	for _, e := range t.core.Step(n.now(), time.Now().UnixMilli(), batch...) {
+	began := time.Now()
+	effects := t.core.Step(n.now(), began.UnixMilli(), batch...)
+	n.ports.Observe("step", time.Since(began))
+	for _, e := range effects {
 		n.carryOut(t, e)
 	}
 	n.tendMachines(t)
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -19,6 +19,7 @@
 	{"start", "s", "from an order to start to the worker's answer"},
 	{"shown", "s", "from the holder's knowing that a job is over to its being in the log"},
 	{"advice", "s", "one question to the policy service"},
+	{"step", "s", "one step of the dispatcher; its sum is the holder's processor time for deciding"},
 	{"takeover", "s", "from the begin of a term to the first placement round"},
 	{"commit", "s", "one commit of the holder, retries included"},
 	{"store-append", "s", "one append to the store"},
@@ -54,6 +55,8 @@
 	{"worker-draining", "events", "a worker gets nothing new"},
 	{"worker-isolated", "events", "a worker gets nothing new for a while, since its tasks stand still"},
 	{"worker-evacuating", "events", "a worker gets nothing new and its runs are moved, since its machine is to be taken away"},
+	{"answers-late", "events", "workers' answers reach the holder late on the whole; the age is by how much: it is short of processor time, or the links are slow"},
+	{"answers-in-time", "events", "they are in time again"},
 	{"takeover-complete", "events", "no former holder can have work running unseen any more"},
 	{"step-down", "events", "a worker has seen a higher token: this holder was fenced"},
 }
