A core that was fenced has no pass due

Cause: a core stopped by a fenced answer still told that a pass was due, so that the control goroutine looked at the time without a pause until the next term's record was read, up to 2.4 s while the right is handed over. TestCoreThatWasFencedHasNoPassDue failed before.

--- a/internal/dispatch/pass_test.go
+++ b/internal/dispatch/pass_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -47,6 +48,19 @@
 	b.Expect(b.core.placedAt).To(Equal(at))
 }
 
+func TestCoreThatWasFencedHasNoPassDue(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.run(200 * time.Millisecond)
+	b.accept("first", 1, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
+	b.accept("waits", 2, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
+	b.run(200 * time.Millisecond)
+	b.core.Step(b.now, b.now.Milliseconds(), JobAccepted{Job: b.waitingJob(), Offset: 3},
+		Held{Worker: "w1", Life: b.core.hosts["w1"].life, Code: worker.Fenced, Sent: b.now})
+	_, due := b.core.PassDue()
+	b.Expect(due).To(BeFalse())
+}
+
 // waitingJob returns a job, of a new ID each time, for which there is no room.
 func (b *bed) waitingJob() *workflow.Job {
 	return &workflow.Job{ID: b.now.String(), Queue: "q", Spec: "s",
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -58,7 +58,7 @@
 
 // PassDue returns when a pass that was put off is due, and false if none was.
 func (c *Core) PassDue() (time.Duration, bool) {
-	return c.nextPass(), c.dirty && len(c.waiting) > 0 && c.mayOrder()
+	return c.nextPass(), c.dirty && !c.stopped && len(c.waiting) > 0 && c.mayOrder()
 }
 
 // line counts a pool's waiting steps within one pass.
