A gang is stalled by the oldest of its members' lists

Cause: the progress of a gang is that of any member, but only one member's worker was looked at for a list since. If one member was through and the list of another late, the gang was stopped.

--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -52,3 +52,12 @@
 	b.run(5 * time.Second)
 	b.Expect(b.stops).NotTo(BeEmpty())
 }
+
+func TestGangIsNotStalledWhileAMembersListIsOld(t *testing.T) {
+	b := acceptGang(t)
+	b.workers["w1"].stands = 100
+	b.run(time.Second)
+	b.workers["w2"].waits = true // its next list is on the way for long
+	b.run(2 * time.Second)
+	b.Expect(b.stops).To(BeEmpty())
+}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -68,8 +68,8 @@
 	}
 	s := t.step
 	stall := r.stallTime()
-	at := r.progressedAt()
-	if c.now-at > stall && r.host.clockAt > at+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
+	progressed, listed := r.lastProgress()
+	if c.now-progressed > stall && listed > progressed+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
 		c.moveRun(r, fmt.Sprintf("it shows no progress at %.0f%%", r.percent))
 		return true
 	}
@@ -91,19 +91,20 @@
 	return false
 }
 
-// progressedAt is when the run last got on. A gang's members end together, so
-// that one that is through waits for those that get on.
-func (r *run) progressedAt() time.Duration {
-	at := r.percentAt
+// lastProgress returns when the run last got on, and when its worker's last list
+// came. A gang's members end together, so that one that is through waits for
+// those that get on: for a gang it is the last progress and the oldest list of any.
+func (r *run) lastProgress() (progressed, listed time.Duration) {
+	progressed, listed = r.percentAt, r.host.clockAt
 	if !r.task.step.def.Gang {
-		return at
+		return progressed, listed
 	}
 	for i := range r.task.step.tasks {
 		for _, x := range r.task.step.tasks[i].runs {
-			at = max(at, x.percentAt)
+			progressed, listed = max(progressed, x.percentAt), min(listed, x.host.clockAt)
 		}
 	}
-	return at
+	return progressed, listed
 }
 
 // stallTime is how long the run may show no progress: progress is told in
