The window of starts holds for gangs and after calm times

Cause: gangs were started without a look at the window (80 starts in one step at a window of 16), and the window grew with each answer whether it was in use or not (512 after 300 single starts), so that a burst found it open. While it was shut, whole passes were left out and with them questions to the policy service. Change: gangs ask; it grows while at least half of it is in use; passes are made, further apart (25 ms) while answers are late.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -51,6 +51,9 @@
 			return false
 		}
 	}
+	if !c.window.open() {
+		return false
+	}
 	plan := c.planGang(s)
 	if plan == nil {
 		return false
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -14,10 +14,6 @@
 	}
 	c.placedAt = c.now
 	c.adjustWindow()
-	if !c.window.open() {
-		c.dirty = true
-		return
-	}
 	c.round++
 	c.sortWaiting()
 	c.countWaiting()
@@ -50,6 +46,8 @@
 	switch {
 	case c.placedAt == 0:
 		return 0
+	case c.dirty && c.late():
+		return c.placedAt + latePassGap
 	case c.dirty:
 		return c.placedAt + passGap
 	}
@@ -106,8 +104,10 @@
 const (
 	// placeEvery is how often a pass is made when nothing has changed.
 	placeEvery = 50 * time.Millisecond
-	// passGap is the least time between two passes.
-	passGap = 10 * time.Millisecond
+	// passGap is the least time between two passes, latePassGap the same while
+	// workers' answers are late.
+	passGap     = 10 * time.Millisecond
+	latePassGap = 25 * time.Millisecond
 	// lineHead and linePart bound the waiting steps of a pool that are looked at in one pass.
 	lineHead, linePart = 24, 16
 )
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -28,8 +28,12 @@
 // sent counts a start.
 func (w *window) sent(r *run) { w.runs = append(w.runs, r) }
 
-// answered lets the window grow.
-func (w *window) answered() { w.size = min(w.size+1, mostWindow) }
+// answered lets the window grow if it is in use.
+func (w *window) answered() {
+	if len(w.runs) >= w.size/2 {
+		w.size = min(w.size+1, mostWindow)
+	}
+}
 
 // adjustWindow drops the starts that count no more and cuts the window while
 // answers are late.
