A start without an answer isn't sent again to a draining worker

Cause: the second try of a start went out whatever had become of the worker: to one that drains, and with the ticket of the first try, which may have run out. Change: it is stopped instead if the worker drains, and carries the newest ticket. TestStartWithoutAnAnswerIsNotSentAgainToADrainingWorker failed before.

--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -50,3 +50,17 @@
 	d.Expect(d.core.late()).To(BeFalse())
 
 }
+
+func TestStartWithoutAnAnswerIsNotSentAgainToADrainingWorker(t *testing.T) {
+	b := newBed(t, "w1")
+	b.list()
+	b.run(time.Second)
+	b.workers["w1"].refuse = worker.Unknown
+	b.accept("j", 1, workflow.Step{}, workflow.Progress{})
+	b.run(tickTime)
+	b.Expect(b.starts).To(HaveLen(1))
+	b.core.hosts["w1"].draining = b.now
+	b.run(time.Second)
+	b.Expect(b.starts).To(HaveLen(1))
+	b.Expect(b.stops).NotTo(BeEmpty())
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -139,6 +139,8 @@
 	r.orderOut, r.orderAt, h.chase = true, c.now, true
 	if r.tries == 1 {
 		c.window.sent(r)
+	} else if ticket, ok := c.ticketFor(r.task.step, h); ok {
+		r.ticket = ticket
 	}
 	deadline := c.clockNow(h) + c.set.Lease.Milliseconds()
 	h.granted = max(h.granted, deadline)
@@ -307,7 +309,7 @@
 			switch {
 			case r.state == stopping && r.stopAcked == 0:
 				c.sendStop(r)
-			case r.state == starting && r.doubtful && (r.tries >= startTries || !c.mayOrder() || r.task.step.occ.job.over()):
+			case r.state == starting && r.doubtful && (r.tries >= startTries || !c.mayOrder() || h.draining > 0 || r.task.step.occ.job.over()):
 				c.stopRun(r, "no answer to its start")
 			case r.state == starting && r.doubtful:
 				c.sendStart(r)
