Patience for late answers has bounds, and a cut isn't taken for the node's own delay

Cause: missing answers counted with the whole time that they were waited for, of which the node's delay was a part, so that the delay fed itself: with a third of the workers cut off it ran to its bound, contact was given up after 4.0 s in place of 1.0 s, and the tasks there began again 2 s later. Orders could be out for 4 s and more, beyond the platform's bounds on draining workers and gangs, and one hold without an answer could take a whole lease. Change: a missing answer counts once for each silence and as the least that it was late; what is added to the patience is 1 s at most; a hold is given up in time for another within the lease.

--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -51,6 +51,30 @@
 
 }
 
+func TestCutOfManyWorkersIsNotTakenForTheNodesOwnDelay(t *testing.T) {
+	d := newCrowd(t, 5*time.Millisecond, 30)
+	for i := range 10 {
+		d.workers[fmt.Sprintf("w%02d", i)].waits = true
+	}
+	d.run(3 * time.Second)
+	d.Expect(d.lost).To(Equal(10), "contacts lost within 3 s")
+}
+
+func TestPatienceKeepsWithinThePlatformsBounds(t *testing.T) {
+	d := newCrowd(t, 5*time.Millisecond, 3)
+	d.core.delay = mostDelay
+	h := d.core.hosts["w00"]
+	for _, r := range h.sortedRuns() {
+		d.Expect(d.core.patience(r)).To(BeNumerically("<", 2500*time.Millisecond), "an order on a worker that begins to drain")
+	}
+	h.holding = false
+	d.core.out = nil
+	d.core.hold(h)
+	hold, ok := d.core.out[0].(HoldWorker)
+	d.Expect(ok).To(BeTrue())
+	d.Expect(2*hold.Patience).To(BeNumerically("<=", d.core.set.Lease), "two holds within a lease")
+}
+
 func TestStartWithoutAnAnswerIsNotSentAgainToADrainingWorker(t *testing.T) {
 	b := newBed(t, "w1")
 	b.list()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -73,8 +73,15 @@
 		hold.Wait, slack = min(hold.Wait, lossWait), lossSlack
 	}
 	h.toldNoted = hold.LastSeen
-	h.heldFor, h.holdSlack = hold.Wait, slack+h.wayOver()+c.allowance()
-	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: h.heldFor + h.holdSlack})
+	h.heldFor = hold.Wait
+	patience := h.heldFor + slack + h.wayOver()
+	if len(h.runs) == 0 {
+		patience += c.allowance()
+	} else {
+		// Leases must outlast a hold that gets no answer, and the next one.
+		patience = max(patience, min(patience+c.allowance(), c.set.Lease/2))
+	}
+	c.emit(HoldWorker{Life: h.life, Hold: hold, Patience: patience})
 }
 
 // awaitsList reports whether a list is wanted at once, to see runs gone.
@@ -112,7 +119,7 @@
 		return
 	default:
 		h.absences = 0
-		c.unanswered(h, ev.Sent, h.holdSlack)
+		c.unanswered(h, ev.Sent, lossSlack)
 		h.nextHold = c.now + holdRetry
 		if h.silent <= 1 {
 			h.nextHold = c.now // one lost answer
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -41,8 +41,9 @@
 	granted int64
 	// heardAt is when the last answer came.
 	heardAt time.Duration
-	// silent counts orders without an answer since then.
+	// silent counts orders without an answer since then; missed tells of any.
 	silent int
+	missed bool
 	// doubts are starts without an answer that may yet be carried out.
 	doubts []doubt
 	// absences counts holds in a row that found nothing listening.
@@ -57,10 +58,8 @@
 	toldNoted   int64
 	holding     bool
 	// heldFor is the wait of the last hold.
-	heldFor time.Duration
-	// holdSlack is how long its answer was waited for beside that.
-	holdSlack time.Duration
-	nextHold  time.Duration
+	heldFor  time.Duration
+	nextHold time.Duration
 	// holdFailed tells that the last hold had no lists for an answer, so the
 	// worker may have another life since.
 	holdFailed bool
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -168,7 +168,7 @@
 	if h.silent > 0 {
 		c.dirty = true
 	}
-	h.heardAt, h.silent = c.now, 0
+	h.heardAt, h.silent, h.missed = c.now, 0, false
 }
 
 func (c *Core) startAnswered(ev Started) {
@@ -199,7 +199,7 @@
 	case worker.Unknown:
 		r.doubtful = true
 		h.remember(r, c.now)
-		c.unanswered(h, r.orderAt, c.now-r.orderAt)
+		c.unanswered(h, r.orderAt, firstPatience)
 		if h.silent == 0 {
 			c.answerLost()
 		}
@@ -227,7 +227,7 @@
 	case worker.NotDone:
 		// It got no connection in time, or the worker takes nothing now.
 		r.host.health.pauseUntil = c.now + roomPause
-		c.unanswered(r.host, r.orderAt, c.now-r.orderAt)
+		c.unanswered(r.host, r.orderAt, min(c.now-r.orderAt, firstPatience))
 	case worker.Absent:
 		r.host.silent++
 	}
@@ -289,7 +289,7 @@
 		r.nextOrder = c.now + orderRetry*time.Duration(min(r.tries, 6))
 		c.reasons["stop-"+ev.Code.String()]++
 		if ev.Code == worker.Unknown {
-			c.unanswered(r.host, r.orderAt, c.now-r.orderAt)
+			c.unanswered(r.host, r.orderAt, firstPatience)
 		}
 	}
 }
--- a/internal/dispatch/trip.go
+++ b/internal/dispatch/trip.go
@@ -17,8 +17,11 @@
 	// and mostDelay bounds what one answer says of it.
 	delayGain = 1.0 / 16
 	mostDelay = time.Second
-	// delayFactor is how many of the node's delays are added to its patience.
-	delayFactor = 3
+	// delayFactor is how many of the node's delays are added to its patience, and
+	// mostAllowance bounds what is added: an order that goes on for longer than the
+	// platform's bounds on draining, cancelling and gangs would break them.
+	delayFactor   = 3
+	mostAllowance = time.Second
 	// lateDelay is the delay from which on a missing answer says little of the worker.
 	lateDelay = 100 * time.Millisecond
 	// timelyDelay is the delay from which down answers are told to be in time again.
@@ -48,17 +51,19 @@
 }
 
 // allowance is what the node's own delay adds to the patience for an answer.
-func (c *Core) allowance() time.Duration { return delayFactor * c.delay }
+func (c *Core) allowance() time.Duration { return min(delayFactor*c.delay, mostAllowance) }
 
 // late reports whether answers are late by this node's own delay.
 func (c *Core) late() bool { return c.delay > lateDelay }
 
-// unanswered takes note of a call sent at the given time whose answer was waited
-// for in vain, beside the worker's own wait. A worker that has answered anything
-// since is not silent, nor is one that was heard lately while answers are late.
-func (c *Core) unanswered(h *host, sent, waited time.Duration) {
-	if h.silent == 0 {
-		c.delayed(waited - h.shortest)
+// unanswered takes note of a call sent at the given time whose answer was late
+// by the given time at least. A worker that has answered anything since is not
+// silent, nor is one that was heard lately while answers are late.
+func (c *Core) unanswered(h *host, sent, late time.Duration) {
+	// Of a worker that was cut off, only the first call says something of this node.
+	if !h.missed {
+		h.missed = true
+		c.delayed(late)
 	}
 	if h.heardAt > sent || c.late() && c.now-h.heardAt < contactBound {
 		return
