A lasting task that has waited for a second goes before finite work

What callers saw (LOST): two lasting tasks lapsed at 24 and 25 s and ran again at 64 and 66 s, with capacity for them.

Cause: waiting steps were placed by priority alone. While urgent work waits, each room that becomes free goes to it, also room that was made for the lasting task, so that its restart waits until the backlog is gone. Change: a step of which a lasting task has waited for 1 s is placed first, and room made for it is closed to others. TestLastingTaskRunsAgainThoughUrgentWorkTakesAllRoom failed before (no start in 6 s of a backlog).

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -62,6 +62,8 @@
 	ready   bool
 	// queued tells that the step is in the list of waiting steps.
 	queued bool
+	// overdue tells that a task of it that lasts has waited for too long.
+	overdue bool
 	// perWorker counts live runs by worker, for steps with a bound on it.
 	perWorker map[*host]int
 	// candidates are the workers worked out in the round candidatesOf.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -108,12 +108,20 @@
 	// workers' answers are late.
 	passGap     = 10 * time.Millisecond
 	latePassGap = 25 * time.Millisecond
+	// lastingPatience is how long a task that lasts waits for room behind more urgent work.
+	lastingPatience = time.Second
 	// lineHead and linePart bound the waiting steps of a pool that are looked at in one pass.
 	lineHead, linePart = 24, 16
 )
 
 func (c *Core) sortWaiting() {
+	for _, s := range c.waiting {
+		s.overdue = c.isOverdue(s)
+	}
 	sort.SliceStable(c.waiting, func(a, b int) bool {
+		if c.waiting[a].overdue != c.waiting[b].overdue {
+			return c.waiting[a].overdue
+		}
 		x, y := c.waiting[a].occ.job, c.waiting[b].occ.job
 		if lx, ly := c.hopeless(x), c.hopeless(y); lx != ly {
 			return ly
@@ -128,6 +136,20 @@
 	})
 }
 
+// isOverdue reports whether a task that lasts has waited for so long that it
+// goes before all finite work.
+func (c *Core) isOverdue(s *step) bool {
+	if !s.def.LongRunning {
+		return false
+	}
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.waits(c.now) && c.now-max(s.readyAt, t.waitingSince) > lastingPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // hopeless reports whether the job can't be of use in time any more.
 func (c *Core) hopeless(j *job) bool {
 	return j.known && j.def.Times == 0 && !j.def.LongRunning() && c.wall > j.horizon
@@ -266,7 +288,7 @@
 	if s.perWorker != nil && s.perWorker[h] >= s.def.MostPerWorker {
 		return false
 	}
-	if h.reserved != nil && h.reserved != s && h.reserved.occ.job.queue.Priority <= s.occ.job.queue.Priority {
+	if h.reserved != nil && h.reserved != s && (h.reserved.overdue || h.reserved.occ.job.queue.Priority <= s.occ.job.queue.Priority) {
 		return false
 	}
 	if h.health.probing && len(h.runs) > 0 {
