--- a/internal/dispatch/pass_test.go
+++ b/internal/dispatch/pass_test.go
@@ -10,7 +10,8 @@
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
-func TestEventsInQuickSuccessionShareAPlacementPass(t *testing.T) {
+// newFullBed returns a bed whose one worker is busy while a second job waits.
+func newFullBed(t *testing.T) *bed {
 	b := newBed(t, "w1")
 	b.list()
 	b.run(200 * time.Millisecond)
@@ -18,6 +19,11 @@
 	b.accept("waits", 2, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
 	b.run(200 * time.Millisecond)
 	b.Expect(b.core.waiting).To(HaveLen(1))
+	return b
+}
+
+func TestEventsInQuickSuccessionShareAPlacementPass(t *testing.T) {
+	b := newFullBed(t)
 
 	passes, last := 0, b.core.placedAt
 	for range 100 {
@@ -49,12 +55,7 @@
 }
 
 func TestCoreThatWasFencedHasNoPassDue(t *testing.T) {
-	b := newBed(t, "w1")
-	b.list()
-	b.run(200 * time.Millisecond)
-	b.accept("first", 1, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
-	b.accept("waits", 2, workflow.Step{EstimateMillis: 60000}, workflow.Progress{})
-	b.run(200 * time.Millisecond)
+	b := newFullBed(t)
 	b.core.Step(b.now, b.now.Milliseconds(), JobAccepted{Job: b.waitingJob(), Offset: 3},
 		Held{Worker: "w1", Life: b.core.hosts["w1"].life, Code: worker.Fenced, Sent: b.now})
 	_, due := b.core.PassDue()
