One place each: how long a task has waited, a smoothed time, a test worker's entry

No change of behaviour; assertions are as they were. Left: refusal() tells 'reserved' more widely than feasible() refuses, as before; one predicate would change what explain tells.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -61,6 +61,11 @@
 	return b
 }
 
+// testInfo is the list's entry of a worker of one core.
+func testInfo(id string, born int64) worker.Info {
+	return worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: born, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}}
+}
+
 // list brings the platform's list, of all workers but those named.
 func (b *bed) list(without ...string) {
 	var infos []worker.Info
@@ -69,8 +74,7 @@
 		if w == nil || len(without) > 0 && without[0] == id {
 			continue
 		}
-		infos = append(infos, worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: w.lists.Born,
-			Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}})
+		infos = append(infos, testInfo(id, w.lists.Born))
 	}
 	b.next = append(b.next, WorkersListed{infos})
 }
--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -20,7 +20,7 @@
 	d := newDistance(t, trip, ids...)
 	var infos []worker.Info
 	for _, id := range ids {
-		infos = append(infos, worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: 1, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}})
+		infos = append(infos, testInfo(id, 1))
 	}
 	d.next = append(d.next, WorkersListed{infos})
 	d.accept("j", testOffset+1, workflow.Step{Count: count}, workflow.Progress{})
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		t := s.firstWaiting(c.now)
-		if t == nil || !t.waits(c.now) || c.now-max(s.readyAt, t.waitingSince) < over || c.suspected(t) || looked[k] >= mostLooks {
+		if t == nil || !t.waits(c.now) || c.waited(t) < over || c.suspected(t) || looked[k] >= mostLooks {
 			continue
 		}
 		if looked[k]++; !c.lacksRoom(t) {
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -133,7 +133,7 @@
 		case len(t.runs) == 0:
 			v.Waiting++
 			if s.ready {
-				v.Waited = max(v.Waited, c.now-max(s.readyAt, t.waitingSince))
+				v.Waited = max(v.Waited, c.waited(t))
 			}
 		case t.stoppingOnly():
 			v.Stopping++
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -116,6 +116,9 @@
 	return !t.done && len(t.runs) == 0 && now >= t.notBefore
 }
 
+// waited is how long the task has waited for a start since its step's turn came.
+func (c *Core) waited(t *task) time.Duration { return c.now - max(t.step.readyAt, t.waitingSince) }
+
 func (t *task) drop(r *run) {
 	for i, x := range t.runs {
 		if x == r {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -143,7 +143,7 @@
 		return false
 	}
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.waits(c.now) && c.now-max(s.readyAt, t.waitingSince) > lastingPatience {
+		if t := &s.tasks[i]; t.waits(c.now) && c.waited(t) > lastingPatience {
 			return true
 		}
 	}
@@ -260,7 +260,7 @@
 // data than run on this one: for a part of the time that it would lose.
 func (c *Core) betterNear(t *task, h *host) bool {
 	s := t.step
-	if s.def.Rack == "" || h.info.Rack() == s.def.Rack || c.now-max(s.readyAt, t.waitingSince) > c.remoteLoss(s) {
+	if s.def.Rack == "" || h.info.Rack() == s.def.Rack || c.waited(t) > c.remoteLoss(s) {
 		return false
 	}
 	for _, x := range c.pools[s.occ.job.queue.Pool] {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -129,7 +129,7 @@
 		c.markDirty(j)
 	}
 	c.decide(Decision{Kind: "task-started", Job: j.def.ID, Task: r.id.String(), Worker: h.info.ID, Run: number,
-		Age: c.now - max(s.readyAt, t.waitingSince), Queued: queued})
+		Age: c.waited(t), Queued: queued})
 	return r
 }
 
--- a/internal/dispatch/trip.go
+++ b/internal/dispatch/trip.go
@@ -28,26 +28,31 @@
 	timelyDelay = 50 * time.Millisecond
 )
 
+// smoothed moves a smoothed time towards its newest value by the gain, 0 to 1.
+func smoothed(old, newest time.Duration, gain float64) time.Duration {
+	return old + time.Duration(gain*float64(newest-old))
+}
+
 // answeredIn takes note of how long an answer took that the worker gave at once.
 func (c *Core) answeredIn(h *host, took time.Duration) {
 	took = max(took, 0)
 	if h.shortest == 0 || took < h.shortest {
 		h.shortest = took
 	}
-	h.shortest += time.Duration(shortestGain * float64(took-h.shortest))
+	h.shortest = smoothed(h.shortest, took, shortestGain)
 	c.delayed(took - h.shortest)
 	took = min(took, mostTrip)
 	if h.trip == 0 {
 		h.trip = took
 		return
 	}
-	h.trip += time.Duration(tripGain * float64(took-h.trip))
+	h.trip = smoothed(h.trip, took, tripGain)
 }
 
 // delayed takes note of how much longer than its way an answer took. Late answers
 // of many workers mean that this node itself is late to send or to read.
 func (c *Core) delayed(by time.Duration) {
-	c.delay += time.Duration(delayGain * float64(min(max(by, 0), mostDelay)-c.delay))
+	c.delay = smoothed(c.delay, min(max(by, 0), mostDelay), delayGain)
 }
 
 // allowance is what the node's own delay adds to the patience for an answer.
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -49,7 +49,7 @@
 		needs = c.needs(s)
 	}
 	c.decide(Decision{Kind: "job-waits", Job: s.occ.job.def.ID, Task: t.id().String(), Outcome: reason, Reason: detail,
-		Needs: needs, Age: c.now - max(s.readyAt, t.waitingSince)})
+		Needs: needs, Age: c.waited(t)})
 }
 
 // needs tells what a step asks for, and how many workers of its pool could give
--- a/internal/dispatch/window_test.go
+++ b/internal/dispatch/window_test.go
@@ -18,7 +18,7 @@
 	for i := range count {
 		id := fmt.Sprintf("w%03d", i)
 		ids = append(ids, id)
-		infos = append(infos, worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: 1, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}})
+		infos = append(infos, testInfo(id, 1))
 	}
 	b := newBed(t, ids...)
 	b.next = append(b.next, WorkersListed{infos})
