Emulator: the store's reads share a rate, calls have a rate

Change: LogConfig.ReadBytesPerSecond (answers are sent one after the other, also those that nobody waits for any more), ReadsPerSecond, WritesPerSecond; LogUsage counts bytes of answers.

--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/mimosaspool/mimosaspool/internal/store"
 )
 
@@ -34,10 +37,20 @@
 	Retention, AppendTime, Latency time.Duration
 	// BytesPerSecond is how fast a partition writes; 0 is without bound.
 	BytesPerSecond int64
+	// ReadBytesPerSecond is how fast the answers to all nodes' reads are sent, one
+	// after the other; 0 is without bound.
+	ReadBytesPerSecond int64
+	// ReadsPerSecond and WritesPerSecond bound the calls of all nodes together;
+	// those beyond are refused. 0 is without bound.
+	ReadsPerSecond, WritesPerSecond float64
 }
 
-// LogUsage counts the calls of a node, refused ones included.
-type LogUsage struct{ Appends, Reads, Pages int }
+// LogUsage counts the calls of a node, refused ones included, and the bytes of
+// the answers to its reads.
+type LogUsage struct {
+	Appends, Reads, Pages int
+	ReadBytes             int64
+}
 
 // Log is the platform's store. Its methods may be called concurrently.
 type Log struct {
@@ -48,6 +61,9 @@
 	partitions map[store.Partition]*partition
 	faults     logFaults
 	usage      map[string]LogUsage
+	// sent is when the last answer to a read that was begun will have been sent.
+	sent          time.Time
+	reads, writes *rate.Limiter
 }
 
 // NewLog returns an empty log.
@@ -61,7 +77,52 @@
 		partitions: map[store.Partition]*partition{},
 		faults:     logFaults{},
 		usage:      map[string]LogUsage{},
+		reads:      callLimiter(cfg.ReadsPerSecond),
+		writes:     callLimiter(cfg.WritesPerSecond),
+	}
+}
+
+// callLimiter returns a limiter of calls a second; 0 is without bound.
+func callLimiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
+}
+
+// transfer lines an answer up for sending, and returns how long that takes.
+func (l *Log) transfer(node string, size int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.usage[node]
+	u.ReadBytes += int64(size)
+	l.usage[node] = u
+	if l.cfg.ReadBytesPerSecond <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if l.sent.Before(now) {
+		l.sent = now
+	}
+	l.sent = l.sent.Add(time.Duration(float64(size) / float64(l.cfg.ReadBytesPerSecond) * float64(time.Second)))
+	return l.sent.Sub(now)
+}
+
+// recordOverhead is what an answer holds of a record beside its key and value, in bytes.
+const recordOverhead = 40
+
+// answerBytes is about how large an answer with the records is; values are in
+// base64 where the platform sends them as text.
+func answerBytes(records []store.Numbered, text bool) int {
+	size := 0
+	for _, r := range records {
+		value := len(r.Value)
+		if text {
+			value = base64.StdEncoding.EncodedLen(value)
+		}
+		size += len(r.Key) + value + recordOverhead
 	}
+	return size
 }
 
 // Client returns the log as a node reaches it.
@@ -125,7 +186,7 @@
 func (c *logClient) Append(ctx context.Context, name store.Partition, records []store.Record, opt store.AppendOptions) (store.Appended, error) {
 	c.count(func(u *LogUsage) { u.Appends++ })
 	fault := c.log.fault(c.node)
-	if fault.refuse {
+	if fault.refuse || !c.log.writes.Allow() {
 		return store.Appended{}, store.ErrNotDone
 	}
 	request := &appendRequest{log: c.log, node: c.node, name: name, records: copyRecords(records), opt: copyOptions(opt)}
@@ -145,10 +206,10 @@
 func (c *logClient) Read(ctx context.Context, name store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	c.count(func(u *LogUsage) { u.Reads++ })
 	var batch store.Batch
-	err := c.visit(ctx, func() error {
+	err := c.visit(ctx, func() (int, error) {
 		var err error
 		batch, err = c.log.poll(ctx, name, from, min(wait, MaxReadWait))
-		return err
+		return answerBytes(batch.Records, false), err
 	})
 	return batch, err
 }
@@ -157,27 +218,29 @@
 func (c *logClient) Newest(ctx context.Context, name store.Partition, after string) (store.Page, error) {
 	c.count(func(u *LogUsage) { u.Pages++ })
 	var page store.Page
-	err := c.visit(ctx, func() error {
+	err := c.visit(ctx, func() (int, error) {
 		c.log.mu.Lock()
 		defer c.log.mu.Unlock()
 		page = c.log.partition(name).page(after)
-		return nil
+		return answerBytes(page.Records, true), nil
 	})
 	return page, err
 }
 
-// visit carries a read to the log and back; what is lost on the way is ErrNotDone.
-func (c *logClient) visit(ctx context.Context, read func() error) error {
+// visit carries a read, which returns the size of its answer, to the log and
+// back; what is lost on the way is ErrNotDone.
+func (c *logClient) visit(ctx context.Context, read func() (int, error)) error {
 	fault := c.log.fault(c.node)
-	if fault.refuse {
+	if fault.refuse || !c.log.reads.Allow() {
 		return store.ErrNotDone
 	}
 	latency := fault.scale(c.log.cfg.Latency)
 	if !pause(ctx, latency) || !c.passes(ctx) {
 		return store.ErrNotDone
 	}
-	err := read()
-	if !pause(ctx, latency) || !c.passes(ctx) || c.log.drawLoss(c.node) {
+	size, err := read()
+	// An answer is sent even when nobody waits for it any more.
+	if !pause(ctx, latency+c.log.transfer(c.node, size)) || !c.passes(ctx) || c.log.drawLoss(c.node) {
 		return store.ErrNotDone
 	}
 	return err
--- a/internal/emulator/log_test.go
+++ b/internal/emulator/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +197,40 @@
 		})
 	}
 }
+
+func TestReadsShareOneRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := NewWithT(t), t.Context()
+		l := NewLog(LogConfig{Seed: 1, ReadBytesPerSecond: 1 << 20})
+		keyed := store.Partition{Topic: "keyed.jobs"}
+		l.Put(keyed, store.Record{Key: "k", Value: make([]byte, 3<<18)}) // 1 MiB in base64
+		began := time.Now()
+		var wg sync.WaitGroup
+		for _, node := range []string{"a", "b", "c"} {
+			wg.Go(func() {
+				_, err := l.Client(node).Newest(ctx, keyed, "")
+				g.Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		wg.Wait()
+		g.Expect(time.Since(began)).To(BeNumerically("~", 3*time.Second, 50*time.Millisecond))
+		g.Expect(l.Usage("a").ReadBytes).To(BeNumerically(">=", 1<<20))
+	})
+}
+
+func TestCallsBeyondTheRateAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := NewWithT(t), t.Context()
+		l := NewLog(LogConfig{Seed: 1, ReadsPerSecond: 2, WritesPerSecond: 1})
+		c := l.Client("a")
+		read := func() error { _, err := c.Read(ctx, jobsPart, 0, 0); return err }
+		write := func() error {
+			_, err := c.Append(ctx, jobsPart, rec("k", "v"), store.AppendOptions{})
+			return err
+		}
+		g.Expect([]error{read(), read(), write()}).To(HaveEach(Succeed()))
+		g.Expect([]error{read(), write()}).To(HaveEach(MatchError(store.ErrNotDone)))
+		time.Sleep(2 * time.Second)
+		g.Expect([]error{read(), write()}).To(HaveEach(Succeed()))
+	})
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -148,6 +148,8 @@
 	// retention is how long a finished job's state is kept.
 	retention time.Duration
 	seeds     uint64
+	// log has the bounds of the store; its seed is the cluster's.
+	log emulator.LogConfig
 }
 
 var (
@@ -238,7 +240,8 @@
 		logger: logrus.New(), processes: map[string]*process{}, options: set}
 	c.ctx, c.cancel = context.WithCancel(t.Context())
 	c.logger.SetOutput(io.Discard)
-	c.log = emulator.NewLog(emulator.LogConfig{Seed: seed})
+	set.log.Seed = seed
+	c.log = emulator.NewLog(set.log)
 	c.fleet = emulator.NewFleet(emulator.FleetConfig{Seed: seed, Work: behaviour, ApprovedShare: 0.85,
 		StrictLives: c.strictLives, Advice: map[string]workflow.Advice{"advised": testPolicy}})
 	for i := 1; i <= 6; i++ {
--- /dev/null
+++ b/internal/node/recovery_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/emulator"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+const (
+	// dispatchBound and acceptBound are within what time of the nodes' start a
+	// site dispatches, and each of its nodes accepts a job (issue 20).
+	dispatchBound = 4 * time.Second
+	acceptBound   = 3 * time.Second
+	// startSpread is within what time of each other all nodes start (DEPLOY.md).
+	startSpread = 300 * time.Millisecond
+	// readRate is how fast the store answers all reads, in bytes a second (readMbS).
+	readRate = 80 << 20
+	// siteDomains is the number of failure domains of a grown site.
+	siteDomains = 6
+	// openShare is one in how many jobs has not ended.
+	openShare = 10
+	// specBytes is the size of a caller's text.
+	specBytes = 250
+	// askEvery is how often callers ask each node for jobs while it starts.
+	askEvery = 100 * time.Millisecond
+)
+
+// siteStart is what a site is like whose nodes all start at the same time.
+type siteStart struct {
+	nodes, jobs int
+	readRate    int64
+	seed        uint64
+	// during, if not nil, disturbs the start.
+	during func(s *site)
+}
+
+// site is a cluster whose log holds jobs when its nodes start.
+type site struct {
+	*cluster
+	began time.Time
+	mu    sync.Mutex
+	// dispatched is how long after the start the first node dispatched; accepted
+	// is by node when it first accepted a job.
+	dispatched time.Duration
+	accepted   map[string]time.Duration
+}
+
+// playStart starts the nodes and waits until they all accept jobs and one
+// dispatches, or for three times the bounds.
+func playStart(t *testing.T, set siteStart, check func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		with := brief
+		with.log = emulator.LogConfig{ReadBytesPerSecond: set.readRate, ReadsPerSecond: 6000, WritesPerSecond: 1200, Latency: 2 * time.Millisecond}
+		s := &site{cluster: newCluster(t, set.seed, with), accepted: map[string]time.Duration{}}
+		defer s.close()
+		s.fill(set.jobs)
+		s.adapt = s.place
+		s.began = time.Now()
+		for i := range set.nodes {
+			name := fmt.Sprintf("n%03d", i)
+			s.callers.Go(func() {
+				s.mu.Lock()
+				wait := time.Duration(s.random.Int64N(int64(startSpread)))
+				s.mu.Unlock()
+				pauseFor(s.ctx, wait)
+				s.ask(s.boot(name))
+			})
+		}
+		if set.during != nil {
+			set.during(s)
+		}
+		time.Sleep(time.Until(s.began.Add(3 * dispatchBound)))
+		check(s)
+	})
+}
+
+// place gives a node its failure domain and size: the first of each domain is large.
+func (s *site) place(p *process, set *Settings, ports *Ports) {
+	var i int
+	_, err := fmt.Sscanf(p.name, "n%d", &i)
+	s.Expect(err).NotTo(HaveOccurred())
+	set.Domain, set.Limits.CPUShare = fmt.Sprint("d", i%siteDomains), 0.192
+	if i < 2*siteDomains {
+		set.Limits.CPUShare = 0.8
+	}
+	ports.Observe = func(name string, _ time.Duration) {
+		if name == "takeover" {
+			s.note(func() { s.dispatched = time.Since(s.began) })
+		}
+	}
+}
+
+func (s *site) note(edit func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit()
+}
+
+// fill writes jobs into the log as holders leave them, most of them ended.
+func (s *site) fill(jobs int) {
+	q := s.catalog.Queues["advised"]
+	var records []store.Record
+	for i := range jobs {
+		job := oneTask(fmt.Sprintf("00000000%08x", i))
+		job.Queue, job.Policy, job.Spec = q.Name, &q, strings.Repeat("s", specBytes)
+		job.AcceptedMillis = time.Now().UnixMilli()
+		value, err := json.Marshal(job)
+		s.Expect(err).NotTo(HaveOccurred())
+		records = append(records, store.Record{Key: jobKey + job.ID, Value: value})
+		if i%openShare == 0 {
+			continue
+		}
+		value, err = json.Marshal(workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, Finished: 1})
+		s.Expect(err).NotTo(HaveOccurred())
+		records = append(records, store.Record{Key: progressKey + job.ID, Value: value})
+	}
+	s.log.Put(jobsPartition, records...)
+}
+
+// ask is what callers ask of a node while it starts: the states of jobs that
+// they handed in before, and whether it takes another.
+func (s *site) ask(p *process) {
+	desk, q := p.node.Desk(), s.catalog.Queues["plain"]
+	for i := 0; time.Since(s.began) < 3*dispatchBound && s.ctx.Err() == nil; i++ {
+		known := fmt.Sprintf("00000000%08x", i)
+		s.callers.Go(func() { desk.State(s.ctx, &q, known) })
+		job := oneTask(fmt.Sprintf("%s%012x", p.name, i))
+		s.fleet.Know(&job, q.Pool, q.Attempts)
+		if _, _, o := desk.Match(q.Host, q.Prefix); o.Code == intake.OK && desk.Submit(s.ctx, &q, job).Code == intake.OK {
+			s.note(func() { s.accepted[p.name] = time.Since(s.began) })
+			return
+		}
+		pauseFor(s.ctx, askEvery)
+	}
+}
+
+// slowest returns the time after which the last of all nodes accepted a job, and
+// how many never did.
+func (s *site) slowest(nodes int) (took time.Duration, never int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.accepted {
+		took = max(took, at)
+	}
+	return took, nodes - len(s.accepted)
+}
+
+// readBytes returns the bytes that the store has answered all reads with.
+func (s *site) readBytes(nodes int) int64 {
+	var sum int64
+	for i := range nodes {
+		sum += s.log.Usage(fmt.Sprintf("n%03d", i)).ReadBytes
+	}
+	return sum
+}
+
+func TestSiteRecoversInTimeFromTheLossOfAllNodes(t *testing.T) {
+	for _, size := range []siteStart{{nodes: 39, jobs: 5000}, {nodes: 97, jobs: 10000}} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			size.readRate, size.seed = readRate, seed
+			t.Run(fmt.Sprintf("nodes=%d/seed=%d", size.nodes, seed), func(t *testing.T) {
+				t.Parallel()
+				playStart(t, size, func(s *site) {
+					took, never := s.slowest(size.nodes)
+					t.Logf("dispatched after %v, the last node accepted after %v, %d MB read", s.dispatched, took, s.readBytes(size.nodes)>>20)
+					s.Expect(s.dispatched).To(And(BeNumerically(">", 0), BeNumerically("<=", dispatchBound)), "dispatching")
+					s.Expect(never).To(BeZero(), "nodes that accept nothing")
+					s.Expect(took).To(BeNumerically("<=", acceptBound), "accepting")
+				})
+			})
+		}
+	}
+}
