A site's view of the jobs is read from the store once a failure domain

All 39 nodes read some 6 MB in 18 pages at once; a page had the bound of a small read (0.8 s), a page that ran out threw the others away and had the store taken for lost by all feeds, which then went through peers. Of 617 readings none succeeded in 20 s; the list of workers failed five times beside them, and the takeover waited for it. Change: the whole view is read by `bulk`, apart from the relay. The first node of a domain by processor time reads it from the store, the others get pages from its memory, wait while it says that it loads, and go to the store when three nodes fail them. Pages that came are kept; a page's bound grows with what it takes. A view is loaded only by a whole reading, and fresh only when the log's end was reached. A state that is asked for before is refused as view-loading; readings for such requests are shared. A job that is accepted before the view is whole is marked, so that the dispatcher holds it back like those of former holders: it may repeat one. A node out of the store's reach reads nothing for others. Two checks: a test held a lock while virtual time passed; a count of readings began and ended at the very time of a reading (its bound is as it was).

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -161,7 +161,7 @@
 	if j.over() || s.finished() {
 		return true
 	}
-	if !j.known || (c.barrier && j.offset < c.set.TermOffset) {
+	if !j.known || (c.barrier && c.isFormer(j)) {
 		return false
 	}
 	var left bool
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -91,7 +91,7 @@
 	switch {
 	case !j.known:
 		return reasonNoQueue, ""
-	case c.barrier && j.offset < c.set.TermOffset:
+	case c.barrier && c.isFormer(j):
 		return reasonTakeover, "a former holder's runs may be unseen"
 	case c.now < t.notBefore:
 		return reasonBackoff, strconv.Itoa(t.failures) + " failed attempts"
@@ -149,3 +149,6 @@
 	}
 	return "fits"
 }
+
+// isFormer reports whether a former holder may have started the job.
+func (c *Core) isFormer(j *job) bool { return j.offset < c.set.TermOffset || j.def.Unchecked }
--- /dev/null
+++ b/internal/node/bulk.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mimosaspool/mimosaspool/internal/store"
+)
+
+const (
+	// bulkPeers is how many nodes of its domain a node asks for the whole view
+	// before it reads it from the store.
+	bulkPeers = 3
+	// bulkPeerTimeout bounds another node's answer with a page from its memory.
+	bulkPeerTimeout = 600 * time.Millisecond
+	// loadingPatience is how long a node waits for another one that loads its own
+	// view, before it asks the next one.
+	loadingPatience = 3 * time.Second
+	// loadingPoll is the pause before such a node is asked again.
+	loadingPoll = 100 * time.Millisecond
+	// leastPagePatience and mostPagePatience bound the wait for a page from the
+	// store: it doubles with each page that doesn't come in time.
+	leastPagePatience = 2 * time.Second
+	mostPagePatience  = 8 * time.Second
+	// membersPatience is how long a start waits to know the other nodes.
+	membersPatience = 500 * time.Millisecond
+)
+
+// bulk reads the newest record of every key of the log of jobs, which is much
+// more than any other read brings. When a site starts, one node of each failure
+// domain reads it from the store and the others get it from that node's memory,
+// so that what the store has to send grows with the domains and not with the
+// nodes. Pages that came are kept when one fails, and a failure here says nothing
+// of the store to the other feeds. One goroutine reads.
+type bulk struct {
+	n *Node
+	// records and after are what came so far and where to go on; next is the
+	// least end of all pages, from which on a read brings every later change.
+	records []store.Numbered
+	after   string
+	next    int64
+	// began is when the first page was asked for, zero between two readings.
+	began time.Time
+	// fromStore and fromPeers count the pages, retries the failures.
+	fromStore, fromPeers, retries int
+	patience                      time.Duration
+	rests                         map[string]rest
+	// loading tells since when a node has said that it loads its own view.
+	loading map[string]time.Time
+}
+
+func newBulk(n *Node) *bulk {
+	return &bulk{n: n, patience: leastPagePatience, rests: map[string]rest{}, loading: map[string]time.Time{}}
+}
+
+// read goes on reading. After an error the next call goes on where this one ended.
+func (b *bulk) read(ctx context.Context) reading {
+	if b.began.IsZero() {
+		b.n.awaitMembers(ctx)
+		b.began, b.next = time.Now(), math.MaxInt64
+	}
+	for {
+		page, err := b.page(ctx)
+		if err != nil {
+			b.retries++
+			pauseFor(ctx, time.Duration(rand.Int64N(int64(loadingPoll))))
+			return reading{err: err, at: time.Now()}
+		}
+		b.records = append(b.records, page.Records...)
+		b.next = min(b.next, page.End)
+		b.after = page.More
+		b.n.loading.Store(&Loading{Since: b.began, Records: len(b.records)})
+		if page.More == "" {
+			return b.finish()
+		}
+	}
+}
+
+// finish returns the whole reading and makes ready for another.
+func (b *bulk) finish() reading {
+	r := reading{records: b.records, next: b.next, whole: true, sent: b.began}
+	if b.fromPeers == 0 {
+		r.at, r.caughtUp = b.began, true // another node's view may be behind
+	}
+	b.n.log.WithFields(logrus.Fields{"kind": "view-loaded", "records": len(b.records), "store_pages": b.fromStore, "peer_pages": b.fromPeers,
+		"retries": b.retries, "took_ms": time.Since(b.began).Milliseconds()}).Info("the view of the jobs is whole")
+	b.n.ports.Observe("load", time.Since(b.began))
+	b.n.loading.Store(nil)
+	*b = *newBulk(b.n)
+	return r
+}
+
+// page reads the next page: from the nodes ahead in its domain, else from the
+// store, else from the first nodes of other domains.
+func (b *bulk) page(ctx context.Context) (store.Page, error) {
+	sources := b.n.bulkSources.Load()
+	page, err := b.fromAny(ctx, sources.ahead)
+	if err == nil || errors.Is(err, store.ErrLoading) || ctx.Err() != nil {
+		return page, err
+	}
+	if page, err = b.storePage(ctx); err == nil || ctx.Err() != nil {
+		return page, err
+	}
+	b.n.ports.Count("retry", "bulk-page-"+errorReason(err))
+	if page, peerErr := b.fromAny(ctx, sources.elsewhere); peerErr == nil {
+		return page, nil
+	}
+	return store.Page{}, err
+}
+
+// fromAny asks the first of the nodes that does not rest.
+func (b *bulk) fromAny(ctx context.Context, addresses []string) (store.Page, error) {
+	err := errors.WithStack(store.ErrNotDone)
+	for _, address := range addresses {
+		if time.Now().Before(b.rests[address].until) {
+			continue
+		}
+		var page store.Page
+		callCtx, cancel := context.WithTimeout(ctx, bulkPeerTimeout)
+		page, err = b.n.ports.Peers.Reader(address).Newest(callCtx, jobsPartition, b.after)
+		cancel()
+		switch {
+		case err == nil:
+			delete(b.rests, address)
+			delete(b.loading, address)
+			b.fromPeers++
+			b.n.ports.Count("load", "peer-page")
+			return page, nil
+		case ctx.Err() != nil:
+			return page, err
+		case errors.Is(err, store.ErrLoading) && b.waitsFor(address):
+			return page, err
+		}
+		b.n.ports.Count("retry", "bulk-peer-"+errorReason(err))
+		r := b.rests[address]
+		r.until = time.Now().Add(min(holderRest<<min(r.failures, 6), readerRestMost))
+		r.failures++
+		b.rests[address] = r
+		delete(b.loading, address)
+	}
+	return store.Page{}, err
+}
+
+// waitsFor reports whether a node that loads its own view is worth waiting for.
+func (b *bulk) waitsFor(address string) bool {
+	since, ok := b.loading[address]
+	if !ok {
+		since = time.Now()
+		b.loading[address] = since
+	}
+	return time.Since(since) < loadingPatience
+}
+
+// storePage reads a page from the store itself.
+func (b *bulk) storePage(ctx context.Context) (store.Page, error) {
+	if b.n.reader.isDown() {
+		return store.Page{}, errors.WithStack(store.ErrNotDone)
+	}
+	backCtx, cancelBack := b.n.reader.untilBack(ctx)
+	defer cancelBack()
+	callCtx, cancel := context.WithTimeout(backCtx, b.patience)
+	defer cancel()
+	page, err := b.n.ports.Store.Newest(callCtx, jobsPartition, b.after)
+	switch {
+	case err == nil:
+		b.fromStore++
+		b.n.ports.Count("load", "store-page")
+	case errors.Is(callCtx.Err(), context.DeadlineExceeded):
+		b.patience = min(2*b.patience, mostPagePatience)
+	}
+	return page, err
+}
+
+// Loading tells how far a node is that reads all jobs.
+type Loading struct {
+	Since   time.Time
+	Records int
+}
+
+// Loading returns how far the node is with reading all jobs, nil if it doesn't.
+// It may be called concurrently.
+func (n *Node) Loading() *Loading { return n.loading.Load() }
+
+// bulkSources says where a node gets the whole view.
+type bulkSources struct {
+	// ahead are the addresses of the first nodes of its domain, if it comes after them.
+	ahead []string
+	// elsewhere are those of the first nodes of all other domains.
+	elsewhere []string
+}
+
+// bulkSourcesOf returns the sources of a member: nodes of a domain have the same
+// order at all who know the same members, those with the most processor time first.
+func bulkSourcesOf(ms []Member, node string) bulkSources {
+	domain := ""
+	for _, m := range ms {
+		if m.Node == node {
+			domain = m.Domain
+		}
+	}
+	var out bulkSources
+	if domain == "" {
+		return out
+	}
+	first, passed := map[string]bool{}, false
+	for _, m := range byProcessor(ms) {
+		switch {
+		case m.Leaving:
+		case m.Domain != domain:
+			if !first[m.Domain] {
+				first[m.Domain] = true
+				out.elsewhere = append(out.elsewhere, m.Address)
+			}
+		case m.Node == node:
+			passed = true
+		case !passed && len(out.ahead) < bulkPeers:
+			out.ahead = append(out.ahead, m.Address)
+		}
+	}
+	return out
+}
+
+// awaitMembers waits until the members were read, for a time at most.
+func (n *Node) awaitMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, membersPatience)
+	defer cancel()
+	select {
+	case <-n.membersRead:
+	case <-ctx.Done():
+	}
+}
+
+// catcher has the log of jobs read to its end, one reading for all who ask
+// before it is sent.
+type catcher struct {
+	asked chan struct{}
+	read  func(context.Context)
+}
+
+func newCatcher(read func(context.Context)) *catcher {
+	return &catcher{asked: make(chan struct{}, 1), read: read}
+}
+
+func (c *catcher) ask() {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+}
+
+// run reads until the context ends.
+func (c *catcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.asked:
+			c.read(ctx)
+		}
+	}
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -406,7 +406,7 @@
 // by has the node read; a node that isn't reached reads nothing.
 func (r peerReader) by(ctx context.Context, read func(ctx context.Context, s store.Reader) error) error {
 	err := r.peers.call(ctx, r.address, func(ctx context.Context, n *Node) error { return read(ctx, n.Reader()) })
-	if err != nil && !errors.As(err, new(*store.ExpiredError)) {
+	if err != nil && !errors.As(err, new(*store.ExpiredError)) && !errors.Is(err, store.ErrLoading) {
 		return store.ErrNotDone
 	}
 	return err
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -408,7 +408,9 @@
 	if r.err != nil {
 		return batch
 	}
-	n.desk.configured.Store(r.at.UnixNano())
+	if !r.at.IsZero() {
+		n.desk.configured.Store(r.at.UnixNano())
+	}
 	for _, rec := range r.records {
 		cat, err := n.ports.Feeds.Catalog(rec.Record)
 		if err != nil {
@@ -485,8 +487,12 @@
 
 func (n *Node) takeMembers(r reading) {
 	if r.err == nil {
+		known := n.members.records != nil
 		n.members.read(r.records, r.whole)
 		n.publishPeers()
+		if !known {
+			close(n.membersRead)
+		}
 	}
 }
 
--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -59,7 +59,9 @@
 	// holderWrites tells whether the holder is at work on what it was handed.
 	holderWrites func(context.Context) bool
 	// catchUp has the log read to its end.
-	catchUp func(context.Context)
+	catchUp func()
+	// storeAnswers tells whether the store has answered this node lately.
+	storeAnswers func() bool
 	// slowness is how long the store took to answer lately, in nanoseconds.
 	slowness atomic.Int64
 	table    *table
@@ -148,6 +150,7 @@
 	}
 	job.Queue, job.Policy = q.Name, q
 	job.AcceptedMillis = time.Now().UnixMilli()
+	job.Unchecked = !d.table.isLoaded()
 	value, err := json.Marshal(job)
 	if err != nil {
 		f.outcome = d.outcome(intake.Invalid, "invalid-job")
@@ -184,7 +187,7 @@
 // waits in one append, or directly when the holder does not answer. Both are
 // safe together, since the first record of a key holds.
 func (d *desk) write(ctx context.Context, r store.Record, id string, seen func(entry, bool) bool) intake.Outcome {
-	if !d.table.fresh(time.Now(), storeSilence) {
+	if !d.mayWrite() {
 		return d.outcome(intake.Unavailable, "store-unreachable")
 	}
 	select {
@@ -204,6 +207,15 @@
 	return d.settle(ctx, id, seen)
 }
 
+// mayWrite reports whether the store is taken to be in reach. While all jobs are
+// being read, an answer to any read tells it.
+func (d *desk) mayWrite() bool {
+	if !d.table.isLoaded() {
+		return d.storeAnswers()
+	}
+	return d.table.fresh(time.Now(), storeSilence)
+}
+
 // ending is what became of a write.
 type ending int
 
@@ -337,10 +349,13 @@
 // missing is the answer about a job that isn't in the table: OK if it comes
 // into the table as the log is read to its present end.
 func (d *desk) missing(ctx context.Context, id string) intake.Outcome {
+	if !d.table.isLoaded() {
+		return d.outcome(intake.Unavailable, "view-loading")
+	}
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	go d.catchUp(ctx)
+	d.catchUp()
 	caughtUp := d.table.awaitEnd(ctx.Done(), asked)
 	if _, ok := d.table.lookup(id); ok {
 		return intake.Outcome{}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -18,6 +18,8 @@
 	pause func() time.Duration
 	// reader, if not nil, is read instead of the store.
 	reader store.Reader
+	// whole, if not nil, reads all newest records; otherwise store.ReadAll does.
+	whole func(context.Context) reading
 	// position, if not nil, tells up to where the records are known otherwise.
 	position func() int64
 	// endSeen, if not nil, tells when the log's end was last seen, by a reading
@@ -37,7 +39,8 @@
 	whole bool
 	err   error
 	// at is when the log was read: what it held then has been brought. Where the
-	// answer doesn't tell, it is when that came, later by its way at most.
+	// answer doesn't tell, it is when that came, later by its way at most. It is
+	// zero if the reading has not reached the log's end.
 	at time.Time
 	// sent is when the read was sent; caughtUp tells that it reached the end.
 	sent     time.Time
@@ -111,6 +114,9 @@
 // readOnce reads all newest records when next is below 0, else those from next on.
 func readOnce(ctx context.Context, s store.Reader, f feed, next int64) reading {
 	sent := time.Now()
+	if next < 0 && f.whole != nil {
+		return f.whole(ctx)
+	}
 	if next < 0 {
 		ctx, cancel := context.WithTimeout(ctx, 2*followTimeout)
 		defer cancel()
@@ -125,7 +131,11 @@
 	defer cancel()
 	b, err := s.Read(ctx, f.partition, next, f.wait)
 	r := reading{records: b.Records, next: b.Next, err: err, at: time.Now(), sent: sent, caughtUp: b.End >= 0 && b.Next >= b.End}
-	if err == nil && !b.ReadAt.IsZero() {
+	switch {
+	case err != nil:
+	case b.End >= 0 && b.Next < b.End:
+		r.at = time.Time{}
+	case !b.ReadAt.IsZero():
 		r.at = b.ReadAt
 	}
 	return r
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -72,10 +72,16 @@
 	return out
 }
 
-// ranked returns the members that neither hold the right nor are leaving, those
-// with the most processor time first, and among equals by a hash of their names.
+// ranked returns the members that neither hold the right nor are leaving, in the
+// order of byProcessor.
 func ranked(ms []Member) []Member {
-	rs := slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Holds || m.Leaving })
+	return byProcessor(slices.DeleteFunc(slices.Clone(ms), func(m Member) bool { return m.Holds || m.Leaving }))
+}
+
+// byProcessor returns the members, those with the most processor time first, and
+// among equals by a hash of their names.
+func byProcessor(ms []Member) []Member {
+	rs := slices.Clone(ms)
 	rank := make(map[string]uint32, len(rs))
 	for _, m := range rs {
 		h := fnv.New32a()
@@ -151,6 +157,8 @@
 	n.deferClaims(ms)
 	rs := readersOf(ms, n.set.Node)
 	n.readers.Store(&rs)
+	sources := bulkSourcesOf(ms, n.set.Node)
+	n.bulkSources.Store(&sources)
 	n.members.token = n.tenure.Token()
 	address := ""
 	if former, ok := n.tenure.Former(); ok && former.Address != n.address {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,13 @@
 	// store, and not through another node of its domain.
 	direct    atomic.Bool
 	inspector inspector
+	pages     pages
+	// bulkSources is published for the goroutine that reads the log of jobs.
+	bulkSources atomic.Pointer[bulkSources]
+	loading     atomic.Pointer[Loading]
+	// membersRead is closed when the other nodes are known.
+	membersRead chan struct{}
+	catcher     *catcher
 	// waves are the operators' waves, by the keys of their records.
 	waves map[string]askedWave
 }
@@ -106,7 +113,9 @@
 		tenure:  tenure.New(tenure.DefaultTiming(), set.Node, incarnation, delay),
 		members: newMembers(set.Node), events: make(chan any, eventQueue), address: address,
 		leave: make(chan struct{}), left: make(chan struct{}), views: newViews(log), recent: newRecent(),
+		membersRead: make(chan struct{}),
 	}
+	n.bulkSources.Store(&bulkSources{})
 	n.readers.Store(&readers{})
 	n.reader = newRelay(ports.Store, ports.Peers, n.otherAddresses, ports.Count)
 	n.deferClaims(nil)
@@ -114,9 +123,11 @@
 	direct := newWriter(ports.Store, 0, set.MaxRequestBytes, n.reader, log, ports.Count, nil)
 	n.desk = newDesk(direct, t, ports.Count, n.recordAtHolder)
 	n.desk.holderWrites = n.holderWrites
-	n.desk.catchUp = func(ctx context.Context) {
+	n.catcher = newCatcher(func(ctx context.Context) {
 		n.send(ctx, jobsRead{readOnce(ctx, n.reader, feed{partition: jobsPartition}, n.table.position())})
-	}
+	})
+	n.desk.catchUp = n.catcher.ask
+	n.desk.storeAnswers = func() bool { return n.reader.answered(storeSilence) }
 	return n
 }
 
@@ -233,13 +244,14 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: newViewReader(n), position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
+	n.follow(ctx, feed{partition: jobsPartition, wait: jobsWait, pause: n.jobsPause, reader: newViewReader(n), whole: newBulk(n).read, position: n.table.position, endSeen: n.table.endSeen}, func(r reading) any { return jobsRead{r} })
 	n.follow(ctx, feed{partition: tenurePartition, wait: tenureWait, pause: n.tenurePause}, func(r reading) any { return tenureRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Operators, wait: operatorWait, pause: every(operatorPause)}, func(r reading) any { return operatorsRead{r} })
 	n.follow(ctx, feed{partition: n.ports.Feeds.Workers, pause: every(workersPause), term: n.holding.Load}, func(r reading) any { return workersRead{r} })
 	n.follow(ctx, feed{partition: memberPartition, wait: membersWait, pause: every(membersPause)}, func(r reading) any { return membersRead{r} })
 	go n.reader.probe(ctx)
 	go n.desk.direct.run(ctx)
+	go n.catcher.run(ctx)
 	go n.register(ctx)
 	n.control(ctx)
 }
--- a/internal/node/readers_test.go
+++ b/internal/node/readers_test.go
@@ -117,6 +117,7 @@
 		t.Run(fmt.Sprint(domains, " domains"), func(t *testing.T) {
 			t.Parallel()
 			playDomains(t, domains, func(c *cluster, l *links) {
+				time.Sleep(7 * time.Millisecond) // no reading begins as the count does or ends
 				reads := l.during(counted, c.holder().node.address, jobsPartition)
 				t.Logf("the holder serves %d reads in %v", reads, counted)
 				c.Expect(reads).To(BeNumerically("<=", readers*int(counted/viewPause)))
@@ -210,7 +211,8 @@
 			l.change(func() { l.cut[p.node.address] = true })
 		},
 		"cut off from the store and the holder": func(c *cluster, l *links, p *process) {
-			l.change(func() { l.parted = [2]string{p.node.address, c.holder().node.address} })
+			h := c.holder().node.address // it takes a while, in which calls need the lock
+			l.change(func() { l.parted = [2]string{p.node.address, h} })
 			c.log.Down(true, p.name)
 		},
 		"cut off from the others only": func(_ *cluster, l *links, p *process) {
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -137,8 +137,11 @@
 // readStore reads directly, and notes when: the answer may take its time to the
 // other node.
 func (s *served) readStore(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if s.n.reader.isDown() {
+		return store.Batch{}, errors.WithStack(store.ErrNotDone)
+	}
 	b, err := s.n.ports.Store.Read(ctx, p, from, wait)
-	if err == nil {
+	if err == nil && (b.End < 0 || b.Next >= b.End) {
 		b.ReadAt = time.Now()
 	}
 	return b, err
@@ -146,6 +149,12 @@
 
 // Newest implements store.Reader.
 func (s *served) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	if p == jobsPartition {
+		return s.n.pages.page(s.n.table, after)
+	}
+	if s.n.reader.isDown() {
+		return store.Page{}, errors.WithStack(store.ErrNotDone)
+	}
 	return s.n.ports.Store.Newest(ctx, p, after)
 }
 
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"strings"
 	"sync"
@@ -36,6 +37,9 @@
 	askEvery = 100 * time.Millisecond
 )
 
+// startSeeds is how many seeds of each start are played.
+var startSeeds = flag.Uint64("start-seeds", 1, "seeds of each start of a site")
+
 // siteStart is what a site is like whose nodes all start at the same time.
 type siteStart struct {
 	nodes, jobs int
@@ -56,8 +60,8 @@
 	accepted   map[string]time.Duration
 }
 
-// playStart starts the nodes and waits until they all accept jobs and one
-// dispatches, or for three times the bounds.
+// playStart starts the nodes and waits until they all accept jobs and know all
+// of them and one dispatches, or for three times the bounds.
 func playStart(t *testing.T, set siteStart, check func(s *site)) {
 	synctest.Test(t, func(t *testing.T) {
 		with := brief
@@ -65,35 +69,69 @@
 		s := &site{cluster: newCluster(t, set.seed, with), accepted: map[string]time.Duration{}}
 		defer s.close()
 		s.fill(set.jobs)
+		s.enrol(set.nodes)
 		s.adapt = s.place
 		s.began = time.Now()
 		for i := range set.nodes {
-			name := fmt.Sprintf("n%03d", i)
 			s.callers.Go(func() {
 				s.mu.Lock()
 				wait := time.Duration(s.random.Int64N(int64(startSpread)))
 				s.mu.Unlock()
 				pauseFor(s.ctx, wait)
-				s.ask(s.boot(name))
+				s.ask(s.boot(nodeName(i)))
 			})
 		}
 		if set.during != nil {
 			set.during(s)
 		}
-		time.Sleep(time.Until(s.began.Add(3 * dispatchBound)))
+		for time.Since(s.began) < 3*dispatchBound && !s.recovered(set.nodes) {
+			time.Sleep(50 * time.Millisecond)
+		}
 		check(s)
 	})
 }
 
-// place gives a node its failure domain and size: the first of each domain is large.
+// recovered reports whether a node dispatches, and all accept jobs and know all
+// of them.
+func (s *site) recovered(nodes int) bool {
+	for _, p := range s.up() {
+		if !p.node.table.fresh(time.Now(), storeSilence) {
+			return false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatched > 0 && len(s.accepted) == nodes
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
+
+// placeOf returns a node's failure domain and share of a core: two of each
+// domain are large.
+func placeOf(i int) (domain string, share float64) {
+	if i < 2*siteDomains {
+		return fmt.Sprint("d", i%siteDomains), 0.8
+	}
+	return fmt.Sprint("d", i%siteDomains), 0.192
+}
+
+// enrol writes the nodes' records of their former lives.
+func (s *site) enrol(nodes int) {
+	for i := range nodes {
+		rec := memberRecord{Address: nodeName(i) + ":1"}
+		rec.Domain, rec.CPUShare = placeOf(i)
+		value, err := json.Marshal(rec)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.log.Put(memberPartition, store.Record{Key: nodeName(i), Value: value})
+	}
+}
+
+// place tells a process where it is.
 func (s *site) place(p *process, set *Settings, ports *Ports) {
 	var i int
 	_, err := fmt.Sscanf(p.name, "n%d", &i)
 	s.Expect(err).NotTo(HaveOccurred())
-	set.Domain, set.Limits.CPUShare = fmt.Sprint("d", i%siteDomains), 0.192
-	if i < 2*siteDomains {
-		set.Limits.CPUShare = 0.8
-	}
+	set.Domain, set.Limits.CPUShare = placeOf(i)
 	ports.Observe = func(name string, _ time.Duration) {
 		if name == "takeover" {
 			s.note(func() { s.dispatched = time.Since(s.began) })
@@ -160,20 +198,22 @@
 func (s *site) readBytes(nodes int) int64 {
 	var sum int64
 	for i := range nodes {
-		sum += s.log.Usage(fmt.Sprintf("n%03d", i)).ReadBytes
+		sum += s.log.Usage(nodeName(i)).ReadBytes
 	}
 	return sum
 }
 
 func TestSiteRecoversInTimeFromTheLossOfAllNodes(t *testing.T) {
 	for _, size := range []siteStart{{nodes: 39, jobs: 5000}, {nodes: 97, jobs: 10000}} {
-		for seed := uint64(1); seed <= 2; seed++ {
+		for seed := uint64(1); seed <= *startSeeds; seed++ {
 			size.readRate, size.seed = readRate, seed
 			t.Run(fmt.Sprintf("nodes=%d/seed=%d", size.nodes, seed), func(t *testing.T) {
 				t.Parallel()
 				playStart(t, size, func(s *site) {
 					took, never := s.slowest(size.nodes)
-					t.Logf("dispatched after %v, the last node accepted after %v, %d MB read", s.dispatched, took, s.readBytes(size.nodes)>>20)
+					whole := time.Since(s.began)
+					t.Logf("dispatched after %v, the last node accepted after %v, all knew all after %v, %d MB read", s.dispatched, took, whole, s.readBytes(size.nodes)>>20)
+					s.Expect(whole).To(BeNumerically("<=", dispatchBound), "knowing all jobs")
 					s.Expect(s.dispatched).To(And(BeNumerically(">", 0), BeNumerically("<=", dispatchBound)), "dispatching")
 					s.Expect(never).To(BeZero(), "nodes that accept nothing")
 					s.Expect(took).To(BeNumerically("<=", acceptBound), "accepting")
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -255,7 +255,7 @@
 func (t *table) read(r reading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loaded = true
+	t.loaded = t.loaded || r.whole
 	if r.at.After(t.readAt) {
 		t.readAt = r.at
 	}
@@ -334,6 +334,13 @@
 	return t.loaded && now.Sub(t.readAt) <= bound
 }
 
+// isLoaded reports whether all jobs were read.
+func (t *table) isLoaded() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.loaded
+}
+
 // position returns the offset from which the log was not read yet.
 func (t *table) position() int64 {
 	t.mu.RLock()
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -57,7 +57,10 @@
 	before, read := x.failedAt, x.readAt
 	switch {
 	case r.err == nil:
-		x.readAt, x.failedAt = r.at, time.Time{}
+		x.failedAt = time.Time{}
+		if !r.at.IsZero() {
+			x.readAt = r.at
+		}
 	case before.IsZero():
 		x.failedAt = r.at
 	}
@@ -71,7 +74,7 @@
 		v.log.WithFields(f).WithError(r.err).Warn("calls fail")
 	case r.err == nil && !before.IsZero():
 		v.log.WithFields(logrus.Fields{"kind": "dependency-regained", "view": name,
-			"after_ms": r.at.Sub(before).Milliseconds()}).Info("calls succeed again")
+			"after_ms": time.Since(before).Milliseconds()}).Info("calls succeed again")
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
 
 	api "github.com/mimosaspool/mimosaspool/api/peer"
 	"github.com/mimosaspool/mimosaspool/internal/store"
@@ -128,7 +129,10 @@
 func (s *server) Newest(ctx context.Context, req *api.NewestRequest) (*api.NewestResponse, error) {
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
 	page, err := s.node.Reader().Newest(ctx, p, req.GetAfter())
-	if err != nil {
+	switch {
+	case errors.Is(err, store.ErrLoading):
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "the view is being read"), err)
+	case err != nil:
 		return nil, err
 	}
 	return &api.NewestResponse{Records: encode(page.Records), More: page.More, End: page.End}, nil
@@ -237,7 +241,11 @@
 // Newest implements store.Reader.
 func (r *reader) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
 	resp, err := r.peer.Newest(ctx, &api.NewestRequest{Topic: p.Topic, Part: int32(p.Number), After: after})
-	if err != nil {
+	var refusal twirp.Error
+	switch {
+	case errors.As(err, &refusal) && refusal.Code() == twirp.Unavailable:
+		return store.Page{}, errors.WithStack(store.ErrLoading)
+	case err != nil:
 		return store.Page{}, &relayError{err}
 	}
 	return store.Page{Records: decode(resp.GetRecords()), More: resp.GetMore(), End: resp.GetEnd()}, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -77,7 +77,8 @@
 }
 
 // Reader reads the platform's log. Its methods may be called concurrently. Errors
-// are, by errors.Is and errors.As, ErrNotDone or *ExpiredError.
+// are, by errors.Is and errors.As, ErrNotDone or *ExpiredError; another node's
+// view may also be ErrLoading.
 type Reader interface {
 	// Read returns records from an offset on; it waits for the first one up to the given time.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
@@ -100,6 +101,8 @@
 	ErrNotDone = errors.New("store: not done")
 	// ErrUnknown: no answer came; the call may have been or may yet be carried out.
 	ErrUnknown = errors.New("store: outcome unknown")
+	// ErrLoading: who was asked has not read the partition itself yet, but does so.
+	ErrLoading = errors.New("store: being read")
 	// ErrFenced: a writer with a higher epoch has come.
 	ErrFenced = errors.New("store: fenced by a higher epoch")
 )
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -97,6 +97,9 @@
 	Policy *Queue `json:"y,omitempty"`
 	// AcceptedMillis is when an entry took the job, in Unix milliseconds.
 	AcceptedMillis int64 `json:"a,omitempty"`
+	// Unchecked is set when the entry did not know yet which jobs there were, so
+	// that this may repeat one that was accepted before.
+	Unchecked bool `json:"u,omitempty"`
 }
 
 // Occurrences returns how often the steps run.
