Of a job that has ended the log keeps a summary

Ruled out: dropping the first record of an ended job: the holder needs it to forget the job in time. Change: with the end of a job the holder writes its record anew, in the same append: queue, and of each step its count, size, gang and filler. Views let go of the rest. Docs: view-loading, the counters and the time of loading.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -101,7 +101,11 @@
 	e := Commit{Number: m.number, Released: m.sent.released}
 	for _, j := range m.sent.jobs {
 		j.dirty = false
-		e.Progress = append(e.Progress, JobProgress{ID: j.def.ID, Progress: j.progress()})
+		p := JobProgress{ID: j.def.ID, Progress: j.progress()}
+		if j.final != "" {
+			p.Summary = j.def.Summary()
+		}
+		e.Progress = append(e.Progress, p)
 	}
 	for _, j := range m.sent.forgot {
 		e.Forgotten = append(e.Forgotten, j.def.ID)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -178,6 +178,8 @@
 type JobProgress struct {
 	ID       string
 	Progress workflow.Progress
+	// Summary takes the place of a job that has ended, nil for others.
+	Summary *workflow.Job
 }
 
 // StepDown tells that a worker has seen a higher token.
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/dispatch"
 	"github.com/mimosaspool/mimosaspool/internal/emulator"
 	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
@@ -159,9 +160,10 @@
 		if i%openShare == 0 {
 			continue
 		}
-		value, err = json.Marshal(workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, Finished: 1})
+		ended, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Summary: job.Summary(),
+			Progress: workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, Finished: 1}}}})
 		s.Expect(err).NotTo(HaveOccurred())
-		records = append(records, store.Record{Key: progressKey + job.ID, Value: value})
+		records = append(records, ended...)
 	}
 	s.log.Put(jobsPartition, records...)
 }
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -182,7 +182,7 @@
 		return nil, nil
 	}
 	e := t.entryOf(id)
-	if e.job != nil {
+	if e.job != nil && e.progress.Final == "" {
 		return nil, nil // a repeat: the first record holds
 	}
 	var job workflow.Job
@@ -193,6 +193,10 @@
 	if err := job.Check(); err != nil {
 		return nil, err
 	}
+	if e.job != nil {
+		e.job = &job // what is kept of it after its end
+		return nil, nil
+	}
 	t.recount(e, func() { e.job, e.offset = &job, r.Offset })
 	return &change{accepted: e}, nil
 }
--- a/internal/node/table_test.go
+++ b/internal/node/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -54,3 +55,32 @@
 	tab.apply(numbered(9, store.Record{Key: jobKey + "d"}, store.Record{Key: jobKey + "a"}), 11)
 	g.Expect(tab.pendingOf("plain")).To(BeZero())
 }
+
+func TestEndedJobIsKeptAsItsSummary(t *testing.T) {
+	g := NewWithT(t)
+	job := oneTask("0000000000000001")
+	job.Queue, job.Policy, job.Spec = "q", &workflow.Queue{Name: "q"}, strings.Repeat("s", 4000)
+	value, err := json.Marshal(job)
+	g.Expect(err).NotTo(HaveOccurred())
+	final := workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: 7, Finished: 1}
+	ended, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}})
+	g.Expect(err).NotTo(HaveOccurred())
+
+	follower, starter := newTable(), newTable()
+	follower.apply(numbered(0, append([]store.Record{{Key: jobKey + job.ID, Value: value}}, ended...)...), 3)
+	newest := numbered(1, ended...) // what a start reads
+	starter.apply(newest, 3)
+	size := 0
+	for _, r := range newest {
+		size += len(r.Key) + len(r.Value)
+	}
+	g.Expect(size).To(BeNumerically("<", 200), "bytes that are kept of a job")
+	for _, table := range []*table{follower, starter} {
+		e, ok := table.lookup(job.ID)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(e.state()).To(Equal(workflow.Completed))
+		g.Expect(e.job.Spec).To(BeEmpty())
+		g.Expect(e.job.Steps[0].Count).To(Equal(job.Steps[0].Count))
+		g.Expect(table.pendingOf("q")).To(BeZero())
+	}
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -178,6 +178,14 @@
 		if err := add(progressKey+p.ID, p.Progress); err != nil {
 			return nil, err
 		}
+		if p.Summary == nil {
+			continue
+		}
+		// A start reads the newest record of each key: that of a job which has ended
+		// needn't hold what its tasks were.
+		if err := add(jobKey+p.ID, p.Summary); err != nil {
+			return nil, err
+		}
 	}
 	for _, e := range c.Engaged {
 		if err := add(workerKey+e.Worker, e); err != nil {
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -142,7 +142,7 @@
 
 // ofStore are the reasons of refusals that the store has to do with.
 var ofStore = map[string]bool{
-	"no-configuration": true, "configuration-stale": true, "view-stale": true, "store-unreachable": true,
+	"no-configuration": true, "configuration-stale": true, "view-stale": true, "view-loading": true, "store-unreachable": true,
 	"store-refused": true, "store-unanswered": true, "repeat-unanswered": true, "too-many-accepts": true,
 }
 
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -21,6 +21,7 @@
 	{"advice", "s", "one question to the policy service"},
 	{"step", "s", "one step of the dispatcher; its sum is the holder's processor time for deciding"},
 	{"takeover", "s", "from the begin of a term to the first placement round"},
+	{"load", "s", "reading all jobs when a node starts, from the store or another node's memory"},
 	{"commit", "s", "one commit of the holder, retries included"},
 	{"store-append", "s", "one append to the store"},
 	{"store-read", "s", "one read of new records, its wait for them included"},
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -40,7 +40,7 @@
 // Step is a number of like tasks that become ready together.
 type Step struct {
 	Count int  `json:"n"`
-	Size  Size `json:"z"`
+	Size  Size `json:"z,omitzero"`
 	// EstimateMillis is the caller's rough estimate of a task's run time.
 	EstimateMillis int64 `json:"e,omitempty"`
 	// DependsOn lists earlier steps whose tasks must all be done first.
@@ -102,6 +102,17 @@
 	Unchecked bool `json:"u,omitempty"`
 }
 
+// Summary returns what is kept of a job that has ended: where it was handed in, how
+// many tasks its steps had and what these take, as some may still be running.
+func (j *Job) Summary() *Job {
+	s := &Job{ID: j.ID, Queue: j.Queue, Steps: make([]Step, len(j.Steps)), AcceptedMillis: j.AcceptedMillis}
+	for i := range j.Steps {
+		d := &j.Steps[i]
+		s.Steps[i] = Step{Count: d.Count, Size: d.Size, Gang: d.Gang, Filler: d.Filler}
+	}
+	return s
+}
+
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Times) }
 
