Tests of a site's start amid trouble

The start of 39 nodes with 5,000 jobs in the log, played with a quarter of the read rate, a slow store, lost answers, a store that turns a third away, a domain without the store, no large nodes, and a second loss of all in the midst of the first start. A node that starts without the store knows nobody whom it could ask, so nothing is expected of such a domain.

--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,6 +29,8 @@
 	startSpread = 300 * time.Millisecond
 	// readRate is how fast the store answers all reads, in bytes a second (readMbS).
 	readRate = 80 << 20
+	// siteNodes and siteJobs are of a grown site.
+	siteNodes, siteJobs = 39, 5000
 	// siteDomains is the number of failure domains of a grown site.
 	siteDomains = 6
 	// openShare is one in how many jobs has not ended.
@@ -48,6 +51,8 @@
 	seed        uint64
 	// during, if not nil, disturbs the start.
 	during func(s *site)
+	// absent nodes, if not nil, don't start; nothing is expected of those apart.
+	absent, apart func(i int) bool
 }
 
 // site is a cluster whose log holds jobs when its nodes start.
@@ -59,6 +64,7 @@
 	// is by node when it first accepted a job.
 	dispatched time.Duration
 	accepted   map[string]time.Duration
+	set        siteStart
 }
 
 // playStart starts the nodes and waits until they all accept jobs and know all
@@ -67,42 +73,73 @@
 	synctest.Test(t, func(t *testing.T) {
 		with := brief
 		with.log = emulator.LogConfig{ReadBytesPerSecond: set.readRate, ReadsPerSecond: 6000, WritesPerSecond: 1200, Latency: 2 * time.Millisecond}
-		s := &site{cluster: newCluster(t, set.seed, with), accepted: map[string]time.Duration{}}
+		s := &site{cluster: newCluster(t, set.seed, with), accepted: map[string]time.Duration{}, set: set}
 		defer s.close()
 		s.fill(set.jobs)
 		s.enrol(set.nodes)
 		s.adapt = s.place
 		s.began = time.Now()
-		for i := range set.nodes {
-			s.callers.Go(func() {
-				s.mu.Lock()
-				wait := time.Duration(s.random.Int64N(int64(startSpread)))
-				s.mu.Unlock()
-				pauseFor(s.ctx, wait)
-				s.ask(s.boot(nodeName(i)))
-			})
-		}
+		s.bootAll(set.nodes)
 		if set.during != nil {
 			set.during(s)
 		}
-		for time.Since(s.began) < 3*dispatchBound && !s.recovered(set.nodes) {
+		for time.Since(s.began) < 3*dispatchBound && !s.recovered() {
 			time.Sleep(50 * time.Millisecond)
 		}
 		check(s)
 	})
 }
 
-// recovered reports whether a node dispatches, and all accept jobs and know all
-// of them.
-func (s *site) recovered(nodes int) bool {
-	for _, p := range s.up() {
+// recovered reports whether a node dispatches, and all that run accept jobs and
+// know all of them.
+func (s *site) recovered() bool {
+	up := slices.DeleteFunc(s.up(), func(p *process) bool { return s.set.apart != nil && s.set.apart(s.number(p)) })
+	for _, p := range up {
 		if !p.node.table.fresh(time.Now(), storeSilence) {
 			return false
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatched > 0 && len(s.accepted) == nodes
+	for _, p := range up {
+		if s.accepted[p.name] == 0 {
+			return false
+		}
+	}
+	return s.dispatched > 0 && len(up) > 0
+}
+
+// bootAll starts the nodes within startSpread of each other.
+func (s *site) bootAll(nodes int) {
+	for i := range nodes {
+		if s.set.absent != nil && s.set.absent(i) {
+			continue
+		}
+		s.callers.Go(func() {
+			s.mu.Lock()
+			wait := time.Duration(s.random.Int64N(int64(startSpread)))
+			s.mu.Unlock()
+			pauseFor(s.ctx, wait)
+			s.ask(s.boot(nodeName(i)))
+		})
+	}
+}
+
+// number is a process's number among the nodes.
+func (s *site) number(p *process) int {
+	var i int
+	_, err := fmt.Sscanf(p.name, "n%d", &i)
+	s.Expect(err).NotTo(HaveOccurred())
+	return i
+}
+
+// some returns the names of every nth node of the usual site.
+func (s *site) some(nth int) []string {
+	var names []string
+	for i := 0; i < siteNodes; i += nth {
+		names = append(names, nodeName(i))
+	}
+	return names
 }
 
 func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
@@ -129,9 +166,7 @@
 
 // place tells a process where it is.
 func (s *site) place(p *process, set *Settings, ports *Ports) {
-	var i int
-	_, err := fmt.Sscanf(p.name, "n%d", &i)
-	s.Expect(err).NotTo(HaveOccurred())
+	i := s.number(p)
 	set.Domain, set.Limits.CPUShare = placeOf(i)
 	ports.Observe = func(name string, _ time.Duration) {
 		if name == "takeover" {
@@ -206,7 +241,7 @@
 }
 
 func TestSiteRecoversInTimeFromTheLossOfAllNodes(t *testing.T) {
-	for _, size := range []siteStart{{nodes: 39, jobs: 5000}, {nodes: 97, jobs: 10000}} {
+	for _, size := range []siteStart{{nodes: siteNodes, jobs: siteJobs}, {nodes: 97, jobs: 10000}} {
 		for seed := uint64(1); seed <= *startSeeds; seed++ {
 			size.readRate, size.seed = readRate, seed
 			t.Run(fmt.Sprintf("nodes=%d/seed=%d", size.nodes, seed), func(t *testing.T) {
@@ -224,3 +259,59 @@
 		}
 	}
 }
+
+// startTroubles disturb a start. Each ends by itself, or lasts.
+var startTroubles = map[string]struct {
+	during func(s *site)
+	// slack is added to the bounds.
+	slack time.Duration
+	rate  int64
+	// absent nodes don't start; nothing is expected of those apart.
+	absent, apart func(i int) bool
+}{
+	"a quarter of the read rate": {rate: readRate / 4, slack: dispatchBound},
+	"a slow store":               {during: func(s *site) { s.log.Slow(20) }, slack: dispatchBound},
+	"lost answers":               {during: func(s *site) { s.log.LoseReplies(0.3) }, slack: dispatchBound},
+	"the store turns a third away": {during: func(s *site) {
+		s.log.Refuse(true, s.some(3)...)
+		time.Sleep(2 * time.Second)
+		s.log.Calm()
+	}, slack: 2 * time.Second},
+	// A node that starts without the store knows nobody whom it could ask.
+	"a domain without the store": {apart: func(i int) bool { return i%siteDomains == 0 },
+		during: func(s *site) { s.log.Down(true, s.some(siteDomains)...) }},
+	"the large nodes don't come": {absent: func(i int) bool {
+		_, share := placeOf(i)
+		return share > 0.5
+	}, slack: 2 * time.Second},
+	"all are lost again": {during: func(s *site) {
+		time.Sleep(startSpread + 200*time.Millisecond)
+		for _, p := range s.up() {
+			s.kill(p)
+		}
+		s.note(func() { s.dispatched = 0; clear(s.accepted); s.began = time.Now() })
+		s.bootAll(siteNodes)
+	}},
+}
+
+func TestSiteRecoversAmidTrouble(t *testing.T) {
+	for what, trouble := range startTroubles {
+		for seed := uint64(1); seed <= *startSeeds; seed++ {
+			t.Run(fmt.Sprintf("%s/seed=%d", what, seed), func(t *testing.T) {
+				t.Parallel()
+				set := siteStart{nodes: siteNodes, jobs: siteJobs, readRate: readRate, seed: seed, during: trouble.during, absent: trouble.absent, apart: trouble.apart}
+				if trouble.rate > 0 {
+					set.readRate = trouble.rate
+				}
+				playStart(t, set, func(s *site) {
+					up := len(s.up())
+					took, _ := s.slowest(up)
+					t.Logf("dispatched after %v, the last of %d nodes accepted after %v, all knew all after %v, %d MB read",
+						s.dispatched, len(s.accepted), took, time.Since(s.began), s.readBytes(set.nodes)>>20)
+					s.Expect(s.dispatched).To(And(BeNumerically(">", 0), BeNumerically("<=", dispatchBound+trouble.slack)), "dispatching")
+					s.Expect(time.Since(s.began)).To(BeNumerically("<=", dispatchBound+trouble.slack), "accepting, and knowing all jobs")
+				})
+			})
+		}
+	}
+}
