A placement pass leaves out workers without room first

In a pool that is in demand each pass, 10 ms apart, looked at 40 waiting steps times 350 workers, with a look-up of the ticket for each, and once more for questions to the policy service that named nobody. Change: a pass takes the workers without room out first; no room becomes free within a pass. A look for workers to ask about that finds none is repeated after two passes. Conclusion: what a pass costs is paid by callers; the rest of it is looked at next.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -16,6 +16,9 @@
 	adviceRetry = 100 * time.Millisecond
 	// emptyRetry is the pause after an answer that allowed nothing.
 	emptyRetry = time.Second
+	// nobodyRetry is the pause after a look that found no worker to ask about:
+	// two passes.
+	nobodyRetry = 2 * passGap
 	// adviceNames bounds the workers named in one call.
 	adviceNames = 100
 	// overdueAdvice is how long a step waits before its calls may take the
@@ -61,7 +64,10 @@
 	}
 	var names []string
 	for _, h := range c.pools[s.occ.job.queue.Pool] {
-		if !c.suits(s, h) || len(names) == adviceNames {
+		if len(names) == adviceNames {
+			break
+		}
+		if !c.suits(s, h) {
 			continue
 		}
 		allowed, known := a.allowed[h.info.ID]
@@ -74,6 +80,7 @@
 		names = append(names, h.info.ID)
 	}
 	if len(names) == 0 {
+		a.notYet = c.now + nobodyRetry
 		return
 	}
 	a.out = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -298,14 +298,17 @@
 }
 
 // candidates returns the workers that may take tasks of the step now, but for
-// room and what each task asks. They are worked out once a round.
+// what each task asks. They are worked out once a round, in which no room becomes
+// free: most workers of a pool that is in demand are left out for want of room,
+// before anything dearer is looked at.
 func (c *Core) candidates(s *step) []*host {
 	if s.candidatesOf == c.round {
 		return s.candidates
 	}
 	s.candidatesOf, s.candidates = c.round, s.candidates[:0]
+	size := s.def.Counted()
 	for _, h := range c.pools[s.occ.job.queue.Pool] {
-		if !c.usable(h) || !h.hasLabel(s.def.Requires) {
+		if !size.Within(h.free) || !c.usable(h) || !h.hasLabel(s.def.Requires) {
 			continue
 		}
 		if _, ok := c.ticketFor(s, h); ok {
