Questions and preemption look at the cheap conditions first

Change: once the service has spoken of as many workers as the pool has, only those with room are looked up; what makes a run unfit for preemption is checked before its slack.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -63,11 +63,15 @@
 		return
 	}
 	var names []string
-	for _, h := range c.pools[s.occ.job.queue.Pool] {
+	pool := c.pools[s.occ.job.queue.Pool]
+	// Once the service has spoken of as many workers as there are, only those matter
+	// that are wanted now, which is sooner told than what it has said.
+	told := len(a.allowed) >= len(pool)
+	for _, h := range pool {
 		if len(names) == adviceNames {
 			break
 		}
-		if !c.suits(s, h) {
+		if told && !want(h) || !c.suits(s, h) {
 			continue
 		}
 		allowed, known := a.allowed[h.info.ID]
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -217,7 +217,7 @@
 		return
 	}
 	size := s.def.Counted()
-	room := func(h *host) bool { return c.usable(h) && size.Within(h.free) }
+	room := func(h *host) bool { return size.Within(h.free) && c.usable(h) }
 	pool := s.occ.job.queue.Pool
 	if fresh[pool] < freshSteps {
 		fresh[pool]++
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -128,8 +128,8 @@
 	var list []*run
 	for _, r := range h.sortedRuns() {
 		t := r.task
-		if t == nil || r.state != running || t.done || c.slack(t.step.occ.job) < victimSlack || !t.step.def.Checkpointing || t.step.def.LongRunning || t.step.def.Gang ||
-			t.step.occ.job.queue.Priority <= s.occ.job.queue.Priority {
+		if t == nil || r.state != running || t.done || !t.step.def.Checkpointing || t.step.def.LongRunning || t.step.def.Gang ||
+			t.step.occ.job.queue.Priority <= s.occ.job.queue.Priority || c.slack(t.step.occ.job) < victimSlack {
 			continue
 		}
 		list = append(list, r)
