--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -27,6 +27,8 @@
 	// store: it doubles with each page that doesn't come in time.
 	leastPagePatience = 2 * time.Second
 	mostPagePatience  = 8 * time.Second
+	// tellLoading is the least time between two lines on how far a reading is.
+	tellLoading = 500 * time.Millisecond
 	// membersPatience is how long a start waits to know the other nodes.
 	membersPatience = 500 * time.Millisecond
 )
@@ -52,6 +54,9 @@
 	rests                         map[string]rest
 	// loading tells since when a node has said that it loads its own view.
 	loading map[string]time.Time
+	// waitsFor is who did not bring a page last; toldAt is when a line said so.
+	waitsFor string
+	toldAt   time.Time
 }
 
 func newBulk(n *Node) *bulk {
@@ -68,13 +73,13 @@
 		page, err := b.page(ctx)
 		if err != nil {
 			b.retries++
+			b.tellWait()
 			pauseFor(ctx, time.Duration(rand.Int64N(int64(loadingPoll))))
 			return reading{err: err, at: time.Now()}
 		}
 		b.records = append(b.records, page.Records...)
 		b.next = min(b.next, page.End)
 		b.after = page.More
-		b.n.loading.Store(&Loading{Since: b.began, Records: len(b.records)})
 		if page.More == "" {
 			return b.finish()
 		}
@@ -90,11 +95,20 @@
 	b.n.log.WithFields(logrus.Fields{"kind": "view-loaded", "records": len(b.records), "store_pages": b.fromStore, "peer_pages": b.fromPeers,
 		"retries": b.retries, "took_ms": time.Since(b.began).Milliseconds()}).Info("the view of the jobs is whole")
 	b.n.ports.Observe("load", time.Since(b.began))
-	b.n.loading.Store(nil)
 	*b = *newBulk(b.n)
 	return r
 }
 
+// tellWait logs how far the reading is and what it waits for, now and then.
+func (b *bulk) tellWait() {
+	if time.Since(b.toldAt) < tellLoading {
+		return
+	}
+	b.toldAt = time.Now()
+	b.n.log.WithFields(logrus.Fields{"kind": "view-loading", "records": len(b.records), "store_pages": b.fromStore, "peer_pages": b.fromPeers,
+		"retries": b.retries, "waits_for": b.waitsFor, "since_ms": time.Since(b.began).Milliseconds()}).Info("the view of the jobs is being read")
+}
+
 // page reads the next page: from the nodes ahead in its domain, else from the
 // store, else from the first nodes of other domains.
 func (b *bulk) page(ctx context.Context) (store.Page, error) {
@@ -121,6 +135,7 @@
 			continue
 		}
 		var page store.Page
+		b.waitsFor = address
 		callCtx, cancel := context.WithTimeout(ctx, bulkPeerTimeout)
 		page, err = b.n.ports.Peers.Reader(address).Newest(callCtx, jobsPartition, b.after)
 		cancel()
@@ -133,7 +148,7 @@
 			return page, nil
 		case ctx.Err() != nil:
 			return page, err
-		case errors.Is(err, store.ErrLoading) && b.waitsFor(address):
+		case errors.Is(err, store.ErrLoading) && b.worthWaiting(address):
 			return page, err
 		}
 		b.n.ports.Count("retry", "bulk-peer-"+errorReason(err))
@@ -146,8 +161,8 @@
 	return store.Page{}, err
 }
 
-// waitsFor reports whether a node that loads its own view is worth waiting for.
-func (b *bulk) waitsFor(address string) bool {
+// worthWaiting reports whether a node that loads its own view is worth waiting for.
+func (b *bulk) worthWaiting(address string) bool {
 	since, ok := b.loading[address]
 	if !ok {
 		since = time.Now()
@@ -165,6 +180,7 @@
 	defer cancelBack()
 	callCtx, cancel := context.WithTimeout(backCtx, b.patience)
 	defer cancel()
+	b.waitsFor = "the store"
 	page, err := b.n.ports.Store.Newest(callCtx, jobsPartition, b.after)
 	switch {
 	case err == nil:
@@ -176,16 +192,6 @@
 	return page, err
 }
 
-// Loading tells how far a node is that reads all jobs.
-type Loading struct {
-	Since   time.Time
-	Records int
-}
-
-// Loading returns how far the node is with reading all jobs, nil if it doesn't.
-// It may be called concurrently.
-func (n *Node) Loading() *Loading { return n.loading.Load() }
-
 // bulkSources says where a node gets the whole view.
 type bulkSources struct {
 	// ahead are the addresses of the first nodes of its domain, if it comes after them.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,6 @@
 	pages     pages
 	// bulkSources is published for the goroutine that reads the log of jobs.
 	bulkSources atomic.Pointer[bulkSources]
-	loading     atomic.Pointer[Loading]
 	// membersRead is closed when the other nodes are known.
 	membersRead chan struct{}
 	catcher     *catcher
--- a/internal/story/cluster.go
+++ b/internal/story/cluster.go
@@ -15,6 +15,8 @@
 	// lives holds when each node's processes started and stopped.
 	lives map[string][]life
 	end   time.Time
+	// loads are the lines on nodes' readings of all jobs.
+	loads []*Line
 }
 
 // outage is a time in which a node did not read one of its views.
@@ -51,6 +53,8 @@
 			c.outages = append(c.outages, outage{node: l.Node, view: l.Text("view"), from: l.Time.Add(-l.millis("age_ms"))})
 		case "dependency-regained":
 			c.regained(l)
+		case "view-loading", "view-loaded":
+			c.loads = append(c.loads, l)
 		case "started":
 			c.started(l)
 		case "planned stop begins":
@@ -155,6 +159,29 @@
 	return o.to
 }
 
+// loading tells how far a node was with reading all jobs at a time, and until
+// when it read; empty if no line says so.
+func (c *cluster) loading(node string, at time.Time) string {
+	var text string
+	for _, l := range c.loads {
+		if l.Node != node {
+			continue
+		}
+		switch {
+		case l.Kind == "view-loaded" && l.Time.Before(at):
+			text = ""
+		case l.Kind == "view-loaded":
+			return text + fmt.Sprintf("%s had read all %s jobs' records at %s, %s ms after it began", node, l.Text("records"), l.Time.Format(clockLayout), l.Text("took_ms"))
+		case l.Time.Before(at):
+			text = fmt.Sprintf("%s had read %s jobs' records at %s and waited for %s; ", node, l.Text("records"), l.Time.Format(clockLayout), l.Text("waits_for"))
+		}
+	}
+	if text == "" {
+		return ""
+	}
+	return text + "no line tells that it was done"
+}
+
 // fresh tells that a node had only just started, or was leaving.
 func (c *cluster) fresh(node string, at time.Time) string {
 	for _, x := range c.lives[node] {
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -134,6 +134,9 @@
 	first, last := f.queries[0], f.queries[len(f.queries)-1]
 	text := fmt.Sprintf("%d questions for its state were refused from %s to %s%s", len(f.queries), first.Time.Format(clockLayout),
 		last.Time.Format(clockLayout), because(last))
+	if far := c.loading(last.Node, last.Time); far != "" && last.Text("reason") == "view-loading" {
+		return text + ": " + far
+	}
 	if out := c.storeOut(last.Node, last.Time); out != "" && ofStore[last.Text("reason")] {
 		text += ": " + out
 	}
@@ -159,6 +162,9 @@
 	if !ofStore[l.Text("reason")] {
 		return text
 	}
+	if far := c.loading(l.Node, l.Time); far != "" && l.Text("reason") == "view-loading" {
+		return text + ": " + far
+	}
 	began := l.Time.Add(-l.millis("took_ms"))
 	behind := c.takeovers(began.Add(-time.Second), l.Time.Add(afterwards))
 	if out := c.storeOut(l.Node, l.Time); out != "" {
--- a/internal/story/why_test.go
+++ b/internal/story/why_test.go
@@ -51,6 +51,19 @@
 	g.Expect(s.Why).To(Equal([]string{"refused by e1 at 10:00:12.000 (no-queue)"}), "the store has nothing to do with it")
 }
 
+// TestWhyRefusedWhileTheNodeReadsAllJobs tells how far it was, what it waited for
+// and when it was done.
+func TestWhyRefusedWhileTheNodeReadsAllJobs(t *testing.T) {
+	g := NewWithT(t)
+	refused := at(12, "e1", "query-refused", "job", jobA, "reason", "view-loading", "request", "r1")
+	far := at(11.5, "e1", "view-loading", "records", "2500", "waits_for", "10.1.0.4:7660") + at(11.7, "e2", "view-loading", "records", "1", "waits_for", "the store")
+	s, _ := tell(t, jobA, refused, far, at(13, "e1", "view-loaded", "records", "9000", "took_ms", "2100"))
+	g.Expect(s.Why).To(ContainElement("1 questions for its state were refused from 10:00:12.000 to 10:00:12.000 (view-loading): e1 had read 2500 jobs' records at 10:00:11.500 " +
+		"and waited for 10.1.0.4:7660; e1 had read all 9000 jobs' records at 10:00:13.000, 2100 ms after it began"))
+	s, _ = tell(t, jobA, refused, far)
+	g.Expect(s.Why).To(ContainElement(HaveSuffix("and waited for 10.1.0.4:7660; no line tells that it was done")))
+}
+
 // TestWhyNothingRan tells of a takeover, and why there was one.
 func TestWhyNothingRan(t *testing.T) {
 	accepted := at(10, "e1", "job-accepted", "job", jobA, "took_ms", "5")
