--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -465,6 +465,21 @@
 	b.list()
 }
 
+// TestJobThatMayRepeatOneWaitsForTheBarrier guards against a second run beside one
+// that a former holder has started on a worker which isn't heard yet.
+func TestJobThatMayRepeatOneWaitsForTheBarrier(t *testing.T) {
+	b := newBed(t, "w1", "w2", "w3")
+	b.takeOverWithout(Engagement{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1})
+	step := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}}
+	b.next = append(b.next, JobAccepted{Job: &workflow.Job{ID: "repeat", Queue: "q", Spec: "s", Steps: []workflow.Step{step}, Unchecked: true}, Offset: testOffset + 2})
+	b.run(11 * time.Second)
+	b.Expect(b.startsOn("new")).To(HaveLen(1))
+	b.Expect(b.startsOn("repeat")).To(BeEmpty(), "its first record may be older than the term")
+	b.Expect(b.core.barrier).To(BeTrue())
+	b.run(5 * time.Second)
+	b.Expect(b.core.barrier).To(BeFalse())
+}
+
 func TestNothingOldStartsWhileAFormerHoldersWorkerIsNotFenced(t *testing.T) {
 	b := newBed(t, "w1", "w2", "w3")
 	b.takeOverWithout(Engagement{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1})
--- /dev/null
+++ b/internal/node/bulk_test.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/intake"
+	"github.com/mimosaspool/mimosaspool/internal/store"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+func TestNodesOfADomainAgreeOnWhoReadsTheStore(t *testing.T) {
+	g := NewWithT(t)
+	var ms []Member
+	for i := range 12 {
+		m := Member{Node: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%3), CPUShare: 0.2}
+		if i >= 9 {
+			m.CPUShare = 0.8
+		}
+		m.Holds, m.Leaving = i == 9, i == 3
+		ms = append(ms, m)
+	}
+	asked := map[string]int{}
+	first := 0
+	for _, m := range ms {
+		s := bulkSourcesOf(ms, m.Node)
+		g.Expect(s.elsewhere).To(HaveLen(2))
+		g.Expect(len(s.ahead)).To(BeNumerically("<=", bulkPeers))
+		if len(s.ahead) == 0 && !m.Leaving {
+			g.Expect(m.CPUShare).To(Equal(0.8), "the holder of before comes first like any other")
+			first++
+		}
+		for _, address := range s.ahead {
+			asked[address]++
+		}
+	}
+	g.Expect(first).To(Equal(3), "one of each domain has nobody ahead")
+	g.Expect(asked).NotTo(HaveKey("a3"), "it is leaving")
+	g.Expect(bulkSourcesOf(ms, "unknown").ahead).To(BeEmpty())
+}
+
+// pageFails is a store of which every other page of the newest fails.
+type pageFails struct {
+	store.Store
+	pages int
+	asked map[string]int
+}
+
+func (s *pageFails) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	if p != jobsPartition {
+		return s.Store.Newest(ctx, p, after)
+	}
+	s.pages++
+	s.asked[after]++
+	if s.pages%2 == 0 {
+		return store.Page{}, store.ErrNotDone
+	}
+	return s.Store.Newest(ctx, p, after)
+}
+
+func TestPagesThatCameAreKeptWhenOneFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{cluster: newCluster(t, 1, brief)}
+		defer s.close()
+		s.fill(2000)
+		fails := &pageFails{asked: map[string]int{}}
+		s.adapt = func(_ *process, _ *Settings, ports *Ports) {
+			fails.Store = ports.Store
+			ports.Store = fails
+		}
+		p := s.boot("a")
+		time.Sleep(3 * time.Second)
+		s.Expect(p.node.table.isLoaded()).To(BeTrue())
+		s.Expect(p.node.reader.isDown()).To(BeFalse(), "a page's failure isn't the store's")
+		s.Expect(fails.asked[""]).To(Equal(1), "the first page was read again")
+		s.Expect(fails.pages).To(BeNumerically("<=", 2*len(fails.asked)))
+	})
+}
+
+func TestQuestionForAStateReadsNothingBeforeTheViewIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{cluster: newCluster(t, 1, brief)}
+		defer s.close()
+		s.fill(2000)
+		hangs := make(chan struct{})
+		s.adapt = func(_ *process, _ *Settings, ports *Ports) { ports.Store = &newestHangs{ports.Store, hangs} }
+		p := s.boot("a")
+		time.Sleep(time.Second)
+		desk, q := p.node.Desk(), s.catalog.Queues["plain"]
+		before := s.log.Usage("a").ReadBytes
+		for i := range 20 {
+			_, o := desk.State(s.ctx, &q, fmt.Sprintf("00000000%08x", i))
+			s.Expect(o.Code).To(Equal(intake.Unavailable))
+			s.Expect(o.Reason).To(Equal("view-loading"))
+		}
+		_, o := desk.Pending(s.ctx, &q)
+		s.Expect(o.Code).To(Equal(intake.Unavailable), "a part of the jobs can't be counted")
+		s.Expect(desk.Ready()).To(BeFalse())
+		s.Expect(p.node.mayClaim()).To(BeFalse())
+		s.Expect(s.log.Usage("a").ReadBytes - before).To(BeNumerically("<", 1000))
+
+		job := oneTask("a000000000000001")
+		job.Steps[0].EstimateMillis = time.Minute.Milliseconds()
+		s.fleet.Know(&job, q.Pool, q.Attempts)
+		s.Expect(desk.Submit(s.ctx, &q, job).Code).To(Equal(intake.OK), "an accept needs the configuration and the store")
+		close(hangs)
+		time.Sleep(4 * time.Second)
+		e, ok := p.node.table.lookup(job.ID)
+		s.Expect(ok).To(BeTrue())
+		s.Expect(e.job.Unchecked).To(BeTrue(), "it may repeat one that was accepted before")
+		state, o := desk.State(s.ctx, &q, "0000000000000001")
+		s.Expect(o.Code).To(Equal(intake.OK))
+		s.Expect(state).To(Equal(workflow.Completed))
+	})
+}
+
+// newestHangs is a store that answers no page of the jobs before a channel closes.
+type newestHangs struct {
+	store.Store
+	until chan struct{}
+}
+
+func (s *newestHangs) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	if p == jobsPartition {
+		select {
+		case <-s.until:
+		case <-ctx.Done():
+			return store.Page{}, store.ErrNotDone
+		}
+	}
+	return s.Store.Newest(ctx, p, after)
+}
+
+func TestPartOfTheLogMakesNoFreshView(t *testing.T) {
+	g := NewWithT(t)
+	part := reading{records: numbered(0, jobRecord(g, "a", "")), next: 1, sent: time.Now()}
+	tab := newTable()
+	tab.apply(part.records, part.next)
+	tab.read(part)
+	g.Expect(tab.isLoaded()).To(BeFalse(), "it is no whole reading")
+	tab.read(reading{whole: true, next: 1, at: time.Now().Add(-3 * time.Second)})
+	tab.read(part)
+	g.Expect(tab.fresh(time.Now(), 2*time.Second)).To(BeFalse(), "it has not reached the log's end")
+	tab.read(reading{next: 1, at: time.Now()})
+	g.Expect(tab.fresh(time.Now(), 2*time.Second)).To(BeTrue())
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -86,3 +86,26 @@
 		g.Expect(b.ReadAt.IsZero()).To(BeTrue(), "it is not told")
 	})
 }
+
+// loadingNode is a node that reads its own view.
+type loadingNode struct{ Node }
+
+func (loadingNode) Reader() store.Reader { return loadingReader{} }
+
+type loadingReader struct{ store.Reader }
+
+func (loadingReader) Newest(context.Context, store.Partition, string) (store.Page, error) {
+	return store.Page{}, store.ErrLoading
+}
+
+func TestNodeThatLoadsIsToldFromOneThatFails(t *testing.T) {
+	g := NewWithT(t)
+	read := func(n Node) error {
+		_, err := NewClient(slowWay{to: Handler(n)}).Reader("a:1").Newest(t.Context(), store.Partition{}, "")
+		return err
+	}
+	g.Expect(read(loadingNode{})).To(MatchError(store.ErrLoading))
+	err := read(viewing{})
+	g.Expect(err).To(MatchError(store.ErrNotDone))
+	g.Expect(err).NotTo(MatchError(store.ErrLoading))
+}
