--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -136,9 +136,20 @@
 	return s.Store.Newest(ctx, p, after)
 }
 
+// partReader reads the given records of a log that has more.
+type partReader struct{ records []store.Numbered }
+
+func (r partReader) Read(context.Context, store.Partition, int64, time.Duration) (store.Batch, error) {
+	return store.Batch{Records: r.records, Next: int64(len(r.records)), End: 1000}, nil
+}
+
+func (r partReader) Newest(context.Context, store.Partition, string) (store.Page, error) {
+	return store.Page{}, store.ErrNotDone
+}
+
 func TestPartOfTheLogMakesNoFreshView(t *testing.T) {
 	g := NewWithT(t)
-	part := reading{records: numbered(0, jobRecord(g, "a", "")), next: 1, sent: time.Now()}
+	part := readOnce(t.Context(), partReader{numbered(0, jobRecord(g, "a", ""))}, feed{}, 0)
 	tab := newTable()
 	tab.apply(part.records, part.next)
 	tab.read(part)
