--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -390,6 +390,8 @@
 // errorReason names a store's error for counters.
 func errorReason(err error) string {
 	switch {
+	case errors.Is(err, store.ErrLoading):
+		return "loading"
 	case errors.Is(err, store.ErrNotDone):
 		return "not-done"
 	case errors.Is(err, store.ErrUnknown):
