--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -46,6 +46,7 @@
 	if time.Since(p.listed) > pagesAge {
 		p.keys, p.end = t.keys()
 		p.listed, p.made = time.Now(), map[string]store.Page{}
+		time.AfterFunc(2*pagesAge, p.forget)
 	}
 	if page, ok := p.made[after]; ok {
 		return page, nil
@@ -59,6 +60,15 @@
 	return page, nil
 }
 
+// forget lets go of pages that serve nobody any more.
+func (p *pages) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.listed) > pagesAge {
+		p.keys, p.made, p.listed = nil, nil, time.Time{}
+	}
+}
+
 // keys returns the keys of all records that make up the table, in order, and
 // the offset up to which it was read.
 func (t *table) keys() ([]string, int64) {
