--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -116,9 +116,9 @@
 			continue
 		}
 		s.callers.Go(func() {
-			s.mu.Lock()
+			s.cluster.mu.Lock()
 			wait := time.Duration(s.random.Int64N(int64(startSpread)))
-			s.mu.Unlock()
+			s.cluster.mu.Unlock()
 			pauseFor(s.ctx, wait)
 			s.ask(s.boot(nodeName(i)))
 		})
