Whether the view is whole is asked before a job is looked up

Cause, found by reading: between the look-up of a submitted job's ID in a view that was being read and the question whether that view was whole, the reading could end. A repeat of an accepted job was then written as if it were known to be new, and a dispatcher would not hold it back behind the barrier (TWICE). Change: the question comes first. The order of two lines has no test of its own.

--- a/internal/node/desk.go
+++ b/internal/node/desk.go
@@ -136,6 +136,8 @@
 	if err := job.Check(); err != nil {
 		return d.outcome(intake.Invalid, "invalid-job")
 	}
+	// Asked first: jobs that come into the view after the look-up must not pass for unknown ones.
+	job.Unchecked = !d.table.isLoaded()
 	if _, ok := d.table.lookup(job.ID); ok {
 		return intake.Outcome{Reason: "known"}
 	}
@@ -150,7 +152,6 @@
 	}
 	job.Queue, job.Policy = q.Name, q
 	job.AcceptedMillis = time.Now().UnixMilli()
-	job.Unchecked = !d.table.isLoaded()
 	value, err := json.Marshal(job)
 	if err != nil {
 		f.outcome = d.outcome(intake.Invalid, "invalid-job")
