A view that comes from another node's memory says how old it is

Cause: a page from a node's memory told no time, so that the reading that it made counted as of no age until a read of later records succeeded, for which the history was gone. The list of keys that such pages are made by was also up to 2 s old. Change: pages carry their age, as batches do (NewestResponse.aged, age_millis); the list of keys lives for 0.5 s.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -46,6 +46,8 @@
 	records []store.Numbered
 	after   string
 	next    int64
+	// readAt is when the log was last read up to next.
+	readAt time.Time
 	// began is when the first page was asked for, zero between two readings.
 	began time.Time
 	// fromStore and fromPeers count the pages, retries the failures.
@@ -68,6 +70,7 @@
 	if b.began.IsZero() {
 		b.n.awaitMembers(ctx)
 		b.began, b.next = time.Now(), math.MaxInt64
+		b.readAt = b.began
 	}
 	for {
 		page, err := b.page(ctx)
@@ -79,6 +82,9 @@
 		}
 		b.records = append(b.records, page.Records...)
 		b.next = min(b.next, page.End)
+		if !page.ReadAt.IsZero() && page.ReadAt.Before(b.readAt) {
+			b.readAt = page.ReadAt
+		}
 		b.after = page.More
 		if page.More == "" {
 			return b.finish()
@@ -88,10 +94,8 @@
 
 // finish returns the whole reading and makes ready for another.
 func (b *bulk) finish() reading {
-	r := reading{records: b.records, next: b.next, whole: true, sent: b.began}
-	if b.fromPeers == 0 {
-		r.at, r.caughtUp = b.began, true // another node's view may be behind
-	}
+	// Another node's view may be behind the log's end.
+	r := reading{records: b.records, next: b.next, whole: true, sent: b.began, at: b.readAt, caughtUp: b.fromPeers == 0}
 	b.n.log.WithFields(logrus.Fields{"kind": "view-loaded", "records": len(b.records), "store_pages": b.fromStore, "peer_pages": b.fromPeers,
 		"retries": b.retries, "took_ms": time.Since(b.began).Milliseconds()}).Info("the view of the jobs is whole")
 	b.n.ports.Observe("load", time.Since(b.began))
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -160,3 +160,25 @@
 	tab.read(reading{next: 1, at: time.Now()})
 	g.Expect(tab.fresh(time.Now(), 2*time.Second)).To(BeTrue())
 }
+
+func TestViewsStayFreshWhenTheStoreForgetsItsHistory(t *testing.T) {
+	playDomains(t, 4, func(c *cluster, _ *links) {
+		scribble(c, 30*time.Millisecond)
+		x := &lags{c: c, holder: c.holder()}
+		var others []*process
+		for _, p := range c.up() {
+			if p != x.holder {
+				others = append(others, p)
+			}
+		}
+		for range 20 { // for 2 s, as the platform does
+			c.disrupt()
+			c.log.DropHistory()
+			_, age := x.watch(100*time.Millisecond, others...)
+			c.Expect(age).To(BeNumerically("<", storeSilence))
+		}
+		_, age := x.watch(4*time.Second, others...)
+		t.Logf("views are %v old at the most", age)
+		c.Expect(age).To(BeNumerically("<", storeSilence))
+	})
+}
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -14,7 +14,7 @@
 const (
 	// pagesAge is how long a list of keys serves for pages: nodes that start at
 	// the same time ask for the same ones.
-	pagesAge = 2 * time.Second
+	pagesAge = 500 * time.Millisecond
 	// pageRecords and pageBytes bound a page; a link of 10 Mbit/s takes 0.1 s for it.
 	pageRecords = 500
 	pageBytes   = 128 << 10
@@ -28,9 +28,10 @@
 type pages struct {
 	mu   sync.Mutex
 	keys []string
-	// end is the table's position when the keys were listed.
-	end    int64
-	listed time.Time
+	// end is the table's position when the keys were listed, read when the log was
+	// last read up to it.
+	end          int64
+	read, listed time.Time
 	// made are the pages by the key that they follow.
 	made map[string]store.Page
 }
@@ -44,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Since(p.listed) > pagesAge {
-		p.keys, p.end = t.keys()
+		p.keys, p.end, p.read = t.keys()
 		p.listed, p.made = time.Now(), map[string]store.Page{}
 		time.AfterFunc(2*pagesAge, p.forget)
 	}
@@ -55,7 +56,7 @@
 	if err != nil {
 		return store.Page{}, err
 	}
-	page.End = p.end
+	page.End, page.ReadAt = p.end, p.read
 	p.made[after] = page
 	return page, nil
 }
@@ -69,9 +70,9 @@
 	}
 }
 
-// keys returns the keys of all records that make up the table, in order, and
-// the offset up to which it was read.
-func (t *table) keys() ([]string, int64) {
+// keys returns the keys of all records that make up the table, in order, the
+// offset up to which it was read, and when.
+func (t *table) keys() ([]string, int64, time.Time) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	keys := make([]string, 0, 2*len(t.entries)+len(t.engaged))
@@ -90,7 +91,7 @@
 		keys = append(keys, workerKey+id)
 	}
 	slices.Sort(keys)
-	return keys, t.next
+	return keys, t.next, t.readAt
 }
 
 // page returns the records of the keys after the given one. What was dropped
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -97,8 +97,7 @@
 func encodeBatch(b store.Batch, came time.Time) (*api.ReadResponse, error) {
 	resp := &api.ReadResponse{Records: encode(b.Records), Next: b.Next, End: b.End}
 	if !b.ReadAt.IsZero() {
-		resp.Aged = true
-		resp.AgeMillis = (came.Sub(b.ReadAt) + time.Millisecond - 1).Milliseconds()
+		resp.Aged, resp.AgeMillis = true, ageAt(came, b.ReadAt)
 	}
 	return resp, pack(resp)
 }
@@ -127,6 +126,7 @@
 
 // Newest implements the Peer service.
 func (s *server) Newest(ctx context.Context, req *api.NewestRequest) (*api.NewestResponse, error) {
+	came := time.Now()
 	p := store.Partition{Topic: req.GetTopic(), Number: int(req.GetPart())}
 	page, err := s.node.Reader().Newest(ctx, p, req.GetAfter())
 	switch {
@@ -135,7 +135,16 @@
 	case err != nil:
 		return nil, err
 	}
-	return &api.NewestResponse{Records: encode(page.Records), More: page.More, End: page.End}, nil
+	resp := &api.NewestResponse{Records: encode(page.Records), More: page.More, End: page.End}
+	if !page.ReadAt.IsZero() {
+		resp.Aged, resp.AgeMillis = true, ageAt(came, page.ReadAt)
+	}
+	return resp, nil
+}
+
+// ageAt returns how long before a time the log was read, in milliseconds.
+func ageAt(came, readAt time.Time) int64 {
+	return (came.Sub(readAt) + time.Millisecond - 1).Milliseconds()
 }
 
 func encode(records []store.Numbered) []*api.LogRecord {
@@ -240,6 +249,7 @@
 
 // Newest implements store.Reader.
 func (r *reader) Newest(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	sent := time.Now()
 	resp, err := r.peer.Newest(ctx, &api.NewestRequest{Topic: p.Topic, Part: int32(p.Number), After: after})
 	var refusal twirp.Error
 	switch {
@@ -248,7 +258,11 @@
 	case err != nil:
 		return store.Page{}, &relayError{err}
 	}
-	return store.Page{Records: decode(resp.GetRecords()), More: resp.GetMore(), End: resp.GetEnd()}, nil
+	page := store.Page{Records: decode(resp.GetRecords()), More: resp.GetMore(), End: resp.GetEnd()}
+	if resp.GetAged() {
+		page.ReadAt = sent.Add(-time.Duration(resp.GetAgeMillis()) * time.Millisecond)
+	}
+	return page, nil
 }
 
 // relayError is a read through a peer that brought nothing. It is store.ErrNotDone.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -74,6 +74,9 @@
 	More string
 	// End is the partition's end when the page was made.
 	End int64
+	// ReadAt is when the partition was last read up to End, if that isn't as this
+	// read ends: the page comes from another node's view. Zero otherwise.
+	ReadAt time.Time
 }
 
 // Reader reads the platform's log. Its methods may be called concurrently. Errors
