A view far behind comes nearer with each read, on small links too

Change: a batch holds 320 KB at the most: above the largest record, 0.26 s on such a link. TestViewFarBehindComesNearerOnASmallLink fails with batches of 1 MB (a view 18 s old).

--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -20,8 +20,8 @@
 	DefaultAppendTime = 2 * time.Millisecond
 	// PageRecords bounds the records of a page of the newest.
 	PageRecords = 500
-	// BatchBytes bounds the values of a read and of a page; one record always fits.
-	BatchBytes = 1 << 20
+	// PageBytes bounds the values of a page of the newest; one record always fits.
+	PageBytes = 1 << 20
 	// MaxReadWait is the longest wait of a read.
 	MaxReadWait = 30 * time.Second
 	// MaxAppendQueue is the longest time that appends may wait in line.
--- a/internal/emulator/partition.go
+++ b/internal/emulator/partition.go
@@ -146,7 +146,7 @@
 	for i := from - p.first; i < int64(len(p.history)); i++ {
 		n := p.history[i].Numbered
 		size += len(n.Key) + len(n.Value)
-		if len(batch.Records) > 0 && size > BatchBytes {
+		if len(batch.Records) > 0 && size > store.BatchBytes {
 			break
 		}
 		batch.Records = append(batch.Records, copyNumbered(n))
@@ -165,7 +165,7 @@
 		}
 		n := p.newest[key]
 		size += len(n.Key) + len(n.Value)
-		if k := len(page.Records); k == PageRecords || k > 0 && size > BatchBytes {
+		if k := len(page.Records); k == PageRecords || k > 0 && size > PageBytes {
 			page.More = page.Records[k-1].Key
 			break
 		}
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -182,3 +182,37 @@
 		c.Expect(age).To(BeNumerically("<", storeSilence))
 	})
 }
+
+// smallLink is a store at the end of a link of 10 Mbit/s of which half is in use.
+type smallLink struct{ store.Store }
+
+func (s smallLink) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	b, err := s.Store.Read(ctx, p, from, wait)
+	size := 0
+	for _, r := range b.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	pauseFor(ctx, time.Duration(float64(size)/0.625e6*float64(time.Second)))
+	if ctx.Err() != nil {
+		return store.Batch{}, store.ErrNotDone
+	}
+	return b, err
+}
+
+func TestViewFarBehindComesNearerOnASmallLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, brief)
+		defer c.close()
+		c.adapt = func(_ *process, _ *Settings, ports *Ports) { ports.Store = smallLink{ports.Store} }
+		p := c.boot("a")
+		time.Sleep(3 * time.Second)
+		c.log.Down(true, "a")
+		for range 4000 { // 4 MB in 8 s
+			c.log.Put(jobsPartition, store.Record{Key: "x", Value: make([]byte, 1000)})
+			time.Sleep(2 * time.Millisecond)
+		}
+		c.log.Calm()
+		time.Sleep(10 * time.Second) // the link alone takes 6.4 s
+		c.Expect(p.node.JobsAge()).To(BeNumerically("<", storeSilence))
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,6 +55,11 @@
 	First, End int64
 }
 
+// BatchBytes bounds a batch. It is above the largest record (256 KB), and a link of
+// 10 Mbit/s takes 0.26 s for it: well below the bound of a read, so that a view
+// that is far behind comes nearer with each one.
+const BatchBytes = 320 << 10
+
 // Batch is an ordered part of a partition.
 type Batch struct {
 	Records []Numbered
