One place for the rests of other nodes, one for an answer's age

Found on reading the change again: the doubling rest after a node that did not answer stood in viewReader and in bulk, and the reading of an age twice in the peers' client.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -53,7 +53,7 @@
 	// fromStore and fromPeers count the pages, retries the failures.
 	fromStore, fromPeers, retries int
 	patience                      time.Duration
-	rests                         map[string]rest
+	rests                         rests
 	// loading tells since when a node has said that it loads its own view.
 	loading map[string]time.Time
 	// waitsFor is who did not bring a page last; toldAt is when a line said so.
@@ -62,7 +62,7 @@
 }
 
 func newBulk(n *Node) *bulk {
-	return &bulk{n: n, patience: leastPagePatience, rests: map[string]rest{}, loading: map[string]time.Time{}}
+	return &bulk{n: n, patience: leastPagePatience, rests: rests{}, loading: map[string]time.Time{}}
 }
 
 // read goes on reading. After an error the next call goes on where this one ended.
@@ -135,7 +135,7 @@
 func (b *bulk) fromAny(ctx context.Context, addresses []string) (store.Page, error) {
 	err := errors.WithStack(store.ErrNotDone)
 	for _, address := range addresses {
-		if time.Now().Before(b.rests[address].until) {
+		if !b.rests.over(address) {
 			continue
 		}
 		var page store.Page
@@ -156,10 +156,7 @@
 			return page, err
 		}
 		b.n.ports.Count("retry", "bulk-peer-"+errorReason(err))
-		r := b.rests[address]
-		r.until = time.Now().Add(min(holderRest<<min(r.failures, 6), readerRestMost))
-		r.failures++
-		b.rests[address] = r
+		b.rests.failed(address)
 		delete(b.loading, address)
 	}
 	return store.Page{}, err
--- a/internal/node/recent.go
+++ b/internal/node/recent.go
@@ -200,6 +200,20 @@
 	failures int
 }
 
+// rests are the rests of other nodes, by their addresses.
+type rests map[string]rest
+
+// over reports whether the node may be asked.
+func (r rests) over(address string) bool { return !time.Now().Before(r[address].until) }
+
+// failed lets the node rest, for longer with each failure in a row.
+func (r rests) failed(address string) {
+	x := r[address]
+	x.until = time.Now().Add(min(holderRest<<min(x.failures, 6), readerRestMost))
+	x.failures++
+	r[address] = x
+}
+
 // viewReader reads the log of jobs from the reader of the node's domain, or else
 // from the holder of the right; both have it at hand. It reads the store if this
 // node is the holder or the holder does not answer.
@@ -208,10 +222,10 @@
 	// holderRest and readerRests, by address, say when who is asked again. One
 	// goroutine reads.
 	holderRest  time.Time
-	readerRests map[string]rest
+	readerRests rests
 }
 
-func newViewReader(n *Node) *viewReader { return &viewReader{n: n, readerRests: map[string]rest{}} }
+func newViewReader(n *Node) *viewReader { return &viewReader{n: n, readerRests: rests{}} }
 
 // Read implements store.Reader.
 func (v *viewReader) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) (store.Batch, error) {
@@ -240,7 +254,7 @@
 		return "", false
 	}
 	for _, address := range ahead {
-		if !time.Now().Before(v.readerRests[address].until) {
+		if v.readerRests.over(address) {
 			return address, true
 		}
 	}
@@ -257,10 +271,7 @@
 		return b, nil
 	}
 	v.n.ports.Count("retry", "reader-unanswered")
-	r := v.readerRests[address]
-	r.until = time.Now().Add(min(holderRest<<min(r.failures, 6), readerRestMost))
-	r.failures++
-	v.readerRests[address] = r
+	v.readerRests.failed(address)
 	return b, err
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -109,7 +109,7 @@
 	}
 	b := store.Batch{Records: decode(resp.GetRecords()), Next: resp.GetNext(), End: resp.GetEnd()}
 	if resp.GetAged() {
-		b.ReadAt = sent.Add(-time.Duration(resp.GetAgeMillis()) * time.Millisecond)
+		b.ReadAt = aged(sent, resp.GetAgeMillis())
 	}
 	return b, nil
 }
@@ -142,6 +142,11 @@
 	return resp, nil
 }
 
+// aged undoes ageAt for an answer to a request sent at the time.
+func aged(sent time.Time, millis int64) time.Time {
+	return sent.Add(-time.Duration(millis) * time.Millisecond)
+}
+
 // ageAt returns how long before a time the log was read, in milliseconds.
 func ageAt(came, readAt time.Time) int64 {
 	return (came.Sub(readAt) + time.Millisecond - 1).Milliseconds()
@@ -260,7 +265,7 @@
 	}
 	page := store.Page{Records: decode(resp.GetRecords()), More: resp.GetMore(), End: resp.GetEnd()}
 	if resp.GetAged() {
-		page.ReadAt = sent.Add(-time.Duration(resp.GetAgeMillis()) * time.Millisecond)
+		page.ReadAt = aged(sent, resp.GetAgeMillis())
 	}
 	return page, nil
 }
