--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -81,6 +81,7 @@
 	// are late.
 	lateReported bool
 	window       startWindow
+	calls        callCounts
 	// previousLeaderEnd is the time since which no previous leader can have had its
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
@@ -113,7 +114,7 @@
 func New(set Settings, now time.Duration, wall int64) *Core {
 	return &Core{
 		set: set, now: now, wall: wall, termStart: now, barrier: true,
-		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow},
+		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow}, calls: callCounts{since: now},
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
 	}
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -58,23 +58,17 @@
 		// end numbers that this one reported.
 		heartbeat.LastAckedEnd = 0
 	}
-	switch {
-	case !h.fenced || h.lastRecordedEnd < h.lastEnd || h.awaitsRunList():
-	case len(h.runs) == 0:
-		heartbeat.Wait = idleHeartbeatWait
-	case h.watchesLatency():
-		heartbeat.Wait = latencyHeartbeatWait
-	default:
-		heartbeat.Wait = heartbeatWait
-	}
+	var why purpose
+	why, heartbeat.Wait = c.heartbeatPurpose(h)
 	slack := heartbeatSlack
-	switch {
-	case h.unanswered > 0:
-		heartbeat.Wait = 0
-	case c.now < c.lossyUntil:
-		// A lost answer hides task ends until the next heartbeat, so send them often.
-		heartbeat.Wait, slack = min(heartbeat.Wait, lossyHeartbeatWait), lossyHeartbeatSlack
+	if c.now < c.lossyUntil && h.unanswered == 0 {
+		slack = lossyHeartbeatSlack
+		if heartbeat.Wait > lossyHeartbeatWait {
+			// A lost answer hides task ends until the next heartbeat, so send them often.
+			why, heartbeat.Wait = heartbeatLossy, lossyHeartbeatWait
+		}
 	}
+	c.countCall(why)
 	h.ackedEnd = heartbeat.LastAckedEnd
 	h.lastWait = heartbeat.Wait
 	timeout := h.lastWait + slack + h.roundTripAllowance()
@@ -87,6 +81,26 @@
 	c.emit(SendHeartbeat{Incarnation: h.incarnation, Heartbeat: heartbeat, Timeout: timeout})
 }
 
+// heartbeatPurpose returns why a worker gets a heartbeat, and how long it may wait for
+// a task to end while no answers get lost.
+func (c *Core) heartbeatPurpose(h *host) (purpose, time.Duration) {
+	switch {
+	case h.unanswered > 0:
+		return heartbeatRecheck, 0
+	case !h.fenced:
+		return heartbeatFence, 0
+	case h.lastRecordedEnd < h.lastEnd:
+		return heartbeatEnds, 0
+	case h.awaitsRunList():
+		return heartbeatStopped, 0
+	case len(h.runs) == 0:
+		return heartbeatIdle, idleHeartbeatWait
+	case h.watchesLatency():
+		return heartbeatRegular, latencyHeartbeatWait
+	}
+	return heartbeatRegular, heartbeatWait
+}
+
 // awaitsRunList reports whether a list is needed at once to see that stopped runs
 // have ended.
 func (h *host) awaitsRunList() bool {
--- a/internal/dispatch/latency.go
+++ b/internal/dispatch/latency.go
@@ -92,9 +92,9 @@
 	switch {
 	case c.answersLate() && !c.lateReported:
 		c.lateReported = true
-		c.recordDecision(Decision{Kind: "answers-late", Reason: fmt.Sprintf("at most %d starts at once", c.window.size), Age: c.answerDelay})
+		c.recordDecision(Decision{Kind: "answers-late", Reason: fmt.Sprintf("at most %d starts at once; %s", c.window.size, c.takeCallReport()), Age: c.answerDelay})
 	case c.answerDelay < timelyThreshold && c.lateReported:
 		c.lateReported = false
-		c.recordDecision(Decision{Kind: "answers-in-time", Age: c.answerDelay})
+		c.recordDecision(Decision{Kind: "answers-in-time", Reason: c.takeCallReport(), Age: c.answerDelay})
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -149,6 +149,7 @@
 	}
 	deadline := c.workerClock(h) + c.set.Lease.Milliseconds()
 	h.latestDeadline = max(h.latestDeadline, deadline)
+	c.countCall(callStart)
 	c.emit(StartTask{Incarnation: h.incarnation, Start: worker.Start{
 		Order: c.orderFor(h), Task: r.taskID, Run: r.number, Spec: r.task.step.occurrence.job.def.Spec,
 		DeadlineMillis: deadline, Checkpoint: r.startCheckpoint, Ticket: r.ticket,
@@ -274,6 +275,7 @@
 func (c *Core) sendStop(r *run) {
 	r.attempts++
 	r.orderInFlight, r.orderSentAt, r.host.hasPendingOrders = true, c.now, true
+	c.countCall(callStop)
 	c.emit(StopTask{Incarnation: r.host.incarnation, Stop: worker.Stop{Order: c.orderFor(r.host), Task: r.taskID, Run: r.number}, Timeout: c.orderTimeout(r)})
 }
 
