--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -29,6 +29,8 @@
 	stops      []StopTask
 	commits    []Commit
 	heartbeats []SendHeartbeat
+	// holdsCommits is set while commits get no answer yet.
+	holdsCommits bool
 }
 
 type testWorker struct {
@@ -45,6 +47,8 @@
 	addressReused bool
 	// startCode is the answer to starts.
 	startCode worker.Code
+	// stopsSlowly is set if stopped runs go on for a while.
+	stopsSlowly bool
 }
 
 func newHarness(t *testing.T, workers ...string) *harness {
@@ -101,6 +105,9 @@
 	switch e := e.(type) {
 	case Commit:
 		b.commits = append(b.commits, e)
+		if b.holdsCommits {
+			return
+		}
 		b.queuedEvents = append(b.queuedEvents, Committed{Number: e.Number})
 	case SendHeartbeat:
 		b.heartbeats = append(b.heartbeats, e)
@@ -143,7 +150,9 @@
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.WrongIncarnation})
 			return
 		}
-		w.end(e.Stop.Task, worker.Stopped)
+		if !w.stopsSlowly {
+			w.end(e.Stop.Task, worker.Stopped)
+		}
 		b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run})
 	}
 }
--- a/internal/dispatch/latency_test.go
+++ b/internal/dispatch/latency_test.go
@@ -64,6 +64,7 @@
 func (d *latencyHarness) answerDelayed(e Effect) {
 	switch e := e.(type) {
 	case SendHeartbeat:
+		d.heartbeats = append(d.heartbeats, e)
 		id := e.Heartbeat.Worker
 		at, ok := d.answerTime(id, e.Heartbeat.Wait, e.Timeout)
 		ev := HeartbeatAnswered{Worker: id, Incarnation: e.Incarnation, SentAt: d.now, Code: worker.Unknown}
