--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -101,11 +101,12 @@
 	return heartbeatRegular, heartbeatWait
 }
 
-// awaitsRunList reports whether a list is needed at once to see that stopped runs
-// have ended.
+// awaitsRunList reports whether a list is needed at once, to see whether the worker
+// still has a run whose stop it has confirmed. A run that is in a list asked for after
+// that appears as an end later.
 func (h *host) awaitsRunList() bool {
 	for _, r := range h.runs {
-		if r.state == stopping && r.stopAckedAt > 0 {
+		if r.state == stopping && r.stopAckedAt > h.confirmedAt {
 			return true
 		}
 	}
