--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -22,6 +22,9 @@
 	lossyHeartbeatSlack = 150 * time.Millisecond
 	lossyHeartbeatWait  = 250 * time.Millisecond
 	lossyPeriod         = 4 * time.Second
+	// maxLossyHeartbeatsPerSecond bounds the heartbeats that are sent in the meantime to
+	// the workers that have answered. In a large fleet, an answer is lost at any time.
+	maxLossyHeartbeatsPerSecond = 400
 	// unrecordedEndsPause is the delay between heartbeats while task ends are not
 	// yet recorded.
 	unrecordedEndsPause = 200 * time.Millisecond
@@ -63,9 +66,9 @@
 	slack := heartbeatSlack
 	if c.now < c.lossyUntil && h.unanswered == 0 {
 		slack = lossyHeartbeatSlack
-		if heartbeat.Wait > lossyHeartbeatWait {
+		if limit := c.lossyWait(h); heartbeat.Wait > limit {
 			// A lost answer hides task ends until the next heartbeat, so send them often.
-			why, heartbeat.Wait = heartbeatLossy, lossyHeartbeatWait
+			why, heartbeat.Wait = heartbeatLossy, limit
 		}
 	}
 	c.countCall(why)
@@ -142,7 +145,7 @@
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.unanswered <= 1 {
 			h.nextHeartbeat = c.now // a single lost answer: try again at once
-			c.recordLostAnswer()
+			c.recordLostAnswer(h)
 		}
 		c.reasons["hold-"+ev.Code.String()]++
 		return
@@ -184,14 +187,23 @@
 	}
 }
 
-// recordLostAnswer assumes for a while that answers get lost, unless answers are
-// just late.
-func (c *Core) recordLostAnswer() {
+// recordLostAnswer assumes for a while that answers get lost, most of all those of
+// the worker, unless answers are just late.
+func (c *Core) recordLostAnswer(h *host) {
 	if !c.answersLate() {
 		c.lossyUntil = c.now + lossyPeriod
+		h.lossyUntil = c.lossyUntil
 	}
 }
 
+// lossyWait bounds the wait of a heartbeat while answers get lost.
+func (c *Core) lossyWait(h *host) time.Duration {
+	if c.now < h.lossyUntil {
+		return lossyHeartbeatWait
+	}
+	return max(lossyHeartbeatWait, time.Duration(len(c.sortedHosts))*time.Second/maxLossyHeartbeatsPerSecond)
+}
+
 // registerWorker records the incarnation before the first task is started on it.
 func (c *Core) registerWorker(h *host) {
 	if h.registered || h.registering {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -67,6 +67,8 @@
 	// heartbeatFailed is set if the last heartbeat returned no lists, so the worker
 	// may have a new incarnation since.
 	heartbeatFailed bool
+	// lossyUntil is the time until which its answers are assumed to get lost.
+	lossyUntil time.Duration
 	// roundTrip is the smoothed time from an order to its answer, minRoundTrip the
 	// shortest recent one. Both are 0 until they are known.
 	roundTrip, minRoundTrip time.Duration
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -207,7 +207,7 @@
 		h.addUnconfirmedStart(r, c.now)
 		c.recordTimeout(h, r.orderSentAt, firstOrderTimeout)
 		if h.unanswered == 0 {
-			c.recordLostAnswer()
+			c.recordLostAnswer(h)
 		}
 		c.reasons["start-unanswered"]++
 		r.nextOrderAt = c.now
