--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -25,8 +25,8 @@
 	// maxLossyHeartbeatsPerSecond bounds the heartbeats that are sent in the meantime to
 	// the workers that have answered. In a large fleet, an answer is lost at any time.
 	maxLossyHeartbeatsPerSecond = 400
-	// unrecordedEndsPause is the delay between heartbeats while task ends are not
-	// yet recorded.
+	// unrecordedEndsPause is the least delay between heartbeats while task ends are
+	// not yet recorded, which would bring the same ends again.
 	unrecordedEndsPause = 200 * time.Millisecond
 	// maxAbsences is how many heartbeats in a row must find nothing listening
 	// before the incarnation is considered ended.
@@ -183,7 +183,7 @@
 	c.paceFillers(h)
 	h.nextHeartbeat = c.now
 	if h.lastRecordedEnd < h.lastEnd {
-		h.nextHeartbeat = c.now + unrecordedEndsPause
+		h.nextHeartbeat = c.now + unrecordedEndsPause + c.delayAllowance()
 	}
 }
 
