--- a/internal/dispatch/calls_test.go
+++ b/internal/dispatch/calls_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
 // heartbeatsTo returns how many heartbeats were sent to a worker.
@@ -66,3 +67,27 @@
 	d.advance(2 * heartbeatWait)
 	d.Expect(d.heartbeatsWithin(2 * time.Second)).To(BeNumerically("<=", 3*len(d.workers)))
 }
+
+// TestStepCostDoesNotGrowWithOrdersInFlight guards against an overload that feeds
+// itself: the later answers come, the more orders are in flight, and a step for each
+// event that goes through all of them takes the time in which answers could be read.
+func TestStepCostDoesNotGrowWithOrdersInFlight(t *testing.T) {
+	const inFlight = 200
+	b := newIdleHarness(t, inFlight)
+	b.core.window.size = inFlight
+	b.acceptJob("j", testOffset+1, workflow.Step{Count: inFlight}, workflow.Progress{})
+	events := append(b.queuedEvents, LeadershipConfirmed{b.now + 5*time.Second})
+	started := 0
+	for _, e := range b.core.Step(b.now, b.now.Milliseconds(), events...) {
+		if _, ok := e.(StartTask); ok {
+			started++
+		}
+	}
+	b.Expect(started).To(Equal(inFlight))
+	allocated := testing.AllocsPerRun(10, func() {
+		b.now += time.Millisecond
+		b.core.Step(b.now, b.now.Milliseconds())
+		b.core.Decisions()
+	})
+	b.Expect(allocated).To(BeNumerically("<", inFlight/2), "one for each order at least, if a step goes through them")
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -141,7 +141,7 @@
 func (c *Core) sendStart(r *run) {
 	h := r.host
 	r.attempts++
-	r.orderInFlight, r.orderSentAt, h.hasPendingOrders = true, c.now, true
+	r.orderInFlight, r.orderSentAt = true, c.now
 	if r.attempts == 1 {
 		c.window.add(r)
 	} else if ticket, ok := c.ticketFor(r.task.step, h); ok {
@@ -189,6 +189,7 @@
 		c.recordContact(h)
 	}
 	if r.state != starting {
+		h.hasUnsentOrders = true
 		if ev.Code == worker.Unknown {
 			r.unconfirmed = true
 			h.addUnconfirmedStart(r, c.now)
@@ -210,7 +211,7 @@
 			c.recordLostAnswer(h)
 		}
 		c.reasons["start-unanswered"]++
-		r.nextOrderAt = c.now
+		r.nextOrderAt, h.hasUnsentOrders = c.now, true
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(h)
 	case worker.StaleRun:
@@ -274,7 +275,7 @@
 
 func (c *Core) sendStop(r *run) {
 	r.attempts++
-	r.orderInFlight, r.orderSentAt, r.host.hasPendingOrders = true, c.now, true
+	r.orderInFlight, r.orderSentAt = true, c.now
 	c.countCall(callStop)
 	c.emit(StopTask{Incarnation: r.host.incarnation, Stop: worker.Stop{Order: c.orderFor(r.host), Task: r.taskID, Run: r.number}, Timeout: c.orderTimeout(r)})
 }
@@ -295,6 +296,7 @@
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(r.host)
 	default:
+		r.host.hasUnsentOrders = true
 		r.nextOrderAt = c.now + stopRetryDelay*time.Duration(min(r.attempts, 6))
 		c.reasons["stop-"+ev.Code.String()]++
 		if ev.Code == worker.Unknown {
@@ -306,32 +308,33 @@
 // retryOrders sends unanswered orders again.
 func (c *Core) retryOrders() {
 	for _, h := range c.sortedHosts {
-		if !h.hasPendingOrders {
+		if !h.hasUnsentOrders {
 			continue
 		}
-		pending := h.pendingOrderRuns()
-		h.hasPendingOrders = len(pending) > 0
-		for _, r := range pending {
-			if r.orderInFlight || c.now < r.nextOrderAt {
+		unsent := h.unsentOrderRuns()
+		h.hasUnsentOrders = len(unsent) > 0
+		for _, r := range unsent {
+			if c.now < r.nextOrderAt {
 				continue
 			}
 			switch {
-			case r.state == stopping && r.stopAckedAt == 0:
+			case r.state == stopping:
 				c.sendStop(r)
-			case r.state == starting && r.unconfirmed && (r.attempts >= maxStartAttempts || !c.leadershipConfirmed() || h.drainingSince > 0 || r.task.step.occurrence.job.ended()):
+			case r.attempts >= maxStartAttempts || !c.leadershipConfirmed() || h.drainingSince > 0 || r.task.step.occurrence.job.ended():
 				c.stopRun(r, "no answer to its start")
-			case r.state == starting && r.unconfirmed:
+			default:
 				c.sendStart(r)
 			}
 		}
 	}
 }
 
-// pendingOrderRuns returns the runs with an order that may have to be sent again.
-func (h *host) pendingOrderRuns() []*run {
+// unsentOrderRuns returns the runs whose last order has had no effect that is known,
+// and that have no other order in flight.
+func (h *host) unsentOrderRuns() []*run {
 	var rs []*run
 	for _, r := range h.runs {
-		if r.state == starting || r.state == stopping && r.stopAckedAt == 0 {
+		if !r.orderInFlight && (r.state == starting && r.unconfirmed || r.state == stopping && r.stopAckedAt == 0) {
 			rs = append(rs, r)
 		}
 	}
