--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -63,27 +63,7 @@
 	if policy == nil || a.inFlight || c.now < a.notBefore {
 		return
 	}
-	var names []string
-	pool := c.pools[s.occurrence.job.queue.Pool]
-	// Once the service has answered for as many workers as the pool has, only wanted
-	// workers matter. Calling wanted is cheaper than looking up the answers.
-	allKnown := len(a.allowed) >= len(pool)
-	for _, h := range pool {
-		if len(names) == maxAdviceWorkers {
-			break
-		}
-		if allKnown && !wanted(h) || !c.eligible(s, h) {
-			continue
-		}
-		allowed, known := a.allowed[h.info.ID]
-		if known && (!allowed || !wanted(h)) {
-			continue
-		}
-		if t, ok := a.tickets[h]; ok && c.now < t.validUntil-policy.Decision {
-			continue
-		}
-		names = append(names, h.info.ID)
-	}
+	names := c.workersToAskAbout(s, wanted)
 	if len(names) == 0 {
 		a.notBefore = c.now + noCandidateRetry
 		return
@@ -94,6 +74,37 @@
 		Urgent: s.occurrence.job.queue.Priority == 0, Overdue: s.ready && c.now-s.readyAt > adviceOverdueAfter})
 }
 
+// workersToAskAbout returns the workers whose answer the step lacks or will lack soon:
+// those with room for a task first, since it can start there at once.
+func (c *Core) workersToAskAbout(s *step, wanted func(*host) bool) []string {
+	a := &s.advice
+	size := s.def.ReservedSize()
+	pool := c.pools[s.occurrence.job.queue.Pool]
+	// Once the service has answered for as many workers as the pool has, only wanted
+	// workers matter. Calling wanted is cheaper than looking up the answers.
+	allKnown := len(a.allowed) >= len(pool)
+	var names []string
+	for _, withRoom := range []bool{true, false} {
+		for _, h := range pool {
+			if len(names) == maxAdviceWorkers {
+				return names
+			}
+			if withRoom != (size.FitsIn(h.free) && c.usable(h)) || allKnown && !wanted(h) || !c.eligible(s, h) {
+				continue
+			}
+			allowed, known := a.allowed[h.info.ID]
+			if known && (!allowed || !wanted(h)) {
+				continue
+			}
+			if t, ok := a.tickets[h]; ok && c.now < t.validUntil-s.occurrence.job.queue.Advice.Decision {
+				continue
+			}
+			names = append(names, h.info.ID)
+		}
+	}
+	return names
+}
+
 // adviceRequest is a request for a waiting step, found during a placement pass.
 type adviceRequest struct {
 	step   *step
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -130,3 +130,37 @@
 	b.Expect(early.Overdue).To(BeFalse())
 	b.Expect(late.Overdue).To(BeTrue())
 }
+
+// TestUrgentStepAsksAboutWorkersWithRoomFirst guards against a first task that waits
+// for several answers of the policy service while much of a large pool has room: one
+// question names only some of the workers.
+func TestUrgentStepAsksAboutWorkersWithRoomFirst(t *testing.T) {
+	const fleet, full = 4 * maxAdviceWorkers, 2 * maxAdviceWorkers
+	b := newHarness(t)
+	var infos []worker.Info
+	for i := range fleet {
+		id := fmt.Sprintf("w%03d", i)
+		b.workers[id] = &testWorker{born: b.now - time.Second, lists: worker.HeartbeatResponse{Born: 1}}
+		infos = append(infos, testInfo(id, 1))
+		if i < full {
+			b.workers[id].lists.Running = []worker.ActiveRun{{Task: testTaskID("long", i), Run: 1}}
+		}
+	}
+	b.queuedEvents = []Event{WorkersListed{infos}, CatalogChanged{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{
+		"plain": {Name: "plain", Pool: "p", Priority: 1, Attempts: 2},
+		"q":     {Name: "q", Pool: "p", Attempts: 2, Advice: &workflow.PolicySettings{Decision: 30 * time.Millisecond, Validity: 2 * time.Second}}}}}}
+	b.queuedEvents = append(b.queuedEvents, JobAccepted{Offset: 1, Job: &workflow.Job{ID: "long", Queue: "plain",
+		Steps: []workflow.Step{{Count: full, Size: workflow.Size{MilliCPU: 1000}, EstimateMillis: longTask.Milliseconds()}}}})
+	b.advance(time.Second)
+	b.acceptJob("urgent", testOffset+1, workflow.Step{}, workflow.Progress{})
+	var asked []string
+	for _, e := range b.core.Step(b.now, b.now.Milliseconds(), append(b.queuedEvents, LeadershipConfirmed{b.now + time.Second})...) {
+		if q, ok := e.(RequestAdvice); ok {
+			asked = append(asked, q.Workers...)
+		}
+	}
+	b.Expect(asked).To(HaveLen(maxAdviceWorkers))
+	for _, id := range asked {
+		b.Expect(b.core.hosts[id].runs).To(BeEmpty(), id)
+	}
+}
