--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -115,7 +116,8 @@
 // reservePolicyNode assigns a call to the node that is expected to complete it
 // first. Long calls are kept off some of the nodes, unless they are overdue, and
 // non-urgent calls off busy nodes, so that urgent calls, which are short, never
-// wait for many others. It returns nil if the caller should retry later.
+// wait for many others. A node whose calls fail gets none for a while, except this
+// one if there is no other. It returns nil if the caller should retry later.
 func (m *memberSet) reservePolicyNode(now, cost time.Duration, urgent, overdue bool) *policyNode {
 	names := make([]string, 0, len(m.policyNodes))
 	for n := range m.policyNodes {
@@ -124,13 +126,14 @@
 	sort.Strings(names)
 	var best *policyNode
 	var earliest time.Duration
+	others := slices.ContainsFunc(names, func(name string) bool { return name != m.self && now >= m.policyNodes[name].downUntil })
 	reserved := len(names) / reservedShare
 	for i, name := range names {
 		x := m.policyNodes[name]
 		if !urgent && (x.backlog(now) > maxPolicyNodeBacklog || cost > longPolicyCall && !overdue && i < reserved) {
 			continue
 		}
-		if now < x.downUntil && name != m.self {
+		if now < x.downUntil && (name != m.self || others) {
 			continue
 		}
 		done := max(x.busyUntil, now) + cost
@@ -159,7 +162,9 @@
 	}
 	x.failures++
 	x.downUntil = now + min(policyNodeBackoff<<min(x.failures, 6), maxPolicyNodeBackoff)
-	x.busyUntil = now
+	if node != m.self {
+		x.busyUntil = now
+	}
 }
 
 // registerMember writes this node's record to the store, so that the leader finds
