--- a/internal/dispatch/calls_test.go
+++ b/internal/dispatch/calls_test.go
@@ -91,3 +91,16 @@
 	})
 	b.Expect(allocated).To(BeNumerically("<", inFlight/2), "one for each order at least, if a step goes through them")
 }
+
+// TestOneLostAnswerDoesNotShortenTimeoutsOfLargeFleet guards against calls that a busy
+// leader sends again, over new connections, because it allows less time for the answers
+// of all workers after one of them was lost.
+func TestOneLostAnswerDoesNotShortenTimeoutsOfLargeFleet(t *testing.T) {
+	const fleet = 540
+	d := newLargeHarness(t, tick, fleet)
+	d.answersToLose = 1
+	d.advance(2 * time.Second)
+	d.roundTrip += 2 * lossyHeartbeatSlack
+	d.advance(2 * time.Second)
+	d.Expect(d.core.reasons["call-"+string(heartbeatRecheck)]).To(BeNumerically("<", fleet/100))
+}
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -17,7 +17,7 @@
 	heartbeatRetry = 250 * time.Millisecond
 	// heartbeatSlack is how much longer than its wait a heartbeat may take. For
 	// lossyPeriod after a lost answer, lossyHeartbeatSlack applies instead, and
-	// lossyHeartbeatWait bounds the wait.
+	// lossyHeartbeatWait bounds the wait: to its worker, and to all in a small fleet.
 	heartbeatSlack      = 500 * time.Millisecond
 	lossyHeartbeatSlack = 150 * time.Millisecond
 	lossyHeartbeatWait  = 250 * time.Millisecond
@@ -65,8 +65,11 @@
 	why, heartbeat.Wait = c.heartbeatPurpose(h)
 	slack := heartbeatSlack
 	if c.now < c.lossyUntil && h.unanswered == 0 {
-		slack = lossyHeartbeatSlack
-		if limit := c.lossyWait(h); heartbeat.Wait > limit {
+		limit := c.lossyWait(h)
+		if limit <= lossyHeartbeatWait {
+			slack = lossyHeartbeatSlack
+		}
+		if heartbeat.Wait > limit {
 			// A lost answer hides task ends until the next heartbeat, so send them often.
 			why, heartbeat.Wait = heartbeatLossy, limit
 		}
