--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -62,7 +62,7 @@
 		heartbeat.LastAckedEnd = 0
 	}
 	var why purpose
-	why, heartbeat.Wait = c.heartbeatPurpose(h)
+	why, heartbeat.Wait = h.heartbeatPurpose()
 	slack := heartbeatSlack
 	if c.now < c.lossyUntil && h.unanswered == 0 {
 		limit := c.lossyWait(h)
@@ -87,9 +87,9 @@
 	c.emit(SendHeartbeat{Incarnation: h.incarnation, Heartbeat: heartbeat, Timeout: timeout})
 }
 
-// heartbeatPurpose returns why a worker gets a heartbeat, and how long it may wait for
-// a task to end while no answers get lost.
-func (c *Core) heartbeatPurpose(h *host) (purpose, time.Duration) {
+// heartbeatPurpose returns why the worker gets a heartbeat, and how long it may wait
+// for a task to end while no answers get lost.
+func (h *host) heartbeatPurpose() (purpose, time.Duration) {
 	switch {
 	case h.unanswered > 0:
 		return heartbeatRecheck, 0
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -33,9 +33,9 @@
 	runs map[runKey]*run
 	// cachedRuns holds the runs in order. It is nil after a run was added or removed.
 	cachedRuns []*run
-	// hasUnsentOrders is set if an order has to be sent again. Orders in flight don't
-	// count: each step would go through all of them.
-	hasUnsentOrders bool
+	// hasOrdersToRetry is set if an order may have to be sent again. Orders in flight
+	// don't count, so that a step need not go through all of them.
+	hasOrdersToRetry bool
 	// clock is a lower bound of the worker's clock, in milliseconds, at the local
 	// time clockAt, when its last list arrived.
 	clock   int64
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -189,7 +189,7 @@
 		c.recordContact(h)
 	}
 	if r.state != starting {
-		h.hasUnsentOrders = true
+		h.hasOrdersToRetry = true // the run's stop, if it got no answer
 		if ev.Code == worker.Unknown {
 			r.unconfirmed = true
 			h.addUnconfirmedStart(r, c.now)
@@ -211,7 +211,7 @@
 			c.recordLostAnswer(h)
 		}
 		c.reasons["start-unanswered"]++
-		r.nextOrderAt, h.hasUnsentOrders = c.now, true
+		r.nextOrderAt, h.hasOrdersToRetry = c.now, true
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(h)
 	case worker.StaleRun:
@@ -296,7 +296,7 @@
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(r.host)
 	default:
-		r.host.hasUnsentOrders = true
+		r.host.hasOrdersToRetry = true
 		r.nextOrderAt = c.now + stopRetryDelay*time.Duration(min(r.attempts, 6))
 		c.reasons["stop-"+ev.Code.String()]++
 		if ev.Code == worker.Unknown {
@@ -308,12 +308,12 @@
 // retryOrders sends unanswered orders again.
 func (c *Core) retryOrders() {
 	for _, h := range c.sortedHosts {
-		if !h.hasUnsentOrders {
+		if !h.hasOrdersToRetry {
 			continue
 		}
-		unsent := h.unsentOrderRuns()
-		h.hasUnsentOrders = len(unsent) > 0
-		for _, r := range unsent {
+		runs := h.runsToRetry()
+		h.hasOrdersToRetry = len(runs) > 0
+		for _, r := range runs {
 			if c.now < r.nextOrderAt {
 				continue
 			}
@@ -329,9 +329,9 @@
 	}
 }
 
-// unsentOrderRuns returns the runs whose last order has had no effect that is known,
-// and that have no other order in flight.
-func (h *host) unsentOrderRuns() []*run {
+// runsToRetry returns the runs with an order that has to be sent again, now or later.
+// Those with an order in flight are not among them.
+func (h *host) runsToRetry() []*run {
 	var rs []*run
 	for _, r := range h.runs {
 		if !r.orderInFlight && (r.state == starting && r.unconfirmed || r.state == stopping && r.stopAckedAt == 0) {
