--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -89,7 +89,7 @@
 			if len(names) == maxAdviceWorkers {
 				return names
 			}
-			if withRoom != (size.FitsIn(h.free) && c.usable(h)) || allKnown && !wanted(h) || !c.eligible(s, h) {
+			if withRoom != c.hasRoom(h, size) || allKnown && !wanted(h) || !c.eligible(s, h) {
 				continue
 			}
 			allowed, known := a.allowed[h.info.ID]
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -16,22 +16,14 @@
 type serialAdvisor struct {
 	*harness
 	busyUntil time.Duration
-	delayed   []delayedEvent
+	delayed   delayedEvents
 }
 
 func (o *serialAdvisor) advance(span time.Duration) {
 	for end := o.now + span; o.now < end; o.now += tick {
 		events := append(o.queuedEvents, LeadershipConfirmed{o.now + 5*time.Second})
 		o.queuedEvents = nil
-		kept := o.delayed[:0]
-		for _, l := range o.delayed {
-			if l.at <= o.now {
-				events = append(events, l.event())
-			} else {
-				kept = append(kept, l)
-			}
-		}
-		o.delayed = kept
+		events = append(events, o.delayed.takeDue(o.now)...)
 		for _, e := range o.core.Step(o.now, o.now.Milliseconds(), events...) {
 			if q, ok := e.(RequestAdvice); ok {
 				o.advise(q)
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -8,26 +8,29 @@
 	"time"
 )
 
-// purpose tells why a worker is called.
+// purpose tells why a worker is called. It is the reason under which calls are counted.
 type purpose string
 
+// callPrefix begins each purpose.
+const callPrefix = "call-"
+
 const (
-	callStart purpose = "start"
-	callStop  purpose = "stop"
+	callStart purpose = callPrefix + "start"
+	callStop  purpose = callPrefix + "stop"
 	// heartbeatFence asks a worker that has not answered this leader yet.
-	heartbeatFence purpose = "heartbeat-fence"
+	heartbeatFence purpose = callPrefix + "heartbeat-fence"
 	// heartbeatEnds tells a worker which of its ends are recorded.
-	heartbeatEnds purpose = "heartbeat-ends"
+	heartbeatEnds purpose = callPrefix + "heartbeat-ends"
 	// heartbeatStopped asks whether stopped runs are gone.
-	heartbeatStopped purpose = "heartbeat-stopped"
+	heartbeatStopped purpose = callPrefix + "heartbeat-stopped"
 	// heartbeatRecheck asks a worker that has left a call unanswered.
-	heartbeatRecheck purpose = "heartbeat-recheck"
+	heartbeatRecheck purpose = callPrefix + "heartbeat-recheck"
 	// heartbeatLossy is a regular heartbeat with a short wait, since answers get lost.
-	heartbeatLossy purpose = "heartbeat-lossy"
+	heartbeatLossy purpose = callPrefix + "heartbeat-lossy"
 	// heartbeatRegular extends leases and waits for ends.
-	heartbeatRegular purpose = "heartbeat-regular"
+	heartbeatRegular purpose = callPrefix + "heartbeat-regular"
 	// heartbeatIdle watches a worker without runs.
-	heartbeatIdle purpose = "heartbeat-idle"
+	heartbeatIdle purpose = callPrefix + "heartbeat-idle"
 )
 
 // callCounts counts calls to workers by purpose since the last report.
@@ -38,7 +41,7 @@
 
 // countCall counts a call to a worker.
 func (c *Core) countCall(p purpose) {
-	c.reasons["call-"+string(p)]++
+	c.reasons[string(p)]++
 	if c.calls.sent == nil {
 		c.calls.sent = map[purpose]int{}
 	}
@@ -49,7 +52,7 @@
 func (c *Core) takeCallReport() string {
 	var counts []string
 	for _, p := range slices.Sorted(maps.Keys(c.calls.sent)) {
-		counts = append(counts, fmt.Sprintf("%d %s", c.calls.sent[p], p))
+		counts = append(counts, fmt.Sprintf("%d %s", c.calls.sent[p], strings.TrimPrefix(string(p), callPrefix)))
 	}
 	since := c.calls.since
 	c.calls = callCounts{since: c.now}
--- a/internal/dispatch/calls_test.go
+++ b/internal/dispatch/calls_test.go
@@ -102,5 +102,5 @@
 	d.advance(2 * time.Second)
 	d.roundTrip += 2 * lossyHeartbeatSlack
 	d.advance(2 * time.Second)
-	d.Expect(d.core.reasons["call-"+string(heartbeatRecheck)]).To(BeNumerically("<", fleet/100))
+	d.Expect(d.core.reasons[string(heartbeatRecheck)]).To(BeNumerically("<", fleet/100))
 }
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -359,6 +359,10 @@
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
 
+// hasRoom reports whether new work of the given size fits on the worker now. Most
+// workers of a busy pool are ruled out by their size, which is the cheaper check.
+func (c *Core) hasRoom(h *host, size workflow.Size) bool { return size.FitsIn(h.free) && c.usable(h) }
+
 // maxContactAge is how old the last answer of a worker may be for it to get new
 // work.
 const maxContactAge = 2500 * time.Millisecond
--- a/internal/dispatch/latency_test.go
+++ b/internal/dispatch/latency_test.go
@@ -18,7 +18,7 @@
 	roundTrip     time.Duration
 	disconnected  map[string]bool
 	answersToLose int
-	delayed       []delayedEvent
+	delayed       delayedEvents
 	contactsLost  int
 }
 
@@ -27,6 +27,24 @@
 	event func() Event
 }
 
+// delayedEvents are the events that are still on their way.
+type delayedEvents []delayedEvent
+
+// takeDue removes the events that are due and returns them in order.
+func (q *delayedEvents) takeDue(now time.Duration) []Event {
+	var due []Event
+	kept := (*q)[:0]
+	for _, l := range *q {
+		if l.at <= now {
+			due = append(due, l.event())
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	*q = kept
+	return due
+}
+
 func newLatencyHarness(t *testing.T, roundTrip time.Duration, workers ...string) *latencyHarness {
 	d := &latencyHarness{harness: newHarness(t, workers...), roundTrip: roundTrip, disconnected: map[string]bool{}}
 	for _, id := range workers {
@@ -40,15 +58,7 @@
 	for end := d.now + span; d.now < end; d.now += tick {
 		events := append(d.queuedEvents, LeadershipConfirmed{d.now + 5*time.Second})
 		d.queuedEvents = nil
-		kept := d.delayed[:0]
-		for _, l := range d.delayed {
-			if l.at <= d.now {
-				events = append(events, l.event())
-			} else {
-				kept = append(kept, l)
-			}
-		}
-		d.delayed = kept
+		events = append(events, d.delayed.takeDue(d.now)...)
 		for _, e := range d.core.Step(d.now, d.now.Milliseconds(), events...) {
 			d.answerDelayed(e)
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -221,7 +221,7 @@
 		return
 	}
 	size := s.def.ReservedSize()
-	wanted := func(h *host) bool { return size.FitsIn(h.free) && c.usable(h) }
+	wanted := func(h *host) bool { return c.hasRoom(h, size) }
 	pool := s.occurrence.job.queue.Pool
 	if prefetched[pool] < prefetchSteps {
 		prefetched[pool]++
@@ -315,7 +315,7 @@
 	s.candidatesRound, s.candidates = c.round, s.candidates[:0]
 	size := s.def.ReservedSize()
 	for _, h := range c.pools[s.occurrence.job.queue.Pool] {
-		if !size.FitsIn(h.free) || !c.usable(h) || !h.hasLabel(s.def.Requires) {
+		if !c.hasRoom(h, size) || !h.hasLabel(s.def.Requires) {
 			continue
 		}
 		if _, ok := c.ticketFor(s, h); ok {
