--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -61,7 +61,7 @@
 
 func (c *Core) incarnationEnded(ev IncarnationEnded) {
 	if h := c.hosts[ev.Worker]; h != nil && h.info.Born <= ev.Born {
-		c.endIncarnation(h, "its machine was taken away")
+		c.endIncarnation(h, lossDeparture, "its machine was taken away")
 	}
 }
 
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -139,7 +139,7 @@
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.absences++; h.absences >= maxAbsences {
-			c.endIncarnation(h, "nothing listens at its address")
+			c.endIncarnation(h, lossCrash, "nothing listens at its address")
 		}
 		return
 	default:
@@ -356,7 +356,7 @@
 			}
 		case running:
 			if r.beganAt < ev.SentAt {
-				c.loseRun(r, "the worker lists neither it nor its end")
+				c.loseRun(r, lossUnlisted, "the worker lists neither it nor its end")
 			}
 		}
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -190,7 +190,7 @@
 func (c *Core) handleWrongIncarnation(h *host) {
 	const cause = "another life answers at its address"
 	if h.clock == 0 {
-		c.endIncarnation(h, cause)
+		c.endIncarnation(h, lossCrash, cause)
 		return
 	}
 	listed := h.listed
@@ -207,7 +207,7 @@
 	starts := h.possibleLateStarts(c.now)
 	info := h.info
 	info.Born = born
-	c.endIncarnation(h, reason)
+	c.endIncarnation(h, lossCrash, reason)
 	next := c.newHost(info)
 	next.listed = true
 	// When these starts arrive, the worker may have been restarted once more.
@@ -277,12 +277,18 @@
 }
 
 // endIncarnation removes an incarnation on which it is certain that nothing runs
-// any longer.
-func (c *Core) endIncarnation(h *host, reason string) {
+// any longer. An incarnation that was about to leave has not crashed.
+func (c *Core) endIncarnation(h *host, cause lossCause, reason string) {
 	c.endedIncarnations[h.info.ID] = endedIncarnation{h.info.Born, h.lastEnd}
 	c.recordDecision(Decision{Kind: "worker-gone", Worker: h.info.ID, Reason: reason})
+	if h.drainingSince > 0 {
+		cause = lossDeparture
+	}
+	if cause == lossCrash {
+		c.recordCrash(h)
+	}
 	for _, r := range h.sortedRuns() {
-		c.loseRun(r, reason)
+		c.loseRun(r, cause, reason)
 	}
 	delete(c.hosts, h.info.ID)
 	if h.registered || h.registering {
@@ -321,7 +327,7 @@
 	for _, h := range c.sortedHosts {
 		if len(h.runs) == 0 && !(h.inherited && !h.fenced) {
 			if !h.listed && c.now-h.lastContact > unlistedRetention {
-				c.endIncarnation(h, "not listed any more")
+				c.endIncarnation(h, lossDeparture, "not listed any more")
 				return
 			}
 			continue
@@ -336,7 +342,7 @@
 			c.recordDecision(Decision{Kind: "leases-lapsed", Worker: h.info.ID, Reason: "no contact", Age: c.now - h.lastContact})
 		}
 		for _, r := range h.sortedRuns() {
-			c.loseRun(r, "its lease has lapsed")
+			c.loseRun(r, lossLease, "its lease has lapsed")
 		}
 		if h.inherited && !h.fenced {
 			h.inherited = false
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -360,8 +360,8 @@
 	}
 }
 
-// loseRun removes a run whose worker is gone.
-func (c *Core) loseRun(r *run, reason string) {
-	c.recordDecision(Decision{Kind: "run-lost", Job: r.taskID.Job, Task: r.taskID.String(), Worker: r.host.info.ID, Run: r.number, Reason: reason, Age: c.now - r.host.lastContact})
+// loseRun removes a run that is gone without an end.
+func (c *Core) loseRun(r *run, cause lossCause, reason string) {
+	c.recordDecision(Decision{Kind: "run-lost", Job: r.taskID.Job, Task: r.taskID.String(), Worker: r.host.info.ID, Run: r.number, Outcome: string(cause), Reason: reason, Age: c.now - r.host.lastContact})
 	c.removeRun(r)
 }
