--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -45,6 +45,9 @@
 	stuckPercent float64
 	// addressReused is set if another worker listens at the address.
 	addressReused bool
+	// crashed is set while nothing listens at the address, until backAt.
+	crashed bool
+	backAt  time.Duration
 	// startCode is the answer to starts.
 	startCode worker.Code
 	// stopsSlowly is set if stopped runs go on for a while.
@@ -123,6 +126,10 @@
 			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.WrongIncarnation, SentAt: b.now})
 			return
 		}
+		if w.crashed {
+			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionRefused, SentAt: b.now})
+			return
+		}
 		w.forget(e.Heartbeat.LastAckedEnd)
 		b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, SentAt: b.now, Lists: w.listed(b.now)})
 	case StartTask:
@@ -135,6 +142,9 @@
 		if w.unreachable {
 			code = worker.Unknown
 		}
+		if w.crashed {
+			code = worker.ConnectionRefused
+		}
 		if code == worker.OK {
 			w.lists.Running = append(w.lists.Running, worker.ActiveRun{Task: e.Start.Task, Run: e.Start.Run})
 		}
@@ -146,6 +156,10 @@
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown})
 			return
 		}
+		if w.crashed {
+			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionRefused})
+			return
+		}
 		if w.addressReused {
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.WrongIncarnation})
 			return
