--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -565,3 +565,19 @@
 	b.advance(6 * time.Second)
 	b.Expect(b.startHosts("old")).To(HaveLen(1))
 }
+
+func TestRestartedWorkerGetsWorkAfterOutdatedEntry(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.listWorkers()
+	b.advance(time.Second)
+	b.workers["w1"].crashed = true
+	b.advance(2 * time.Second)
+	b.listWorkers() // the entry of the ended incarnation
+	b.advance(100 * time.Millisecond)
+	b.workers["w1"].crashed, b.workers["w1"].born = false, b.now
+	b.workers["w1"].lists.Born++
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(2 * time.Second)
+	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -117,6 +117,7 @@
 		h := c.hosts[info.ID]
 		if h != nil && info.Born != 0 && h.info.Born != 0 && info.Born > h.info.Born {
 			// Only the lists of the next incarnation tell what it runs.
+			h.listed = true
 			h.unanswered = max(h.unanswered, maxUnanswered)
 			h.nextHeartbeat = 0
 			continue
