--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -82,7 +83,7 @@
 		b.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, workflow.Progress{})
 		crashes := b.playDeadly(40*time.Second, delay, "deadly")
 		b.Expect(b.startHosts("deadly")).To(HaveLen(crashes))
-		b.Expect(crashes).To(BeNumerically("<=", 4), "delay %v", delay)
+		b.Expect(crashes).To(BeNumerically("<=", 3), "delay %v", delay)
 		b.Expect(b.finalState("deadly")).To(Equal(workflow.Failed), "delay %v", delay)
 		b.Expect(b.finalState("innocent")).To(BeEmpty(), "delay %v", delay)
 		running := 0
@@ -90,5 +91,107 @@
 			running += len(w.lists.Running)
 		}
 		b.Expect(running).To(Equal(6), "all tasks beside it run, delay %v", delay)
+		for _, beside := range b.core.jobs["innocent"].occurrences[0].steps[0].tasks {
+			b.Expect(beside.crashes.count).To(BeZero(), "its crashes are explained, delay %v", delay)
+		}
+	}
+}
+
+func TestNextLeaderKnowsOfCrashes(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, workflow.Progress{})
+	b.Expect(b.playDeadly(1200*time.Millisecond, 300*time.Millisecond, "deadly")).To(Equal(1))
+	recorded := b.commits[len(b.commits)-1].Progress
+	b.Expect(recorded).To(HaveLen(1))
+	b.Expect(recorded[0].Progress.Occurrences[0].Steps[0].Crashes).To(Equal(map[int]int{0: 1}), "recorded at once")
+
+	next := newHarness(t, "w1", "w2", "w3")
+	next.listWorkers()
+	next.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, recorded[0].Progress)
+	next.Expect(next.playDeadly(20*time.Second, 0, "deadly")).To(Equal(1), "one more, under it alone")
+	next.Expect(next.finalState("deadly")).To(Equal(workflow.Failed))
+}
+
+func TestRackFailureConvictsNoTask(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("one", workflow.Step{EstimateMillis: 60_000}, workflow.Progress{})
+	b.acceptFifths("two", workflow.Step{EstimateMillis: 60_000, MaxPerWorker: 1, Count: 2}, workflow.Progress{})
+	for range 2 {
+		b.advance(time.Second)
+		for id := range b.workers {
+			b.crash(id)
+		}
+		b.playDeadly(crashDowntime+3*time.Second, 0)
+	}
+	b.Expect(b.finalState("one")).To(BeEmpty())
+	b.Expect(b.finalState("two")).To(BeEmpty())
+	b.Expect(b.startHosts("one")).To(HaveLen(3))
+}
+
+func TestServiceAtWorkIsNotBlamedForCrashes(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptFifths("service", workflow.Step{LongRunning: true}, workflow.Progress{})
+	for range 6 {
+		b.advance(settleTime + time.Second)
+		on := b.startHosts("service")
+		b.crash(on[len(on)-1])
+		b.playDeadly(crashDowntime+time.Second, 0)
+	}
+	b.Expect(b.startHosts("service")).To(HaveLen(7))
+	b.Expect(b.finalState("service")).To(BeEmpty())
+}
+
+func TestServiceThatCrashesEachWorkerIsGivenUp(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("service", workflow.Step{LongRunning: true}, workflow.Progress{})
+	b.Expect(b.playDeadly(30*time.Second, 100*time.Millisecond, "service")).To(BeNumerically("<=", 3))
+	b.Expect(b.finalState("service")).To(Equal(workflow.Failed))
+}
+
+func TestGangThatCrashesEachWorkerIsGivenUp(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("innocent", workflow.Step{Count: 3, EstimateMillis: 60_000}, workflow.Progress{})
+	b.acceptFifths("gang", workflow.Step{Count: 2, Gang: true, MaxPerWorker: 1, EstimateMillis: 1000}, workflow.Progress{})
+	b.playDeadly(40*time.Second, 0, "gang")
+	b.Expect(b.startHosts("gang")).To(HaveLen(6), "three times two tasks at most")
+	b.Expect(b.finalState("gang")).To(Equal(workflow.Failed))
+	b.Expect(b.finalState("innocent")).To(BeEmpty())
+}
+
+func TestDepartureOfWorkerIsNoCrash(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("job", workflow.Step{EstimateMillis: 60_000}, workflow.Progress{})
+	for range 2 {
+		b.advance(time.Second)
+		on := b.startHosts("job")
+		id := on[len(on)-1]
+		leaving := testInfo(id, b.workers[id].lists.Born)
+		leaving.Draining = true
+		b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{leaving}})
+		b.advance(100 * time.Millisecond)
+		b.crash(id)
+		b.listWorkers(id)
+		b.playDeadly(crashDowntime+time.Second, 0)
 	}
+	b.Expect(b.finalState("job")).To(BeEmpty())
+	b.Expect(b.core.jobs["job"].occurrences[0].steps[0].tasks[0].crashes.count).To(BeZero())
+}
+
+func TestSuspectDoesNotHoldUpOtherTasksOfItsStep(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptFifths("busy", workflow.Step{Count: 2, MaxPerWorker: 1, EstimateMillis: 60_000}, workflow.Progress{})
+	b.advance(time.Second)
+	crashed := workflow.Progress{Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: isolationCrashes}}}}}}
+	b.acceptFifths("job", workflow.Step{Count: 3, EstimateMillis: 60_000}, crashed)
+	b.advance(200 * time.Millisecond)
+	b.Expect(b.startHosts("job")).To(HaveLen(2), "all but the suspect")
+	b.advance(maxIsolationWait)
+	b.Expect(b.startHosts("job")).To(HaveLen(3), "no worker becomes empty")
 }
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -234,7 +234,7 @@
 			if !t.step.def.Gang {
 				return false
 			}
-		case "most-per-worker", "probing", "failed-there", "no-ticket":
+		case "most-per-worker", "probing", "failed-there", "kept-apart", "no-ticket":
 			return false
 		}
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -7,6 +7,7 @@
 	starts     int64
 	failures   int
 	failedRun  int64
+	crashes    crashHistory
 	checkpoint string
 	// runNumber is the run that is being started or is running, or 0 if there is none.
 	runNumber int64
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -138,12 +138,15 @@
 	case worker.ConnectionRefused:
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
+		if h.absences == 0 {
+			h.refusedSince = c.now
+		}
 		if h.absences++; h.absences >= maxAbsences {
 			c.endIncarnation(h, lossCrash, "nothing listens at its address")
 		}
 		return
 	default:
-		h.absences = 0
+		h.absences, h.refusedSince = 0, 0
 		c.recordTimeout(h, ev.SentAt, lossyHeartbeatSlack)
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.unanswered <= 1 {
@@ -167,7 +170,7 @@
 	} else if took >= h.lastWait {
 		c.recordDelay(took - h.lastWait - h.minRoundTrip)
 	}
-	h.absences = 0
+	h.absences, h.refusedSince = 0, 0
 	h.confirmedAt = max(h.confirmedAt, ev.SentAt)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
 	first := !h.fenced
@@ -377,6 +380,7 @@
 		progressAt: c.now, beganAt: c.now, latencyMillis: -1}
 	r.pace.percent = fullPace
 	if t != nil {
+		r.crashesBefore = t.crashHistory().count
 		t.runs = append(t.runs, r)
 	}
 	r.size = c.taskSize(x.Task)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -51,8 +51,10 @@
 	timeoutCounted bool
 	// unconfirmedStarts are starts without an answer that may still be carried out.
 	unconfirmedStarts []unconfirmedStart
-	// absences counts the heartbeats in a row that found nothing listening.
-	absences int
+	// absences counts the heartbeats in a row that found nothing listening, since
+	// refusedSince.
+	absences     int
+	refusedSince time.Duration
 	// fencedAt is when the first answer under this token arrived.
 	fencedAt time.Duration
 	// confirmedAt is the send time of the last heartbeat answered under this token.
@@ -77,6 +79,8 @@
 	// speed is how fast runs finish there relative to their estimates, or 0 if that
 	// is not known yet.
 	speed float64
+	// suspectRuns counts the runs of tasks under which a worker has crashed.
+	suspectRuns int
 	// servingRuns counts the runs with a latency target. fillerMilliCPU is the CPU
 	// that the fillers there would use, in thousandths of a core.
 	servingRuns    int
@@ -214,7 +218,7 @@
 	// When these starts arrive, the worker may have been restarted once more.
 	next.unconfirmedStarts = starts
 	for _, d := range starts {
-		r := &run{task: d.task, taskID: d.taskID, number: d.number, host: next, size: d.size, sentAt: c.now, unconfirmed: true, latencyMillis: -1}
+		r := &run{task: d.task, taskID: d.taskID, number: d.number, host: next, size: d.size, sentAt: c.now, unconfirmed: true, carriedOver: true, latencyMillis: -1}
 		r.pace.percent = fullPace
 		if r.task != nil && !r.task.done {
 			r.task.runs = append(r.task.runs, r)
@@ -282,11 +286,12 @@
 func (c *Core) endIncarnation(h *host, cause lossCause, reason string) {
 	c.endedIncarnations[h.info.ID] = endedIncarnation{h.info.Born, h.lastEnd}
 	c.recordDecision(Decision{Kind: "worker-gone", Worker: h.info.ID, Reason: reason})
-	if h.drainingSince > 0 {
+	if h.drainingSince > 0 || c.evacuations[h.info.ID] != nil {
 		cause = lossDeparture
 	}
+	var culprit *task
 	if cause == lossCrash {
-		c.recordCrash(h)
+		culprit = c.recordCrash(h)
 	}
 	for _, r := range h.sortedRuns() {
 		c.loseRun(r, cause, reason)
@@ -296,6 +301,9 @@
 		c.commits.release(h.info.ID)
 	}
 	c.sortHosts()
+	if culprit != nil {
+		c.giveUp(culprit)
+	}
 }
 
 // leasesExpireAt returns the local time at which every lease ever granted there is
@@ -387,6 +395,9 @@
 	if r.task == nil {
 		return
 	}
+	if r.crashesBefore > 0 {
+		h.suspectRuns += n
+	}
 	s := r.task.step
 	if s.runsPerWorker != nil {
 		if s.runsPerWorker[h] += n; s.runsPerWorker[h] <= 0 {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -91,6 +91,8 @@
 	done  bool
 	// failures counts the runs that ended as failed.
 	failures int
+	// crashes is unused for the tasks of a gang.
+	crashes crashHistory
 	// checkpoint is the newest checkpoint.
 	checkpoint string
 	// runs holds the live runs: starting, running or being stopped.
@@ -163,10 +165,11 @@
 				s.done++
 			}
 			t.failures = sp.Failures[i]
+			t.crashes.count = sp.Crashes[i]
 			t.checkpoint = sp.Checkpoints[i]
 		}
 		if s.def.Gang {
-			s.gang.failures, s.gang.checkpoint = sp.Failures[0], sp.Checkpoints[0]
+			s.gang.failures, s.gang.checkpoint, s.gang.crashes.count = sp.Failures[0], sp.Checkpoints[0], sp.Crashes[0]
 		}
 		if s.finished() {
 			o.stepsLeft--
@@ -222,6 +225,13 @@
 				sp.Failures[i] = t.failures
 				touched = true
 			}
+			if t.crashes.count > 0 && !t.done {
+				if sp.Crashes == nil {
+					sp.Crashes = map[int]int{}
+				}
+				sp.Crashes[i] = t.crashes.count
+				touched = true
+			}
 			if t.checkpoint != "" && !t.done {
 				if sp.Checkpoints == nil {
 					sp.Checkpoints = map[int]string{}
@@ -230,7 +240,8 @@
 				touched = true
 			}
 		}
-		if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "") {
+		if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "" || s.gang.crashes.count > 0) {
+			sp.Crashes = map[int]int{0: s.gang.crashes.count}
 			sp.Failures = map[int]int{0: s.gang.failures}
 			sp.Checkpoints = map[int]string{0: s.gang.checkpoint}
 			touched = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -195,7 +195,7 @@
 		}
 		h := c.pickHost(t, nil)
 		if h == nil {
-			waiting, full = true, c.now >= t.avoidUntil
+			waiting, full = true, c.now >= t.avoidUntil && t.crashHistory().count == 0
 			continue
 		}
 		tk, _ := c.ticketFor(s, h)
@@ -301,7 +301,7 @@
 	if h.health.probing && len(h.runs) > 0 {
 		return false
 	}
-	return t.avoidHost != h || c.now >= t.avoidUntil
+	return (t.avoidHost != h || c.now >= t.avoidUntil) && !c.keptApart(t, h)
 }
 
 // candidates returns the workers that may take tasks of the step now, apart from
@@ -355,6 +355,12 @@
 	if s.def.DataRack != "" && h.info.Rack() != s.def.DataRack {
 		score -= remotePenalty
 	}
+	if k := t.crashHistory(); k.count > 0 {
+		if h.machine() == k.machine {
+			score -= failedHostPenalty
+		}
+		return score - float64(len(h.runs))
+	}
 	unused := ratio(h.free.MilliCPU-h.fillerMilliCPU, h.info.Capacity.MilliCPU)
 	switch {
 	case s.def.Filler:
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -37,6 +37,11 @@
 	// be carried out late.
 	unconfirmed bool
 	attempts    int
+	// carriedOver is set for a start that was sent to a previous incarnation and may
+	// still reach this one.
+	carriedOver bool
+	// crashesBefore is how many workers had crashed under the task when it was started.
+	crashesBefore int
 	// orderInFlight is set while an order for the run waits for its answer.
 	orderInFlight bool
 	orderSentAt   time.Duration
@@ -123,6 +128,7 @@
 	r := &run{task: t, taskID: t.id(), number: number, host: h, size: s.def.ReservedSize(),
 		sentAt: c.now, progressAt: c.now, beganAt: c.now, ticket: ticket, startCheckpoint: checkpoint, latencyMillis: -1}
 	r.pace.percent = fullPace
+	r.crashesBefore = t.crashHistory().count
 	t.runs = append(t.runs, r)
 	h.addRun(r)
 	c.sendStart(r)
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -123,7 +123,7 @@
 
 // refusals are the reasons why a worker doesn't get a task, in the order in which
 // they are checked.
-var refusals = []string{"unusable", "label", "room", "most-per-worker", "reserved", "probing", "failed-there", "no-ticket", "fits"}
+var refusals = []string{"unusable", "label", "room", "most-per-worker", "reserved", "probing", "failed-there", "kept-apart", "no-ticket", "fits"}
 
 // refusal returns the first reason why the worker doesn't get the task. "fits" is
 // returned for gangs, whose tasks start together, and for capacity that has
@@ -145,6 +145,8 @@
 		return "probing"
 	case t.avoidHost == h && c.now < t.avoidUntil:
 		return "failed-there"
+	case c.keptApart(t, h):
+		return "kept-apart"
 	}
 	if _, ok := c.ticketFor(s, h); !ok {
 		return "no-ticket"
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -87,6 +87,7 @@
 	"reserved":        "the room was kept for a larger step",
 	"probing":         "the workers with room were on probation",
 	"failed-there":    "it had just failed on the workers with room",
+	"kept-apart":      "a worker had crashed under it or under a task there, and it must not run beside others",
 	"no-ticket":       "the policy service had approved no worker with room",
 	"fits":            "there was room, but not for all tasks of its gang at once",
 }
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -33,6 +33,9 @@
 	Done Bitmap `json:"d,omitempty"`
 	// Failures counts failed runs by task index; a gang uses index 0.
 	Failures map[int]int `json:"f,omitempty"`
+	// Crashes counts the workers that crashed under a run, by task index; a gang uses
+	// index 0.
+	Crashes map[int]int `json:"w,omitempty"`
 	// Checkpoints holds the newest checkpoint by task index; a gang uses index 0.
 	Checkpoints map[int]string `json:"c,omitempty"`
 }
