--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,6 +35,7 @@
 	ends     []endsRecord
 	released []string
 	purged   []*job
+	crashes  []*crashHistory
 }
 
 // workerRecord is a worker whose incarnation is recorded, with the contact state
@@ -77,6 +79,13 @@
 	m.urgent = true
 }
 
+// recordCrash commits a change of a crash history at once, with its job's progress.
+func (m *commits) recordCrash(k *crashHistory) {
+	k.unrecorded = true
+	m.next.crashes = append(m.next.crashes, k)
+	m.urgent = true
+}
+
 func (m *commits) release(worker string) { m.next.released = append(m.next.released, worker) }
 
 // recordEnds queues a record of the worker's ends, so that the worker may discard
@@ -173,6 +182,10 @@
 		}
 		c.dirty = true
 	}
+	for _, k := range sent.crashes {
+		k.unrecorded = slices.Contains(m.next.crashes, k)
+		c.dirty = true
+	}
 	for _, n := range sent.ends {
 		n.host.lastRecordedEnd = max(n.host.lastRecordedEnd, n.lastEnd)
 		if !n.host.heartbeatInFlight {
@@ -192,6 +205,7 @@
 	m.next.workers = append(m.next.workers, sent.workers...)
 	m.next.released = append(m.next.released, sent.released...)
 	m.next.purged = append(m.next.purged, sent.purged...)
+	m.next.crashes = append(m.next.crashes, sent.crashes...)
 }
 
 // purgeJobs removes ended jobs whose retention time has passed.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,10 +15,17 @@
 //     for trialTime nothing else is started there before or after it. A crash within
 //     that time convicts it.
 //   - After isolationCrashes, it runs alone. A crash then convicts it.
-//   - After maxCrashes, the most suspected of the tasks there is convicted.
+//   - After maxCrashes, the most suspected of the tasks there is convicted, and each
+//     that was started shortly before all of its crashes.
+//   - Only crashes under runs that are known to have begun convict. Starts that may have
+//     been carried out make a task suspected, but not guilty.
 //   - A convicted task's job has failed. The crashes under it are explained, and count
 //     no longer for the tasks beside it.
 //
+// The start of a suspect is a trial, which is in the log before the start. If the log
+// can't be written, only the more suspected tasks wait for it for long. Unless the run
+// shows up, the next leader takes it that it may have crashed its worker.
+//
 // A long-running task that has been at work for settleTime is no suspect, as it is
 // on its worker for long and sees many crashes.
 
@@ -60,17 +67,34 @@
 
 // crash is the crash of a worker with the tasks that may have caused it.
 type crash struct {
-	suspects  []*task
+	suspects  []suspect
 	explained bool
 }
 
+// suspect is a task under which a worker has crashed.
+type suspect struct {
+	task *task
+	// begun is set if its run is known to have begun.
+	begun bool
+}
+
 // crashHistory holds the crashes of workers under a task or, for a gang, under any
 // of its tasks.
 type crashHistory struct {
-	// count is how many workers have crashed under it for an unknown cause.
-	count int
+	// count is how many workers have crashed under runs that had begun, for an unknown
+	// cause, possible under runs that may have begun.
+	count, possible int
 	// crashes holds those of this term.
 	crashes []*crash
+	// trial is set while the suspect is being started, or runs.
+	trial bool
+	// presumed is set while possible includes a trial of a previous leader of which nothing
+	// has been seen.
+	presumed bool
+	// unrecorded is set while the log lacks a change.
+	unrecorded bool
+	// early is how many crashes came shortly after its run had begun, explained or not.
+	early int
 	// lastRun is the run that was counted last. The tasks of a gang share it.
 	lastRun int64
 	// machine is where the last crash was, or empty if a previous leader saw it.
@@ -85,6 +109,9 @@
 	return &t.crashes
 }
 
+// suspicion is how many workers may have crashed under it, for an unknown cause.
+func (k *crashHistory) suspicion() int { return k.count + k.possible }
+
 // sameUnit reports whether the tasks are the same one, or of one gang.
 func sameUnit(a, b *task) bool { return a == b || a.step == b.step && a.step.def.Gang }
 
@@ -114,8 +141,8 @@
 }
 
 // recordCrash counts the crash of a worker for the tasks that may have caused it, and
-// returns the one that is convicted, or nil.
-func (c *Core) recordCrash(h *host) *task {
+// returns those that are convicted.
+func (c *Core) recordCrash(h *host) []*task {
 	if len(h.runs) == 0 {
 		return nil
 	}
@@ -127,7 +154,7 @@
 		case r.task == nil || r.carriedOver:
 			alone = false
 		case r.settled():
-			r.task.crashHistory().count = 0
+			*r.task.crashHistory() = crashHistory{}
 		case r.mayHaveBegun():
 			suspects = append(suspects, r)
 			alone = alone && sameUnit(r.task, suspects[0].task)
@@ -136,26 +163,22 @@
 	c.recordDecision(Decision{Kind: "worker-crashed", Worker: h.info.ID, Age: c.now - h.lastContact,
 		Reason: fmt.Sprintf("%d runs, the newest sent %d ms before its last answer", len(h.runs), (h.lastContact - newest).Milliseconds())})
 	if c.rackFails(h) {
-		return c.findCulprit(suspects, nil)
+		return c.findCulprits(suspects, nil)
 	}
 	if alone && len(suspects) > 0 {
-		return c.findCulprit(suspects, suspects[0].task)
+		return c.findCulprits(suspects, suspects[0].task)
 	}
-	return c.findCulprit(suspects, c.onTrial(h))
+	return c.findCulprits(suspects, c.onTrial(h))
 }
 
 // onTrial returns the task of which the crash of its worker shows that it caused it:
 // nothing else was started there shortly before the crash. It is nil if there is none.
 func (c *Core) onTrial(h *host) *task {
-	crashedBy := c.now
-	if h.refusedSince > 0 {
-		crashedBy = h.refusedSince
-	}
 	var found *task
 	for _, r := range h.sortedRuns() {
-		switch {
-		case crashedBy-r.sentAt >= 2*trialTime:
-		case r.task == nil || found != nil && !sameUnit(r.task, found):
+		switch age := c.ageAtCrash(r); {
+		case age >= 2*trialTime:
+		case age >= trialTime || r.task == nil || found != nil && !sameUnit(r.task, found):
 			return nil
 		default:
 			found = r.task
@@ -164,10 +187,20 @@
 	return found
 }
 
-// findCulprit counts a crash under its suspects and returns the task that is convicted,
-// or nil. The crash tells of the prime suspect, if there is one, that it caused it.
-func (c *Core) findCulprit(suspects []*run, prime *task) *task {
+// ageAtCrash returns an upper bound of the time from the run's start to the crash of its
+// worker.
+func (c *Core) ageAtCrash(r *run) time.Duration {
+	if r.host.refusedSince > 0 {
+		return r.host.refusedSince - r.sentAt
+	}
+	return c.now - r.sentAt
+}
+
+// findCulprits counts a crash under its suspects and returns the tasks that are
+// convicted. The crash tells of the prime suspect, if there is one, that it caused it.
+func (c *Core) findCulprits(suspects []*run, prime *task) []*task {
 	event := &crash{}
+	var convicted []*task
 	var culprit *run
 	for _, r := range suspects {
 		if r.task.done || r.task.step.occurrence.job.ended() {
@@ -178,24 +211,24 @@
 		if !c.countCrash(r, event) {
 			continue
 		}
-		shown := prime != nil && sameUnit(r.task, prime) && elsewhere && k.count >= minCrashes
-		if shown {
-			return r.task
-		}
-		if k.count >= maxCrashes && (culprit == nil || moreSuspected(r, culprit)) {
+		switch {
+		case k.count < minCrashes:
+		case prime != nil && sameUnit(r.task, prime) && elsewhere, k.early >= maxCrashes:
+			convicted = append(convicted, r.task)
+		case k.suspicion() >= maxCrashes && (culprit == nil || moreSuspected(r, culprit)):
 			culprit = r
 		}
 	}
-	if culprit == nil {
-		return nil
+	if len(convicted) == 0 && culprit != nil {
+		convicted = append(convicted, culprit.task)
 	}
-	return culprit.task
+	return convicted
 }
 
 // moreSuspected reports whether a run's task is more likely to have caused a crash. Most
 // tasks that crash their worker do it soon after their start.
 func moreSuspected(a, b *run) bool {
-	if x, y := a.task.crashHistory().count, b.task.crashHistory().count; x != y {
+	if x, y := a.task.crashHistory().suspicion(), b.task.crashHistory().suspicion(); x != y {
 		return x > y
 	}
 	return a.sentAt > b.sentAt
@@ -208,19 +241,89 @@
 	if k.lastRun == r.number {
 		return false
 	}
-	k.count++
+	if !r.begun {
+		k.possible++
+	} else if k.count++; c.ageAtCrash(r) < trialTime {
+		k.early++
+	}
+	k.trial, k.presumed = false, false
 	k.lastRun, k.machine = r.number, r.host.machine()
 	k.crashes = append(k.crashes, event)
-	event.suspects = append(event.suspects, r.task)
-	c.markDirty(r.task.step.occurrence.job)
-	c.commits.urgent = true // the next leader must know
+	event.suspects = append(event.suspects, suspect{r.task, r.begun})
+	c.recordCrashHistory(r.task)
 	return true
 }
 
+// recordCrashHistory records the crashes under the task at once.
+func (c *Core) recordCrashHistory(t *task) {
+	c.markDirty(t.step.occurrence.job)
+	c.commits.recordCrash(t.crashHistory())
+}
+
+// awaitsCrashRecord reports whether the task must not be started yet, since a next leader
+// would not know of the crashes under it or of its trial.
+func (t *task) awaitsCrashRecord(now time.Duration) bool {
+	k := t.crashHistory()
+	return k.unrecorded && (k.suspicion() >= isolationCrashes || k.early > 0 || k.suspicion() > 0 && now-max(t.step.readyAt, t.waitingSince) < maxIsolationWait)
+}
+
+// openTrial prepares the start of a task for which there is a worker. It reports whether
+// the task may be started now.
+func (c *Core) openTrial(t *task) bool {
+	k := t.crashHistory()
+	if k.suspicion() == 0 {
+		return true
+	}
+	if k.presumed {
+		k.presumed = false
+		if k.count >= minCrashes && k.suspicion() >= maxCrashes {
+			c.giveUp(t)
+			return false
+		}
+	}
+	if !k.trial {
+		k.trial = true
+		c.recordCrashHistory(t)
+	}
+	return !t.awaitsCrashRecord(c.now)
+}
+
+// closeTrial notes that the run of a suspect is over, or was never started.
+func (c *Core) closeTrial(t *task) {
+	if k := t.crashHistory(); k.trial {
+		k.trial = false
+		c.markDirty(t.step.occurrence.job)
+	}
+}
+
+// trialSeen notes that a run of a previous leader has shown up, running or ended.
+func (t *task) trialSeen(runs bool) {
+	if k := t.crashHistory(); k.presumed {
+		k.possible--
+		k.presumed, k.trial = false, runs
+	}
+}
+
+// restore sets what a previous leader has recorded.
+func (k *crashHistory) restore(crashes int, trial bool) {
+	k.count, k.early, k.presumed = crashes, crashes, trial
+	if trial {
+		k.possible = 1
+	}
+}
+
+// recorded returns what the log is to have.
+func (k *crashHistory) recorded() (crashes int, trial bool) {
+	return k.count, k.trial || k.possible > 0
+}
+
 // giveUp fails the job of a task that crashes workers. The crashes under it are
 // explained.
 func (c *Core) giveUp(t *task) {
 	k := t.crashHistory()
+	if t.step.occurrence.job.ended() {
+		return
+	}
 	c.reasons["job-given-up"]++
 	c.finishJob(t.step.occurrence.job, workflow.Failed, fmt.Sprintf("%d workers have crashed under task %s", k.count, t.id()))
 	for _, event := range k.crashes {
@@ -229,14 +332,24 @@
 		}
 		event.explained = true
 		for _, x := range event.suspects {
-			if history := x.crashHistory(); !sameUnit(x, t) && history.count > 0 {
-				history.count--
-				c.markDirty(x.step.occurrence.job)
+			if !sameUnit(x.task, t) {
+				x.acquit()
+				c.markDirty(x.task.step.occurrence.job)
 			}
 		}
 	}
 }
 
+// acquit takes back that a crash counts for the suspect.
+func (x *suspect) acquit() {
+	k := x.task.crashHistory()
+	if x.begun {
+		k.count = max(k.count-1, 0)
+	} else {
+		k.possible = max(k.possible-1, 0)
+	}
+}
+
 // rackFails reports whether other workers of the rack have failed at about the same
 // time, and records the crash.
 func (c *Core) rackFails(h *host) bool {
@@ -259,7 +372,7 @@
 // keptApart reports whether the task must not be started on the worker, so that a
 // crash hits little else and shows which task caused it.
 func (c *Core) keptApart(t *task, h *host) bool {
-	crashes := t.crashHistory().count
+	crashes := t.crashHistory().suspicion()
 	if crashes == 0 && h.suspectRuns == 0 {
 		return false
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -195,3 +195,65 @@
 	b.advance(maxIsolationWait)
 	b.Expect(b.startHosts("job")).To(HaveLen(3), "no worker becomes empty")
 }
+
+func TestTaskIsNotStartedWhileItsCrashesAreUnrecorded(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.acceptFifths("beside", workflow.Step{Count: 3, MaxPerWorker: 1, EstimateMillis: 60_000}, workflow.Progress{})
+	b.advance(time.Second)
+	once := workflow.Progress{Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 1}}}}}}
+	b.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, once)
+	b.advance(100 * time.Millisecond)
+	b.holdsCommits = true
+	b.playDeadly(6*time.Second, 2*trialTime, "deadly")
+	b.Expect(b.startHosts("deadly")).To(HaveLen(1), "the log does not have its second crash")
+	b.holdsCommits = false
+	b.queuedEvents = append(b.queuedEvents, Committed{Number: b.commits[len(b.commits)-1].Number, Failed: true})
+	b.playDeadly(6*time.Second, 2*trialTime, "deadly")
+	b.Expect(b.startHosts("deadly")).To(HaveLen(2))
+}
+
+func TestTrialOfWhichNothingIsSeenCountsForNextLeader(t *testing.T) {
+	tried := workflow.Progress{Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 2}, Trials: workflow.Bitmap{1}}}}}}
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, tried)
+	b.advance(2 * time.Second)
+	b.Expect(b.startHosts("deadly")).To(BeEmpty())
+	b.Expect(b.finalState("deadly")).To(Equal(workflow.Failed))
+}
+
+func TestTrialThatStillRunsIsNoCrashForNextLeader(t *testing.T) {
+	tried := workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 2}, Trials: workflow.Bitmap{1}}}}}}
+	b := newHarness(t, "w1")
+	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
+	b.acceptJob("tried", testOffset-1, workflow.Step{}, tried)
+	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("tried", 0), Run: 7}}
+	b.listWorkers()
+	b.advance(time.Second)
+	b.Expect(b.core.jobs["tried"].occurrences[0].steps[0].tasks[0].crashes.count).To(Equal(2))
+	b.workers["w1"].end(testTaskID("tried", 0), worker.Done)
+	b.advance(time.Second)
+	b.Expect(b.finalState("tried")).To(Equal(workflow.Completed))
+}
+
+func TestStartsThatMayNotHaveBegunConvictNoTask(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.advance(500 * time.Millisecond)
+	for _, w := range b.workers {
+		w.startCode = worker.Unknown
+	}
+	b.acceptFifths("unanswered", workflow.Step{EstimateMillis: 1000}, workflow.Progress{})
+	seen := 0
+	for end := b.now + 20*time.Second; b.now < end; {
+		b.returnCrashed()
+		b.advance(tick)
+		if on := b.startHosts("unanswered"); len(on) > seen && !b.workers[on[len(on)-1]].crashed {
+			seen = len(on)
+			b.crash(on[seen-1])
+		}
+	}
+	b.Expect(seen).To(BeNumerically(">", 4))
+	b.Expect(b.finalState("unanswered")).To(BeEmpty())
+}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -59,6 +59,9 @@
 	if plan == nil {
 		return false
 	}
+	if !c.openTrial(&s.tasks[0]) {
+		return s.occurrence.job.ended()
+	}
 	s.gang.runNumber = c.nextRunNumber(&s.tasks[0])
 	s.gang.formingSince = c.now
 	for i, h := range plan {
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -246,6 +246,7 @@
 		}
 		return
 	}
+	t.trialSeen(false)
 	c.saveCheckpoint(t, e.Checkpoint, e.Run)
 	if e.How == worker.Done {
 		h.health.recordSuccess()
@@ -380,7 +381,8 @@
 		progressAt: c.now, beganAt: c.now, latencyMillis: -1}
 	r.pace.percent = fullPace
 	if t != nil {
-		r.crashesBefore = t.crashHistory().count
+		t.trialSeen(true)
+		r.crashesBefore = t.crashHistory().suspicion()
 		t.runs = append(t.runs, r)
 	}
 	r.size = c.taskSize(x.Task)
@@ -416,6 +418,7 @@
 	if r.state == starting && !r.orderInFlight {
 		r.state = running
 	}
+	r.begun = true
 	if !r.listed {
 		r.listed = true
 		if r.startCheckpoint != "" {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -289,9 +289,9 @@
 	if h.drainingSince > 0 || c.evacuations[h.info.ID] != nil {
 		cause = lossDeparture
 	}
-	var culprit *task
+	var convicted []*task
 	if cause == lossCrash {
-		culprit = c.recordCrash(h)
+		convicted = c.recordCrash(h)
 	}
 	for _, r := range h.sortedRuns() {
 		c.loseRun(r, cause, reason)
@@ -301,8 +301,8 @@
 		c.commits.release(h.info.ID)
 	}
 	c.sortHosts()
-	if culprit != nil {
-		c.giveUp(culprit)
+	for _, t := range convicted {
+		c.giveUp(t)
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -115,7 +115,7 @@
 
 // pending reports whether the task should be started as soon as it fits.
 func (t *task) pending(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && now >= t.notBefore
+	return !t.done && len(t.runs) == 0 && now >= t.notBefore && !t.awaitsCrashRecord(now)
 }
 
 // waitTime is how long the task has waited for a start since its step became ready.
@@ -165,11 +165,12 @@
 				s.done++
 			}
 			t.failures = sp.Failures[i]
-			t.crashes.count = sp.Crashes[i]
+			t.crashes.restore(sp.Crashes[i], sp.Trials.Has(i))
 			t.checkpoint = sp.Checkpoints[i]
 		}
 		if s.def.Gang {
-			s.gang.failures, s.gang.checkpoint, s.gang.crashes.count = sp.Failures[0], sp.Checkpoints[0], sp.Crashes[0]
+			s.gang.failures, s.gang.checkpoint = sp.Failures[0], sp.Checkpoints[0]
+			s.gang.crashes.restore(sp.Crashes[0], sp.Trials.Has(0))
 		}
 		if s.finished() {
 			o.stepsLeft--
@@ -225,11 +226,8 @@
 				sp.Failures[i] = t.failures
 				touched = true
 			}
-			if t.crashes.count > 0 && !t.done {
-				if sp.Crashes == nil {
-					sp.Crashes = map[int]int{}
-				}
-				sp.Crashes[i] = t.crashes.count
+			if t.crashes.suspicion() > 0 && !t.done {
+				addCrashes(&sp, i, &t.crashes)
 				touched = true
 			}
 			if t.checkpoint != "" && !t.done {
@@ -240,8 +238,8 @@
 				touched = true
 			}
 		}
-		if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "" || s.gang.crashes.count > 0) {
-			sp.Crashes = map[int]int{0: s.gang.crashes.count}
+		if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "" || s.gang.crashes.suspicion() > 0) {
+			addCrashes(&sp, 0, &s.gang.crashes)
 			sp.Failures = map[int]int{0: s.gang.failures}
 			sp.Checkpoints = map[int]string{0: s.gang.checkpoint}
 			touched = true
@@ -252,3 +250,16 @@
 	}
 	return op
 }
+
+func addCrashes(p *workflow.StepProgress, index int, k *crashHistory) {
+	crashes, trial := k.recorded()
+	if crashes > 0 {
+		if p.Crashes == nil {
+			p.Crashes = map[int]int{}
+		}
+		p.Crashes[index] = crashes
+	}
+	if trial {
+		p.Trials.Set(index)
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -195,7 +195,14 @@
 		}
 		h := c.pickHost(t, nil)
 		if h == nil {
-			waiting, full = true, c.now >= t.avoidUntil && t.crashHistory().count == 0
+			waiting, full = true, c.now >= t.avoidUntil && t.crashHistory().suspicion() == 0
+			continue
+		}
+		if !c.openTrial(t) {
+			if j := s.occurrence.job; j.ended() {
+				return false
+			}
+			waiting = true
 			continue
 		}
 		tk, _ := c.ticketFor(s, h)
@@ -355,7 +362,7 @@
 	if s.def.DataRack != "" && h.info.Rack() != s.def.DataRack {
 		score -= remotePenalty
 	}
-	if k := t.crashHistory(); k.count > 0 {
+	if k := t.crashHistory(); k.suspicion() > 0 {
 		if h.machine() == k.machine {
 			score -= failedHostPenalty
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -40,6 +40,8 @@
 	// carriedOver is set for a start that was sent to a previous incarnation and may
 	// still reach this one.
 	carriedOver bool
+	// begun is set once the worker has shown that it carried out the start.
+	begun bool
 	// crashesBefore is how many workers had crashed under the task when it was started.
 	crashesBefore int
 	// orderInFlight is set while an order for the run waits for its answer.
@@ -128,7 +130,7 @@
 	r := &run{task: t, taskID: t.id(), number: number, host: h, size: s.def.ReservedSize(),
 		sentAt: c.now, progressAt: c.now, beganAt: c.now, ticket: ticket, startCheckpoint: checkpoint, latencyMillis: -1}
 	r.pace.percent = fullPace
-	r.crashesBefore = t.crashHistory().count
+	r.crashesBefore = t.crashHistory().suspicion()
 	t.runs = append(t.runs, r)
 	h.addRun(r)
 	c.sendStart(r)
@@ -189,6 +191,7 @@
 		return
 	}
 	r.orderInFlight = false
+	r.begun = r.begun || ev.Code == worker.OK
 	h := r.host
 	if ev.Code != worker.Unknown && ev.Code != worker.NotExecuted && ev.Code != worker.ConnectionRefused {
 		c.recordRoundTrip(h, c.now-r.orderSentAt)
@@ -359,6 +362,7 @@
 	t.dropRun(r)
 	if len(t.runs) == 0 && !t.done {
 		t.waitingSince = c.now
+		c.closeTrial(t)
 	}
 	c.stopGangPeers(r)
 	if !t.done && !t.step.occurrence.job.ended() {
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -26,6 +26,7 @@
 	reasonNoQueue  = "queue-unknown"
 	reasonTakeover = "takeover"
 	reasonBackoff  = "backoff"
+	reasonRecord   = "unrecorded-crash"
 	reasonNoWorker = "no-worker"
 )
 
@@ -97,6 +98,9 @@
 	case c.now < t.notBefore:
 		return reasonBackoff, strconv.Itoa(t.failures) + " failed attempts"
 	}
+	if t.awaitsCrashRecord(c.now) {
+		return reasonRecord, strconv.Itoa(t.crashHistory().suspicion()) + " workers may have crashed under it"
+	}
 	pool := c.pools[j.queue.Pool]
 	counts := map[string]int{}
 	for _, h := range pool {
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -76,20 +76,21 @@
 
 // missing says in words what a step lacked, by the outcome of job-waits.
 var missing = map[string]string{
-	"queue-unknown":   "its queue was not in the configuration in force",
-	"takeover":        "runs of the former holder might have been unseen",
-	"backoff":         "its last attempt had failed",
-	"no-worker":       "its pool had no worker",
-	"unusable":        "its pool's workers were leaving, resting after failures or out of contact",
-	"label":           "its pool's workers lacked the label that it requires",
-	"room":            "too little was free on its pool's workers",
-	"most-per-worker": "as many of its tasks as may run on one worker ran there",
-	"reserved":        "the room was kept for a larger step",
-	"probing":         "the workers with room were on probation",
-	"failed-there":    "it had just failed on the workers with room",
-	"kept-apart":      "a worker had crashed under it or under a task there, and it must not run beside others",
-	"no-ticket":       "the policy service had approved no worker with room",
-	"fits":            "there was room, but not for all tasks of its gang at once",
+	"queue-unknown":    "its queue was not in the configuration in force",
+	"takeover":         "runs of the former holder might have been unseen",
+	"backoff":          "its last attempt had failed",
+	"unrecorded-crash": "the log did not have the crashes of workers under it yet",
+	"no-worker":        "its pool had no worker",
+	"unusable":         "its pool's workers were leaving, resting after failures or out of contact",
+	"label":            "its pool's workers lacked the label that it requires",
+	"room":             "too little was free on its pool's workers",
+	"most-per-worker":  "as many of its tasks as may run on one worker ran there",
+	"reserved":         "the room was kept for a larger step",
+	"probing":          "the workers with room were on probation",
+	"failed-there":     "it had just failed on the workers with room",
+	"kept-apart":       "a worker had crashed under it or under a task there, and it must not run beside others",
+	"no-ticket":        "the policy service had approved no worker with room",
+	"fits":             "there was room, but not for all tasks of its gang at once",
 }
 
 // why tells what kept a job: refusals, times in which nothing of it ran, and
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -36,6 +36,8 @@
 	// Crashes counts the workers that crashed under a run, by task index; a gang uses
 	// index 0.
 	Crashes map[int]int `json:"w,omitempty"`
+	// Trials is the set of tasks with crashes that may have been started once more.
+	Trials Bitmap `json:"t,omitempty"`
 	// Checkpoints holds the newest checkpoint by task index; a gang uses index 0.
 	Checkpoints map[int]string `json:"c,omitempty"`
 }
