--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -378,6 +378,10 @@
 // workers of a busy pool are ruled out by their size, which is the cheaper check.
 func (c *Core) hasRoom(h *host, size workflow.Size) bool { return size.FitsIn(h.free) && c.usable(h) }
 
+// overCapacity reports whether the runs there need more than the worker has left after
+// its capacity has shrunk.
+func (h *host) overCapacity() bool { return !workflow.Size{}.FitsIn(h.free) }
+
 // maxContactAge is how old the last answer of a worker may be for it to get new
 // work.
 const maxContactAge = 2500 * time.Millisecond
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -331,6 +331,8 @@
 				c.sendStop(r)
 			case r.attempts >= maxStartAttempts || !c.leadershipConfirmed() || h.drainingSince > 0 || r.task.step.occurrence.job.ended():
 				c.stopRun(r, "no answer to its start")
+			case h.overCapacity():
+				c.stopRun(r, "the worker has shrunk")
 			default:
 				c.sendStart(r)
 			}
