--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -33,10 +33,13 @@
 // advice is what the policy service has answered for a step.
 type advice struct {
 	// allowed holds, for each worker asked about, whether the step may run there.
-	allowed   map[string]bool
-	tickets   map[*host]ticket
-	inFlight  bool
-	notBefore time.Duration
+	// deniedLife holds the start of the incarnation that it was not allowed on: the
+	// service does not approve a worker that is down.
+	allowed    map[string]bool
+	deniedLife map[string]int64
+	tickets    map[*host]ticket
+	inFlight   bool
+	notBefore  time.Duration
 }
 
 type ticket struct {
@@ -93,7 +96,7 @@
 				continue
 			}
 			allowed, known := a.allowed[h.info.ID]
-			if known && (!allowed || !wanted(h)) {
+			if known && !allowed && a.deniedLife[h.info.ID] == h.info.Born || allowed && !wanted(h) {
 				continue
 			}
 			if t, ok := a.tickets[h]; ok && c.now < t.validUntil-s.occurrence.job.queue.Advice.Decision {
@@ -163,10 +166,13 @@
 		return
 	}
 	if a.allowed == nil {
-		a.allowed, a.tickets = map[string]bool{}, map[*host]ticket{}
+		a.allowed, a.tickets, a.deniedLife = map[string]bool{}, map[*host]ticket{}, map[string]int64{}
 	}
 	for _, id := range ev.Asked {
 		a.allowed[id] = false
+		if h := c.hosts[id]; h != nil {
+			a.deniedLife[id] = h.info.Born
+		}
 	}
 	validity := ev.Approvals.Validity
 	if p := s.occurrence.job.queue.Advice; validity == 0 && p != nil {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -12,7 +12,7 @@
 )
 
 // serialAdvisor is a policy service that answers the harness's requests one at a
-// time and fails others in the meantime. It allows all workers.
+// time and fails others in the meantime. It allows all workers that are up.
 type serialAdvisor struct {
 	*harness
 	busyUntil time.Duration
@@ -42,6 +42,9 @@
 	}
 	o.busyUntil = o.now + q.Cost
 	for _, id := range q.Workers {
+		if o.workers[id].crashed {
+			continue
+		}
 		ev.Approvals.Approved = append(ev.Approvals.Approved, worker.Approval{Worker: id, Ticket: "t"})
 	}
 	o.delayed = append(o.delayed, delayedEvent{o.busyUntil, func() Event { return ev }})
@@ -156,3 +159,17 @@
 		b.Expect(b.core.hosts[id].runs).To(BeEmpty(), id)
 	}
 }
+
+func TestWorkerThatWasDownIsAskedAboutInItsNextIncarnation(t *testing.T) {
+	o := &serialAdvisor{harness: newHarness(t, "w1")}
+	policy := &workflow.PolicySettings{Decision: 20 * time.Millisecond, PerWorker: 10 * time.Millisecond, Validity: 2 * time.Second}
+	o.queuedEvents = []Event{CatalogChanged{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p", Advice: policy}}}}}
+	o.listWorkers()
+	o.advance(time.Second)
+	o.crash("w1")
+	o.acceptFifths("j", workflow.Step{}, workflow.Progress{})
+	o.advance(crashDowntime)
+	o.returnCrashed()
+	o.advance(3 * time.Second)
+	o.Expect(o.startHosts("j")).To(Equal([]string{"w1"}))
+}
