--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -168,15 +168,15 @@
 	if alone && len(suspects) > 0 {
 		return c.findCulprits(suspects, suspects[0].task)
 	}
-	return c.findCulprits(suspects, c.onTrial(h))
+	return c.findCulprits(suspects, h.onTrial())
 }
 
 // onTrial returns the task of which the crash of its worker shows that it caused it:
 // nothing else was started there shortly before the crash. It is nil if there is none.
-func (c *Core) onTrial(h *host) *task {
+func (h *host) onTrial() *task {
 	var found *task
 	for _, r := range h.sortedRuns() {
-		switch age := c.ageAtCrash(r); {
+		switch age := r.ageAtCrash(); {
 		case age >= 2*trialTime:
 		case age >= trialTime || r.task == nil || found != nil && !sameUnit(r.task, found):
 			return nil
@@ -187,13 +187,13 @@
 	return found
 }
 
-// ageAtCrash returns an upper bound of the time from the run's start to the crash of its
-// worker.
-func (c *Core) ageAtCrash(r *run) time.Duration {
+// ageAtCrash returns the time from the run's start to the crash of its worker: until calls
+// were refused or, of a worker that fell silent, until its last answer.
+func (r *run) ageAtCrash() time.Duration {
 	if r.host.refusedSince > 0 {
 		return r.host.refusedSince - r.sentAt
 	}
-	return c.now - r.sentAt
+	return max(r.host.lastContact-r.sentAt, 0)
 }
 
 // findCulprits counts a crash under its suspects and returns the tasks that are
@@ -243,7 +243,7 @@
 	}
 	if !r.begun {
 		k.possible++
-	} else if k.count++; c.ageAtCrash(r) < trialTime {
+	} else if k.count++; r.ageAtCrash() < trialTime {
 		k.early++
 	}
 	k.trial, k.presumed = false, false
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -17,6 +17,8 @@
 const (
 	Heartbeat        = 1500 * time.Millisecond
 	missedHeartbeats = 3
+	// CrashDowntime is how long a worker is away that a task has crashed.
+	CrashDowntime = 3 * time.Second
 )
 
 // Behaviour is what becomes of a task.
@@ -30,6 +32,9 @@
 	FailFirst int
 	// FailAfter ends a lasting task failed after this time at work; 0 is never.
 	FailAfter time.Duration
+	// CrashAfter crashes the worker of each run this long after the run's start; 0 is
+	// never. The worker is back after CrashDowntime.
+	CrashAfter time.Duration
 	// Tail is the tail latency in milliseconds that a serving task lists; 0 is
 	// half of its target.
 	Tail float64
--- a/internal/emulator/fleetfault.go
+++ b/internal/emulator/fleetfault.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
 // link is the network to a worker. It outlasts the worker's lives.
@@ -94,6 +96,43 @@
 	f.fault(id, func(w *life) { w.perish() })
 }
 
+// crashUnder crashes the worker under a run that is still there, and restarts it after
+// CrashDowntime.
+func (w *life) crashUnder(r *run) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !w.alive || w.runs[runKey{r.task, r.number}] != r {
+		return
+	}
+	f.disrupted = time.Now()
+	for _, o := range w.sorted() {
+		f.judge.crashed(o)
+	}
+	w.perish()
+	time.AfterFunc(CrashDowntime, func() {
+		f.fault(w.cfg.ID, func(newest *life) {
+			if newest == w {
+				f.install(w.cfg, w.link)
+			}
+		})
+	})
+}
+
+// Resize changes the worker's capacity. What runs there goes on.
+func (f *Fleet) Resize(id string, capacity workflow.Size) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	if old := w.cfg.Capacity; !old.FitsIn(capacity) {
+		w.largest, w.shrunk = w.allowed(false), time.Now()
+	}
+	w.cfg.Capacity = capacity
+}
+
 // Restart begins a new, empty life of the worker with the same ID at the same
 // address.
 func (f *Fleet) Restart(id string) {
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -12,6 +12,13 @@
 // speculationGrace is how long after an end was taken note of a copy may start.
 const speculationGrace = time.Second
 
+// A task that crashes each worker must not be started startsAfterCrashes times after
+// maxCrashes crashes.
+const (
+	maxCrashes         = 3
+	startsAfterCrashes = 3
+)
+
 // Rule names a rule of the platform.
 type Rule string
 
@@ -25,7 +32,7 @@
 	RuleOrder Rule = "order"
 	// RuleRoute: a start in a wrong pool, without a label, or beyond a worker's bound.
 	RuleRoute Rule = "route"
-	// RuleBudget: a start after the task has failed too often.
+	// RuleBudget: a start after the task has failed, or has crashed workers, too often.
 	RuleBudget Rule = "budget"
 	// RuleAlone: a gang's member waited for the others in vain.
 	RuleAlone Rule = "alone"
@@ -75,6 +82,9 @@
 type unit struct {
 	starts []*startRecord
 	ends   []*endRecord
+	// crashes counts the workers that crashed under a task, also of a gang, startsAfter
+	// its starts after maxCrashes of them.
+	crashes, startsAfter int
 }
 
 // Judge records the breaches of a fleet. Time-bound rules don't count for
@@ -140,6 +150,7 @@
 	j.checkLive(s)
 	u := j.unit(unitOf(r.task, r.step))
 	u.starts = append(u.starts, s)
+	j.checkCrashes(r)
 	j.review(u)
 }
 
@@ -175,8 +186,43 @@
 }
 
 func (j *Judge) checkRoom(r *run) {
-	if sum := r.life.used().Add(r.size()); !sum.FitsIn(r.life.cfg.Capacity) {
-		j.breach(r, RuleOvercommit, "%+v of %+v", sum, r.life.cfg.Capacity)
+	allowed := r.life.allowed(r.late)
+	if sum := r.life.used().Add(r.size()); !sum.FitsIn(allowed) {
+		j.breach(r, RuleOvercommit, "%+v of %+v", sum, allowed)
+	}
+}
+
+// allowed returns what starts are held against: a capacity that has shrunk counts only
+// after Limits.Contact and a heartbeat, and not for orders that are carried out late.
+func (w *life) allowed(late bool) workflow.Size {
+	if w.shrunk.IsZero() || !late && time.Since(w.shrunk) > w.fleet.cfg.Limits.Contact+Heartbeat {
+		return w.cfg.Capacity
+	}
+	c, old := w.cfg.Capacity, w.largest
+	return workflow.Size{MilliCPU: max(c.MilliCPU, old.MilliCPU), MemoryMiB: max(c.MemoryMiB, old.MemoryMiB), Accelerators: max(c.Accelerators, old.Accelerators)}
+}
+
+// crashed counts the crash of a worker under a run. A task with two of them may be given
+// up.
+func (j *Judge) crashed(r *run) {
+	if r.step == nil {
+		return
+	}
+	u, k := j.unit(r.task), j.fleet.jobs[r.task.Job]
+	if u.crashes++; u.crashes >= 2 {
+		k.failed = true
+	}
+}
+
+// checkCrashes finds the third start after the third crash under a task that crashes
+// each worker.
+func (j *Judge) checkCrashes(r *run) {
+	u := j.unit(r.task)
+	if u.crashes < maxCrashes || j.fleet.cfg.Work(r.task).CrashAfter == 0 || r.late {
+		return
+	}
+	if u.startsAfter++; u.startsAfter == startsAfterCrashes {
+		j.breach(r, RuleBudget, "%d workers had crashed under it, and it was started %d times more", u.crashes, u.startsAfter)
 	}
 }
 
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -58,11 +58,14 @@
 	// barred has the highest run of a task that was stopped or ended here.
 	barred map[workflow.TaskID]int64
 	// ends are those after the last seen one; pending are the judge's, of the same.
-	ends           []worker.EndedRun
-	pending        []*endRecord
-	lastEnd        int64
-	ended          chan struct{}
-	failing, hung  bool
+	ends          []worker.EndedRun
+	pending       []*endRecord
+	lastEnd       int64
+	ended         chan struct{}
+	failing, hung bool
+	// largest is the capacity before it shrank at shrunk.
+	largest        workflow.Size
+	shrunk         time.Time
 	slow           float64
 	drains, leaves time.Time
 }
@@ -231,6 +234,9 @@
 		r.failAt = r.began.Add(failDelay)
 	}
 	w.fleet.enlist(r)
+	if after := w.fleet.cfg.Work(r.task).CrashAfter; after > 0 {
+		time.AfterFunc(after, func() { w.crashUnder(r) })
+	}
 }
 
 // stop carries out an order to end a run, or bars it from beginning.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -38,7 +38,7 @@
 	visibilityDelay     = time.Second
 	testAttempts        = 4
 	// The first letter of a job's ID selects the behaviour of its tasks.
-	failsOnce, failsAlways, failsWhileRunning = "f", "e", "d"
+	failsOnce, failsAlways, failsWhileRunning, crashesWorkers = "f", "e", "d", "c"
 )
 
 // process is one incarnation of a node.
@@ -207,6 +207,8 @@
 		return emulator.Behaviour{FailFirst: 1}
 	case id.Job[:1] == failsAlways:
 		return emulator.Behaviour{Fails: true}
+	case id.Job[:1] == crashesWorkers:
+		return emulator.Behaviour{CrashAfter: 50 * time.Millisecond}
 	case id.Job[:1] == failsWhileRunning:
 		return emulator.Behaviour{FailAfter: 2 * time.Second}
 	}
