--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -92,7 +92,7 @@
 		}
 		b.Expect(running).To(Equal(6), "all tasks beside it run, delay %v", delay)
 		for _, beside := range b.core.jobs["innocent"].occurrences[0].steps[0].tasks {
-			b.Expect(beside.crashes.count).To(BeZero(), "its crashes are explained, delay %v", delay)
+			b.Expect(beside.crashes.count).To(BeZero(), "its crashes are attributed, delay %v", delay)
 		}
 	}
 }
@@ -113,7 +113,7 @@
 	next.Expect(next.finalState("deadly")).To(Equal(workflow.Failed))
 }
 
-func TestRackFailureConvictsNoTask(t *testing.T) {
+func TestRackFailureIsAttributedToNoTask(t *testing.T) {
 	b := newHarness(t, "w1", "w2", "w3")
 	b.listWorkers()
 	b.acceptFifths("one", workflow.Step{EstimateMillis: 60_000}, workflow.Progress{})
@@ -223,7 +223,7 @@
 	b.Expect(b.finalState("deadly")).To(Equal(workflow.Failed))
 }
 
-func TestTrialThatStillRunsIsNoCrashForNextLeader(t *testing.T) {
+func TestRunningTrialIsNoCrashForNextLeader(t *testing.T) {
 	tried := workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 2}, Trials: workflow.Bitmap{1}}}}}}
 	b := newHarness(t, "w1")
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
@@ -237,7 +237,7 @@
 	b.Expect(b.finalState("tried")).To(Equal(workflow.Completed))
 }
 
-func TestStartsThatMayNotHaveBegunConvictNoTask(t *testing.T) {
+func TestCrashUnderUnansweredStartIsAttributedToNoTask(t *testing.T) {
 	b := newHarness(t, "w1", "w2", "w3")
 	b.listWorkers()
 	b.advance(500 * time.Millisecond)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -289,9 +289,9 @@
 	if h.drainingSince > 0 || c.evacuations[h.info.ID] != nil {
 		cause = lossDeparture
 	}
-	var convicted []*task
+	var culprits []*task
 	if cause == lossCrash {
-		convicted = c.recordCrash(h)
+		culprits = c.recordCrash(h)
 	}
 	for _, r := range h.sortedRuns() {
 		c.loseRun(r, cause, reason)
@@ -301,7 +301,7 @@
 		c.commits.release(h.info.ID)
 	}
 	c.sortHosts()
-	for _, t := range convicted {
+	for _, t := range culprits {
 		c.giveUp(t)
 	}
 }
