--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -48,6 +48,8 @@
 	// crashed is set while nothing listens at the address, until backAt.
 	crashed bool
 	backAt  time.Duration
+	// refuses is set while something in between refuses connections to the worker.
+	refuses bool
 	// startCode is the answer to starts.
 	startCode worker.Code
 	// stopsSlowly is set if stopped runs go on for a while.
@@ -126,7 +128,7 @@
 			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.WrongIncarnation, SentAt: b.now})
 			return
 		}
-		if w.crashed {
+		if w.crashed || w.refuses {
 			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionRefused, SentAt: b.now})
 			return
 		}
@@ -142,7 +144,7 @@
 		if w.unreachable {
 			code = worker.Unknown
 		}
-		if w.crashed {
+		if w.crashed || w.refuses {
 			code = worker.ConnectionRefused
 		}
 		if code == worker.OK {
@@ -156,7 +158,7 @@
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown})
 			return
 		}
-		if w.crashed {
+		if w.crashed || w.refuses {
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionRefused})
 			return
 		}
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -183,6 +183,7 @@
 		h.fencedAt = c.now
 		c.dirty = true
 		c.registerWorker(h)
+		c.reportReturn(h)
 	}
 	c.processEnds(h, ev.Lists.Ended)
 	c.reconcileRuns(h, ev)
@@ -193,6 +194,13 @@
 	}
 }
 
+// reportReturn reports that an incarnation answers that was taken for ended.
+func (c *Core) reportReturn(h *host) {
+	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
+		c.recordDecision(Decision{Kind: "worker-returned", Worker: h.info.ID, Reason: last.reason, Age: c.now - last.at})
+	}
+}
+
 // recordLostAnswer assumes for a while that answers get lost, most of all those of
 // the worker, unless answers are just late.
 func (c *Core) recordLostAnswer(h *host) {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -284,7 +284,9 @@
 // endIncarnation removes an incarnation on which it is certain that nothing runs
 // any longer. An incarnation that was about to leave has not crashed.
 func (c *Core) endIncarnation(h *host, cause lossCause, reason string) {
-	c.endedIncarnations[h.info.ID] = endedIncarnation{h.info.Born, h.lastEnd}
+	if h.info.Born != 0 {
+		c.endedIncarnations[h.info.ID] = endedIncarnation{h.info.Born, h.lastEnd, c.now, reason}
+	}
 	c.recordDecision(Decision{Kind: "worker-gone", Worker: h.info.ID, Reason: reason})
 	if h.drainingSince > 0 || c.evacuations[h.info.ID] != nil {
 		cause = lossDeparture
@@ -363,9 +365,12 @@
 // answers.
 const unlistedRetention = 20 * time.Second
 
-// endedIncarnation holds the last end that was processed of a removed incarnation.
+// endedIncarnation holds the last end that was processed of a removed incarnation, and
+// when and why it was removed.
 type endedIncarnation struct {
 	born, lastEnd int64
+	at            time.Duration
+	reason        string
 }
 
 // usable reports whether new work may be sent to the worker.
--- /dev/null
+++ b/internal/dispatch/refused_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// decided returns the decisions of a kind since the last call for any kind.
+func (b *harness) decided(kind string) []Decision {
+	var out []Decision
+	for _, d := range b.core.Decisions() {
+		if d.Kind == kind {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func TestIncarnationThatWasTakenForEndedIsReported(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	b.Expect(b.startHosts("j")).To(HaveLen(1))
+	w := b.workers["w1"]
+	w.addressReused = true
+	b.advance(2 * time.Second)
+	w.addressReused = false
+	b.Expect(b.decided("worker-returned")).To(BeEmpty())
+	b.listWorkers()
+	b.advance(time.Second)
+	returned := b.decided("worker-returned")
+	b.Expect(returned).To(HaveLen(1))
+	b.Expect(returned[0].Worker).To(Equal("w1"))
+	b.Expect(returned[0].Reason).To(Equal("another life answers at its address"))
+}
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -55,6 +55,7 @@
 	{"contact-regained", "events", "a worker answers again"},
 	{"leases-lapsed", "events", "a silent worker's leases have run out; its runs are over"},
 	{"worker-gone", "events", "a worker left the platform's list, or is another machine now"},
+	{"worker-returned", "events", "a worker answers that was taken for gone for the reason shown, and has run on since"},
 	{"worker-crashed", "events", "a worker with runs crashed; the reason tells how many, and how long after the newest start"},
 	{"worker-draining", "events", "a worker gets nothing new"},
 	{"worker-isolated", "events", "a worker gets nothing new for a while, since its tasks stand still"},
