--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -38,3 +39,23 @@
 	b.Expect(returned[0].Worker).To(Equal("w1"))
 	b.Expect(returned[0].Reason).To(Equal("another life answers at its address"))
 }
+
+func TestTaskDoesNotRunTwiceWhileConnectionsToItsWorkerAreRefused(t *testing.T) {
+	for _, refused := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		b := newHarness(t, "w1", "w2")
+		b.listWorkers()
+		b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+		b.advance(500 * time.Millisecond)
+		w := b.workers[b.startHosts("j")[0]]
+		w.refuses = true
+		b.advance(refused)
+		w.refuses = false
+		b.listWorkers()
+		b.advance(time.Second)
+		b.Expect(b.startHosts("j")).To(HaveLen(1), "refused for %v", refused)
+		b.Expect(w.lists.Running).To(HaveLen(1), "refused for %v", refused)
+		w.end(testTaskID("j", 0), worker.Done)
+		b.advance(3 * time.Second)
+		b.Expect(b.finalState("j")).To(Equal(workflow.Completed), "refused for %v", refused)
+	}
+}
