--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -145,7 +145,7 @@
 
 // registration returns the log record of the worker's incarnation.
 func (h *host) registration() Registration {
-	e := Registration{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Born: h.info.Born, LastEnd: h.lastEnd}
+	e := Registration{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Machine: h.info.Machine, Born: h.info.Born, LastEnd: h.lastEnd}
 	if h.contact == contactNormal || h.contact == contactRegainPending {
 		return e
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -95,6 +95,8 @@
 	// leader had lost contact.
 	suspectTasks map[string]*host
 	dirty        bool
+	// inquiryInFlight is set while the list of machines is asked for.
+	inquiryInFlight bool
 	// adviceRequests are the requests collected in the current pass. adviceTurn
 	// selects the pool whose requests are sent first.
 	adviceRequests []adviceRequest
@@ -151,6 +153,7 @@
 	c.place()
 	c.flushCommit()
 	c.sendHeartbeats()
+	c.inquire()
 	return c.effects
 }
 
@@ -198,6 +201,8 @@
 		c.endEvacuation(ev.Worker)
 	case IncarnationEnded:
 		c.incarnationEnded(ev)
+	case MachinesListed:
+		c.machinesListed(ev)
 	}
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -31,6 +31,8 @@
 	heartbeats []SendHeartbeat
 	// holdsCommits is set while commits get no answer yet.
 	holdsCommits bool
+	// noMachineList is set while the list of machines can't be read.
+	noMachineList bool
 }
 
 type testWorker struct {
@@ -72,7 +74,7 @@
 
 // testInfo returns the list entry of a worker of one core.
 func testInfo(id string, born int64) worker.Info {
-	return worker.Info{ID: id, Address: id + ":1", Pool: "p", Born: born, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}}
+	return worker.Info{ID: id, Address: id + ":1", Pool: "p", Machine: id + "-m", Born: born, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}}
 }
 
 // listWorkers queues the platform's list, with all workers but those named.
@@ -108,6 +110,16 @@
 
 func (b *harness) answer(e Effect) {
 	switch e := e.(type) {
+	case ListMachines:
+		ev := MachinesListed{SentAt: b.now, Failed: b.noMachineList}
+		for id, w := range b.workers {
+			m := worker.Machine{Name: id + "-m", State: worker.MachineUp, Worker: id}
+			if w.crashed {
+				m.State, m.Worker = worker.MachineDown, ""
+			}
+			ev.Machines = append(ev.Machines, m)
+		}
+		b.queuedEvents = append(b.queuedEvents, ev)
 	case Commit:
 		b.commits = append(b.commits, e)
 		if b.holdsCommits {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -101,7 +101,7 @@
 	b := newHarness(t, "w1", "w2", "w3")
 	b.listWorkers()
 	b.acceptFifths("deadly", workflow.Step{EstimateMillis: 1000}, workflow.Progress{})
-	b.Expect(b.playDeadly(1200*time.Millisecond, 300*time.Millisecond, "deadly")).To(Equal(1))
+	b.Expect(b.playDeadly(600*time.Millisecond, 300*time.Millisecond, "deadly")).To(Equal(1))
 	recorded := b.commits[len(b.commits)-1].Progress
 	b.Expect(recorded).To(HaveLen(1))
 	b.Expect(recorded[0].Progress.Occurrences[0].Steps[0].Crashes).To(Equal(map[int]int{0: 1}), "recorded at once")
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -35,6 +35,7 @@
 	Worker  string `json:"-"`
 	Address string `json:"a"`
 	Pool    string `json:"p"`
+	Machine string `json:"m,omitempty"`
 	Born    int64  `json:"b,omitempty"`
 	// LastEnd is the number of the last task end there whose effect is recorded.
 	LastEnd int64 `json:"s,omitempty"`
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -28,9 +28,6 @@
 	// unrecordedEndsPause is the least delay between heartbeats while task ends are
 	// not yet recorded, which would bring the same ends again.
 	unrecordedEndsPause = 200 * time.Millisecond
-	// maxAbsences is how many heartbeats in a row must find nothing listening
-	// before the incarnation is considered ended.
-	maxAbsences = 3
 	// idleHeartbeatWait is the wait on a worker without runs.
 	idleHeartbeatWait = 2000 * time.Millisecond
 )
@@ -138,15 +135,12 @@
 	case worker.ConnectionRefused:
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
-		if h.absences == 0 {
-			h.refusedSince = c.now
-		}
-		if h.absences++; h.absences >= maxAbsences {
-			c.endIncarnation(h, lossCrash, "nothing listens at its address")
+		if h.refusedSince == 0 {
+			h.refusedSince, h.nextInquiry, h.inquiryDelay = c.now, c.now, 0
 		}
 		return
 	default:
-		h.absences, h.refusedSince = 0, 0
+		h.refusedSince = 0
 		c.recordTimeout(h, ev.SentAt, lossyHeartbeatSlack)
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.unanswered <= 1 {
@@ -170,7 +164,7 @@
 	} else if took >= h.lastWait {
 		c.recordDelay(took - h.lastWait - h.minRoundTrip)
 	}
-	h.absences, h.refusedSince = 0, 0
+	h.refusedSince = 0
 	h.confirmedAt = max(h.confirmedAt, ev.SentAt)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
 	first := !h.fenced
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -51,10 +51,12 @@
 	timeoutCounted bool
 	// unconfirmedStarts are starts without an answer that may still be carried out.
 	unconfirmedStarts []unconfirmedStart
-	// absences counts the heartbeats in a row that found nothing listening, since
-	// refusedSince.
-	absences     int
+	// refusedSince is when connections were first refused of those that are refused now,
+	// or when the platform last said that the worker runs nevertheless. It is 0 if the
+	// last heartbeat was not refused.
 	refusedSince time.Duration
+	// nextInquiry is when the platform may be asked about the worker again.
+	nextInquiry, inquiryDelay time.Duration
 	// fencedAt is when the first answer under this token arrived.
 	fencedAt time.Duration
 	// confirmedAt is the send time of the last heartbeat answered under this token.
@@ -162,6 +164,9 @@
 	if h.info.Born != 0 && info.Born == 0 {
 		info.Born = h.info.Born
 	}
+	if h.info.Machine != "" {
+		info.Machine = h.info.Machine // an incarnation stays on its machine
+	}
 	h.info = info
 	return info.Pool != old.Pool || info.Capacity != old.Capacity || info.Draining != old.Draining ||
 		info.Address != old.Address || !h.listed
@@ -172,7 +177,7 @@
 func (c *Core) inheritWorker(e Registration) {
 	h := c.hosts[e.Worker]
 	if h == nil {
-		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Born: e.Born})
+		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Machine: e.Machine, Born: e.Born})
 		c.hostsUnsorted = true
 	}
 	if h.info.Born != 0 && e.Born != 0 && h.info.Born > e.Born {
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -59,3 +59,38 @@
 		b.Expect(b.finalState("j")).To(Equal(workflow.Completed), "refused for %v", refused)
 	}
 }
+
+func TestRefusingWorkerIsGoneOnceItsMachineIsDown(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	b.crash(b.startHosts("j")[0])
+	b.advance(heartbeatRetry)
+	b.Expect(b.startHosts("j")).To(HaveLen(2))
+}
+
+func TestTaskWaitsForItsLeaseWhileNothingProvesThatItsWorkerHasEnded(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.noMachineList = true
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	b.crash(b.startHosts("j")[0])
+	b.advance(4 * time.Second)
+	b.Expect(b.startHosts("j")).To(HaveLen(1))
+	b.advance(b.core.set.Lease)
+	b.Expect(b.startHosts("j")).To(HaveLen(2))
+}
+
+func TestListOfMachinesFromBeforeRefusalProvesNothing(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	b.workers["w1"].refuses = true
+	b.advance(2 * time.Second)
+	b.queuedEvents = append(b.queuedEvents, MachinesListed{SentAt: b.now - 3*time.Second, Machines: []worker.Machine{{Name: "w1-m", State: worker.MachineDown}}})
+	b.advance(100 * time.Millisecond)
+	b.Expect(b.decided("run-lost")).To(BeEmpty())
+}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -48,6 +48,12 @@
 		})
 	case dispatch.RequestAdvice:
 		n.requestApprovals(t, e, reply)
+	case dispatch.ListMachines:
+		sent := n.uptime()
+		go n.callWithTimeout(t, machineListTimeout, func(ctx context.Context) {
+			machines, err := n.listMachines(ctx)
+			reply(dispatch.MachinesListed{Machines: machines, SentAt: sent, Failed: err != nil})
+		})
 	case dispatch.Commit:
 		go n.commit(t, e, reply)
 	case dispatch.StepDown:
--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -286,6 +286,19 @@
 	n.send(t.ctx, ev)
 }
 
+// errNoMachineList is returned if the platform has no list of machines.
+var errNoMachineList = errors.New("node: no list of machines")
+
+// listMachines reads the platform's list of machines.
+func (n *Node) listMachines(ctx context.Context) ([]worker.Machine, error) {
+	if n.deps.MachineClient == nil {
+		return nil, errNoMachineList
+	}
+	machines, err := n.deps.MachineClient.List(ctx)
+	n.views.recordCall(serviceMachines, err)
+	return machines, err
+}
+
 // executeMaintenance starts an effect of the maintenance core. The result comes
 // back as an event.
 func (n *Node) executeMaintenance(t *term, d *maintenanceController, e upkeep.Effect, until time.Duration) {
@@ -306,8 +319,7 @@
 	case upkeep.ListMachines:
 		sent := n.uptime()
 		go n.callWithTimeout(t, machineListTimeout, func(ctx context.Context) {
-			machines, err := n.deps.MachineClient.List(ctx)
-			n.views.recordCall(serviceMachines, err)
+			machines, err := n.listMachines(ctx)
 			reply(upkeep.MachinesListed{Machines: machines, RequestedAt: sent, Failed: err != nil})
 		})
 	case upkeep.OrderMaintenance:
