--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -25,8 +25,8 @@
 	clock int64
 	life  *life
 	lists worker.HeartbeatResponse
-	// ended is not nil while a hold waits for an end.
-	ended <-chan struct{}
+	// ended is not nil while a hold waits for an end; reset breaks the wait off.
+	ended, reset <-chan struct{}
 }
 
 // Start implements worker.Client.
@@ -57,7 +57,7 @@
 		w.note(h.LastAckedEnd)
 		r := reply{code: worker.OK, lists: w.lists()}
 		if h.Wait > 0 && len(w.ends) == 0 {
-			r.ended = w.ended
+			r.ended, r.reset = w.ended, w.link.reset(c.node)
 		}
 		return r
 	})
@@ -74,39 +74,31 @@
 	select {
 	case <-r.ended:
 	case <-t.C:
+	case <-r.reset:
+		return worker.Unknown, worker.HeartbeatResponse{}
 	case <-ctx.Done():
 		return worker.Unknown, worker.HeartbeatResponse{}
 	}
 	f := c.fleet
 	f.mu.Lock()
 	lists, alive, silent := r.life.lists(), r.life.alive, r.life.link.silent(c.node)
+	refused := r.life.link.refuses(c.node)
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
 	}
-	if silent || !alive || !pause(ctx, f.cfg.Latency) {
+	if silent || refused || !alive || !pause(ctx, f.cfg.Latency) {
 		return worker.Unknown, worker.HeartbeatResponse{}
 	}
 	return worker.OK, lists
 }
 
-// at returns the life that listens where the order goes, nil if none does.
+// at returns the newest life where the order goes, nil if there was none.
 func (f *Fleet) at(o worker.Order) *life {
-	w := f.addresses[o.Address]
 	if o.Address == "" {
-		w = f.workers[o.Worker]
-	}
-	if w == nil || !w.alive {
-		return nil
+		return f.workers[o.Worker]
 	}
-	return w
-}
-
-// refuses reports whether the order goes to the address of a worker that a task has
-// crashed.
-func (f *Fleet) refuses(o worker.Order) bool {
-	w := f.addresses[o.Address]
-	return w != nil && w.crashed
+	return f.addresses[o.Address]
 }
 
 // call carries an order to its worker and the answer back.
@@ -115,7 +107,7 @@
 	f.mu.Lock()
 	sent := f.at(o)
 	silent := sent != nil && sent.link.silent(c.node)
-	if !silent && sent != nil && f.random.Float64() < sent.link.late {
+	if !silent && sent != nil && sent.alive && !sent.link.refuses(c.node) && f.random.Float64() < sent.link.late {
 		silent = true
 		f.postpone(sent, o, act)
 	}
@@ -149,7 +141,7 @@
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w := f.at(o); w != nil && w.takes(sent, o) {
+		if w := f.at(o); w != nil && w.alive && w.takes(sent, o) {
 			f.disrupted = time.Now()
 			act(w, true)
 		}
@@ -167,12 +159,14 @@
 func (c *fleetClient) serve(sent *life, o worker.Order, act func(w *life, late bool) reply) reply {
 	w := c.fleet.at(o)
 	switch {
-	case w == nil && c.fleet.refuses(o):
-		return reply{code: worker.ConnectionRefused}
 	case w == nil:
 		return reply{code: worker.NotExecuted}
 	case w.link.silent(c.node):
 		return reply{code: worker.Unknown, life: w}
+	case w.crashed, w.link.refuses(c.node):
+		return reply{code: worker.ConnectionRefused}
+	case !w.alive:
+		return reply{code: worker.NotExecuted}
 	case !w.takes(sent, o):
 		return reply{code: worker.WrongIncarnation, life: w}
 	}
@@ -190,7 +184,7 @@
 	case w == nil:
 		answer(r)
 	case r.code == worker.Unknown || w.link.silent(c.node):
-	case !w.alive || f.random.Float64() < w.link.lose:
+	case !w.alive || w.link.refuses(c.node) || f.random.Float64() < w.link.lose:
 		answer(reply{code: worker.Unknown})
 	default:
 		answer(r)
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -262,7 +262,7 @@
 	var records []store.Record
 	for _, id := range f.order {
 		w, e := f.workers[id], entries[id]
-		if w.alive {
+		if w.alive && !w.link.unlisted {
 			r := encode(w.info())
 			entries[id] = &entry{key: r.Key}
 			records = append(records, r)
--- a/internal/emulator/fleetfault.go
+++ b/internal/emulator/fleetfault.go
@@ -9,17 +9,54 @@
 
 // link is the network to a worker. It outlasts the worker's lives.
 type link struct {
-	// cut has the nodes that don't get through; the empty name stands for all.
-	cut map[string]bool
+	// cut has the nodes that don't get through, refused those whose connections are
+	// refused; the empty name stands for all.
+	cut, refused map[string]bool
+	// resets has a channel for each node with a long poll, closed when its connections
+	// are reset.
+	resets map[string]chan struct{}
 	// late and lose are shares of orders.
 	late, lose float64
+	// unlisted is set while the worker can't write its entry.
+	unlisted bool
 }
 
-func newLink() *link { return &link{cut: map[string]bool{}} }
+func newLink() *link {
+	return &link{cut: map[string]bool{}, refused: map[string]bool{}, resets: map[string]chan struct{}{}}
+}
 
 func (l *link) silent(node string) bool { return l.cut[""] || l.cut[node] }
 
-func (l *link) disturbed() bool { return len(l.cut) > 0 || l.late > 0 || l.lose > 0 }
+func (l *link) refuses(node string) bool { return l.refused[""] || l.refused[node] }
+
+func (l *link) disturbed() bool {
+	return len(l.cut) > 0 || len(l.refused) > 0 || l.late > 0 || l.lose > 0 || l.unlisted
+}
+
+// refuse begins to refuse the node's connections, and resets the open ones.
+func (l *link) refuse(node string) {
+	l.refused[node] = true
+	for n, reset := range l.resets {
+		if l.refuses(n) {
+			close(reset)
+			delete(l.resets, n)
+		}
+	}
+}
+
+// reset returns a channel that is closed when the node's connections are reset.
+func (l *link) reset(node string) <-chan struct{} {
+	if l.resets[node] == nil {
+		l.resets[node] = make(chan struct{})
+	}
+	return l.resets[node]
+}
+
+// heal ends cuts and refusals.
+func (l *link) heal() {
+	clear(l.cut)
+	clear(l.refused)
+}
 
 // fault edits a worker's newest life and notes the disruption. An unknown ID
 // changes nothing.
@@ -77,23 +114,48 @@
 // wait until their context ends. The worker runs on.
 func (f *Fleet) Cut(id string, nodes ...string) {
 	f.fault(id, func(w *life) {
-		if len(nodes) == 0 {
-			nodes = []string{""}
-		}
-		for _, n := range nodes {
+		for _, n := range orAll(nodes) {
 			w.link.cut[n] = true
 		}
 	})
 }
 
-// Heal ends all cuts of the worker.
+// RefuseConnections makes the network refuse connections of the nodes, or of all when
+// none is named, to the worker, and reset the open ones. The worker runs on.
+func (f *Fleet) RefuseConnections(id string, nodes ...string) {
+	f.fault(id, func(w *life) {
+		for _, n := range orAll(nodes) {
+			w.link.refuse(n)
+		}
+	})
+}
+
+func orAll(nodes []string) []string {
+	if len(nodes) == 0 {
+		return []string{""}
+	}
+	return nodes
+}
+
+// Heal ends all cuts and refusals of the worker.
 func (f *Fleet) Heal(id string) {
-	f.fault(id, func(w *life) { clear(w.link.cut) })
+	f.fault(id, func(w *life) { w.link.heal() })
+}
+
+// Unlist keeps the worker from writing its entry, which is then removed like that of a
+// worker that is down. The worker runs on.
+func (f *Fleet) Unlist(id string, on bool) {
+	f.fault(id, func(w *life) { w.link.unlisted = on })
 }
 
 // Crash ends the worker and all that runs there; its address refuses calls.
 func (f *Fleet) Crash(id string) {
-	f.fault(id, func(w *life) { w.perish() })
+	f.fault(id, func(w *life) { w.crash() })
+}
+
+func (w *life) crash() {
+	w.crashed = w.crashed || w.alive
+	w.perish()
 }
 
 // crashUnder crashes the worker under a run that is still there, and restarts it after
@@ -109,8 +171,7 @@
 	for _, o := range w.sorted() {
 		f.judge.crashed(o)
 	}
-	w.crashed = true
-	w.perish()
+	w.crash()
 	time.AfterFunc(CrashDowntime, func() {
 		f.fault(w.cfg.ID, func(newest *life) {
 			if newest == w {
@@ -217,8 +278,8 @@
 // Calm ends all faults of links and of speed. What has crashed stays so.
 func (f *Fleet) Calm() {
 	f.faults(nil, func(w *life) {
-		clear(w.link.cut)
-		w.link.late, w.link.lose = 0, 0
+		w.link.heal()
+		w.link.late, w.link.lose, w.link.unlisted = 0, 0, false
 		w.repace(func() {
 			w.failing, w.hung, w.slow = false, false, 1
 			for r := range maps.Values(w.runs) {
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -47,7 +47,7 @@
 	link  *link
 	born  time.Time
 	alive bool
-	// crashed is set when a task crashed it. Its address then refuses connections.
+	// crashed is set when it went without notice. Its address then refuses connections.
 	crashed bool
 	// left is set when the worker went in an orderly way.
 	left  bool
