--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -163,7 +163,7 @@
 	s.log = emulator.NewLog(emulator.LogConfig{Seed: seed})
 	s.fleet = emulator.NewFleet(emulator.FleetConfig{Seed: seed, StrictLives: true})
 	for i := range emulatedWorkers {
-		s.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("w%d", i+1), Pool: "general", Labels: []string{"std", fmt.Sprintf("r%d", i%emulatedRacks+1)},
+		s.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("w%d", i+1), Machine: fmt.Sprintf("m%d", i+1), Pool: "general", Labels: []string{"std", fmt.Sprintf("r%d", i%emulatedRacks+1)},
 			Capacity: workflow.Size{MilliCPU: 8000, MemoryMiB: 16384}})
 	}
 	value, err := json.Marshal(s.catalog)
@@ -192,7 +192,7 @@
 	set := node.Settings{Node: name, Domain: "demo", Limits: node.Limits{MaxLease: 10 * time.Second, StopTimeout: 2 * time.Second,
 		GangTimeout: 5 * time.Second, DrainBound: 3 * time.Second, CancelBound: 3 * time.Second, StatusRetention: nodeRetention,
 		RemoteFactor: 2, CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, AbsenceNotice: 5 * time.Second}}
-	ports := node.Dependencies{Store: s.log.Client(name), Workers: s.fleet.Client(name), PolicyClient: s.fleet.Adviser(name),
+	ports := node.Dependencies{Store: s.log.Client(name), Workers: s.fleet.Client(name), MachineClient: s.fleet.MachineList(), PolicyClient: s.fleet.Adviser(name),
 		Peers: peer.NewClient(s.net), Feeds: emulatedFeeds(), Count: func(string, string) {}, Observe: func(name string, _ time.Duration) {
 			if name == "takeover" {
 				m.tookOver.Store(time.Now().UnixNano())
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -254,7 +254,7 @@
 		x := worker.Machine{Name: name, Pool: m.cfg.Pool, State: m.state, Domain: m.cfg.Domain, Labels: m.cfg.Labels,
 			Capacity: m.cfg.Capacity, Worker: m.cfg.ID}
 		if w := c.fleet.workers[m.cfg.ID]; m.state == worker.MachineUp && w != nil && !w.alive {
-			x.State = worker.MachineDown
+			x.State, x.Worker = worker.MachineDown, ""
 		}
 		out = append(out, x)
 	}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -251,11 +251,11 @@
 		StrictLives: c.strictLives, Advice: map[string]workflow.PolicySettings{"advised": testAdvice}})
 	for i := 1; i <= 6; i++ {
 		kind := []string{"std", "big"}[i%2]
-		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("w%d", i), Pool: "cpu", Labels: []string{kind, fmt.Sprintf("r%d", (i+1)/2)},
+		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("w%d", i), Machine: fmt.Sprintf("host-w%d", i), Pool: "cpu", Labels: []string{kind, fmt.Sprintf("r%d", (i+1)/2)},
 			Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}, SlowClock: i == 2})
 	}
 	for i := 1; i <= 2; i++ {
-		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("g%d", i), Pool: "gpu", Labels: []string{"gpu", "r1"},
+		c.fleet.Add(emulator.WorkerConfig{ID: fmt.Sprintf("g%d", i), Machine: fmt.Sprintf("host-g%d", i), Pool: "gpu", Labels: []string{"gpu", "r1"},
 			Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192, Accelerators: 2}, Guarded: true})
 	}
 	value, err := json.Marshal(c.catalog)
@@ -309,7 +309,7 @@
 		DrainBound: 3 * time.Second, CancelBound: 3 * time.Second, StatusRetention: c.retention, RemoteFactor: 2,
 		CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, AbsenceNotice: 5 * time.Second}}
 	ports := Dependencies{Store: gatedStore{c.log.Client(name), p}, Workers: gatedWorkers{c.fleet.Client(name), p}, PolicyClient: c.fleet.Adviser(name),
-		Peers: peers{c}, Feeds: c.feeds(), Count: func(string, string) {}, Observe: func(string, time.Duration) {}}
+		MachineClient: c.fleet.MachineList(), Peers: peers{c}, Feeds: c.feeds(), Count: func(string, string) {}, Observe: func(string, time.Duration) {}}
 	if c.configure != nil {
 		c.configure(p, &set, &ports)
 	}
