Read through a peer also past a key that isn't valid UTF-8

Callers would see a node that can't reach the store stop following the list of runners: while another writer's entry stands under such a key, each read of the list through a peer failed, at every peer, and a node that leads then knew no worker, or only those from before.

Cause: a key is a string in the peer protocol, and protobuf encodes no message with a string that isn't valid UTF-8. The records of the whole read were lost. The serving node now leaves such a record out. That loses nothing: the decoder rejects an entry under such a key, and the offset at which to go on is sent apart from the records.

Before: peer_test.go:144: read through a peer: twirp error internal: failed to marshal proto response: string field contains invalid UTF-8.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -157,9 +158,15 @@
 	return (received.Sub(readAt) + time.Millisecond - 1).Milliseconds()
 }
 
+// encodeRecords leaves out records whose key isn't valid UTF-8, because a message
+// that contains one can't be encoded. None of the scheduler's own records has such
+// a key.
 func encodeRecords(records []store.StoredRecord) []*api.LogRecord {
 	out := make([]*api.LogRecord, 0, len(records))
 	for _, r := range records {
+		if !utf8.ValidString(r.Key) {
+			continue
+		}
 		out = append(out, &api.LogRecord{Offset: r.Offset, Key: r.Key, Value: r.Value})
 	}
 	return out
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -115,3 +115,35 @@
 	g.Expect(err).To(MatchError(store.ErrNotExecuted))
 	g.Expect(err).NotTo(MatchError(store.ErrLoading))
 }
+
+// listingNode is a node that reads the same records at each read.
+type listingNode struct {
+	Node
+	records []store.StoredRecord
+}
+
+func (n listingNode) Reader() store.Reader { return n }
+
+func (n listingNode) Read(context.Context, store.Partition, int64, time.Duration) (store.Batch, error) {
+	return store.Batch{Records: n.records, NextOffset: 3, End: 3}, nil
+}
+
+func (n listingNode) Newest(context.Context, store.Partition, string) (store.Page, error) {
+	return store.Page{Records: n.records, NextKey: "b", End: 3}, nil
+}
+
+// Protobuf has no string for such a key, and the reader lost all records of the read.
+func TestKeyThatIsNotUTF8DoesNotFailReadThroughPeer(t *testing.T) {
+	g := NewWithT(t)
+	at := func(offset int64, key string) store.StoredRecord {
+		return store.StoredRecord{Offset: offset, Record: store.Record{Key: key, Value: []byte("\xff")}}
+	}
+	r := NewClient(delayedTransport{handler: Handler(listingNode{records: []store.StoredRecord{at(0, "a"), at(1, "a\xff"), at(2, "b")}})}).Reader("a:1")
+	want := []store.StoredRecord{at(0, "a"), at(2, "b")}
+	b, err := r.Read(t.Context(), store.Partition{}, 0, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b).To(Equal(store.Batch{Records: want, NextOffset: 3, End: 3}))
+	page, err := r.Newest(t.Context(), store.Partition{}, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(page).To(Equal(store.Page{Records: want, NextKey: "b", End: 3}))
+}
