Log a worker entry that can't be read, once

Operators would see a rising counter of unreadable records and nothing that tells which record it is. Each read of it still counts.

No line was written at each read before.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -460,22 +460,30 @@
 	if r.err != nil || t == nil {
 		return batch
 	}
+	reported := t.unreadableWorkers
 	if r.full {
 		clear(t.workersByID)
+		t.unreadableWorkers = nil
 	} else if !t.workersLoaded {
 		return batch // this read continues one of a former term
 	}
 	for _, rec := range r.records {
 		if len(rec.Value) == 0 {
 			delete(t.workersByID, rec.Key)
+			delete(t.unreadableWorkers, rec.Key)
 			continue
 		}
 		info, err := n.deps.Feeds.DecodeWorker(rec.Record)
 		if err != nil {
 			n.deps.Count("unreadable", "worker-entry")
+			if !reported[rec.Key] && !t.unreadableWorkers[rec.Key] {
+				n.log.WithError(err).Warn("a worker's entry can't be read")
+			}
+			t.markUnreadable(rec.Key)
 			continue
 		}
 		t.workersByID[info.ID] = info
+		delete(t.unreadableWorkers, rec.Key)
 	}
 	t.workersLoaded = true
 	if t.dispatcher == nil || len(r.records) == 0 && !r.full {
@@ -484,6 +492,13 @@
 	return append(batch, dispatch.WorkersListed{Workers: t.sortedWorkers()})
 }
 
+func (t *term) markUnreadable(key string) {
+	if t.unreadableWorkers == nil {
+		t.unreadableWorkers = map[string]bool{}
+	}
+	t.unreadableWorkers[key] = true
+}
+
 func (t *term) sortedWorkers() []worker.Info {
 	infos := make([]worker.Info, 0, len(t.workersByID))
 	for _, i := range t.workersByID {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -24,6 +24,9 @@
 	startedAt   time.Duration
 	dispatcher  *dispatch.Core
 	workersByID map[string]worker.Info
+	// unreadableWorkers holds the keys of the entries that can't be read, each of which
+	// has been logged.
+	unreadableWorkers map[string]bool
 	// workersLoaded is set when the list of workers has been read in this term.
 	workersLoaded bool
 	// reportedCounters are the dispatcher's counters as last reported.
