Take an impossible start time in a worker entry as not reported

Callers would see less capacity: an entry with born at 2^53, for the ID of a runner, was believed by a node that takes the lead. Each heartbeat of the runner then seemed to be of an earlier incarnation, and the runner got no work in that term, also after its own entry was back.

Cause: the dispatcher ignores answers and entries with a lower born than the highest it has read. A clock that is set wrong so costs no runner.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -482,6 +482,9 @@
 			t.markUnreadable(rec.Key)
 			continue
 		}
+		if info.Born < 0 || info.Born > time.Now().Add(maxBornAhead).UnixMilli() {
+			info.Born = 0
+		}
 		t.workersByID[info.ID] = info
 		delete(t.unreadableWorkers, rec.Key)
 	}
@@ -492,6 +495,11 @@
 	return append(batch, dispatch.WorkersListed{Workers: t.sortedWorkers()})
 }
 
+// maxBornAhead is how far ahead of this node's clock a worker's start time may be.
+// A time further ahead counts as not reported, so that a clock that is set wrong
+// excludes no worker.
+const maxBornAhead = 24 * time.Hour
+
 func (t *term) markUnreadable(key string) {
 	if t.unreadableWorkers == nil {
 		t.unreadableWorkers = map[string]bool{}
--- a/internal/node/odd_entry_test.go
+++ b/internal/node/odd_entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -45,3 +46,15 @@
 		g.Expect([]int{*unreadable, len(logged.Entries), len(n.term.workersByID)}).To(Equal([]int{tc.unreadable, tc.log, tc.listed}), "%+v", tc)
 	}
 }
+
+// A start time that can't be true made the worker's own answers look like those of an earlier incarnation.
+func TestImpossibleStartTimeCountsAsNotReported(t *testing.T) {
+	now := time.Now()
+	for born, want := range map[int64]int64{
+		-1: 0, 1 << 53: 0, now.Add(2 * maxBornAhead).UnixMilli(): 0, 17: 17, now.Add(time.Second).UnixMilli(): now.Add(time.Second).UnixMilli(),
+	} {
+		n, _, _ := newListingNode(map[string]worker.Info{"w1": {ID: "w1", Born: born}})
+		n.handleWorkersRead(readResult{full: true, records: []store.StoredRecord{{Record: store.Record{Key: "w1", Value: []byte("good")}}}}, nil)
+		NewWithT(t).Expect(n.term.workersByID["w1"].Born).To(Equal(want), "%d", born)
+	}
+}
