Show what another writer's well-formed entry does to a worker

Entries for the ID of a worker with its run, with another address, born, pool, capacity or labels, before the worker's own or between two of its own.

What holds, at once: another pool, labels, no or very much capacity, a born that is lower, 0 or negative, and a higher born between two of the worker's own entries neither end a run nor keep the worker from work afterwards.

Calls go to the address of the newest entry.

--- /dev/null
+++ b/internal/dispatch/odd_entry_test.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+const oddEntryBorn = 1_700_000_000_000
+
+// addresses, births and others are edits that make another writer's entry of a worker's own.
+var (
+	addresses = map[string]func(*worker.Info){
+		"same born":         func(i *worker.Info) { i.Address = "x:1" },
+		"no born":           func(i *worker.Info) { i.Address, i.Born = "x:1", 0 },
+		"of another worker": func(i *worker.Info) { i.Address = "w2:1" },
+	}
+	births = map[string]func(*worker.Info){
+		"lower":                  func(i *worker.Info) { i.Born = 5 },
+		"lower, other address":   func(i *worker.Info) { i.Address, i.Born = "x:1", 5 },
+		"higher":                 func(i *worker.Info) { i.Born = oddEntryBorn + 60_000 },
+		"higher, other address":  func(i *worker.Info) { i.Address, i.Born = "x:1", oddEntryBorn+60_000 },
+		"none":                   func(i *worker.Info) { i.Born = 0 },
+		"negative, other labels": func(i *worker.Info) { i.Labels, i.Born = nil, -1 },
+	}
+	others = map[string]func(*worker.Info){
+		"pool":        func(i *worker.Info) { i.Pool = "x" },
+		"no labels":   func(i *worker.Info) { i.Labels = nil },
+		"no capacity": func(i *worker.Info) { i.Capacity = workflow.Size{} },
+		"very much capacity": func(i *worker.Info) {
+			i.Capacity = workflow.Size{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 40}
+		},
+	}
+)
+
+func ownEntry(*worker.Info) {}
+
+// oddHarness is a harness with workers w1 and w2, of which list lists w2 only if it is named.
+func oddHarness(t *testing.T) *harness {
+	b := newHarness(t, "w1", "w2")
+	b.workers["w1"].lists.Born, b.workers["w2"].lists.Born = oddEntryBorn, oddEntryBorn
+	return b
+}
+
+func (b *harness) list(editFirst func(*worker.Info), more ...string) {
+	infos := []worker.Info{testInfo("w1", oddEntryBorn)}
+	editFirst(&infos[0])
+	for _, id := range more {
+		infos = append(infos, testInfo(id, oddEntryBorn))
+	}
+	b.queuedEvents = append(b.queuedEvents, WorkersListed{infos})
+}
+
+// advanceByAddress is advance where nothing listens at other addresses than the workers' own.
+func (b *harness) advanceByAddress(d time.Duration) {
+	for end := b.now + d; b.now < end; b.now += tick {
+		events := append(b.queuedEvents, LeadershipConfirmed{b.now + 5*time.Second})
+		b.queuedEvents = nil
+		for _, e := range b.core.Step(b.now, b.now.Milliseconds(), events...) {
+			var o worker.Order
+			switch e := e.(type) {
+			case SendHeartbeat:
+				o = e.Heartbeat.Order
+			case StartTask:
+				o = e.Start.Order
+			case StopTask:
+				o = e.Stop.Order
+			}
+			if w := b.workers[o.Worker]; w != nil {
+				w.addressReused = o.Address == "w2:1" && o.Worker == "w1"
+				w.crashed = o.Address != o.Worker+":1" && !w.addressReused
+			}
+			b.answer(e)
+		}
+	}
+}
+
+// expectRunGoesOn checks that a task's only run goes on while entries of another writer come and go.
+func expectRunGoesOn(t *testing.T, cases map[string]func(*worker.Info)) {
+	for name, odd := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := oddHarness(t)
+			b.list(ownEntry)
+			b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+			b.advanceByAddress(500 * time.Millisecond)
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+			incarnation := b.core.hosts["w1"].incarnation
+			for range 3 {
+				b.list(odd, "w2")
+				b.advanceByAddress(3 * time.Second)
+				b.list(ownEntry, "w2")
+				b.advanceByAddress(3 * time.Second)
+			}
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}), "its run goes on")
+			b.Expect(b.stops).To(BeEmpty())
+			b.Expect(b.core.hosts["w1"].incarnation).To(Equal(incarnation))
+			b.workers["w1"].end(testTaskID("j", 0), worker.Done)
+			b.list(ownEntry)
+			b.acceptJob("next", testOffset+2, workflow.Step{}, workflow.Progress{})
+			b.advanceByAddress(time.Second)
+			b.Expect(b.startHosts("next")).To(Equal([]string{"w1"}), "the worker gets work")
+		})
+	}
+}
+
+// expectUsable checks that a worker gets work soon after another writer's entry, which the leader read first, is replaced.
+func expectUsable(t *testing.T, cases map[string]func(*worker.Info)) {
+	for name, odd := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := oddHarness(t)
+			b.list(odd)
+			b.advanceByAddress(3 * time.Second)
+			b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+			for range 3 {
+				b.list(ownEntry)
+				b.advanceByAddress(time.Second)
+			}
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+			b.Expect(b.core.hosts["w1"].free).To(Equal(workflow.Size{}))
+		})
+	}
+}
+
+func TestRunGoesOnUnderOddEntry(t *testing.T) { expectRunGoesOn(t, others) }
+
+func TestRunGoesOnUnderOddBorn(t *testing.T) { expectRunGoesOn(t, births) }
+
+// The worker was taken for crashed because nothing listens at the address in another writer's entry, and its task was started twice.
+func TestRunGoesOnUnderOddAddress(t *testing.T) { expectRunGoesOn(t, addresses) }
+
+func TestWorkerIsUsableAfterOddEntry(t *testing.T) { expectUsable(t, others) }
+
+func TestWorkerIsUsableAfterOddAddress(t *testing.T) { expectUsable(t, addresses) }
+
+// The worker's answers were taken for those of an earlier incarnation until the end of the term.
+func TestWorkerIsUsableAfterOddBorn(t *testing.T) { expectUsable(t, births) }
+
+// Each list with such an entry made the worker unusable, and two records were written.
+func TestHigherBornThatStaysCostsOneCheck(t *testing.T) {
+	for _, name := range []string{"higher", "higher, other address"} {
+		t.Run(name, func(t *testing.T) {
+			b := oddHarness(t)
+			b.list(ownEntry)
+			b.advanceByAddress(500 * time.Millisecond)
+			for range 20 {
+				b.list(births[name])
+				b.advanceByAddress(200 * time.Millisecond)
+			}
+			records := 0
+			for _, x := range b.commits {
+				records += len(x.Registered)
+			}
+			b.Expect(records).To(BeNumerically("<=", 3), "the incarnation, a loss of contact and its end")
+			b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+			for range 10 {
+				b.list(births[name])
+				b.advanceByAddress(100 * time.Millisecond)
+			}
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+		})
+	}
+}
+
+// A worker that answers with a lower born than its entry's was asked again at each step.
+func TestAnswersThatContradictEntryAreNotAskedForAtOnce(t *testing.T) {
+	b := oddHarness(t)
+	b.list(births["higher"])
+	b.advanceByAddress(2 * time.Second)
+	atOnce := 0
+	for _, x := range b.heartbeats {
+		if x.Heartbeat.Wait == 0 {
+			atOnce++
+		}
+	}
+	b.Expect(atOnce).To(BeNumerically("<=", int(2*time.Second/heartbeatRetry)+1))
+}
