Show that a new leader believes an odd address, and a moved worker isn't reached

Two more tests on entries of a worker, both known red: - a new leader takes over a worker with a run and reads another writer's address for it first: odd_entry_test.go:217: a start on w2 where none is expected. The worker's registration holds the address where it answered, and the entry replaces it. - a worker restarts under its ID at another address while its former address is silent: odd_entry_test.go:200: "w1:1" to equal "new:1" after 20 s. The entry of the next life isn't used, and as it is listed the former life is never given up, even when all its leases have lapsed. No other writer is needed for this one.

--- a/internal/dispatch/odd_entry_test.go
+++ b/internal/dispatch/odd_entry_test.go
@@ -178,3 +178,44 @@
 	}
 	b.Expect(atOnce).To(BeNumerically("<=", int(2*time.Second/heartbeatRetry)+1))
 }
+
+// A worker that was started again at another address got no work as long as its former address was silent.
+func TestNextIncarnationAtAnotherAddressIsReached(t *testing.T) {
+	for name, step := range map[string]*workflow.Step{"idle": nil, "with a run": {}} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, "w1")
+			w, info := b.workers["w1"], testInfo("w1", 1)
+			b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+			if step != nil {
+				b.acceptJob("j", testOffset+1, *step, workflow.Progress{})
+			}
+			b.advance(500 * time.Millisecond)
+			w.unreachable = true
+			b.advance(time.Second)
+			info.Born, info.Address = 2, "new:1"
+			for range 20 {
+				b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+				b.advance(time.Second)
+			}
+			b.Expect(b.lastHeartbeat("w1").Heartbeat.Address).To(Equal("new:1"))
+		})
+	}
+}
+
+// A new leader looked for a worker's runs at the address in another writer's entry, and started its task a second time.
+func TestInheritedRunGoesOnUnderOddAddress(t *testing.T) {
+	for name, odd := range addresses {
+		t.Run(name, func(t *testing.T) {
+			b := oddHarness(t)
+			b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: oddEntryBorn}})
+			b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+			b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("j", 0), Run: 7}}
+			b.list(odd, "w2")
+			b.advanceByAddress(3 * time.Second)
+			b.list(ownEntry, "w2")
+			b.advanceByAddress(3 * time.Second)
+			b.Expect(b.starts).To(BeEmpty())
+			b.Expect(b.stops).To(BeEmpty())
+		})
+	}
+}
