--- /dev/null
+++ b/internal/dispatch/beliefs_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// startOnFirst runs a job on w1 while w2 isn't listed yet, and then lists both.
+func startOnFirst(t *testing.T) *harness {
+	b := newHarness(t, "w1", "w2")
+	b.workers["w1"].lists.Born = 1000
+	b.listWorkers("w2")
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(time.Second)
+	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+	b.listWorkers()
+	b.advance(time.Second)
+	return b
+}
+
+// listAtOtherAddress queues a list that has w1, in the same incarnation, at w2's address.
+func (b *harness) listAtOtherAddress() {
+	moved := testInfo("w1", b.workers["w1"].lists.Born)
+	moved.Address = "w2:1"
+	b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{moved, testInfo("w2", 1)}})
+}
+
+// The worker that answers at an address where this incarnation never was proves nothing about it.
+func TestWrongIncarnationAtNewAddressDoesNotEndRuns(t *testing.T) {
+	b := startOnFirst(t)
+	b.workers["w1"].addressReused = true
+	b.listAtOtherAddress()
+	b.advance(4 * time.Second)
+	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}), "it still runs there, under a lease")
+}
+
+// A leader's first call to an inherited worker goes to an address that the worker never registered.
+func TestWrongIncarnationAtNewAddressDoesNotFreeInheritedRuns(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
+	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("old", 0), Run: 7}}
+	b.workers["w1"].addressReused = true
+	b.listAtOtherAddress()
+	b.advance(4 * time.Second)
+	b.Expect(b.startHosts("old")).To(BeEmpty(), "it still runs on w1, under a lease of the previous leader")
+}
