--- a/internal/dispatch/beliefs_test.go
+++ b/internal/dispatch/beliefs_test.go
@@ -50,3 +50,25 @@
 	b.advance(4 * time.Second)
 	b.Expect(b.startHosts("old")).To(BeEmpty(), "it still runs on w1, under a lease of the previous leader")
 }
+
+// A host whose clock was set back restarts its worker, which then has an earlier start time.
+func TestWorkerRestartedAfterItsClockWasSetBackLosesItsRuns(t *testing.T) {
+	b := startOnFirst(t)
+	w := b.workers["w1"]
+	w.born = b.now
+	w.lists = worker.HeartbeatResponse{Born: 500}
+	b.advance(20 * time.Second)
+	b.Expect(b.startHosts("j")).To(HaveLen(2), "nothing has run there since its restart")
+}
+
+// An entry with a start time in the future must not make a living worker useless.
+func TestWorkerWithEntryFromTheFutureGetsWork(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.workers["w1"].lists.Born = 1000
+	b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{testInfo("w1", 1<<50)}})
+	b.advance(time.Second)
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(5 * time.Second)
+	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+}
