--- a/internal/dispatch/beliefs_test.go
+++ b/internal/dispatch/beliefs_test.go
@@ -72,3 +72,13 @@
 	b.advance(5 * time.Second)
 	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
 }
+
+// A run whose row can't be read is still there.
+func TestRunOfUnreadableRowIsNotStartedElsewhere(t *testing.T) {
+	b := startOnFirst(t)
+	b.workers["w1"].hidesRuns = true
+	for end := b.now + 5*time.Second; b.now < end; {
+		b.advance(tick)
+		b.Expect(len(b.workers["w1"].lists.Running)+len(b.workers["w2"].lists.Running)).To(BeNumerically("<=", 1), "at %v", b.now)
+	}
+}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -54,6 +54,8 @@
 	refuses bool
 	// startCode is the answer to starts.
 	startCode worker.Code
+	// hidesRuns is set while the rows of its runs can't be read.
+	hidesRuns bool
 	// stopsSlowly is set if stopped runs go on for a while.
 	stopsSlowly bool
 }
@@ -197,6 +199,10 @@
 		if w.stuckPercent > 0 {
 			r.Percent = w.stuckPercent
 		}
+		if w.hidesRuns {
+			l.Incomplete = true
+			continue
+		}
 		l.Running = append(l.Running, r)
 	}
 	l.Ended = append(l.Ended, w.lists.Ended...)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -173,6 +173,9 @@
 	Born    int64
 	Running []ActiveRun
 	Ended   []EndedRun
+	// Incomplete is set if some rows of the lists could not be read, so that a run
+	// that is in neither list may still be there.
+	Incomplete bool
 }
 
 // Approval names a worker that may run a step and holds the ticket that proves it.
