--- a/internal/upkeep/operation.go
+++ b/internal/upkeep/operation.go
@@ -44,6 +44,12 @@
 	startedAt time.Duration
 	// firstWorker is the worker that the first order was to end.
 	firstWorker string
+	// endedWorker and endedBorn identify the incarnation that the earliest order that
+	// may have been executed was to end; empty if a previous leader has sent it. Only
+	// that incarnation has certainly ended once an order is answered with OK, since
+	// the platform gives the same answer if the machine has already returned.
+	endedWorker string
+	endedBorn   int64
 	// seenAway is set if a list has shown the machine as not up since startedAt.
 	seenAway bool
 }
@@ -149,6 +155,9 @@
 	if op.firstWorker == "" {
 		op.firstWorker = op.worker
 	}
+	if !op.outcomeUnknown {
+		op.endedWorker, op.endedBorn = op.worker, op.born
+	}
 	if op.wave != nil && !c.mayGoDown(op.wave, m) {
 		return
 	}
@@ -205,12 +214,13 @@
 }
 
 // markStarted records that the machine's maintenance or move has certainly begun.
-// Nothing runs on the machine any more.
 func (c *Core) markStarted(m *machine) {
 	op := m.operation
 	op.phase, op.outcomeUnknown, op.startedAt = unavailable, false, c.now
+	if op.endedWorker != "" {
+		c.emit(IncarnationEnded{Worker: op.endedWorker, Born: op.endedBorn})
+	}
 	if op.worker != "" {
-		c.emit(IncarnationEnded{Worker: op.worker, Born: op.born})
 		c.emit(EndEvacuation{Worker: op.worker})
 	}
 	if op.wave != nil {
