--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -169,13 +170,21 @@
 		return false, nil
 	}
 	done, err := n.deps.Peers.AppendRecords(ctx, h, records)
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if connectionRefused(err) {
 		n.trySend(leaderUnreachable{h})
 		return false, nil // the request was never sent
 	}
 	return done, err
 }
 
+// connectionRefused reports whether no connection was made because it was refused. An
+// open connection, over which a request may have been sent, fails with the same error
+// number after an ICMP error.
+func connectionRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && errors.Is(op, syscall.ECONNREFUSED)
+}
+
 // remoteLeader returns the address of the leader, and false if it is unknown or
 // this node.
 func (n *Node) remoteLeader() (string, bool) {
