--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -57,7 +57,8 @@
 	// Silence is how long the other nodes wait for a heartbeat before they claim.
 	// Only time in which they can read the partition counts.
 	Silence time.Duration
-	// Suspicion replaces Silence when nothing listens at the leader's address.
+	// Suspicion replaces Silence when the leader's address refuses connections, which
+	// something between the nodes may do while the leader lives.
 	Suspicion time.Duration
 	// Confidence is how long the leader may extend leases after it sent its last
 	// confirmed record.
@@ -126,7 +127,7 @@
 	sentAt   time.Duration
 	retryAt  time.Duration
 	resigned bool
-	// suspectedAt is when nothing listened at the leader's address.
+	// suspectedAt is when the leader's address last refused a connection.
 	suspectedAt time.Duration
 	// storeLatency is the response time of the store for the last action.
 	storeLatency time.Duration
@@ -276,6 +277,8 @@
 
 // claimAt returns when this node may claim if it reads no new record until then.
 func (e *Election) claimAt() time.Duration {
+	// A slow store delays the leader's heartbeats.
+	storeDelay := storeLatencyFactor * time.Duration(e.leader.StoreMillis) * time.Millisecond
 	switch {
 	case e.token == 0 && e.deferral > 0:
 		return e.freeSince + e.claimDelay + e.deferral
@@ -286,10 +289,8 @@
 	case e.suspectedAt > e.quietSince && e.deferral == 0:
 		// A node that defers may not use the shorter timeout: nodes that take
 		// precedence may not suspect the leader and wait for the whole Silence.
-		return e.quietSince + e.timing.Suspicion + e.claimDelay
+		return e.quietSince + e.timing.Suspicion + storeDelay + e.claimDelay
 	}
-	// A slow store delays the leader's heartbeats.
-	storeDelay := storeLatencyFactor * time.Duration(e.leader.StoreMillis) * time.Millisecond
 	return e.quietSince + e.timing.Silence + storeDelay + e.claimDelay + e.deferral
 }
 
@@ -346,7 +347,7 @@
 	}
 }
 
-// SuspectLeader records that nothing listens at the leader's address any more.
+// SuspectLeader records that the leader's address has refused a connection.
 func (e *Election) SuspectLeader(now time.Duration) { e.suspectedAt = now }
 
 // SetStoreLatency records the response time of the store.
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -409,3 +409,23 @@
 	sooner, _ := large.NextActionAt()
 	g.Expect(sooner).To(Equal(first - (DefaultTiming().Silence - DefaultTiming().Suspicion)))
 }
+
+// TestRefusedCallDoesNotDeposeLeaderBehindSlowStore checks that a living leader whose
+// heartbeats are late because the store is slow isn't replaced on suspicion alone.
+func TestRefusedCallDoesNotDeposeLeaderBehindSlowStore(t *testing.T) {
+	g := NewWithT(t)
+	const latency = 700 * time.Millisecond
+	p, now := &partition{}, time.Second
+	leader, other := New(DefaultTiming(), "leader", "1", 0), New(DefaultTiming(), "other", "1", 0)
+	leader.SetStoreLatency(latency)
+	for ; now < 20*time.Second; now += stepInterval {
+		p.readAll(leader, now)
+		if (now-time.Second)%latency == 0 { // an append takes that long
+			p.runAction(leader, now)
+		}
+		p.readAll(other, now)
+		other.SuspectLeader(now)
+		g.Expect(other.NextAction(now)).To(Equal(Wait), "at %v", now)
+	}
+	g.Expect(leader.IsLeader()).To(BeTrue())
+}
