--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -348,8 +348,8 @@
 		}
 		c.updateRun(r, x)
 	}
-	if len(ev.Lists.Ended) >= maxEndsPerList {
-		return // more ends may follow
+	if len(ev.Lists.Ended) >= maxEndsPerList || ev.Lists.Incomplete {
+		return // there may be more ends or runs
 	}
 	for _, r := range h.sortedRuns() {
 		if listed[r.key()] || r.orderInFlight {
