--- a/internal/dispatch/beliefs_test.go
+++ b/internal/dispatch/beliefs_test.go
@@ -33,9 +33,8 @@
 // The worker that answers at an address where this incarnation never was proves nothing about it.
 func TestWrongIncarnationAtNewAddressDoesNotEndRuns(t *testing.T) {
 	b := startOnFirst(t)
-	b.workers["w1"].addressReused = true
 	b.listAtOtherAddress()
-	b.advance(4 * time.Second)
+	b.advanceByAddress(4 * time.Second)
 	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}), "it still runs there, under a lease")
 }
 
@@ -45,9 +44,8 @@
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
 	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
 	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("old", 0), Run: 7}}
-	b.workers["w1"].addressReused = true
 	b.listAtOtherAddress()
-	b.advance(4 * time.Second)
+	b.advanceByAddress(4 * time.Second)
 	b.Expect(b.startHosts("old")).To(BeEmpty(), "it still runs on w1, under a lease of the previous leader")
 }
 
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -48,6 +48,9 @@
 func (c *Core) sendHeartbeat(h *host) {
 	h.heartbeatInFlight = true
 	heartbeat := worker.Heartbeat{Order: c.orderFor(h), LastAckedEnd: h.lastRecordedEnd}
+	if h.probing = !h.probing && h.unanswered > 0 && h.claim.address != "" && h.claim.address != h.info.Address; h.probing {
+		heartbeat.Address = h.claim.address
+	}
 	// Leases on an unreachable worker are not extended, since they must expire.
 	if c.leadershipConfirmed() && h.clock > 0 && !h.contactLost() && len(h.runs) > 0 {
 		heartbeat.DeadlineMillis = c.workerClock(h) + c.set.Lease.Milliseconds()
@@ -133,6 +136,10 @@
 		c.handleWrongIncarnation(h)
 		return
 	case worker.ConnectionRefused:
+		if h.probing {
+			h.nextHeartbeat = c.now + heartbeatRetry
+			return
+		}
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.refusedSince == 0 {
@@ -140,6 +147,10 @@
 		}
 		return
 	default:
+		if h.probing {
+			h.nextHeartbeat = c.now + heartbeatRetry
+			return
+		}
 		h.refusedSince = 0
 		c.recordTimeout(h, ev.SentAt, lossyHeartbeatSlack)
 		h.nextHeartbeat = c.now + heartbeatRetry
@@ -150,13 +161,8 @@
 		c.reasons["hold-"+ev.Code.String()]++
 		return
 	}
-	if b := ev.Lists.Born; b != 0 {
-		if h.info.Born != 0 && b > h.info.Born {
-			h = c.replaceIncarnation(h, b, "the worker was born anew")
-		} else if h.info.Born != 0 && b < h.info.Born {
-			return
-		}
-		h.info.Born = b
+	if h = c.identify(h, ev); h == nil {
+		return
 	}
 	c.recordContact(h)
 	if took := c.now - ev.SentAt; h.lastWait == 0 {
@@ -188,6 +194,42 @@
 	}
 }
 
+// identify returns the incarnation that has answered a heartbeat, which may be the next
+// one of the worker, or nil if the answer is to be ignored.
+func (c *Core) identify(h *host, ev HeartbeatAnswered) *host {
+	b := ev.Lists.Born
+	address := h.info.Address
+	if h.probing {
+		address = h.claim.address
+	}
+	switch {
+	case b == 0 || b == h.info.Born:
+	case !h.answered:
+		h.info.Born = b // the entry was of another incarnation
+		c.restoreLastEnd(h)
+	case h.info.Born == 0:
+		h.info.Born = b
+	case b < h.info.Born:
+		if h.probing {
+			h.refuteClaim()
+		}
+		h.nextHeartbeat = c.now + heartbeatRetry
+		return nil
+	default:
+		h = c.replaceIncarnation(h, b, "the worker was born anew")
+	}
+	h.info.Address, h.answered = address, true
+	if h.claim.address == address && (h.claim.born == 0 || h.claim.born == b) {
+		h.claim = entryClaim{}
+	} else if ev.SentAt >= h.claimedAt && !h.probing {
+		h.refuteClaim()
+	}
+	return h
+}
+
+// refuteClaim notes that the worker's entry in the platform's list is wrong.
+func (h *host) refuteClaim() { h.refuted, h.claim = h.claim, entryClaim{} }
+
 // reportReturn reports that an incarnation answers that was taken for ended.
 func (c *Core) reportReturn(h *host) {
 	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -7,9 +7,18 @@
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
-// host is the state of one incarnation of a worker.
+// host is the state of one incarnation of a worker. Once the worker has answered a
+// leader, its address and start time in info are those of that answer.
 type host struct {
 	info worker.Info
+	// answered is set once the incarnation has answered this leader or a previous one.
+	answered bool
+	// claim is what an entry of the platform's list says that contradicts info. It is
+	// empty if there is none, and refuted if the worker's answer has shown it to be wrong.
+	claim, refuted entryClaim
+	claimedAt      time.Duration
+	// probing is set while a heartbeat to the claimed address is in flight.
+	probing bool
 	// incarnation is unique among all incarnations that this core has seen, over
 	// all workers.
 	incarnation int64
@@ -105,13 +114,40 @@
 func (c *Core) newHost(info worker.Info) *host {
 	c.incarnations++
 	h := &host{info: info, incarnation: c.incarnations, free: info.Capacity, runs: map[runKey]*run{}, lastContact: c.now, unlistedSince: c.now}
-	if last, ok := c.endedIncarnations[info.ID]; ok && info.Born != 0 && last.born == info.Born {
-		h.lastEnd, h.lastRecordedEnd = last.lastEnd, last.lastEnd // the same incarnation is listed again
-	}
+	c.restoreLastEnd(h)
 	c.hosts[info.ID] = h
 	return h
 }
 
+// restoreLastEnd sets the number of the last end that was processed of an incarnation that
+// was removed and is there again, and 0 for one that is new.
+func (c *Core) restoreLastEnd(h *host) {
+	h.lastEnd, h.lastRecordedEnd = 0, 0
+	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
+		h.lastEnd, h.lastRecordedEnd = last.lastEnd, last.lastEnd
+	}
+}
+
+// entryClaim is an address and a start time in an entry of the platform's list, which
+// may be outdated or from another writer.
+type entryClaim struct {
+	address string
+	born    int64
+}
+
+// claimedBy returns what an entry says that contradicts the worker's own answers, or an
+// empty claim.
+func (h *host) claimedBy(info *worker.Info) entryClaim {
+	sameBorn := info.Born == 0 || h.info.Born == 0 || info.Born == h.info.Born
+	if !h.answered || sameBorn && info.Address == h.info.Address {
+		return entryClaim{}
+	}
+	return entryClaim{info.Address, info.Born}
+}
+
+// restartClaimed reports whether an entry says that the worker has been started again.
+func (h *host) restartClaimed() bool { return h.info.Born != 0 && h.claim.born > h.info.Born }
+
 func (c *Core) updateWorkers(infos []worker.Info) {
 	changed := false
 	for _, h := range c.hosts {
@@ -121,29 +157,45 @@
 	}
 	for _, info := range infos {
 		h := c.hosts[info.ID]
-		if h != nil && info.Born != 0 && h.info.Born != 0 && info.Born > h.info.Born {
-			// Only the lists of the next incarnation tell what it runs.
-			h.listed = true
-			h.unanswered = max(h.unanswered, maxUnanswered)
-			h.nextHeartbeat = 0
-			continue
+		if h != nil && h.claimedBy(&info) != (entryClaim{}) {
+			if c.takeClaim(h, &info) {
+				continue
+			}
+			c.endIncarnation(h, lossDeparture, "it is listed as started again, and doesn't answer")
+			h = nil
 		}
 		if h == nil {
 			h = c.newHost(info)
 			h.registered = false
 			changed = true
 		}
-		if info.Born != 0 && info.Born < h.info.Born {
-			continue // the entry is of an earlier incarnation
-		}
 		changed = c.updateHost(h, info) || changed
-		h.listed = true
+		h.listed, h.claim = true, entryClaim{}
 	}
 	if changed {
 		c.sortHosts()
 	}
 }
 
+// takeClaim notes an entry that contradicts the worker's own answers, so that the worker
+// is asked. It returns false if nothing is at risk in trusting the entry.
+func (c *Core) takeClaim(h *host, info *worker.Info) bool {
+	h.listed = true
+	claim := h.claimedBy(info)
+	switch {
+	case claim == h.refuted && h.unanswered == 0, claim == h.claim && !h.contactLost():
+	case info.Born < h.info.Born && info.Born != 0:
+		// An entry of an earlier incarnation, or of one whose clock was set back.
+		h.claim = entryClaim{}
+	case h.contactLost() && len(h.runs) == 0 && !(h.inherited && !h.fenced) && info.Born > h.info.Born:
+		return false
+	case claim != h.claim:
+		h.claim, h.claimedAt = claim, c.now
+		h.nextHeartbeat = 0
+	}
+	return true
+}
+
 // updateHost applies an entry of the platform's list and reports whether placement
 // may change.
 func (c *Core) updateHost(h *host, info worker.Info) bool {
@@ -167,6 +219,9 @@
 	if h.info.Machine != "" {
 		info.Machine = h.info.Machine // an incarnation stays on its machine
 	}
+	if h.answered {
+		info.Address = h.info.Address
+	}
 	h.info = info
 	return info.Pool != old.Pool || info.Capacity != old.Capacity || info.Draining != old.Draining ||
 		info.Address != old.Address || !h.listed
@@ -176,13 +231,22 @@
 // tasks.
 func (c *Core) inheritWorker(e Registration) {
 	h := c.hosts[e.Worker]
-	if h == nil {
-		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Machine: e.Machine, Born: e.Born})
+	registered := worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Machine: e.Machine, Born: e.Born}
+	switch {
+	case h == nil:
+		h = c.newHost(registered)
 		c.hostsUnsorted = true
-	}
-	if h.info.Born != 0 && e.Born != 0 && h.info.Born > e.Born {
+	case h.answered && h.info.Born > e.Born && e.Born != 0:
 		return // that incarnation has ended
+	case !h.answered && (e.Address != h.info.Address || e.Born != h.info.Born):
+		// The entry may be of another writer.
+		h.claim, h.claimedAt = entryClaim{h.info.Address, h.info.Born}, c.now
+		h.info.Address, h.info.Born = e.Address, e.Born
+		if e.Machine != "" {
+			h.info.Machine = e.Machine
+		}
 	}
+	h.answered = true
 	h.inherited, h.registered = true, true
 	if e.Unreachable {
 		h.contact = contactLossRecorded
@@ -198,6 +262,10 @@
 // newest starts. If the incarnation has never answered, the address belongs to another
 // worker.
 func (c *Core) handleWrongIncarnation(h *host) {
+	if h.probing {
+		h.refuteClaim()
+		return
+	}
 	const cause = "another life answers at its address"
 	if h.clock == 0 {
 		c.endIncarnation(h, lossCrash, cause)
@@ -380,7 +448,7 @@
 
 // usable reports whether new work may be sent to the worker.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.registered && h.drainingSince == 0 && c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
+	return h.listed && h.fenced && h.registered && !h.restartClaimed() && h.drainingSince == 0 && c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/odd_entry_test.go
+++ b/internal/dispatch/odd_entry_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -219,3 +220,31 @@
 		})
 	}
 }
+
+// Ends of a restarted worker were skipped as known if its old entry was listed once more before it answered.
+func TestEndsOfRestartedWorkerAreSeenAfterOutdatedEntry(t *testing.T) {
+	b := newHarness(t, "w1")
+	w := b.workers["w1"]
+	b.listWorkers()
+	for i := range 3 {
+		b.acceptJob(fmt.Sprint("old", i), testOffset+1+int64(i), workflow.Step{}, workflow.Progress{})
+	}
+	for i := range 3 {
+		b.advance(500 * time.Millisecond)
+		w.end(testTaskID(fmt.Sprint("old", i), 0), worker.Done)
+	}
+	b.advance(time.Second)
+	b.crash("w1")
+	b.advance(time.Second)
+	b.listWorkers() // its entry has not expired yet
+	b.advance(100 * time.Millisecond)
+	w.crashed, w.born, w.lists.Born = false, b.now, 2
+	b.advance(time.Second)
+	b.listWorkers()
+	b.acceptJob("new", testOffset+9, workflow.Step{}, workflow.Progress{})
+	b.advance(time.Second)
+	w.end(testTaskID("new", 0), worker.Done)
+	b.advance(2 * time.Second)
+	b.Expect(b.startHosts("new")).To(HaveLen(1))
+	b.Expect(b.finalState("new")).To(Equal(workflow.Completed))
+}
