--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -209,11 +209,8 @@
 		c.restoreLastEnd(h)
 	case h.info.Born == 0:
 		h.info.Born = b
-	case b < h.info.Born:
-		if h.probing {
-			h.refuteClaim()
-		}
-		h.nextHeartbeat = c.now + heartbeatRetry
+	case h.probing && b < h.info.Born:
+		h.refuteClaim()
 		return nil
 	default:
 		h = c.replaceIncarnation(h, b, "the worker was born anew")
