--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -56,7 +56,7 @@
 		heartbeat.DeadlineMillis = c.workerClock(h) + c.set.Lease.Milliseconds()
 		h.latestDeadline = max(h.latestDeadline, heartbeat.DeadlineMillis)
 	}
-	if h.unanswered > 0 || h.heartbeatFailed {
+	if h.unanswered > 0 || h.heartbeatFailed || !h.fenced {
 		// Another incarnation may answer. It must not discard its own ends because of
 		// end numbers that this one reported.
 		heartbeat.LastAckedEnd = 0
@@ -203,10 +203,12 @@
 		address = h.claim.address
 	}
 	switch {
-	case b == 0 || b == h.info.Born:
 	case !h.answered:
-		h.info.Born = b // the entry was of another incarnation
+		if b != 0 {
+			h.info.Born = b // the entry may be of another incarnation
+		}
 		c.restoreLastEnd(h)
+	case b == 0 || b == h.info.Born:
 	case h.info.Born == 0:
 		h.info.Born = b
 	case h.probing && b < h.info.Born:
--- a/internal/dispatch/odd_entry_test.go
+++ b/internal/dispatch/odd_entry_test.go
@@ -223,6 +223,12 @@
 
 // Ends of a restarted worker were skipped as known if its old entry was listed once more before it answered.
 func TestEndsOfRestartedWorkerAreSeenAfterOutdatedEntry(t *testing.T) {
+	for _, listedFirst := range []bool{false, true} {
+		testEndsAfterOutdatedEntry(t, listedFirst)
+	}
+}
+
+func testEndsAfterOutdatedEntry(t *testing.T, listedFirst bool) {
 	b := newHarness(t, "w1")
 	w := b.workers["w1"]
 	b.listWorkers()
@@ -239,6 +245,9 @@
 	b.listWorkers() // its entry has not expired yet
 	b.advance(100 * time.Millisecond)
 	w.crashed, w.born, w.lists.Born = false, b.now, 2
+	if listedFirst {
+		b.listWorkers()
+	}
 	b.advance(time.Second)
 	b.listWorkers()
 	b.acceptJob("new", testOffset+9, workflow.Step{}, workflow.Progress{})
@@ -248,3 +257,17 @@
 	b.Expect(b.startHosts("new")).To(HaveLen(1))
 	b.Expect(b.finalState("new")).To(Equal(workflow.Completed))
 }
+
+// A new leader had ends discarded that it had not seen, of a worker that was restarted since the previous leader's last record.
+func TestEndsOfRestartedWorkerAreSeenByNextLeader(t *testing.T) {
+	b := newHarness(t, "w1")
+	w := b.workers["w1"]
+	w.lists.Born = 2
+	w.lists.Ended, w.lastEnd = []worker.EndedRun{{Number: 1, Task: testTaskID("j", 0), Run: 7, How: worker.Done}}, 1
+	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1, LastEnd: 3}})
+	b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.listWorkers()
+	b.advance(time.Second)
+	b.Expect(b.startHosts("j")).To(BeEmpty())
+	b.Expect(b.finalState("j")).To(Equal(workflow.Completed))
+}
