--- a/internal/dispatch/beliefs_test.go
+++ b/internal/dispatch/beliefs_test.go
@@ -80,3 +80,18 @@
 		b.Expect(len(b.workers["w1"].lists.Running)+len(b.workers["w2"].lists.Running)).To(BeNumerically("<=", 1), "at %v", b.now)
 	}
 }
+
+// The next life of a worker whose start time isn't known yet isn't the one that the order for its machine ended.
+func TestOrderForMachineDoesNotEndLifeOfUnknownStartTime(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.workers["w1"].lists.Born = 0
+	b.listWorkers("w2")
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(time.Second)
+	b.listWorkers()
+	b.queuedEvents = append(b.queuedEvents, IncarnationEnded{Worker: "w1", Born: 1000})
+	for end := b.now + 2*time.Second; b.now < end; {
+		b.advance(tick)
+		b.Expect(len(b.workers["w1"].lists.Running)+len(b.workers["w2"].lists.Running)).To(BeNumerically("<=", 1), "at %v", b.now)
+	}
+}
