--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -95,8 +95,10 @@
 	// leader had lost contact.
 	suspectTasks map[string]*host
 	dirty        bool
-	// inquiryInFlight is set while the list of machines is asked for.
+	// inquiryInFlight is set while the list of machines is asked for, nextInquiry is when
+	// it may be asked for again.
 	inquiryInFlight bool
+	nextInquiry     time.Duration
 	// adviceRequests are the requests collected in the current pass. adviceTurn
 	// selects the pool whose requests are sent first.
 	adviceRequests []adviceRequest
--- a/internal/dispatch/inquiry.go
+++ b/internal/dispatch/inquiry.go
@@ -12,9 +12,10 @@
 // worker's runs hold their leases.
 
 // The delay between two inquiries about a worker doubles from minInquiryDelay to
-// maxInquiryDelay while the list says that the worker runs.
+// maxInquiryDelay while the list says that the worker runs. All inquiries are at least
+// minInquiryDelay apart, since the platform bounds how often the list is read.
 const (
-	minInquiryDelay = 250 * time.Millisecond
+	minInquiryDelay = 500 * time.Millisecond
 	maxInquiryDelay = 2 * time.Second
 )
 
@@ -34,7 +35,7 @@
 // inquire asks for the list of machines while there are workers that refuse connections
 // and that may have runs.
 func (c *Core) inquire() {
-	if c.inquiryInFlight {
+	if c.inquiryInFlight || c.now < c.nextInquiry {
 		return
 	}
 	due := false
@@ -46,7 +47,7 @@
 		}
 	}
 	if due {
-		c.inquiryInFlight = true
+		c.inquiryInFlight, c.nextInquiry = true, c.now+minInquiryDelay
 		c.reasons["machines-listed"]++
 		c.emit(ListMachines{})
 	}
@@ -61,8 +62,13 @@
 		return
 	}
 	byName := make(map[string]*worker.Machine, len(ev.Machines))
+	byWorker := make(map[string]*worker.Machine, len(ev.Machines))
 	for i := range ev.Machines {
-		byName[ev.Machines[i].Name] = &ev.Machines[i]
+		m := &ev.Machines[i]
+		byName[m.Name] = m
+		if m.Worker != "" {
+			byWorker[m.Worker] = m
+		}
 	}
 	type ended struct {
 		h      *host
@@ -70,7 +76,10 @@
 	}
 	var all []ended
 	for _, h := range c.sortedHosts {
-		m := byName[h.info.Machine]
+		m := byWorker[h.info.ID]
+		if m == nil {
+			m = byName[h.info.Machine]
+		}
 		if m == nil || h.refusedSince == 0 || h.refusedSince > ev.SentAt {
 			continue
 		}
@@ -79,6 +88,7 @@
 		} else if m.Worker == h.info.ID {
 			// If it has crashed, then later than this.
 			h.refusedSince = ev.SentAt
+			h.info.Machine = m.Name
 		}
 	}
 	for _, x := range all {
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -94,3 +94,24 @@
 	b.advance(100 * time.Millisecond)
 	b.Expect(b.decided("run-lost")).To(BeEmpty())
 }
+
+// The first entry that a leader read named another worker's machine.
+func TestRunGoesOnBehindRefusalAfterEntryWithWrongMachine(t *testing.T) {
+	for name, machine := range map[string]string{"of another worker": "w2-m", "that is down": "w3-m"} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, "w1", "w2", "w3")
+			b.workers["w1"].lists.Born = oddEntryBorn
+			b.workers["w3"].crashed = true
+			b.list(func(i *worker.Info) { i.Machine = machine })
+			b.advance(100 * time.Millisecond)
+			b.list(ownEntry)
+			b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+			b.advance(500 * time.Millisecond)
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+			b.listWorkers()
+			b.workers["w1"].refuses = true
+			b.advance(1500 * time.Millisecond)
+			b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}), "it runs on")
+		})
+	}
+}
