--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -60,11 +60,7 @@
 }
 
 func (c *Core) incarnationEnded(ev IncarnationEnded) {
-	h := c.hosts[ev.Worker]
-	if h == nil || h.info.Born == 0 && ev.Born != 0 {
-		return // without its start time, it may be a later incarnation
-	}
-	if h.info.Born <= ev.Born {
+	if h := c.hosts[ev.Worker]; h != nil && h.info.Born == ev.Born {
 		c.endIncarnation(h, lossDeparture, "its machine was taken away")
 	}
 }
--- a/internal/dispatch/evacuate_test.go
+++ b/internal/dispatch/evacuate_test.go
@@ -104,3 +104,14 @@
 	b.Expect(b.core.Shortages(5 * time.Second)).To(ConsistOf(Shortage{Pool: "p", Size: size}, Shortage{Pool: "p", Requires: "gpu", Size: size}))
 	b.Expect(b.core.Idle("w1")).To(BeFalse())
 }
+
+// An entry with a start time in the future names an ended incarnation that the worker never had.
+func TestEndOfIncarnationFromTheFutureDoesNotEndTheLivingOne(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	b.queuedEvents = append(b.queuedEvents, IncarnationEnded{Worker: b.startHosts("j")[0], Born: 1 << 40})
+	b.advance(200 * time.Millisecond)
+	b.Expect(b.startHosts("j")).To(HaveLen(1), "it runs on")
+}
