--- a/internal/dispatch/beliefs_test.go
+++ b/internal/dispatch/beliefs_test.go
@@ -95,3 +95,16 @@
 		b.Expect(len(b.workers["w1"].lists.Running)+len(b.workers["w2"].lists.Running)).To(BeNumerically("<=", 1), "at %v", b.now)
 	}
 }
+
+// A row that stays unreadable must not keep a run that is neither listed nor ended.
+func TestRunThatIsGoneIsStartedAgainDespiteUnreadableRow(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(500 * time.Millisecond)
+	w := b.workers[b.startHosts("j")[0]]
+	w.hidesRuns = true
+	w.lists.Running = []worker.ActiveRun{{Task: testTaskID("other", 0), Run: 9}}
+	b.advance(60 * time.Second)
+	b.Expect(b.startHosts("j")).To(HaveLen(2))
+}
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -389,8 +389,12 @@
 		}
 		c.updateRun(r, x)
 	}
-	if len(ev.Lists.Ended) >= maxEndsPerList || ev.Lists.Incomplete {
-		return // there may be more ends or runs
+	if len(ev.Lists.Ended) >= maxEndsPerList {
+		return // more ends may follow
+	}
+	stopTime := time.Duration(0)
+	if ev.Lists.Incomplete {
+		stopTime = c.set.StopTimeout
 	}
 	for _, r := range h.sortedRuns() {
 		if listed[r.key()] || r.orderInFlight {
@@ -398,11 +402,11 @@
 		}
 		switch r.state {
 		case stopping:
-			if r.stopAckedAt > 0 && r.stopAckedAt <= ev.SentAt {
+			if r.stopAckedAt > 0 && r.stopAckedAt+stopTime <= ev.SentAt {
 				c.removeRun(r)
 			}
 		case running:
-			if r.beganAt < ev.SentAt {
+			if r.beganAt < ev.SentAt && !ev.Lists.Incomplete {
 				c.loseRun(r, lossUnlisted, "the worker lists neither it nor its end")
 			}
 		}
