--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -91,7 +91,7 @@
 // for a task to end while no answers get lost.
 func (h *host) heartbeatPurpose() (purpose, time.Duration) {
 	switch {
-	case h.unanswered > 0:
+	case h.unanswered > 0 || h.claim != entryClaim{}:
 		return heartbeatRecheck, 0
 	case !h.fenced:
 		return heartbeatFence, 0
@@ -133,6 +133,10 @@
 	switch ev.Code {
 	case worker.OK:
 	case worker.WrongIncarnation:
+		if h.probing {
+			h.refuteClaim()
+			return
+		}
 		c.handleWrongIncarnation(h)
 		return
 	case worker.ConnectionRefused:
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -146,7 +146,9 @@
 }
 
 // restartClaimed reports whether an entry says that the worker has been started again.
-func (h *host) restartClaimed() bool { return h.info.Born != 0 && h.claim.born > h.info.Born }
+func (h *host) restartClaimed() bool {
+	return h.info.Born != 0 && h.claim.born > h.info.Born && (h.refuted == entryClaim{} || h.unanswered > 0)
+}
 
 func (c *Core) updateWorkers(infos []worker.Info) {
 	changed := false
@@ -184,11 +186,11 @@
 	claim := h.claimedBy(info)
 	switch {
 	case claim == h.refuted && h.unanswered == 0, claim == h.claim && !h.contactLost():
+	case h.contactLost() && len(h.runs) == 0 && !(h.inherited && !h.fenced) && info.Born != 0 && info.Born != h.info.Born && len(h.possibleLateStarts(c.now)) == 0:
+		return false
 	case info.Born < h.info.Born && info.Born != 0:
 		// An entry of an earlier incarnation, or of one whose clock was set back.
 		h.claim = entryClaim{}
-	case h.contactLost() && len(h.runs) == 0 && !(h.inherited && !h.fenced) && info.Born > h.info.Born:
-		return false
 	case claim != h.claim:
 		h.claim, h.claimedAt = claim, c.now
 		h.nextHeartbeat = 0
@@ -262,10 +264,6 @@
 // newest starts. If the incarnation has never answered, the address belongs to another
 // worker.
 func (c *Core) handleWrongIncarnation(h *host) {
-	if h.probing {
-		h.refuteClaim()
-		return
-	}
 	const cause = "another life answers at its address"
 	if h.clock == 0 {
 		c.endIncarnation(h, lossCrash, cause)
--- a/internal/dispatch/odd_entry_test.go
+++ b/internal/dispatch/odd_entry_test.go
@@ -271,3 +271,92 @@
 	b.Expect(b.startHosts("j")).To(BeEmpty())
 	b.Expect(b.finalState("j")).To(Equal(workflow.Completed))
 }
+
+// An entry of the next incarnation must not drop the starts that may still be carried out there.
+func TestLateStartIsStoppedAfterEntryOfNextIncarnation(t *testing.T) {
+	b := newHarness(t, "w1")
+	w, info := b.workers["w1"], testInfo("w1", 1)
+	b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+	b.advance(500 * time.Millisecond)
+	w.unreachable = true
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(100 * time.Millisecond)
+	b.Expect(b.startHosts("j")).NotTo(BeEmpty(), "its answer is lost")
+	for len(b.core.hosts["w1"].runs) > 0 {
+		b.advance(tick)
+	}
+	b.Expect(b.now - b.core.hosts["w1"].lastContact).To(BeNumerically("<", maxOrderDelay))
+	b.Expect(b.core.hosts["w1"].possibleLateStarts(b.now)).NotTo(BeEmpty())
+	info.Born = 2
+	b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+	b.advance(100 * time.Millisecond)
+	b.stops = nil
+	w.unreachable, w.born = false, b.now
+	w.lists = worker.HeartbeatResponse{Born: 2}
+	b.advance(time.Second)
+	b.Expect(b.stops).NotTo(BeEmpty(), "the start may still reach the next incarnation")
+}
+
+// A host whose clock was set back starts its worker again at another address.
+func TestWorkerWithEarlierBornAtAnotherAddressIsReached(t *testing.T) {
+	for name, fail := range map[string]func(w *testWorker){
+		"silent":  func(w *testWorker) { w.unreachable = true },
+		"refuses": func(w *testWorker) { w.refuses = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, "w1")
+			w, info := b.workers["w1"], testInfo("w1", 1000)
+			w.lists.Born = 1000
+			b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+			b.advance(500 * time.Millisecond)
+			fail(w)
+			info.Born, info.Address = 500, "new:1"
+			for range 60 {
+				b.queuedEvents = append(b.queuedEvents, WorkersListed{[]worker.Info{info}})
+				b.advance(time.Second)
+			}
+			found := false
+			for _, x := range b.heartbeats {
+				found = found || x.Heartbeat.Address == "new:1"
+			}
+			b.Expect(found).To(BeTrue())
+		})
+	}
+}
+
+// Another writer stamps its entries with the time of writing.
+func TestEntriesWithRisingBornDoNotKeepWorkerUnusable(t *testing.T) {
+	for name, every := range map[string]int64{"own entries": 0, "rising": 500} {
+		t.Run(name, func(t *testing.T) { expectUsableUnderRisingBorn(t, every) })
+	}
+}
+
+func expectUsableUnderRisingBorn(t *testing.T, step int64) {
+	b := oddHarness(t)
+	b.list(ownEntry)
+	b.advance(500 * time.Millisecond)
+	b.workers["w1"].holdsHeartbeats = true
+	b.heartbeats = nil
+	answered, born := 0, int64(oddEntryBorn)
+	pending := map[int]time.Duration{}
+	for end := b.now + 20*time.Second; b.now < end; {
+		if b.now%(500*time.Millisecond) == 0 {
+			born += step
+			b.list(func(i *worker.Info) { i.Born = born })
+		}
+		if b.now == time.Minute+5*time.Second {
+			b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+		}
+		b.advance(tick)
+		for ; answered < len(b.heartbeats); answered++ {
+			pending[answered] = b.now - tick
+		}
+		for i, sent := range pending {
+			if x := b.heartbeats[i]; b.now >= sent+x.Heartbeat.Wait {
+				delete(pending, i)
+				b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: "w1", Incarnation: x.Incarnation, SentAt: sent, Lists: b.workers["w1"].listed(b.now)})
+			}
+		}
+	}
+	b.Expect(b.startHosts("j")).To(HaveLen(1))
+}
