--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -91,19 +91,6 @@
 			time.Sleep(5 * time.Second)
 		}
 	},
-	"WorkersCrashAndRestart": func(c *cluster) {
-		c.fleet.Crash("w1")
-		time.Sleep(time.Second)
-		c.fleet.Restart("w2")
-		time.Sleep(2 * time.Second)
-		c.fleet.Replace("w3", emulator.WorkerConfig{ID: "w9", Pool: "cpu", Labels: []string{"big", "r2"}, Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}})
-		c.fleet.Crash("w5")
-		time.Sleep(3 * time.Second)
-		c.fleet.Restart("w5")
-		c.fleet.Restart("g1")
-		time.Sleep(time.Second)
-		c.fleet.Restart("w5")
-	},
 	"WorkerRestartedAndHolderKilled": func(c *cluster) {
 		for _, id := range []string{"w1", "w2", "w4"} {
 			c.fleet.Restart(id)
@@ -186,6 +173,23 @@
 	}
 }
 
+// Jobs must end although workers crash, restart and are replaced.
+func TestWorkersCrashAndRestart(t *testing.T) {
+	runScenario(t, func(c *cluster) {
+		c.fleet.Crash("w1")
+		time.Sleep(time.Second)
+		c.fleet.Restart("w2")
+		time.Sleep(2 * time.Second)
+		c.fleet.Replace("w3", emulator.WorkerConfig{ID: "w9", Pool: "cpu", Labels: []string{"big", "r2"}, Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}})
+		c.fleet.Crash("w5")
+		time.Sleep(3 * time.Second)
+		c.fleet.Restart("w5")
+		c.fleet.Restart("g1")
+		time.Sleep(time.Second)
+		c.fleet.Restart("w5")
+	})
+}
+
 // All accepted jobs must end although the store fails for all nodes, for the leader,
 // or while nodes are killed.
 func TestStoreFaults(t *testing.T) {
