--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -230,9 +230,6 @@
 	return h
 }
 
-// refuteClaim notes that the worker's entry in the platform's list is wrong.
-func (h *host) refuteClaim() { h.refuted, h.claim = h.claim, entryClaim{} }
-
 // reportReturn reports that an incarnation answers that was taken for ended.
 func (c *Core) reportReturn(h *host) {
 	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -64,7 +64,8 @@
 	// or when the platform last said that the worker runs nevertheless. It is 0 if the
 	// last heartbeat was not refused.
 	refusedSince time.Duration
-	// nextInquiry is when the platform may be asked about the worker again.
+	// nextInquiry is when the platform may be asked about the worker again, inquiryDelay
+	// the time from the last inquiry to then.
 	nextInquiry, inquiryDelay time.Duration
 	// fencedAt is when the first answer under this token arrived.
 	fencedAt time.Duration
@@ -128,15 +129,17 @@
 	}
 }
 
-// entryClaim is an address and a start time in an entry of the platform's list, which
-// may be outdated or from another writer.
+// entryClaim is what an entry of the platform's list says against the worker's own
+// answers. The entry may be outdated, or of another writer, so that the worker is asked
+// first: at the address where it has answered or, while it is silent there, by turns at
+// the claimed one. A claim that its answer contradicts is refuted.
 type entryClaim struct {
 	address string
 	born    int64
 }
 
-// claimedBy returns what an entry says that contradicts the worker's own answers, or an
-// empty claim.
+// claimedBy returns what an entry says against the worker's own answers, or an empty
+// claim.
 func (h *host) claimedBy(info *worker.Info) entryClaim {
 	sameBorn := info.Born == 0 || h.info.Born == 0 || info.Born == h.info.Born
 	if !h.answered || sameBorn && info.Address == h.info.Address {
@@ -146,10 +149,40 @@
 }
 
 // restartClaimed reports whether an entry says that the worker has been started again.
+// After one such claim was refuted, others count only while the worker is silent.
 func (h *host) restartClaimed() bool {
 	return h.info.Born != 0 && h.claim.born > h.info.Born && (h.refuted == entryClaim{} || h.unanswered > 0)
 }
 
+// noteClaim has the worker asked about a claim.
+func (c *Core) noteClaim(h *host, claim entryClaim) {
+	switch {
+	case claim == h.claim, claim == h.refuted && h.unanswered == 0:
+	case claim.born != 0 && claim.born < h.info.Born:
+		// An entry of an earlier incarnation, or of one whose clock was set back.
+		h.claim = entryClaim{}
+	default:
+		h.claim, h.claimedAt = claim, c.now
+		h.nextHeartbeat = 0
+	}
+}
+
+// refuteClaim notes that an answer of the worker contradicts its claim, if there is one.
+func (h *host) refuteClaim() {
+	if h.claim != (entryClaim{}) {
+		h.refuted, h.claim = h.claim, entryClaim{}
+	}
+}
+
+// mayBelieve reports whether a claim that a silent worker was started again puts nothing
+// at risk if it is wrong.
+func (c *Core) mayBelieve(h *host, claim entryClaim) bool {
+	if claim.born == 0 || claim.born == h.info.Born || !h.contactLost() {
+		return false
+	}
+	return len(h.runs) == 0 && !(h.inherited && !h.fenced) && len(h.possibleLateStarts(c.now)) == 0
+}
+
 func (c *Core) updateWorkers(infos []worker.Info) {
 	changed := false
 	for _, h := range c.hosts {
@@ -159,12 +192,18 @@
 	}
 	for _, info := range infos {
 		h := c.hosts[info.ID]
-		if h != nil && h.claimedBy(&info) != (entryClaim{}) {
-			if c.takeClaim(h, &info) {
+		if h != nil {
+			claim := h.claimedBy(&info)
+			switch {
+			case claim == entryClaim{}:
+			case c.mayBelieve(h, claim):
+				c.endIncarnation(h, lossDeparture, "it is listed as started again, and doesn't answer")
+				h = nil
+			default:
+				h.listed = true
+				c.noteClaim(h, claim)
 				continue
 			}
-			c.endIncarnation(h, lossDeparture, "it is listed as started again, and doesn't answer")
-			h = nil
 		}
 		if h == nil {
 			h = c.newHost(info)
@@ -179,25 +218,6 @@
 	}
 }
 
-// takeClaim notes an entry that contradicts the worker's own answers, so that the worker
-// is asked. It returns false if nothing is at risk in trusting the entry.
-func (c *Core) takeClaim(h *host, info *worker.Info) bool {
-	h.listed = true
-	claim := h.claimedBy(info)
-	switch {
-	case claim == h.refuted && h.unanswered == 0, claim == h.claim && !h.contactLost():
-	case h.contactLost() && len(h.runs) == 0 && !(h.inherited && !h.fenced) && info.Born != 0 && info.Born != h.info.Born && len(h.possibleLateStarts(c.now)) == 0:
-		return false
-	case info.Born < h.info.Born && info.Born != 0:
-		// An entry of an earlier incarnation, or of one whose clock was set back.
-		h.claim = entryClaim{}
-	case claim != h.claim:
-		h.claim, h.claimedAt = claim, c.now
-		h.nextHeartbeat = 0
-	}
-	return true
-}
-
 // updateHost applies an entry of the platform's list and reports whether placement
 // may change.
 func (c *Core) updateHost(h *host, info worker.Info) bool {
@@ -446,7 +466,8 @@
 
 // usable reports whether new work may be sent to the worker.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.registered && !h.restartClaimed() && h.drainingSince == 0 && c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
+	return h.listed && h.fenced && h.registered && !h.restartClaimed() && h.drainingSince == 0 &&
+		c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/odd_entry_test.go
+++ b/internal/dispatch/odd_entry_test.go
@@ -360,3 +360,17 @@
 	}
 	b.Expect(b.startHosts("j")).To(HaveLen(1))
 }
+
+// A claim that stays in the list was forgotten as refuted at the next answer, and made the worker unusable at each list.
+func TestRefutedClaimStaysRefuted(t *testing.T) {
+	b := oddHarness(t)
+	b.list(ownEntry)
+	b.advanceByAddress(500 * time.Millisecond)
+	for range 5 {
+		b.list(births["higher"])
+		b.advanceByAddress(time.Second)
+	}
+	b.list(births["higher"])
+	b.core.Step(b.now, b.now.Milliseconds(), b.queuedEvents...)
+	b.Expect(b.core.usable(b.core.hosts["w1"])).To(BeTrue())
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -42,7 +42,7 @@
 	}
 	// leaderSteppedDown reports that the leader with the given token steps down.
 	leaderSteppedDown struct{ token int64 }
-	// leaderUnreachable reports that nothing listens at the leader's address.
+	// leaderUnreachable reports that a connection to the leader's address was refused.
 	leaderUnreachable struct{ address string }
 	// settingsChanged carries reloaded settings, which apply from the next term on.
 	settingsChanged struct{ Settings }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -71,7 +71,8 @@
 	WrongIncarnation
 	// Invalid: the worker could not parse the order.
 	Invalid
-	// ConnectionRefused: nothing listens at the worker's address.
+	// ConnectionRefused: no connection was made. Nothing listens at the worker's address,
+	// or something in between refused it.
 	ConnectionRefused
 )
 
