--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -130,20 +130,21 @@
 	}
 	h.heartbeatInFlight = false
 	h.heartbeatFailed = ev.Code != worker.OK
+	if h.probing && h.heartbeatFailed {
+		// It says nothing about the worker's own address.
+		if ev.Code == worker.WrongIncarnation {
+			h.refuteClaim()
+		} else {
+			h.nextHeartbeat = c.now + heartbeatRetry
+		}
+		return
+	}
 	switch ev.Code {
 	case worker.OK:
 	case worker.WrongIncarnation:
-		if h.probing {
-			h.refuteClaim()
-			return
-		}
 		c.handleWrongIncarnation(h)
 		return
 	case worker.ConnectionRefused:
-		if h.probing {
-			h.nextHeartbeat = c.now + heartbeatRetry
-			return
-		}
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
 		if h.refusedSince == 0 {
@@ -151,10 +152,6 @@
 		}
 		return
 	default:
-		if h.probing {
-			h.nextHeartbeat = c.now + heartbeatRetry
-			return
-		}
 		h.refusedSince = 0
 		c.recordTimeout(h, ev.SentAt, lossyHeartbeatSlack)
 		h.nextHeartbeat = c.now + heartbeatRetry
@@ -232,7 +229,7 @@
 
 // reportReturn reports that an incarnation answers that was taken for ended.
 func (c *Core) reportReturn(h *host) {
-	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
+	if last, ok := c.endedBefore(h); ok {
 		c.recordDecision(Decision{Kind: "worker-returned", Worker: h.info.ID, Reason: last.reason, Age: c.now - last.at})
 	}
 }
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -124,11 +124,17 @@
 // was removed and is there again, and 0 for one that is new.
 func (c *Core) restoreLastEnd(h *host) {
 	h.lastEnd, h.lastRecordedEnd = 0, 0
-	if last, ok := c.endedIncarnations[h.info.ID]; ok && h.info.Born != 0 && last.born == h.info.Born {
+	if last, ok := c.endedBefore(h); ok {
 		h.lastEnd, h.lastRecordedEnd = last.lastEnd, last.lastEnd
 	}
 }
 
+// endedBefore returns what is kept of the incarnation if it was removed before.
+func (c *Core) endedBefore(h *host) (endedIncarnation, bool) {
+	last, ok := c.endedIncarnations[h.info.ID]
+	return last, ok && h.info.Born != 0 && last.born == h.info.Born
+}
+
 // entryClaim is what an entry of the platform's list says against the worker's own
 // answers. The entry may be outdated, or of another writer, so that the worker is asked
 // first: at the address where it has answered or, while it is silent there, by turns at
@@ -253,10 +259,9 @@
 // tasks.
 func (c *Core) inheritWorker(e Registration) {
 	h := c.hosts[e.Worker]
-	registered := worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Machine: e.Machine, Born: e.Born}
 	switch {
 	case h == nil:
-		h = c.newHost(registered)
+		h = c.newHost(worker.Info{ID: e.Worker, Address: e.Address, Pool: e.Pool, Machine: e.Machine, Born: e.Born})
 		c.hostsUnsorted = true
 	case h.answered && h.info.Born > e.Born && e.Born != 0:
 		return // that incarnation has ended
--- a/internal/dispatch/inquiry.go
+++ b/internal/dispatch/inquiry.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/worker"
@@ -70,12 +71,7 @@
 			byWorker[m.Worker] = m
 		}
 	}
-	type ended struct {
-		h      *host
-		reason string
-	}
-	var all []ended
-	for _, h := range c.sortedHosts {
+	for _, h := range slices.Clone(c.sortedHosts) { // which is sorted anew when one ends
 		m := byWorker[h.info.ID]
 		if m == nil {
 			m = byName[h.info.Machine]
@@ -84,16 +80,13 @@
 			continue
 		}
 		if reason := goneReason(m, h.info.ID); reason != "" {
-			all = append(all, ended{h, reason})
+			c.endIncarnation(h, lossCrash, reason)
 		} else if m.Worker == h.info.ID {
 			// If it has crashed, then later than this.
 			h.refusedSince = ev.SentAt
 			h.info.Machine = m.Name
 		}
 	}
-	for _, x := range all {
-		c.endIncarnation(x.h, lossCrash, x.reason)
-	}
 }
 
 // goneReason says why the worker can't run on its machine any more, or "" if it may.
