--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -25,16 +25,18 @@
 	probing bool
 }
 
-func (q *health) recordFailure(now time.Duration, job string) {
+// recordFailure counts a failed task and reports whether it begins a quarantine.
+func (q *health) recordFailure(now time.Duration, job string) bool {
 	if job == q.lastFailedJob && !q.probing {
-		return
+		return false
 	}
 	q.lastFailedJob = job
 	q.failures++
 	if q.failures < failuresToQuarantine && !q.probing {
-		return
+		return false
 	}
 	q.quarantine(now)
+	return true
 }
 
 // quarantine keeps new work away for a time that doubles until a task succeeds.
@@ -43,9 +45,12 @@
 	q.quarantinedUntil, q.probing = now+q.quarantineLength, true
 }
 
-func (q *health) recordSuccess() {
+// recordSuccess forgets all failures and reports whether it ends a probation.
+func (q *health) recordSuccess() bool {
+	restored := q.probing
 	q.failures, q.lastFailedJob, q.probing, q.quarantineLength = 0, "", false, 0
 	q.quarantinedUntil = 0
+	return restored
 }
 
 func (q *health) quarantined(now time.Duration) bool {
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -290,14 +290,18 @@
 	t.trialSeen(false)
 	c.saveCheckpoint(t, e.Checkpoint, e.Run)
 	if e.How == worker.Done {
-		h.health.recordSuccess()
+		if h.health.recordSuccess() {
+			c.recordDecision(Decision{Kind: "worker-restored", Worker: h.info.ID, Job: e.Task.Job, Reason: "a task is done"})
+		}
 		if r != nil {
 			c.updateSpeed(r)
 		}
 		c.runDone(t, e.Run)
 	}
 	if e.How == worker.Failed {
-		h.health.recordFailure(c.now, e.Task.Job)
+		if h.health.recordFailure(c.now, e.Task.Job) {
+			c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Job: e.Task.Job, Reason: "its tasks fail", Age: h.health.quarantineLength})
+		}
 		c.runFailed(t, h, e.Run)
 	}
 	if e.How == worker.GangTimeout || e.How == worker.LeaseExpired || e.How == worker.GangBroken {
