--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -34,6 +34,10 @@
 	objective int64
 	// horizon is when the job is no longer of use, in Unix milliseconds.
 	horizon int64
+	// failedOn is a worker on which a task failed, empty if one was done since.
+	// failedOnSeveral is set once tasks have failed on other workers, too.
+	failedOn        string
+	failedOnSeveral bool
 	// restored is recorded progress that is not applied to occurrences yet.
 	restored map[int]workflow.OccurrenceProgress
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -305,7 +305,7 @@
 	if h.reservedFor != nil && h.reservedFor != s && (h.reservedFor.overdue || h.reservedFor.occurrence.job.queue.Priority <= s.occurrence.job.queue.Priority) {
 		return false
 	}
-	if h.health.probing && len(h.runs) > 0 {
+	if !h.mayProbe(s) {
 		return false
 	}
 	return (t.avoidHost != h || c.now >= t.avoidUntil) && !c.keptApart(t, h)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -71,10 +71,13 @@
 	var best *host
 	var victims []*run
 	for _, h := range c.pools[s.occurrence.job.queue.Pool] {
-		if !c.usable(h) || !c.eligible(s, h) || !s.policyAllows(h) || h.reservedFor != nil && h.reservedFor != s || h.health.probing {
+		if !c.usable(h) || !c.eligible(s, h) || !s.policyAllows(h) || h.reservedFor != nil && h.reservedFor != s || !h.mayProbe(s) {
 			continue
 		}
 		free, planned := freeAfter[h]
+		if planned && h.health.probing && !s.def.Gang {
+			continue
+		}
 		if !planned {
 			free = h.free
 		}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -50,6 +50,7 @@
 		if len(h.runs) == 0 || h.contactLost() || h.contact != contactNormal {
 			continue
 		}
+		c.checkProbes(h)
 		stalled := 0
 		for _, r := range h.sortedRuns() {
 			if c.checkRun(r) {
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -145,7 +145,7 @@
 		return "most-per-worker"
 	case h.reservedFor != nil && h.reservedFor != s:
 		return "reserved"
-	case h.health.probing && len(h.runs) > 0:
+	case !h.mayProbe(s):
 		return "probing"
 	case t.avoidHost == h && c.now < t.avoidUntil:
 		return "failed-there"
