--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,8 @@
 	Blocked Reason
 	// ProbeOnly admits one task at a time, and only expendable ones.
 	ProbeOnly bool
+	// ProbeByAny admits any task as the probe, since no expendable one has come.
+	ProbeByAny bool
 	// Held is capacity, free now or soon, that is kept for the workload HeldFor.
 	Held    resource.Vector
 	HeldFor string
@@ -114,7 +116,7 @@
 		return why
 	}
 	switch {
-	case n.ProbeOnly && !r.Expendable:
+	case n.ProbeOnly && !n.ProbeByAny && !r.Expendable:
 		return Quarantined
 	case r.ConfirmedOnly && n.Unconfirmed > 0:
 		return Unconfirmed
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -79,7 +79,7 @@
 	blocked := c.blockReason(w)
 	now := placement.Node{
 		Name: w.name, Rack: w.rack, Capacity: w.capacity, Free: w.free(), Tasks: old.Tasks,
-		Unconfirmed: len(w.assumed), Blocked: blocked, ProbeOnly: w.health.probing,
+		Unconfirmed: len(w.assumed), Blocked: blocked, ProbeOnly: w.health.probing, ProbeByAny: w.health.probing && c.now >= w.health.anyProbeAt(),
 	}
 	if now.Tasks == nil {
 		now.Tasks = map[string]int{}
@@ -110,7 +110,7 @@
 		return false
 	}
 	return before.Blocked != "" || now.Unconfirmed < before.Unconfirmed || !now.Free.Fits(before.Free) ||
-		now.Capacity != before.Capacity || before.ProbeOnly && !now.ProbeOnly
+		now.Capacity != before.Capacity || before.ProbeOnly && !now.ProbeOnly || now.ProbeByAny && !before.ProbeByAny
 }
 
 func (c *Core) blockReason(w *worker) placement.Reason {
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -355,6 +355,23 @@
 		Expect(c.runningByWorker("n")).To(HaveKeyWithValue("w0000", 4))
 	})
 
+	It("end the probation of a worker also where only services wait", func() {
+		c := newCell(2, smallWorker)
+		for i := range 4 {
+			c.Declare(declareOp(workload(fmt.Sprint("b", i), configuration.Batch, 1, cpu(1))))
+		}
+		for range 100 {
+			for _, t := range c.Workers["w0000"].Live() {
+				c.Workers["w0000"].End(t, scheduler.Failed)
+			}
+			c.Run(500 * time.Millisecond)
+		}
+		Expect(c.runningByWorker("b0")).To(HaveKeyWithValue("w0001", 1))
+		c.Declare(declareOp(workload("n", configuration.Service, 4, cpu(1))))
+		c.Run(3 * time.Minute)
+		Expect(c.runningByWorker("n")).To(HaveKeyWithValue("w0000", 4), "w0001 is full")
+	})
+
 	It("are cancelled together with one write per worker", func() {
 		c := newCell(2, smallWorker)
 		c.Declare(declareOp(workload("a", configuration.Batch, 4, cpu(1))), declareOp(workload("b", configuration.Batch, 4, cpu(1))))
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -34,6 +34,9 @@
 	// minProbeRunTime is how long a task must run to count as proof that its
 	// worker is healthy.
 	minProbeRunTime = 10 * time.Second
+	// maxProbeWait is how long after a quarantine its worker waits for an expendable
+	// task as the probe. Then it takes any.
+	maxProbeWait = 10 * time.Second
 )
 
 // recordFailure records a failed task on a worker.
@@ -81,6 +84,9 @@
 	return false
 }
 
+// anyProbeAt returns from when on any task may be the probe.
+func (h *health) anyProbeAt() time.Duration { return h.until + maxProbeWait }
+
 // reset clears the record after a task that ran well.
 func (h *health) reset() { *h = health{} }
 
--- a/internal/scheduler/wakeup.go
+++ b/internal/scheduler/wakeup.go
@@ -162,6 +162,9 @@
 	if w.health.until > c.now {
 		at = min(at, w.health.until)
 	}
+	if from := w.health.anyProbeAt(); w.health.probing && from > c.now {
+		at = min(at, from)
+	}
 	if c.now < w.lastOrderAt+orderRetryInterval && w.lastOrderAt > 0 {
 		at = min(at, w.lastOrderAt+orderRetryInterval)
 	}
