--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -125,8 +125,7 @@
 	}
 	for id, e := range t.entries {
 		if e.job != nil && e.offset < next && !kept[jobKeyPrefix+id] {
-			t.updateEntry(e, func() { e.job = nil })
-			delete(t.entries, id)
+			t.removeEntry(id, e)
 		}
 	}
 	for id := range t.registrations {
@@ -169,20 +168,28 @@
 
 // updateEntry changes an entry and keeps pendingByQueue consistent with it.
 func (t *jobTable) updateEntry(e *jobEntry, apply func()) {
-	if e.pending() {
-		t.pendingByQueue[e.job.Queue]--
-	}
+	t.countEntry(e, -1)
 	apply()
+	t.countEntry(e, 1)
+}
+
+func (t *jobTable) countEntry(e *jobEntry, n int) {
 	if e.pending() {
-		t.pendingByQueue[e.job.Queue]++
+		t.pendingByQueue[e.job.Queue] += n
 	}
 }
 
+// removeEntry removes an entry. The entry itself stays as it is, since a change of the
+// same read may refer to it.
+func (t *jobTable) removeEntry(id string, e *jobEntry) {
+	t.countEntry(e, -1)
+	delete(t.entries, id)
+}
+
 func (t *jobTable) applyJob(r store.StoredRecord, id string) (*tableChange, error) {
 	if len(r.Value) == 0 {
 		if e := t.entries[id]; e != nil {
-			t.updateEntry(e, func() { e.job = nil })
-			delete(t.entries, id)
+			t.removeEntry(id, e)
 		}
 		return nil, nil
 	}
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -94,3 +94,17 @@
 		g.Expect(table.pendingCount("q")).To(BeZero())
 	}
 }
+
+// TestJobAcceptedAndRemovedInOneRead guards against the crash of a node that reads, after a
+// time without the log, the record of a job and its removal at once.
+func TestJobAcceptedAndRemovedInOneRead(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	desk := &jobAPI{storedIDs: map[string]bool{"a": true}}
+	changes := table.apply(withOffsets(0, jobRecord(g, "a", ""), store.Record{Key: jobKeyPrefix + "a"}), 2)
+	g.Expect(func() { desk.forgetStored(changes) }).NotTo(Panic())
+	g.Expect(desk.storedIDs).To(BeEmpty())
+	g.Expect(table.pendingCount("plain")).To(BeZero())
+	_, ok := table.lookup("a")
+	g.Expect(ok).To(BeFalse())
+}
