--- a/internal/dispatch/calls_test.go
+++ b/internal/dispatch/calls_test.go
@@ -29,7 +29,7 @@
 		w.stopsSlowly = true
 	}
 	d.heartbeats = nil
-	d.queuedEvents = append(d.queuedEvents, JobCancelled{"j"})
+	d.queuedEvents = append(d.queuedEvents, JobCancelled{ID: "j"})
 	d.advance(d.core.set.StopTimeout)
 	for id, w := range d.workers {
 		d.Expect(w.lists.Running).To(HaveLen(1), "its run has not ended yet")
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -28,7 +28,7 @@
 	b.acceptFifths("waiting", workflow.Step{Count: 2, EstimateMillis: 60_000}, workflow.Progress{})
 	b.advance(500 * time.Millisecond)
 	b.workers["w1"].stopsSlowly = true
-	b.queuedEvents = append(b.queuedEvents, JobCancelled{"running"})
+	b.queuedEvents = append(b.queuedEvents, JobCancelled{ID: "running"})
 	b.advance(500 * time.Millisecond)
 	b.Expect(b.stops).NotTo(BeEmpty())
 	b.Expect(b.startHosts("waiting")).To(BeEmpty(), "what is being stopped still counts")
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -34,8 +34,9 @@
 	workers  []workerRecord
 	ends     []endsRecord
 	released []string
-	purged   []*job
-	crashes  []*crashHistory
+	// purged holds the IDs of jobs whose records are to be removed.
+	purged  []string
+	crashes []*crashHistory
 }
 
 // workerRecord is a worker whose incarnation is recorded, with the contact state
@@ -103,6 +104,7 @@
 func (c *Core) flushCommit() {
 	m := &c.commits
 	c.purgeJobs()
+	c.purgeCancels()
 	if len(m.next.ends) > 0 {
 		c.commitWithin(endCommitDelay)
 	}
@@ -121,9 +123,7 @@
 		}
 		e.Progress = append(e.Progress, p)
 	}
-	for _, j := range m.sent.purged {
-		e.Purged = append(e.Purged, j.def.ID)
-	}
+	e.Purged = m.sent.purged
 	included := map[*host]bool{}
 	for i := range m.sent.ends {
 		n := &m.sent.ends[i]
@@ -215,7 +215,7 @@
 		j := m.ended[0]
 		m.ended = m.ended[1:]
 		delete(c.jobs, j.def.ID)
-		m.next.purged = append(m.next.purged, j)
+		m.next.purged = append(m.next.purged, j.def.ID)
 		c.commitWithin(startCommitDelay)
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -104,6 +104,7 @@
 	adviceRequests []adviceRequest
 	adviceTurn     int
 	commits        commits
+	cancels        unmatchedCancels
 	effects        []Effect
 	reasons        Counters
 	decisions      []Decision
@@ -124,6 +125,7 @@
 		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow}, calls: callCounts{since: now},
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
+		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}},
 	}
 }
 
@@ -180,7 +182,7 @@
 	case JobAccepted:
 		c.acceptJob(ev)
 	case JobCancelled:
-		c.cancelJob(ev.ID)
+		c.cancelJob(ev)
 	case WorkerRegistered:
 		c.inheritWorker(ev.Registration)
 	case LeadershipConfirmed:
@@ -270,11 +272,16 @@
 	} else if ev.Job.QueueSnapshot != nil {
 		j.setQueue(*ev.Job.QueueSnapshot)
 	}
+	cancelled := c.takeCancel(ev.Job.ID)
 	if j.finalState != "" {
 		j.finalRecorded = true
 		c.commits.ended = append(c.commits.ended, j)
 		return
 	}
+	if cancelled {
+		c.cancelJob(JobCancelled{ID: ev.Job.ID})
+		return
+	}
 	j.nextOccurrence = j.finishedBefore
 	for _, o := range ev.Progress.Occurrences {
 		if o.Finished {
@@ -399,13 +406,17 @@
 	c.dirty = true
 }
 
-func (c *Core) cancelJob(id string) {
-	j := c.jobs[id]
-	if j == nil || j.ended() {
+func (c *Core) cancelJob(ev JobCancelled) {
+	j := c.jobs[ev.ID]
+	if j == nil {
+		c.keepCancel(ev)
+		return
+	}
+	if j.ended() {
 		return
 	}
 	j.cancelled = true
-	c.recordDecision(Decision{Kind: "job-cancelled", Job: id})
+	c.recordDecision(Decision{Kind: "job-cancelled", Job: ev.ID})
 	c.finishJob(j, workflow.Cancelled, "cancelled by the caller")
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -26,8 +26,14 @@
 	Progress workflow.Progress
 }
 
-// JobCancelled supplies a cancellation from the log.
-type JobCancelled struct{ ID string }
+// JobCancelled supplies a cancellation from the log. The job may be unknown: its record may
+// come later or never.
+type JobCancelled struct {
+	ID string
+	// WrittenMillis is when the cancellation was written, in Unix milliseconds, 0 if that
+	// is unknown.
+	WrittenMillis int64
+}
 
 // Registration is the log record of a worker incarnation on which a leader may
 // have started tasks.
--- a/internal/dispatch/inspect_test.go
+++ b/internal/dispatch/inspect_test.go
@@ -42,7 +42,7 @@
 	b.Expect(b.core.InspectJob("u").Steps[0].Reason).To(Equal("queue-unknown"))
 	b.Expect(b.core.InspectJob("s").NextDue).To(BeEquivalentTo(3600e3))
 	b.Expect(b.core.InspectJob("none").Known).To(BeFalse())
-	b.queuedEvents = append(b.queuedEvents, JobCancelled{"r"})
+	b.queuedEvents = append(b.queuedEvents, JobCancelled{ID: "r"})
 	b.advance(tick)
 	b.Expect(b.core.InspectJob("r").Final).To(Equal(workflow.Cancelled))
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -227,10 +227,10 @@
 		if ch.accepted != nil {
 			batch = append(batch, dispatch.JobAccepted{Job: ch.accepted.job, Offset: ch.accepted.offset, Progress: ch.accepted.progress})
 			if ch.accepted.cancelled {
-				batch = append(batch, dispatch.JobCancelled{ID: ch.accepted.job.ID})
+				batch = append(batch, dispatch.JobCancelled{ID: ch.accepted.job.ID, WrittenMillis: ch.accepted.cancelledMillis})
 			}
 		} else {
-			batch = append(batch, dispatch.JobCancelled{ID: ch.cancelled})
+			batch = append(batch, dispatch.JobCancelled{ID: ch.cancelled, WrittenMillis: ch.cancelledMillis})
 		}
 	}
 	return batch
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -42,6 +42,8 @@
 	retryAfterStoreDown = 2 * time.Second
 	// maxPendingWrites bounds the callers' writes in progress.
 	maxPendingWrites = 256
+	// maxUnmatchedCancels bounds the cancellations in the log of jobs that are not in it.
+	maxUnmatchedCancels = 10000
 	// catchUpTimeout bounds the wait to read the log to its end before a job is
 	// reported as not existing.
 	catchUpTimeout = 1200 * time.Millisecond
@@ -387,7 +389,11 @@
 func (d *jobAPI) Cancel(ctx context.Context, _ *workflow.Queue, id string) intake.Outcome {
 	e, ok := d.table.lookup(id)
 	if !ok && !d.isStored(id) {
-		if out := d.resolveMissing(ctx, id); out.Code != intake.OK {
+		out := d.resolveMissing(ctx, id)
+		if out.Code == intake.JobNotFound {
+			return d.cancelUnknown(ctx, id, out)
+		}
+		if out.Code != intake.OK {
 			return out
 		}
 		e, _ = d.table.lookup(id)
@@ -395,8 +401,35 @@
 	if e.cancelled || e.progress.Final != "" {
 		return intake.Outcome{}
 	}
-	return d.write(ctx, store.Record{Key: cancelKeyPrefix + id, Value: []byte("{}")}, id,
-		func(e jobEntry, ok bool) bool { return ok && e.cancelled })
+	return d.writeCancel(ctx, id)
+}
+
+// cancelUnknown cancels a job that is not in the log. Its record may still be on the way
+// there, from a Submit whose caller has left, and must not run once the caller has been
+// told that there is no such job.
+func (d *jobAPI) cancelUnknown(ctx context.Context, id string, notFound intake.Outcome) intake.Outcome {
+	if e, _ := d.table.lookup(id); e.cancelled {
+		return notFound
+	}
+	if d.table.unmatchedCancelCount() >= maxUnmatchedCancels {
+		return d.outcome(intake.Busy, "too-many-cancels")
+	}
+	if out := d.writeCancel(ctx, id); out.Code != intake.OK {
+		return out
+	}
+	if _, ok := d.table.lookup(id); ok {
+		return intake.Outcome{}
+	}
+	return notFound
+}
+
+func (d *jobAPI) writeCancel(ctx context.Context, id string) intake.Outcome {
+	value, err := json.Marshal(cancelRecord{WrittenMillis: time.Now().UnixMilli()})
+	if err != nil {
+		return d.outcome(intake.Invalid, "invalid-job")
+	}
+	return d.write(ctx, store.Record{Key: cancelKeyPrefix + id, Value: value}, id,
+		func(e jobEntry, _ bool) bool { return e.cancelled })
 }
 
 // Pending implements intake.Desk.
--- a/internal/node/jobapi_test.go
+++ b/internal/node/jobapi_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +135,116 @@
 		c.log.DropHistory()
 	})
 }
+
+// submitAndLeave acts as a caller that submits a job of several steps at p and leaves early.
+func (c *cluster) submitAndLeave(id string, p *process) *submittedJob {
+	job := singleTaskJob(id)
+	for i := range 5 {
+		s := job.Steps[0]
+		s.DependsOn = []int{i}
+		job.Steps = append(job.Steps, s)
+	}
+	h := &submittedJob{job: job, queue: c.catalog.Queues["plain"]}
+	c.fleet.Know(&h.job, h.queue.Pool, h.queue.Attempts)
+	ctx, cancel := context.WithTimeout(c.ctx, 200*time.Millisecond)
+	defer cancel()
+	p.node.Desk().Submit(ctx, &h.queue, h.job)
+	return h
+}
+
+// cancelUntilAcknowledged cancels a job at the running nodes in turn. Both answers that callers
+// take as the confirmation count: that it is cancelled, and that there is no such job.
+func (c *cluster) cancelUntilAcknowledged(h *submittedJob) {
+	for try := range callerAttempts {
+		up := c.running()
+		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+		o := up[try%len(up)].node.Desk().Cancel(ctx, &h.queue, h.job.ID)
+		cancel()
+		if o.Code == intake.OK || o.Code == intake.JobNotFound {
+			c.fleet.Cancelled(h.job.ID)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.t.Errorf("the cancellation of %s was never acknowledged", h.job.ID)
+}
+
+// TestCancelledJobDoesNotRunWhenItsSubmitIsWrittenLate guards against jobs that run though
+// their cancellation was acknowledged: the caller left before its submit was written, and
+// the node that got the cancellation found no such job. With a change of leaders, the
+// next one must know of the cancellation, too.
+func TestCancelledJobDoesNotRunWhenItsSubmitIsWrittenLate(t *testing.T) {
+	for name, afterCancel := range map[string]func(c *cluster){
+		"same-leader": func(*cluster) {},
+		"next-leader": func(c *cluster) { c.kill(c.leader()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(c *cluster) {
+				c.log.LateReplies(1)
+				c.noteDisruption()
+				var jobs []*submittedJob
+				for i, p := range c.running() {
+					jobs = append(jobs, c.submitAndLeave(fmt.Sprintf("00000000000000d%d", i), p))
+				}
+				c.callers.Go(func() {
+					time.Sleep(500 * time.Millisecond)
+					c.clearFaults()
+				})
+				for _, h := range jobs {
+					c.cancelUntilAcknowledged(h)
+				}
+				afterCancel(c)
+				time.Sleep(12 * time.Second)
+				for _, h := range jobs {
+					progress, _ := c.fleet.Progress(h.job.ID)
+					c.Expect(progress.Done).To(BeNumerically("<=", 4), "steps that ran of job %s", h.job.ID)
+				}
+			})
+		})
+	}
+}
+
+// TestSubmitAfterCancelStaysCancelled submits a job whose cancellation was acknowledged
+// before, as a delayed or repeated request does. It must not run.
+func TestSubmitAfterCancelStaysCancelled(t *testing.T) {
+	runScenario(t, func(c *cluster) {
+		h := &submittedJob{job: singleTaskJob("00000000000000da"), queue: c.catalog.Queues["plain"]}
+		c.fleet.Know(&h.job, h.queue.Pool, h.queue.Attempts)
+		a, b := c.running()[0], c.running()[1]
+		c.Expect(a.node.Desk().Cancel(c.ctx, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound))
+		c.Expect(a.node.Desk().Cancel(c.ctx, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound), "a repeat")
+		c.fleet.Cancelled(h.job.ID)
+		c.Expect(b.node.Desk().Submit(c.ctx, &h.queue, h.job).Code).To(Equal(intake.OK))
+		time.Sleep(2 * time.Second)
+		for _, p := range c.running() {
+			state, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+			c.Expect(o.Code).To(Equal(intake.OK))
+			c.Expect(state).To(Equal(workflow.Cancelled))
+		}
+		progress, _ := c.fleet.Progress(h.job.ID)
+		c.Expect(progress.Done).To(BeZero())
+	})
+}
+
+// TestTooManyUnmatchedCancelsAreRefused checks that callers can't fill the log with
+// cancellations of jobs that don't exist.
+func TestTooManyUnmatchedCancelsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, standardOptions)
+		defer c.close()
+		c.startNode("a")
+		time.Sleep(4 * time.Second)
+		p, plain := c.running()[0], c.catalog.Queues["plain"]
+		for i := range maxUnmatchedCancels {
+			c.log.Put(jobsPartition, store.Record{Key: fmt.Sprintf("%s%016x", cancelKeyPrefix, i), Value: []byte("{}")})
+		}
+		time.Sleep(2 * time.Second)
+		o := p.node.Desk().Cancel(c.ctx, &plain, "00000000000fffff")
+		c.Expect(o.Code).To(Equal(intake.Busy))
+		c.Expect(o.RetryAfter).To(BeNumerically(">", 0))
+		c.Expect(p.node.Desk().Cancel(c.ctx, &plain, "0000000000000001").Code).To(Equal(intake.JobNotFound))
+		time.Sleep(p.node.settings.Limits.StatusRetention + 5*time.Second)
+		c.Expect(p.node.table.unmatchedCancelCount()).To(BeZero(), "the leader removes those of an earlier version, too")
+		c.Expect(p.node.Desk().Cancel(c.ctx, &plain, "00000000000fffff").Code).To(Equal(intake.JobNotFound))
+	})
+}
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -27,9 +27,23 @@
 	job       *workflow.Job
 	offset    int64
 	cancelled bool
-	progress  workflow.Progress
+	// cancelledMillis is when the cancellation was written, in Unix milliseconds, 0 if
+	// that isn't recorded.
+	cancelledMillis int64
+	progress        workflow.Progress
 }
 
+// cancelRecord is the log record of a cancellation. Records of earlier versions are empty
+// objects.
+type cancelRecord struct {
+	// WrittenMillis is in Unix milliseconds.
+	WrittenMillis int64 `json:"a,omitempty"`
+}
+
+// unmatchedCancel reports whether the entry is the cancellation of a job whose record is not
+// in the log.
+func (e *jobEntry) unmatchedCancel() bool { return e.cancelled && e.job == nil }
+
 func (e *jobEntry) state() workflow.State {
 	switch {
 	case e.progress.Final != "":
@@ -53,9 +67,13 @@
 	entries map[string]*jobEntry
 	// pendingByQueue counts, by queue, the jobs of which no task has started.
 	pendingByQueue map[string]int
-	registrations  map[string]dispatch.Registration
+	// unmatchedCancels counts the cancellations of jobs whose records are not in the log.
+	unmatchedCancels int
+	registrations    map[string]dispatch.Registration
 	// newestOffsets holds, by key, the offset of the newest record applied.
 	newestOffsets map[string]int64
+	// deletions holds the newest deletions of keys, in the order in which they were applied.
+	deletions []deletion
 	// nextOffset is the offset of the first record not yet read.
 	nextOffset int64
 	// readAt is when the log was last read successfully, by this node or by the node
@@ -81,8 +99,9 @@
 type tableChange struct {
 	// accepted is the entry of a new job.
 	accepted *jobEntry
-	// cancelled is the ID of a cancelled job.
-	cancelled string
+	// cancelled is the ID of a cancelled job, cancelledMillis when that was written.
+	cancelled       string
+	cancelledMillis int64
 	// term is the token of a term that has begun.
 	term int64
 }
@@ -98,6 +117,9 @@
 			continue
 		}
 		t.newestOffsets[r.Key] = r.Offset
+		if len(r.Value) == 0 {
+			t.recordDeletion(r)
+		}
 		c, err := t.applyRecord(r)
 		if err != nil {
 			t.unreadable++
@@ -113,6 +135,28 @@
 	return out
 }
 
+// maxDeletions bounds the deleted keys whose offsets are kept. Records of a key that come
+// more deletions later than that are not outdated.
+const maxDeletions = 20000
+
+// deletion is the record that deletes a key.
+type deletion struct {
+	key    string
+	offset int64
+}
+
+// recordDeletion forgets the offset of the oldest deletion if there are too many.
+func (t *jobTable) recordDeletion(r store.StoredRecord) {
+	t.deletions = append(t.deletions, deletion{r.Key, r.Offset})
+	if len(t.deletions) <= maxDeletions {
+		return
+	}
+	if d := t.deletions[0]; t.newestOffsets[d.key] == d.offset {
+		delete(t.newestOffsets, d.key)
+	}
+	t.deletions = t.deletions[1:]
+}
+
 // prune removes what is missing from records, which hold the newest record of every
 // key up to the offset next: the log dropped it while this node did not read. What
 // was applied from later offsets stays.
@@ -127,6 +171,9 @@
 		if e.job != nil && e.offset < next && !kept[jobKeyPrefix+id] {
 			t.removeEntry(id, e)
 		}
+		if e.unmatchedCancel() && t.newestOffsets[cancelKeyPrefix+id] < next && !kept[cancelKeyPrefix+id] {
+			t.removeEntry(id, e)
+		}
 	}
 	for id := range t.registrations {
 		if t.newestOffsets[workerKeyPrefix+id] < next && !kept[workerKeyPrefix+id] {
@@ -166,7 +213,7 @@
 	return e
 }
 
-// updateEntry changes an entry and keeps pendingByQueue consistent with it.
+// updateEntry changes an entry and keeps the counts of entries consistent with it.
 func (t *jobTable) updateEntry(e *jobEntry, apply func()) {
 	t.countEntry(e, -1)
 	apply()
@@ -177,6 +224,9 @@
 	if e.pending() {
 		t.pendingByQueue[e.job.Queue] += n
 	}
+	if e.unmatchedCancel() {
+		t.unmatchedCancels += n
+	}
 }
 
 // removeEntry removes an entry. The entry itself stays as it is, since a change of the
@@ -215,14 +265,21 @@
 
 func (t *jobTable) applyCancel(r store.StoredRecord, id string) *tableChange {
 	if len(r.Value) == 0 {
+		if e := t.entries[id]; e != nil && e.unmatchedCancel() {
+			t.removeEntry(id, e)
+		}
 		return nil
 	}
 	e := t.ensureEntry(id)
 	if e.cancelled {
 		return nil
 	}
-	t.updateEntry(e, func() { e.cancelled = true })
-	return &tableChange{cancelled: id}
+	var c cancelRecord
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		c = cancelRecord{} // a cancellation without its time
+	}
+	t.updateEntry(e, func() { e.cancelled, e.cancelledMillis = true, c.WrittenMillis })
+	return &tableChange{cancelled: id, cancelledMillis: c.WrittenMillis}
 }
 
 func (t *jobTable) applyProgress(r store.StoredRecord, id string) error {
@@ -307,15 +364,24 @@
 	return t.endSeenAt
 }
 
-// lookup returns a copy of the entry of a job, false if the job is unknown.
+// lookup returns a copy of the entry of a job, false if the job is unknown. The entry of
+// an unknown job tells whether it is cancelled.
 func (t *jobTable) lookup(id string) (jobEntry, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.entries[id]
-	if e == nil || e.job == nil {
+	if e == nil {
 		return jobEntry{}, false
 	}
-	return *e, true
+	return *e, e.job != nil
+}
+
+// unmatchedCancelCount returns the number of cancellations of jobs whose records are not in
+// the log.
+func (t *jobTable) unmatchedCancelCount() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.unmatchedCancels
 }
 
 // awaitJob waits until the condition holds for the result of lookup for a job. It
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -108,3 +109,39 @@
 	_, ok := table.lookup("a")
 	g.Expect(ok).To(BeFalse())
 }
+
+// TestUnmatchedCancelsAreCounted checks the count of cancellations without a job by which
+// their number is bounded, over the ways in which one can come to an end.
+func TestUnmatchedCancelsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	cancel := func(id, value string) store.Record {
+		return store.Record{Key: cancelKeyPrefix + id, Value: []byte(value)}
+	}
+	table.apply(withOffsets(0, cancel("job-comes", `{"a":7}`), cancel("removed", "{}"), cancel("forgotten", "{}"), cancel("purged", "?")), 4)
+	g.Expect(table.unmatchedCancelCount()).To(Equal(4))
+	changes := table.apply(withOffsets(4, jobRecord(g, "job-comes", "")), 5)
+	g.Expect(table.unmatchedCancelCount()).To(Equal(3))
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(changes[0].accepted.cancelled).To(BeTrue())
+	g.Expect(table.pendingCount("plain")).To(BeZero())
+	table.apply(withOffsets(5, cancel("removed", ""), store.Record{Key: jobKeyPrefix + "purged"}, cancel("purged", "")), 8)
+	g.Expect(table.unmatchedCancelCount()).To(Equal(1))
+	table.prune(withOffsets(8, jobRecord(g, "job-comes", "")), 9)
+	g.Expect(table.unmatchedCancelCount()).To(BeZero())
+}
+
+// TestDeletedKeysAreForgotten checks that a node's memory doesn't grow with each key that
+// was ever deleted.
+func TestDeletedKeysAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	at := int64(0)
+	for range 3 * maxDeletions / 2 {
+		key := cancelKeyPrefix + strconv.FormatInt(at, 10)
+		table.apply(withOffsets(at, store.Record{Key: key, Value: []byte("{}")}, store.Record{Key: key}), at+2)
+		at += 2
+	}
+	g.Expect(len(table.newestOffsets)).To(BeNumerically("<=", maxDeletions))
+	g.Expect(table.entries).To(BeEmpty())
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -113,6 +113,11 @@
 			events = append(events, dispatch.JobCancelled{ID: e.job.ID})
 		}
 	}
+	for id, e := range n.table.entries {
+		if e.unmatchedCancel() {
+			events = append(events, dispatch.JobCancelled{ID: id, WrittenMillis: e.cancelledMillis})
+		}
+	}
 	n.log.WithFields(logrus.Fields{"token": t.token, "jobs": len(n.table.entries), "workers": len(t.workersByID),
 		"engaged": len(n.table.registrations), "after_ms": (n.uptime() - t.startedAt).Milliseconds()}).Info("dispatching")
 	n.deps.Observe("takeover", n.uptime()-t.startedAt)
