--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -398,6 +398,8 @@
 	switch {
 	case errors.Is(err, store.ErrLoading):
 		return "loading"
+	case errors.Is(err, store.ErrRejected):
+		return "rejected"
 	case errors.Is(err, store.ErrNotExecuted):
 		return "not-done"
 	case errors.Is(err, store.ErrOutcomeUnknown):
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -204,11 +205,25 @@
 		case w.token == 0 && (attempt == maxAppendAttempts || !errors.Is(err, store.ErrNotExecuted)):
 			return attempt, err
 		}
+		if attempt == 1 && errors.Is(err, store.ErrRejected) {
+			w.log.WithError(err).WithFields(logrus.Fields{"records": len(records), "largest": largestRecord(records)}).Error("the store rejects an append")
+		}
 		w.count("retry", "commit-"+errorReason(err))
 		sleepContext(ctx, appendRetryDelay)
 	}
 }
 
+// largestRecord describes the largest of the records by its key and the size of its value.
+func largestRecord(records []store.Record) string {
+	var largest store.Record
+	for _, r := range records {
+		if len(r.Value) >= len(largest.Value) {
+			largest = r
+		}
+	}
+	return fmt.Sprintf("%s, %d bytes", largest.Key, len(largest.Value))
+}
+
 // isStopped reports whether the writer must not retry.
 func (w *jobLogWriter) isStopped(ctx context.Context) bool {
 	select {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,7 +99,7 @@
 }
 
 // Store is the platform's log. Its methods may be called concurrently. Errors
-// match ErrNotExecuted, ErrOutcomeUnknown, ErrFenced, *ConflictError,
+// match ErrNotExecuted, ErrRejected, ErrOutcomeUnknown, ErrFenced, *ConflictError,
 // *SequenceError or *ExpiredError with errors.Is and errors.As. A read that fails
 // returns ErrNotExecuted, if not *ExpiredError.
 type Store interface {
@@ -113,6 +113,9 @@
 var (
 	// ErrNotExecuted: the call had no effect.
 	ErrNotExecuted = errors.New("store: not done")
+	// ErrRejected: the call had no effect and can't have one as it is: the same call will
+	// be rejected again. It is ErrNotExecuted as well.
+	ErrRejected = errors.WithMessage(ErrNotExecuted, "store: rejected for good")
 	// ErrOutcomeUnknown: no answer came; the call may have been executed or may still be.
 	ErrOutcomeUnknown = errors.New("store: outcome unknown")
 	// ErrLoading: the node that was asked is still reading the partition itself.
