--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
 const (
@@ -168,6 +170,12 @@
 		c.requeueCommit(sent)
 		return
 	}
+	for _, id := range ev.RejectedJobs {
+		if j := c.jobs[id]; j != nil && j.finalState == "" {
+			c.reasons["job-unrecordable"]++
+			c.finishJob(j, workflow.Failed, "its progress can't be recorded")
+		}
+	}
 	for _, j := range sent.jobs {
 		if j.finalState != "" && !j.dirty && !j.finalRecorded {
 			j.finalRecorded = true
@@ -176,6 +184,9 @@
 	}
 	c.dirty = c.dirty || len(sent.workers) > 0
 	for _, x := range sent.workers {
+		if slices.Contains(ev.RejectedWorkers, x.host.info.ID) {
+			continue // it stays unregistered, and gets no work
+		}
 		x.host.registered, x.host.registering = true, false
 		if x.host.contact == x.contact {
 			x.host.contact = x.contact.recorded()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -283,6 +283,11 @@
 		return
 	}
 	j.nextOccurrence = j.finishedBefore
+	for i := range 8 * len(ev.Progress.FinishedLater) {
+		if ev.Progress.FinishedLater.Has(i) {
+			j.finishedLater[j.finishedBefore+i] = true
+		}
+	}
 	for _, o := range ev.Progress.Occurrences {
 		if o.Finished {
 			j.finishedLater[o.Number] = true
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -108,6 +108,9 @@
 type Committed struct {
 	Number int64
 	Failed bool
+	// RejectedJobs and RejectedWorkers are the jobs and workers whose records are not in the
+	// log, and never will be as they are.
+	RejectedJobs, RejectedWorkers []string
 }
 
 func (Tick) event()                {}
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -300,7 +300,8 @@
 		c.runDone(t, e.Run)
 	}
 	if e.How == worker.Failed {
-		if j := t.step.occurrence.job; h.health.recordFailure(c.now, j, r != nil && r.isProbe(), j.failedElsewhere(h.info.ID)) {
+		j := t.step.occurrence.job
+		if h.health.recordFailure(c.now, j, r != nil && r.isProbe(), j.failedElsewhere(h.info.ID)) {
 			c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Job: e.Task.Job, Reason: "its tasks fail", Age: h.health.quarantineLength})
 		}
 		c.runFailed(t, h, e.Run)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -195,6 +195,10 @@
 	}
 }
 
+// maxListedFinished is how many finished occurrences are listed one by one, as versions that
+// don't know workflow.Progress.FinishedLater read them.
+const maxListedFinished = 500
+
 // progress returns the progress of the job that is to be recorded.
 func (j *job) progress() workflow.Progress {
 	p := workflow.Progress{Started: j.started, Final: j.finalState, EndedMillis: j.endedAt, FinishedOccurrences: j.finishedBefore}
@@ -202,6 +206,10 @@
 		return p
 	}
 	for k := range j.finishedLater {
+		if len(j.finishedLater) > maxListedFinished {
+			p.FinishedLater.Set(k - j.finishedBefore)
+			continue
+		}
 		p.Occurrences = append(p.Occurrences, workflow.OccurrenceProgress{Number: k, Finished: true})
 	}
 	for _, o := range j.occurrences {
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -22,6 +22,9 @@
 	PageRecords = 500
 	// PageBytes bounds the values of a page of the newest; one record always fits.
 	PageBytes = 1 << 20
+	// DefaultMaxRecordBytes and DefaultMaxRequestBytes bound a record and an append.
+	DefaultMaxRecordBytes  = 256 << 10
+	DefaultMaxRequestBytes = 2 << 20
 	// MaxReadWait is the longest wait of a read.
 	MaxReadWait = 30 * time.Second
 	// MaxAppendQueue is the longest time that appends may wait in line.
@@ -35,6 +38,9 @@
 	// Retention is how long history is kept, AppendTime how long a partition
 	// takes for an append, Latency the time of one way.
 	Retention, AppendTime, Latency time.Duration
+	// MaxRecordBytes and MaxRequestBytes bound a record and an append; those that are
+	// larger are rejected.
+	MaxRecordBytes, MaxRequestBytes int
 	// BytesPerSecond is how fast a partition writes; 0 is without bound.
 	BytesPerSecond int64
 	// ReadBytesPerSecond is how fast the answers to all nodes' reads are sent, one
@@ -71,6 +77,8 @@
 	cfg.Retention = orDefault(cfg.Retention, DefaultRetention)
 	cfg.AppendTime = orDefault(cfg.AppendTime, DefaultAppendTime)
 	cfg.Latency = orDefault(cfg.Latency, DefaultLatency)
+	cfg.MaxRecordBytes = orDefault(cfg.MaxRecordBytes, DefaultMaxRecordBytes)
+	cfg.MaxRequestBytes = orDefault(cfg.MaxRequestBytes, DefaultMaxRequestBytes)
 	return &Log{
 		cfg:        cfg,
 		random:     rand.New(rand.NewPCG(cfg.Seed, 1)),
@@ -182,6 +190,26 @@
 	err      error
 }
 
+// maxKeyBytes bounds the key of a record, and recordHeaderBytes is the size of a record beyond
+// its key and value.
+const (
+	maxKeyBytes       = 255
+	recordHeaderBytes = 5
+)
+
+// admits reports whether the records are within the bounds of an append.
+func (cfg *LogConfig) admits(records []store.Record) bool {
+	total := 0
+	for _, r := range records {
+		size := recordHeaderBytes + len(r.Key) + len(r.Value)
+		if len(r.Key) > maxKeyBytes || size > cfg.MaxRecordBytes {
+			return false
+		}
+		total += size
+	}
+	return total <= cfg.MaxRequestBytes
+}
+
 // Append implements store.Store.
 func (c *logClient) Append(ctx context.Context, name store.Partition, records []store.Record, opt store.AppendOptions) (store.AppendResult, error) {
 	c.count(func(u *LogUsage) { u.Appends++ })
@@ -189,6 +217,9 @@
 	if fault.refuse || !c.log.writes.Allow() {
 		return store.AppendResult{}, store.ErrNotExecuted
 	}
+	if !c.log.cfg.admits(records) {
+		return store.AppendResult{}, store.ErrRejected
+	}
 	request := &appendRequest{log: c.log, node: c.node, name: name, records: copyRecords(records), opt: copyOptions(opt)}
 	latency := fault.scale(c.log.cfg.Latency)
 	r, ok := exchange(ctx, latency, func(answer func(appendResult)) {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -305,7 +305,7 @@
 	c.incarnations++
 	p := &process{name: name, done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(c.ctx)
-	set := Settings{Node: name, Limits: Limits{MaxLease: 10 * time.Second, StopTimeout: 2 * time.Second, GangTimeout: 5 * time.Second,
+	set := Settings{Node: name, MaxRecordBytes: c.clusterOptions.log.MaxRecordBytes, MaxRequestBytes: c.clusterOptions.log.MaxRequestBytes, Limits: Limits{MaxLease: 10 * time.Second, StopTimeout: 2 * time.Second, GangTimeout: 5 * time.Second,
 		DrainBound: 3 * time.Second, CancelBound: 3 * time.Second, StatusRetention: c.retention, RemoteFactor: 2,
 		CheckpointInterval: 2 * time.Second, RestoreTime: 500 * time.Millisecond, AbsenceNotice: 5 * time.Second}}
 	ports := Dependencies{Store: gatedStore{c.log.Client(name), p}, Workers: gatedWorkers{c.fleet.Client(name), p}, PolicyClient: c.fleet.Adviser(name),
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -69,6 +69,8 @@
 	requestCatchUp func()
 	// storeReachable reports whether the store has answered this node recently.
 	storeReachable func() bool
+	// maxValueBytes is the size of the largest record of a job that can be stored.
+	maxValueBytes int
 	// storeLatency is the recent response time of the store, in nanoseconds.
 	storeLatency atomic.Int64
 	table        *jobTable
@@ -164,9 +166,12 @@
 	job.Queue, job.QueueSnapshot = q.Name, q
 	job.AcceptedMillis = time.Now().UnixMilli()
 	value, err := json.Marshal(job)
-	if err != nil {
+	switch {
+	case err != nil:
 		f.outcome = d.outcome(intake.Invalid, "invalid-job")
-	} else {
+	case len(value) > d.maxValueBytes:
+		f.outcome = d.outcome(intake.TooLarge, "job-too-large")
+	default:
 		f.outcome = d.write(ctx, store.Record{Key: jobKeyPrefix + job.ID, Value: value}, job.ID,
 			func(_ jobEntry, ok bool) bool { return ok })
 	}
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -70,6 +70,8 @@
 	// unmatchedCancels counts the cancellations of jobs whose records are not in the log.
 	unmatchedCancels int
 	registrations    map[string]dispatch.Registration
+	// splits holds the values that are too large for one record.
+	splits splitValues
 	// newestOffsets holds, by key, the offset of the newest record applied.
 	newestOffsets map[string]int64
 	// deletions holds the newest deletions of keys, in the order in which they were applied.
@@ -91,7 +93,7 @@
 }
 
 func newJobTable() *jobTable {
-	return &jobTable{entries: map[string]*jobEntry{}, pendingByQueue: map[string]int{}, registrations: map[string]dispatch.Registration{},
+	return &jobTable{entries: map[string]*jobEntry{}, pendingByQueue: map[string]int{}, registrations: map[string]dispatch.Registration{}, splits: splitValues{},
 		newestOffsets: map[string]int64{}, changed: make(chan struct{})}
 }
 
@@ -120,7 +122,11 @@
 		if len(r.Value) == 0 {
 			t.recordDeletion(r)
 		}
-		c, err := t.applyRecord(r)
+		whole, ok := t.splits.join(r)
+		if !ok {
+			continue
+		}
+		c, err := t.applyRecord(whole)
 		if err != nil {
 			t.unreadable++
 			continue
@@ -180,6 +186,7 @@
 			delete(t.registrations, id)
 		}
 	}
+	t.splits.prune(func(key string) bool { return t.newestOffsets[key] < next && !kept[key] })
 	for key, offset := range t.newestOffsets {
 		if offset < next && !kept[key] {
 			delete(t.newestOffsets, key)
@@ -409,6 +416,24 @@
 	return t.pendingByQueue[queue]
 }
 
+// removeSurplusParts returns the records with those added that remove parts of former values of
+// the same keys, given the maximum size of a record.
+func (t *jobTable) removeSurplusParts(records []store.Record, maxBytes int) []store.Record {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if len(t.splits) == 0 {
+		return records
+	}
+	out := make([]store.Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, r)
+		for _, key := range t.splits.surplus(r.Key, len(splitRecord(r, maxBytes))-1) {
+			out = append(out, store.Record{Key: key})
+		}
+	}
+	return out
+}
+
 // isFresh reports whether the table is loaded and the log was last read no longer
 // than maxAge before now.
 func (t *jobTable) isFresh(now time.Time, maxAge time.Duration) bool {
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -36,10 +36,10 @@
 // register its next one, and the release must come first in the log.
 func TestReleaseThenRegisterKeepsWorkerRegistered(t *testing.T) {
 	g := NewWithT(t)
-	records, err := commitRecords(dispatch.Commit{Registered: []dispatch.Registration{{Worker: "w1", Born: 2}}, Released: []string{"w1", "w2"}})
+	encoded, err := commitRecords(dispatch.Commit{Registered: []dispatch.Registration{{Worker: "w1", Born: 2}}, Released: []string{"w1", "w2"}}, defaultMaxRequestBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	table := newJobTable()
-	table.apply(withOffsets(0, records...), int64(len(records)))
+	table.apply(withOffsets(0, encoded.records...), int64(len(encoded.records)))
 	g.Expect(table.registrations).To(HaveKey("w1"), "only the previous incarnation was released")
 	g.Expect(table.registrations["w1"].Born).To(Equal(int64(2)))
 }
@@ -74,8 +74,9 @@
 	value, err := json.Marshal(job)
 	g.Expect(err).NotTo(HaveOccurred())
 	final := workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: 7, FinishedOccurrences: 1}
-	ended, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}})
+	encoded, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}}, defaultMaxRequestBytes)
 	g.Expect(err).NotTo(HaveOccurred())
+	ended := encoded.records
 
 	running, restarted := newJobTable(), newJobTable()
 	running.apply(withOffsets(0, append([]store.Record{{Key: jobKeyPrefix + job.ID, Value: value}}, ended...)...), 3)
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -28,6 +28,9 @@
 	// batchShareDivisor is the divisor of the largest request: a batch grows
 	// until it takes this part of it.
 	batchShareDivisor = 2
+	// maxRejectedAttempts is how often an append is attempted that the store rejects for
+	// good.
+	maxRejectedAttempts = 3
 )
 
 // unknownOffset is the first offset of a write that was carried out but whose
@@ -45,14 +48,16 @@
 	token    int64
 	sequence int64
 	// appendTimeout bounds the wait for the reply of the store. It grows while the store is slow.
-	appendTimeout   time.Duration
-	maxRequestBytes int
+	appendTimeout time.Duration
+	limits        appendLimits
 	// cancelOnRecovery returns a context that also ends when the store is
 	// reachable again.
 	cancelOnRecovery func(context.Context) (context.Context, context.CancelFunc)
 	count            func(kind, reason string)
 	log              logrus.FieldLogger
 	queue            chan *pendingWrite
+	// postponed is a queued write that did not fit into the last batch, or nil.
+	postponed *pendingWrite
 	// termEnded, if not nil, is closed when the term is over. An append in
 	// flight is still waited for, since its reply tells whether it was carried
 	// out, and no other is started.
@@ -68,20 +73,66 @@
 	firstOffset int64
 }
 
-func newJobLogWriter(s store.Store, token int64, maxRequestBytes int, r *failoverReader, log logrus.FieldLogger, count func(kind, reason string), onWritten func(recordsWritten)) *jobLogWriter {
-	return &jobLogWriter{store: s, cancelOnRecovery: r.cancelOnRecovery, token: token, appendTimeout: minAppendTimeout, maxRequestBytes: max(maxRequestBytes, 1<<16), log: log, count: count, onWritten: onWritten,
+func newJobLogWriter(s store.Store, token int64, limits appendLimits, r *failoverReader, log logrus.FieldLogger, count func(kind, reason string), onWritten func(recordsWritten)) *jobLogWriter {
+	return &jobLogWriter{store: s, cancelOnRecovery: r.cancelOnRecovery, token: token, appendTimeout: minAppendTimeout, limits: limits, log: log, count: count, onWritten: onWritten,
 		queue: make(chan *pendingWrite, writeQueueSize)}
 }
 
 // append queues the records and waits for the result. It returns
-// store.ErrNotExecuted, store.ErrFenced or store.ErrOutcomeUnknown.
+// store.ErrNotExecuted, store.ErrRejected, store.ErrFenced or store.ErrOutcomeUnknown.
 func (w *jobLogWriter) append(ctx context.Context, records []store.Record) (int64, error) {
 	return w.enqueue(records).wait(ctx)
 }
 
-// enqueue queues the records behind those already queued.
+// appendInOrder appends the records in as many appends as their size requires. If the store
+// rejects one for good, its records are appended one by one. It returns the keys of the
+// records that can't be written, and the same errors as append but store.ErrRejected.
+func (w *jobLogWriter) appendInOrder(ctx context.Context, records []store.Record) (rejected []string, err error) {
+	for len(records) > 0 {
+		group := w.fittingRecords(records)
+		_, err := w.append(ctx, group)
+		switch {
+		case errors.Is(err, store.ErrRejected) && len(group) > 1:
+			for i := range group {
+				more, err := w.appendInOrder(ctx, group[i:i+1])
+				if err != nil {
+					return rejected, err
+				}
+				rejected = append(rejected, more...)
+			}
+		case errors.Is(err, store.ErrRejected):
+			w.log.WithError(err).WithField("record", largestRecord(group)).Error("a record can't be written")
+			w.count("loss", "record-rejected")
+			rejected = append(rejected, group[0].Key)
+		case err != nil:
+			return rejected, err
+		}
+		records = records[len(group):]
+	}
+	return rejected, nil
+}
+
+// fittingRecords returns the first records, at least one, that fit into an append.
+func (w *jobLogWriter) fittingRecords(records []store.Record) []store.Record {
+	size := 0
+	for i, r := range records {
+		if size += totalBytes(splitRecord(r, w.limits.record)); size > w.limits.request && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
+// enqueue queues the records behind those already queued, and splits those that are too
+// large for one record.
 func (w *jobLogWriter) enqueue(records []store.Record) *pendingWrite {
-	x := &pendingWrite{records: records, done: make(chan error, 1)}
+	x := &pendingWrite{records: splitRecords(records, w.limits.record), done: make(chan error, 1)}
+	if size := totalBytes(x.records); size > w.limits.request {
+		w.log.WithFields(logrus.Fields{"bytes": size, "largest": largestRecord(records)}).Error("records are too large for an append")
+		w.count("refusal", "records-too-large")
+		x.done <- errors.WithStack(store.ErrRejected)
+		return x
+	}
 	select {
 	case w.queue <- x:
 	default:
@@ -105,41 +156,76 @@
 // another writer has taken over. Writes still queued then are not written.
 func (w *jobLogWriter) run(ctx context.Context) error {
 	for {
-		var batch []*pendingWrite
-		select {
-		case x := <-w.queue:
-			batch = w.collectBatch(x)
-		case <-w.termEnded:
-			w.failQueued(store.ErrNotExecuted)
-			return nil
-		case <-ctx.Done():
+		first, ok := w.next(ctx)
+		if !ok {
 			w.failQueued(store.ErrNotExecuted)
 			return nil
 		}
-		attempts, err := w.appendBatch(ctx, batch)
-		outcome := err
-		if attempts == 1 && errors.Is(err, store.ErrFenced) {
-			outcome = errors.WithStack(store.ErrNotExecuted) // the only append sent was refused
-		}
-		for _, x := range batch {
-			x.done <- outcome
-		}
-		if err != nil && w.token != 0 {
+		if err := w.write(ctx, w.collectBatch(first)); err != nil && w.token != 0 {
 			w.failQueued(store.ErrNotExecuted)
 			return err
 		}
 	}
 }
 
+// next waits for a queued write. It returns false when the context or the term ends.
+func (w *jobLogWriter) next(ctx context.Context) (*pendingWrite, bool) {
+	if x := w.postponed; x != nil && !w.isStopped(ctx) {
+		w.postponed = nil
+		return x, true
+	}
+	select {
+	case x := <-w.queue:
+		return x, true
+	case <-w.termEnded:
+	case <-ctx.Done():
+	}
+	return nil, false
+}
+
+// write appends a batch and completes its writes. If the store rejects it for good, each
+// write is appended by itself, so that one that can't be written doesn't hold up the
+// others. An error means that the writer can't go on.
+func (w *jobLogWriter) write(ctx context.Context, batch []*pendingWrite) error {
+	attempts, err := w.appendBatch(ctx, batch)
+	if errors.Is(err, store.ErrRejected) && len(batch) > 1 {
+		for i := range batch {
+			if err := w.write(ctx, batch[i:i+1]); err != nil {
+				completeAll(batch[i+1:], errors.WithStack(store.ErrNotExecuted))
+				return err
+			}
+		}
+		return nil
+	}
+	outcome := err
+	if attempts == 1 && errors.Is(err, store.ErrFenced) {
+		outcome = errors.WithStack(store.ErrNotExecuted) // the only append sent was refused
+	}
+	completeAll(batch, outcome)
+	if errors.Is(err, store.ErrRejected) {
+		return nil
+	}
+	return err
+}
+
+func completeAll(batch []*pendingWrite, outcome error) {
+	for _, x := range batch {
+		x.done <- outcome
+	}
+}
+
 // collectBatch collects queued writes up to the size limit of a batch.
 func (w *jobLogWriter) collectBatch(first *pendingWrite) []*pendingWrite {
 	batch := []*pendingWrite{first}
-	size := first.estimatedBytes()
-	for size < w.maxRequestBytes/batchShareDivisor {
+	size := totalBytes(first.records)
+	for size < w.limits.request/batchShareDivisor {
 		select {
 		case x := <-w.queue:
+			if size += totalBytes(x.records); size > w.limits.request {
+				w.postponed = x
+				return batch
+			}
 			batch = append(batch, x)
-			size += x.estimatedBytes()
 		default:
 			return batch
 		}
@@ -147,19 +233,12 @@
 	return batch
 }
 
-// recordOverheadBytes is the maximum size of a record beyond its value.
-const recordOverheadBytes = 64
-
-func (x *pendingWrite) estimatedBytes() int {
-	n := 0
-	for _, r := range x.records {
-		n += len(r.Value) + recordOverheadBytes
-	}
-	return n
-}
-
 // failQueued completes all queued writes with the error.
 func (w *jobLogWriter) failQueued(err error) {
+	if x := w.postponed; x != nil {
+		w.postponed = nil
+		x.done <- err
+	}
 	for {
 		select {
 		case x := <-w.queue:
@@ -171,7 +250,7 @@
 }
 
 // appendBatch appends a batch. With a token, it retries until the append is
-// known to be done. It returns the number of attempts.
+// known to be done or to be rejected for good. It returns the number of attempts.
 func (w *jobLogWriter) appendBatch(ctx context.Context, batch []*pendingWrite) (int, error) {
 	var records []store.Record
 	for _, x := range batch {
@@ -179,8 +258,10 @@
 	}
 	w.sequence++
 	startedAt := time.Now()
+	answered := true
 	for attempt := 1; ; attempt++ {
 		res, err := w.tryAppend(ctx, records)
+		answered = answered && !errors.Is(err, store.ErrOutcomeUnknown)
 		var seq *store.SequenceError
 		switch {
 		case err == nil:
@@ -198,11 +279,16 @@
 				x.firstOffset = unknownOffset
 			}
 			return attempt, nil // an earlier attempt was carried out; its records come back with the next read
+		case errors.Is(err, store.ErrRejected) && attempt >= maxRejectedAttempts && answered:
+			w.sequence-- // nothing has used it
+			return attempt, err
+		case errors.Is(err, store.ErrRejected) && attempt >= maxRejectedAttempts:
+			return attempt, errors.WithStack(store.ErrOutcomeUnknown)
 		case w.isStopped(ctx) && attempt == 1 && errors.Is(err, store.ErrNotExecuted):
 			return attempt, err
 		case w.isStopped(ctx):
 			return attempt, errors.WithStack(store.ErrOutcomeUnknown)
-		case w.token == 0 && (attempt == maxAppendAttempts || !errors.Is(err, store.ErrNotExecuted)):
+		case w.token == 0 && (attempt == maxAppendAttempts || !errors.Is(err, store.ErrNotExecuted) || errors.Is(err, store.ErrRejected)):
 			return attempt, err
 		}
 		if attempt == 1 && errors.Is(err, store.ErrRejected) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,8 +124,9 @@
 	n.storeReader = newFailoverReader(deps.Store, deps.Peers, n.peerAddresses, deps.Count)
 	n.updateClaimDeferral(nil)
 	n.inspector.latest.Store(&Inspection{superseded: make(chan struct{})})
-	direct := newJobLogWriter(deps.Store, 0, settings.MaxRequestBytes, n.storeReader, log, deps.Count, nil)
+	direct := newJobLogWriter(deps.Store, 0, newAppendLimits(&settings), n.storeReader, log, deps.Count, nil)
 	n.desk = newJobAPI(direct, t, deps.Count, n.writeAtLeader)
+	n.desk.maxValueBytes = direct.limits.maxValueBytes()
 	n.desk.leaderCanWrite = n.leaderCanWrite
 	n.catcher = newReadCoalescer(func(ctx context.Context) {
 		n.send(ctx, jobsRead{readOnce(ctx, n.storeReader, feed{partition: jobsPartition}, n.table.position())})
--- a/internal/node/readcounts_test.go
+++ b/internal/node/readcounts_test.go
@@ -116,7 +116,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		written := make(chan recordsWritten, 1)
-		w := newJobLogWriter(&lostReplyStore{}, 3, 0, &failoverReader{recovered: make(chan struct{})}, log, func(string, string) {}, func(ev recordsWritten) { written <- ev })
+		w := newJobLogWriter(&lostReplyStore{}, 3, newAppendLimits(&Settings{}), &failoverReader{recovered: make(chan struct{})}, log, func(string, string) {}, func(ev recordsWritten) { written <- ev })
 		go func() { _ = w.run(ctx) }()
 		startedAt := time.Now()
 		_, err := w.append(ctx, []store.Record{{Key: "p/1"}})
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -201,9 +201,9 @@
 			continue
 		}
 		ended, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Summary: job.Summary(),
-			Progress: workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, FinishedOccurrences: 1}}}})
+			Progress: workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, FinishedOccurrences: 1}}}}, defaultMaxRequestBytes)
 		s.Expect(err).NotTo(HaveOccurred())
-		records = append(records, ended...)
+		records = append(records, ended.records...)
 	}
 	s.log.Put(jobsPartition, records...)
 }
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -17,6 +17,25 @@
 	FinishedOccurrences int `json:"n,omitempty"`
 	// Occurrences holds the later occurrences that have progress.
 	Occurrences []OccurrenceProgress `json:"o,omitempty"`
+	// FinishedLater is the set of later occurrences that are finished, counted from
+	// FinishedOccurrences, if they are too many for Occurrences.
+	FinishedLater Bitmap `json:"l,omitempty"`
+}
+
+// WithoutCheckpoints returns a copy without the checkpoints of tasks.
+func (p Progress) WithoutCheckpoints() Progress {
+	occurrences := make([]OccurrenceProgress, len(p.Occurrences))
+	for i, o := range p.Occurrences {
+		steps := make([]StepProgress, len(o.Steps))
+		for k, s := range o.Steps {
+			s.Checkpoints = nil
+			steps[k] = s
+		}
+		o.Steps = steps
+		occurrences[i] = o
+	}
+	p.Occurrences = occurrences
+	return p
 }
 
 // OccurrenceProgress is the progress of one occurrence.
