--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -290,7 +290,7 @@
 	t.trialSeen(false)
 	c.saveCheckpoint(t, e.Checkpoint, e.Run)
 	if e.How == worker.Done {
-		t.step.occurrence.job.forgetFailures()
+		t.step.occurrence.job.recordSuccess()
 		if h.health.recordSuccess() {
 			c.recordDecision(Decision{Kind: "worker-restored", Worker: h.info.ID, Job: e.Task.Job, Reason: "a task is done"})
 		}
@@ -301,7 +301,7 @@
 	}
 	if e.How == worker.Failed {
 		j := t.step.occurrence.job
-		if h.health.recordFailure(c.now, j, r != nil && r.isProbe(), j.failedElsewhere(h.info.ID)) {
+		if h.health.recordFailure(c.now, j, r != nil && r.isProbe(), j.recordFailure(h.info.ID)) {
 			c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Job: e.Task.Job, Reason: "its tasks fail", Age: h.health.quarantineLength})
 		}
 		c.runFailed(t, h, e.Run)
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,61 +67,6 @@
 	call(ctx)
 }
 
-const (
-	// commitBytesPerSecond bounds the rate of the commits that are larger than
-	// smallCommitBytes: every node reads what is written.
-	commitBytesPerSecond = 2 << 20
-	smallCommitBytes     = 64 << 10
-)
-
-// commit writes the records of the dispatcher's commit, in order. Those that can never be
-// written are left out and reported.
-func (n *Node) commit(t *term, e dispatch.Commit, reply func(dispatch.Event)) {
-	limits := t.writer.limits
-	encoded, err := commitRecords(e, limits.maxValueBytes())
-	if err != nil {
-		n.log.WithError(err).Error("a commit can't be encoded")
-		reply(dispatch.Committed{Number: e.Number, Failed: true})
-		return
-	}
-	for _, key := range encoded.trimmed {
-		n.deps.Count("loss", "record-trimmed")
-		n.log.WithField("record", key).Warn("a record is too large to be written whole")
-	}
-	if wait := time.Until(t.nextCommitAt); wait > 0 {
-		sleepContext(t.ctx, wait)
-	}
-	records := n.table.removeSurplusParts(encoded.records, limits.record)
-	began, size := time.Now(), totalBytes(records)
-	rejected, err := t.writer.appendInOrder(t.ctx, records)
-	if err != nil {
-		n.deps.Count("loss", "commit-"+errorReason(err))
-		reply(dispatch.Committed{Number: e.Number, Failed: true})
-		return
-	}
-	if size > smallCommitBytes {
-		t.nextCommitAt = began.Add(time.Duration(size) * time.Second / commitBytesPerSecond)
-	}
-	n.deps.Observe("commit", time.Since(began))
-	n.observeCompletionDelay(e)
-	reply(rejectedCommit(e.Number, append(rejected, encoded.rejected...)))
-}
-
-// rejectedCommit returns the result of a commit whose records with the given keys can't be
-// written.
-func rejectedCommit(number int64, keys []string) dispatch.Committed {
-	ev := dispatch.Committed{Number: number}
-	for _, key := range keys {
-		if id, ok := strings.CutPrefix(key, progressKeyPrefix); ok {
-			ev.RejectedJobs = append(ev.RejectedJobs, id)
-		}
-		if id, ok := strings.CutPrefix(key, workerKeyPrefix); ok {
-			ev.RejectedWorkers = append(ev.RejectedWorkers, id)
-		}
-	}
-	return ev
-}
-
 // logDecisions logs the dispatcher's decisions and records their queueing times.
 func (n *Node) logDecisions(decisions []dispatch.Decision) {
 	for _, d := range decisions {
--- a/internal/node/splitvalue_test.go
+++ b/internal/node/splitvalue_test.go
@@ -223,7 +223,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(rejected).To(Equal([]string{"p/bad"}))
 		g.Expect(s.keys).To(Equal([]string{"j/1", "p/1", "w/1"}))
-		g.Expect(rejectedCommit(7, append(rejected, "w/bad"))).To(Equal(dispatch.Committed{Number: 7, RejectedJobs: []string{"bad"}, RejectedWorkers: []string{"bad"}}))
+		g.Expect(committedEvent(7, append(rejected, "w/bad"))).To(Equal(dispatch.Committed{Number: 7, RejectedJobs: []string{"bad"}, RejectedWorkers: []string{"bad"}}))
 	})
 }
 
