--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -56,7 +56,8 @@
 	Submit(ctx context.Context, q *workflow.Queue, job workflow.Job) Outcome
 	// State returns a job's state.
 	State(ctx context.Context, q *workflow.Queue, id string) (workflow.State, Outcome)
-	// Cancel cancels a job. OK means that the cancellation is durably stored.
+	// Cancel cancels a job. OK means that the cancellation is durably stored. So does
+	// JobNotFound: a Submit that is still being stored, or comes later, doesn't run.
 	Cancel(ctx context.Context, q *workflow.Queue, id string) Outcome
 	// Pending returns the number of jobs of the queue that have no started task.
 	Pending(ctx context.Context, q *workflow.Queue) (int, Outcome)
