--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -6,6 +6,9 @@
 	// failuresToQuarantine is how many jobs in a row must fail on a worker before
 	// it is quarantined.
 	failuresToQuarantine = 2
+	// maxQuarantinedDivisor bounds the workers on probation after failures: the workers of the
+	// pool divided by it.
+	maxQuarantinedDivisor = 2
 	// failureMemory is how long a failure counts if nothing succeeds or fails after it.
 	failureMemory = 30 * time.Second
 	// minQuarantine is the duration of the first quarantine. It doubles each time.
@@ -31,8 +34,8 @@
 	probing bool
 }
 
-// recordFailure counts a failed task of a job and reports whether it begins a quarantine.
-// On probation, only a probe counts, and only if its job hasn't failed on other workers.
+// recordFailure counts a failed task of a job and reports whether it is reason for a
+// quarantine. On probation, only a probe counts, and only if its job hasn't failed on other workers.
 func (q *health) recordFailure(now time.Duration, job *job, probe, elsewhere bool) bool {
 	if q.probing && (!probe || elsewhere) {
 		return false
@@ -46,11 +49,7 @@
 	}
 	q.lastFailedJob = job.def.ID
 	q.failures++
-	if q.failures < failuresToQuarantine && !q.probing {
-		return false
-	}
-	q.quarantine(now)
-	return true
+	return q.failures >= failuresToQuarantine || q.probing
 }
 
 // quarantine keeps new work away for a time that doubles until a task succeeds.
@@ -59,6 +58,34 @@
 	q.quarantinedUntil, q.probing = now+q.quarantineLength, true
 }
 
+// isolate quarantines a worker, unless too many are on probation already.
+func (c *Core) isolate(h *host, job, reason string) {
+	if !c.mayQuarantine(h) {
+		c.reasons["quarantine-withheld"]++
+		return
+	}
+	h.health.quarantine(c.now)
+	c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Job: job, Reason: reason, Age: h.health.quarantineLength})
+}
+
+// mayQuarantine reports whether enough other workers of the pool are not on probation. A fault
+// that shows on most workers lies with the work.
+func (c *Core) mayQuarantine(h *host) bool {
+	if h.health.probing {
+		return true
+	}
+	probing, all := 1, 0
+	for _, x := range c.pools[h.info.Pool] {
+		if x.listed && !x.contactLost() {
+			all++
+		}
+		if x != h && x.health.probing {
+			probing++
+		}
+	}
+	return probing*maxQuarantinedDivisor <= all
+}
+
 // recordSuccess forgets all failures and reports whether it ends a probation.
 func (q *health) recordSuccess() bool {
 	restored := q.probing
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -302,7 +302,7 @@
 	if e.How == worker.Failed {
 		j := t.step.occurrence.job
 		if h.health.recordFailure(c.now, j, r != nil && r.isProbe(), j.recordFailure(h.info.ID)) {
-			c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Job: e.Task.Job, Reason: "its tasks fail", Age: h.health.quarantineLength})
+			c.isolate(h, e.Task.Job, "its tasks fail")
 		}
 		c.runFailed(t, h, e.Run)
 	}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -58,9 +58,8 @@
 			}
 		}
 		if stalled >= stallsToQuarantine {
-			h.health.quarantine(c.now)
+			c.isolate(h, "", "its tasks stand still")
 			c.round++
-			c.recordDecision(Decision{Kind: "worker-isolated", Worker: h.info.ID, Reason: "its tasks stand still"})
 		}
 	}
 }
