--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -13,9 +13,9 @@
 
 const (
 	// commitBytesPerSecond bounds the rate of the commits that are larger than
-	// smallCommitBytes: every node reads what is written.
-	commitBytesPerSecond = 2 << 20
-	smallCommitBytes     = 64 << 10
+	// smallCommitBytes: every node reads what is written, some over links of 10 Mbit/s.
+	commitBytesPerSecond = 512 << 10
+	smallCommitBytes     = 128 << 10
 )
 
 // commit writes the records of the dispatcher's commit, in order. Those that can never be
