--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -9,7 +9,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
-// answerCommits queues the result of the newest commit, with the given jobs and workers
+// answerCommit queues the result of the newest commit, with the given jobs and workers
 // rejected.
 func (b *harness) answerCommit(jobs, workers []string) {
 	b.queuedEvents = append(b.queuedEvents, Committed{Number: b.commits[len(b.commits)-1].Number, RejectedJobs: jobs, RejectedWorkers: workers})
--- a/internal/dispatch/longrunning_test.go
+++ b/internal/dispatch/longrunning_test.go
@@ -22,13 +22,12 @@
 				Spec: "s", AcceptedMillis: b.now.Milliseconds(), Steps: []workflow.Step{{Count: 1, Size: workflow.Size{MilliCPU: 1000}, EstimateMillis: 400}}}})
 		}
 		b.advance(200 * time.Millisecond)
-		for _, w := range b.workers {
-			for _, r := range w.lists.Running {
-				if r.Task.Job[0] == 'u' {
-					w.end(r.Task, worker.Done)
-				}
+		b.endRuns(func(_, job string) worker.ExitStatus {
+			if job[0] == 'u' {
+				return worker.Done
 			}
-		}
+			return ""
+		})
 	}
 }
 
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,24 +24,32 @@
 		AcceptedMillis: b.now.Milliseconds(), Steps: []workflow.Step{step}}})
 }
 
-// failNewRuns lets every run of the given jobs fail, as a caller's fault would.
-func (b *harness) failNewRuns(jobs ...string) {
-	for _, w := range b.workers {
-		for _, r := range append([]worker.ActiveRun(nil), w.lists.Running...) {
-			for _, job := range jobs {
-				if r.Task.Job == job {
-					w.end(r.Task, worker.Failed)
-				}
+// endRuns ends the runs for which how returns a status, given the worker and the job.
+func (b *harness) endRuns(how func(workerID, job string) worker.ExitStatus) {
+	for id, w := range b.workers {
+		for _, r := range w.lists.Running {
+			if status := how(id, r.Task.Job); status != "" {
+				w.end(r.Task, status)
 			}
 		}
 	}
 }
 
+// failRuns lets every run of the given jobs fail, as a caller's fault would.
+func (b *harness) failRuns(jobs ...string) {
+	b.endRuns(func(_, job string) worker.ExitStatus {
+		if slices.Contains(jobs, job) {
+			return worker.Failed
+		}
+		return ""
+	})
+}
+
 // playFailing advances the time while all runs of the given jobs fail.
 func (b *harness) playFailing(d time.Duration, jobs ...string) {
 	for end := b.now + d; b.now < end; {
 		b.advance(100 * time.Millisecond)
-		b.failNewRuns(jobs...)
+		b.failRuns(jobs...)
 	}
 }
 
@@ -66,13 +75,12 @@
 	}
 	for end := b.now + probationBound; b.now < end; {
 		b.advance(200 * time.Millisecond)
-		for _, w := range b.workers {
-			for _, r := range append([]worker.ActiveRun(nil), w.lists.Running...) {
-				if r.Task.Job != "service" {
-					w.end(r.Task, worker.Done)
-				}
+		b.endRuns(func(_, job string) worker.ExitStatus {
+			if job == "service" {
+				return ""
 			}
-		}
+			return worker.Done
+		})
 	}
 	for i := range 4 {
 		b.Expect(b.startHosts(fmt.Sprint("sound", i))).To(HaveLen(1), "a sound job must start within %v", probationBound)
@@ -132,15 +140,12 @@
 	for i := range 30 {
 		b.acceptSized(fmt.Sprint("sound", i), "q", 300, workflow.Step{})
 		b.advance(200 * time.Millisecond)
-		for id, w := range b.workers {
-			for _, r := range append([]worker.ActiveRun(nil), w.lists.Running...) {
-				if id == "w1" {
-					w.end(r.Task, worker.Failed)
-				} else {
-					w.end(r.Task, worker.Done)
-				}
+		b.endRuns(func(workerID, _ string) worker.ExitStatus {
+			if workerID == "w1" {
+				return worker.Failed
 			}
-		}
+			return worker.Done
+		})
 	}
 	failed := 0
 	for _, s := range b.starts {
@@ -218,7 +223,7 @@
 	for i := range 12 {
 		b.acceptSized(fmt.Sprint("hopeless", i), "q", 100, workflow.Step{Count: 3, MaxPerWorker: 1})
 		b.advance(100 * time.Millisecond)
-		b.failNewRuns(fmt.Sprint("hopeless", i))
+		b.failRuns(fmt.Sprint("hopeless", i))
 	}
 	b.advance(100 * time.Millisecond)
 	isolated := map[string]bool{}
--- a/internal/emulator/log.go
+++ b/internal/emulator/log.go
@@ -22,9 +22,6 @@
 	PageRecords = 500
 	// PageBytes bounds the values of a page of the newest; one record always fits.
 	PageBytes = 1 << 20
-	// DefaultMaxRecordBytes and DefaultMaxRequestBytes bound a record and an append.
-	DefaultMaxRecordBytes  = 256 << 10
-	DefaultMaxRequestBytes = 2 << 20
 	// MaxReadWait is the longest wait of a read.
 	MaxReadWait = 30 * time.Second
 	// MaxAppendQueue is the longest time that appends may wait in line.
@@ -77,8 +74,8 @@
 	cfg.Retention = orDefault(cfg.Retention, DefaultRetention)
 	cfg.AppendTime = orDefault(cfg.AppendTime, DefaultAppendTime)
 	cfg.Latency = orDefault(cfg.Latency, DefaultLatency)
-	cfg.MaxRecordBytes = orDefault(cfg.MaxRecordBytes, DefaultMaxRecordBytes)
-	cfg.MaxRequestBytes = orDefault(cfg.MaxRequestBytes, DefaultMaxRequestBytes)
+	cfg.MaxRecordBytes = orDefault(cfg.MaxRecordBytes, store.DefaultMaxRecordBytes)
+	cfg.MaxRequestBytes = orDefault(cfg.MaxRequestBytes, store.DefaultMaxRequestBytes)
 	return &Log{
 		cfg:        cfg,
 		random:     rand.New(rand.NewPCG(cfg.Seed, 1)),
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -80,32 +80,29 @@
 	rejected []string
 }
 
-func (e *encodedCommit) add(key string, v any) (size int, err error) {
+func encodeRecord(key string, v any) (store.Record, error) {
 	b, err := json.Marshal(v)
-	if err != nil {
-		return 0, errors.Wrap(err, key)
-	}
-	e.records = append(e.records, store.Record{Key: key, Value: b})
-	return len(b), nil
+	return store.Record{Key: key, Value: b}, errors.Wrap(err, key)
 }
 
 // addTrimmed adds a record, or the one that smaller returns if it is larger than maxBytes. If
 // that one is too large as well, none is added.
 func (e *encodedCommit) addTrimmed(key string, maxBytes int, v any, smaller func() any) error {
-	size, err := e.add(key, v)
-	if err != nil || size <= maxBytes {
-		return err
+	r, err := encodeRecord(key, v)
+	trimmed := err == nil && len(r.Value) > maxBytes
+	if trimmed {
+		r, err = encodeRecord(key, smaller())
 	}
-	e.records = e.records[:len(e.records)-1]
-	if size, err = e.add(key, smaller()); err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if size <= maxBytes {
-		e.trimmed = append(e.trimmed, key)
+	case len(r.Value) > maxBytes:
+		e.rejected = append(e.rejected, key)
 		return nil
+	case trimmed:
+		e.trimmed = append(e.trimmed, key)
 	}
-	e.records = e.records[:len(e.records)-1]
-	e.rejected = append(e.rejected, key)
+	e.records = append(e.records, r)
 	return nil
 }
 
@@ -133,9 +130,11 @@
 		}
 		// A starting node reads the newest record of each key. The record of an ended job
 		// need not contain its tasks.
-		if _, err := out.add(jobKeyPrefix+p.ID, p.Summary); err != nil {
+		summary, err := encodeRecord(jobKeyPrefix+p.ID, p.Summary)
+		if err != nil {
 			return out, err
 		}
+		out.records = append(out.records, summary)
 	}
 	for _, e := range c.Registered {
 		if err := out.addTrimmed(workerKeyPrefix+e.Worker, maxBytes, e, func() any { return withoutRuns(e) }); err != nil {
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -427,7 +427,7 @@
 	out := make([]store.Record, 0, len(records))
 	for _, r := range records {
 		out = append(out, r)
-		for _, key := range t.splits.surplus(r.Key, len(splitRecord(r, maxBytes))-1) {
+		for _, key := range t.splits.surplus(r.Key, partCount(r, maxBytes)) {
 			out = append(out, store.Record{Key: key})
 		}
 	}
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -36,7 +36,7 @@
 // register its next one, and the release must come first in the log.
 func TestReleaseThenRegisterKeepsWorkerRegistered(t *testing.T) {
 	g := NewWithT(t)
-	encoded, err := commitRecords(dispatch.Commit{Registered: []dispatch.Registration{{Worker: "w1", Born: 2}}, Released: []string{"w1", "w2"}}, defaultMaxRequestBytes)
+	encoded, err := commitRecords(dispatch.Commit{Registered: []dispatch.Registration{{Worker: "w1", Born: 2}}, Released: []string{"w1", "w2"}}, store.DefaultMaxRequestBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	table := newJobTable()
 	table.apply(withOffsets(0, encoded.records...), int64(len(encoded.records)))
@@ -74,7 +74,7 @@
 	value, err := json.Marshal(job)
 	g.Expect(err).NotTo(HaveOccurred())
 	final := workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: 7, FinishedOccurrences: 1}
-	encoded, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}}, defaultMaxRequestBytes)
+	encoded, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}}, store.DefaultMaxRequestBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	ended := encoded.records
 
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -116,7 +116,7 @@
 func (w *jobLogWriter) fittingRecords(records []store.Record) []store.Record {
 	size := 0
 	for i, r := range records {
-		if size += totalBytes(splitRecord(r, w.limits.record)); size > w.limits.request && i > 0 {
+		if size += maxStoredBytes(r, w.limits.record); size > w.limits.request && i > 0 {
 			return records[:i]
 		}
 	}
@@ -279,11 +279,12 @@
 				x.firstOffset = unknownOffset
 			}
 			return attempt, nil // an earlier attempt was carried out; its records come back with the next read
-		case errors.Is(err, store.ErrRejected) && attempt >= maxRejectedAttempts && answered:
+		case errors.Is(err, store.ErrRejected) && attempt >= maxRejectedAttempts:
+			if !answered {
+				return attempt, errors.WithStack(store.ErrOutcomeUnknown)
+			}
 			w.sequence-- // nothing has used it
 			return attempt, err
-		case errors.Is(err, store.ErrRejected) && attempt >= maxRejectedAttempts:
-			return attempt, errors.WithStack(store.ErrOutcomeUnknown)
 		case w.isStopped(ctx) && attempt == 1 && errors.Is(err, store.ErrNotExecuted):
 			return attempt, err
 		case w.isStopped(ctx):
--- a/internal/node/splitvalue.go
+++ b/internal/node/splitvalue.go
@@ -20,14 +20,8 @@
 // partKeyPrefix begins the key of a part: its number and the key of the value follow.
 const partKeyPrefix = "x/"
 
-const (
-	// recordHeaderBytes is the size of a record beyond its key and value.
-	recordHeaderBytes = 8
-	// defaultMaxRecordBytes and defaultMaxRequestBytes are the limits of a store whose
-	// limits are not known.
-	defaultMaxRecordBytes  = 256 << 10
-	defaultMaxRequestBytes = 2 << 20
-)
+// recordHeaderBytes is the size of a record beyond its key and value.
+const recordHeaderBytes = 8
 
 // appendLimits are the limits of an append, in bytes.
 type appendLimits struct{ record, request int }
@@ -35,10 +29,10 @@
 func newAppendLimits(s *Settings) appendLimits {
 	l := appendLimits{s.MaxRecordBytes, s.MaxRequestBytes}
 	if l.record <= 0 {
-		l.record = defaultMaxRecordBytes
+		l.record = store.DefaultMaxRecordBytes
 	}
 	if l.request <= 0 {
-		l.request = defaultMaxRequestBytes
+		l.request = store.DefaultMaxRequestBytes
 	}
 	return l
 }
@@ -96,24 +90,52 @@
 	return n
 }
 
-// splitRecord returns the records in which a value is kept, given the maximum size of a
+// maxHeadBytes bounds the size of an encoded head.
+const maxHeadBytes = 64
+
+// partBytes is the size of the parts of a value, given the maximum size of a record.
+func partBytes(r store.Record, maxBytes int) int {
+	return max(maxBytes-recordBytes(store.Record{Key: partKey(r.Key, len(r.Value))}), 1)
+}
+
+// partCount returns the number of parts in which a value is kept, 0 if it fits into one
 // record.
-func splitRecord(r store.Record, maxBytes int) []store.Record {
+func partCount(r store.Record, maxBytes int) int {
 	if recordBytes(r) <= maxBytes {
-		return []store.Record{r}
+		return 0
 	}
-	size := max(maxBytes-recordBytes(store.Record{Key: partKey(r.Key, len(r.Value))}), 1)
-	var out []store.Record
-	for part := range slices.Chunk(r.Value, size) {
-		out = append(out, store.Record{Key: partKey(r.Key, len(out)), Value: part})
+	size := partBytes(r, maxBytes)
+	return (len(r.Value) + size - 1) / size
+}
+
+// maxStoredBytes bounds the size of the records in which a value is kept.
+func maxStoredBytes(r store.Record, maxBytes int) int {
+	parts := partCount(r, maxBytes)
+	if parts == 0 {
+		return recordBytes(r)
 	}
-	return append(out, store.Record{Key: r.Key, Value: valueHead{len(out), checksum(r.Value)}.encode()})
+	return recordBytes(r) + maxHeadBytes + parts*recordBytes(store.Record{Key: partKey(r.Key, parts)})
 }
 
+// splitRecords returns the records in which values are kept, given the maximum size of a
+// record.
 func splitRecords(records []store.Record, maxBytes int) []store.Record {
+	tooLarge := func(r store.Record) bool { return partCount(r, maxBytes) > 0 }
+	if !slices.ContainsFunc(records, tooLarge) {
+		return records
+	}
 	out := make([]store.Record, 0, len(records))
 	for _, r := range records {
-		out = append(out, splitRecord(r, maxBytes)...)
+		if !tooLarge(r) {
+			out = append(out, r)
+			continue
+		}
+		parts := 0
+		for part := range slices.Chunk(r.Value, partBytes(r, maxBytes)) {
+			out = append(out, store.Record{Key: partKey(r.Key, parts), Value: part})
+			parts++
+		}
+		out = append(out, store.Record{Key: r.Key, Value: valueHead{parts, checksum(r.Value)}.encode()})
 	}
 	return out
 }
@@ -141,34 +163,32 @@
 		return v.joinPart(key, i, r.Value)
 	}
 	head, isHead := decodeHead(r.Value)
-	s := v[r.Key]
 	if !isHead {
-		if s != nil {
-			s.head, s.parts = valueHead{}, nil
+		if s := v[r.Key]; s != nil {
+			s.head, s.parts = valueHead{}, map[int][]byte{}
 		}
 		return r, true
 	}
-	if s == nil {
-		s = &splitValue{stored: map[int]bool{}}
-		v[r.Key] = s
-	}
+	s := v.ensure(r.Key)
 	s.head, s.offset = head, r.Offset
 	return s.whole(r.Key)
 }
 
-func (v splitValues) joinPart(key string, i int, value []byte) (store.StoredRecord, bool) {
+func (v splitValues) ensure(key string) *splitValue {
 	s := v[key]
-	if len(value) == 0 {
-		v.dropPart(key, i)
-		return store.StoredRecord{}, false
-	}
 	if s == nil {
-		s = &splitValue{stored: map[int]bool{}}
+		s = &splitValue{parts: map[int][]byte{}, stored: map[int]bool{}}
 		v[key] = s
 	}
-	if s.parts == nil {
-		s.parts = map[int][]byte{}
+	return s
+}
+
+func (v splitValues) joinPart(key string, i int, value []byte) (store.StoredRecord, bool) {
+	if len(value) == 0 {
+		v.dropPart(key, i)
+		return store.StoredRecord{}, false
 	}
+	s := v.ensure(key)
 	s.stored[i], s.parts[i] = true, slices.Clone(value)
 	return s.whole(key)
 }
@@ -202,7 +222,7 @@
 	if checksum(value) != s.head.sum {
 		return store.StoredRecord{}, false
 	}
-	s.parts = nil
+	clear(s.parts)
 	return store.StoredRecord{Offset: s.offset, Record: store.Record{Key: key, Value: value}}, true
 }
 
--- a/internal/node/splitvalue_test.go
+++ b/internal/node/splitvalue_test.go
@@ -121,6 +121,11 @@
 				stale[k] = r
 			}
 			records := splitRecords(writer.removeSurplusParts([]store.Record{{Key: key, Value: []byte(value)}}, maxBytes), maxBytes)
+			if whole := (store.Record{Key: key, Value: []byte(value)}); len(value) > 0 {
+				stored := splitRecords([]store.Record{whole}, maxBytes)
+				g.Expect(partCount(whole, maxBytes)).To(Equal(len(stored) - 1))
+				g.Expect(maxStoredBytes(whole, maxBytes)).To(BeNumerically(">=", totalBytes(stored)))
+			}
 			batch := withOffsets(at, records...)
 			at += int64(len(records))
 			for _, r := range batch {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -60,6 +60,13 @@
 // view that is far behind catches up with each read.
 const MaxBatchBytes = 320 << 10
 
+// DefaultMaxRecordBytes and DefaultMaxRequestBytes are the limits of a record and of an append
+// where the platform doesn't state them.
+const (
+	DefaultMaxRecordBytes  = 256 << 10
+	DefaultMaxRequestBytes = 2 << 20
+)
+
 // Batch is a contiguous part of a partition.
 type Batch struct {
 	Records []StoredRecord
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -58,7 +58,7 @@
 	{"worker-returned", "events", "a worker answers that was taken for gone for the reason shown, and has run on since"},
 	{"worker-crashed", "events", "a worker with runs crashed; the reason tells how many, and how long after the newest start"},
 	{"worker-draining", "events", "a worker gets nothing new"},
-	{"worker-isolated", "events", "a worker gets nothing new for a while, since its tasks stand still or fail; after failures the age is how long"},
+	{"worker-isolated", "events", "a worker gets nothing new for a while, since its tasks stand still or fail; the age is how long"},
 	{"worker-restored", "events", "a worker on probation gets any work again, for the reason shown"},
 	{"worker-evacuating", "events", "a worker gets nothing new and its runs are moved, since its machine is to be taken away"},
 	{"answers-late", "events", "workers' answers reach the holder late on the whole; the age is by how much: it is short of processor time, or the links are slow"},
