--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 for program in target/mimosaspool-node target/review-standin-2; do
 	[ -x "$program" ] || { echo "$program isn't built"; exit 2; }
 done
-exec target/review-standin-2 late-reborn review/6 target/mimosaspool-node
+exec target/review-standin-2 late-reborn review/7 target/mimosaspool-node
