--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -55,6 +55,13 @@
 	s.part(topic + "/0").append([][]byte{append(append([]byte{byte(len(key))}, key...), b...)})
 }
 
+// drop removes a key, as the platform does with the entry of a runner that is gone.
+func (s *logStore) drop(topic, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part(topic + "/0").append([][]byte{append([]byte{byte(len(key))}, key...)})
+}
+
 func (p *logPart) append(records [][]byte) {
 	for _, r := range records {
 		if len(r) > 0 && len(r) > int(r[0]) {
