--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -61,6 +61,7 @@
 // cases are the cases by their names.
 var cases = map[string]func(*site){
 	"replaced-then-lost": replacedThenLost,
+	"lost-then-stops":    lostThenStops,
 }
 
 func main() {
