--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,6 +86,8 @@
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
 	durations         []time.Duration
+	// nextTakeoverReport is when reportTakeover may next report.
+	nextTakeoverReport time.Duration
 	// barrier is set while runs started by a previous leader may be unknown.
 	barrier bool
 	// rackCrashes and recentCrashes hold the recent crashes of workers.
@@ -147,6 +149,7 @@
 	}
 	c.expireLeases()
 	c.liftBarrier()
+	c.reportTakeover()
 	c.activateOccurrences()
 	c.retryOrders()
 	c.reportDelay()
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -453,6 +453,7 @@
 		}
 		if h.inherited && !h.fenced {
 			h.inherited = false
+			c.recordDecision(Decision{Kind: "former-leases-lapsed", Worker: h.info.ID, Age: c.now - c.termStart})
 		}
 	}
 }
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -66,3 +67,43 @@
 	slices.SortFunc(times, order)
 	return times[need-1], true
 }
+
+// takeoverReportDelay is how long a takeover may take before what it waits for is
+// reported, takeoverReportInterval the time between two such reports.
+const (
+	takeoverReportDelay    = time.Second
+	takeoverReportInterval = 5 * time.Second
+)
+
+// reportTakeover reports at intervals what work that may run unseen still waits for.
+func (c *Core) reportTakeover() {
+	if c.now < max(c.nextTakeoverReport, c.termStart+takeoverReportDelay) {
+		return
+	}
+	c.nextTakeoverReport = c.now + takeoverReportInterval
+	voters, fenced, unfenced, unknown := 0, 0, 0, 0
+	for _, h := range c.sortedHosts {
+		if h.registered || h.registering {
+			voters++
+		}
+		if h.fencedAt > 0 && (h.registered || h.registering) {
+			fenced++
+		}
+		if h.inherited && !h.fenced {
+			unfenced++
+			if h.contact == contactNormal {
+				unknown++
+			}
+		}
+	}
+	if unfenced == 0 {
+		return
+	}
+	ended := "may still be confirmed by workers"
+	if at, ok := c.previousLeaderEnded(); ok {
+		ended = fmt.Sprintf("have ended %d ms ago", (c.now - at).Milliseconds())
+	}
+	c.recordDecision(Decision{Kind: "takeover-waits", Age: c.now - c.termStart, Reason: fmt.Sprintf(
+		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d registered workers fenced; previous leaders %s; %d tasks may run unseen",
+		unfenced, unknown, fenced, voters, ended, len(c.suspectTasks))})
+}
