--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -24,6 +24,8 @@
 	next     batch
 	// urgent is set if the next commit must not wait for more changes.
 	urgent bool
+	// successionRecorded is set once the log holds this leader's Succession.
+	successionRecorded bool
 	// ended holds ended jobs, in order of their ends.
 	ended []*job
 	// dueAt is the latest time at which the next batch must be sent.
@@ -32,20 +34,24 @@
 
 // batch is the contents of one commit.
 type batch struct {
-	jobs     []*job
-	workers  []workerRecord
+	jobs []*job
+	// workers are to be recorded, recorded holds what the records state once they are
+	// made.
+	workers  []*host
+	recorded map[*host]workerRecord
 	ends     []endsRecord
-	released []string
+	released []*host
 	// purged holds the IDs of jobs whose records are to be removed.
 	purged  []string
 	crashes []*crashHistory
 }
 
-// workerRecord is a worker whose incarnation is recorded, with the contact state
-// that the record states.
+// workerRecord is what the record of a worker's incarnation states.
 type workerRecord struct {
-	host    *host
 	contact contactRecord
+	voter   bool
+	// engages is set if the record names this leader as the one that gives orders.
+	engages bool
 }
 
 // endsRecord is a worker whose ends up to lastEnd have their effects in the same
@@ -78,7 +84,8 @@
 
 // recordWorker queues a record of the worker's incarnation and commits it at once.
 func (m *commits) recordWorker(h *host) {
-	m.next.workers = append(m.next.workers, workerRecord{host: h})
+	h.recordQueued = true
+	m.next.workers = append(m.next.workers, h)
 	m.urgent = true
 }
 
@@ -89,7 +96,7 @@
 	m.urgent = true
 }
 
-func (m *commits) release(worker string) { m.next.released = append(m.next.released, worker) }
+func (m *commits) release(h *host) { m.next.released = append(m.next.released, h) }
 
 // recordEnds queues a record of the worker's ends, so that the worker may discard
 // them once the record is committed.
@@ -116,7 +123,13 @@
 	m.number++
 	m.inFlight, m.urgent, m.dueAt = true, false, 0
 	m.sent, m.next = m.next, batch{}
-	e := Commit{Number: m.number, Released: m.sent.released}
+	e := Commit{Number: m.number}
+	if !m.successionRecorded {
+		e.Succession = &Succession{Token: c.set.Token, LegacyToken: c.set.LegacyToken}
+	}
+	for _, h := range m.sent.released {
+		e.Released = append(e.Released, h.info.ID)
+	}
 	for _, j := range m.sent.jobs {
 		j.dirty = false
 		p := JobProgress{ID: j.def.ID, Progress: j.progress()}
@@ -132,23 +145,30 @@
 		n.lastEnd = n.host.lastEnd
 		included[n.host] = true
 	}
-	for i := range m.sent.workers {
-		x := &m.sent.workers[i]
-		x.contact = x.host.contact
-		included[x.host] = true
+	for _, h := range m.sent.workers {
+		included[h] = true
 	}
+	m.sent.recorded = map[*host]workerRecord{}
 	for _, h := range c.sortedHosts {
 		if included[h] {
-			e.Registered = append(e.Registered, h.registration())
+			m.sent.recorded[h] = workerRecord{h.contact, c.mayVote(h), h.fenced}
+			e.Registered = append(e.Registered, c.registration(h))
 		}
 	}
 	c.emit(e)
 }
 
-// registration returns the log record of the worker's incarnation.
-func (h *host) registration() Registration {
-	e := Registration{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Machine: h.info.Machine, Born: h.info.Born, LastEnd: h.lastEnd}
-	if h.contact == contactNormal || h.contact == contactRegainPending {
+// registration returns the log record of the worker's incarnation. Of one that has not
+// been fenced, the record of a previous leader stays in force.
+func (c *Core) registration(h *host) Registration {
+	if !h.fenced {
+		e := h.former
+		e.NonVoter = !c.mayVote(h)
+		return e
+	}
+	e := Registration{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Machine: h.info.Machine, Born: h.info.Born, LastEnd: h.lastEnd,
+		Leader: c.set.Token, NonVoter: !c.mayVote(h)}
+	if h.inContact() {
 		return e
 	}
 	e.Unreachable = true
@@ -182,16 +202,15 @@
 			m.ended = append(m.ended, j)
 		}
 	}
-	c.dirty = c.dirty || len(sent.workers) > 0
-	for _, x := range sent.workers {
-		if slices.Contains(ev.RejectedWorkers, x.host.info.ID) {
-			continue // it stays unregistered, and gets no work
-		}
-		x.host.registered, x.host.registering = true, false
-		if x.host.contact == x.contact {
-			x.host.contact = x.contact.recorded()
-		}
-		c.dirty = true
+	m.successionRecorded = true
+	for _, h := range sent.workers {
+		h.recordQueued = slices.Contains(m.next.workers, h)
+	}
+	for h, x := range sent.recorded {
+		c.workerRecorded(h, x, slices.Contains(ev.RejectedWorkers, h.info.ID))
+	}
+	for _, h := range sent.released {
+		h.voter = false
 	}
 	for _, k := range sent.crashes {
 		k.unrecorded = slices.Contains(m.next.crashes, k)
@@ -205,6 +224,23 @@
 	}
 }
 
+// workerRecorded applies that a worker's record is in the log. A worker whose record was
+// rejected stays as it was, and gets no work if this leader has not recorded it before.
+func (c *Core) workerRecorded(h *host, x workerRecord, rejected bool) {
+	if h.recordRejected = rejected; rejected {
+		return
+	}
+	h.registered, h.voter = true, x.voter
+	if x.engages && !h.engaged {
+		h.engaged, h.registering = true, false
+		c.dirty = true
+	}
+	if next := x.contact.recorded(); h.contact == x.contact && next != h.contact {
+		h.contact = next
+		c.dirty = true
+	}
+}
+
 func (c *Core) requeueCommit(sent batch) {
 	m := &c.commits
 	for _, j := range sent.jobs {
--- a/internal/dispatch/contact.go
+++ b/internal/dispatch/contact.go
@@ -28,13 +28,19 @@
 	return s
 }
 
+// inContact reports whether a record of the worker made now states that the leader is in
+// contact with it.
+func (h *host) inContact() bool {
+	return h.contact == contactNormal || h.contact == contactRegainPending
+}
+
 // recordContactChanges records lost and regained contact with workers. It records
 // nothing for a worker that this leader has not fenced yet, since it doesn't know
 // what runs there.
 func (c *Core) recordContactChanges() {
 	for _, h := range c.sortedHosts {
 		switch {
-		case (h.contactLost() || c.delisted(h)) && h.contact == contactNormal && h.registered && h.fenced:
+		case (h.contactLost() || c.delisted(h)) && h.contact == contactNormal && h.engaged && h.fenced:
 			h.contact = contactLossPending
 			c.recordDecision(Decision{Kind: "contact-lost", Worker: h.info.ID, Age: c.now - h.lastContact})
 			c.commits.recordWorker(h)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,6 +18,9 @@
 	// Token is the leader's fencing token. It is higher than that of any previous
 	// leader.
 	Token int64
+	// LegacyToken is the highest token of a leader that may have been of a version that
+	// records neither voters nor its token with the workers to which it gives orders.
+	LegacyToken int64
 	// TermOffset is the log offset from which on no previous leader has read any
 	// jobs.
 	TermOffset int64
@@ -85,7 +88,14 @@
 	// previousLeaderEnd is the time since which no previous leader can have had its
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
-	durations         []time.Duration
+	// formerVoters are the voters at the begin of the term, recordedVoters those that
+	// are recorded as such.
+	formerVoters, recordedVoters []*host
+	// workersConfirmUntil is the time until which the voters confirm the leadership, as
+	// computed in the round workersConfirmRound.
+	workersConfirmUntil time.Duration
+	workersConfirmRound int64
+	durations           []time.Duration
 	// nextTakeoverReport is when reportTakeover may next report.
 	nextTakeoverReport time.Duration
 	// barrier is set while runs started by a previous leader may be unknown.
@@ -154,6 +164,7 @@
 	c.retryOrders()
 	c.reportDelay()
 	c.recordContactChanges()
+	c.recordVoters()
 	c.checkRuns()
 	c.drainHosts()
 	c.evacuateHosts()
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -62,10 +62,7 @@
 
 func newHarness(t *testing.T, workers ...string) *harness {
 	b := &harness{WithT: NewWithT(t), now: time.Minute, workers: map[string]*testWorker{}}
-	set := Settings{Token: testToken, TermOffset: testOffset, Lease: 6 * time.Second, MaxLease: 10 * time.Second,
-		PreviousLeaderBound: 11500 * time.Millisecond, ConfirmationTTL: 5 * time.Second, StopTimeout: 2 * time.Second,
-		RemoteFactor: 2, StatusRetention: time.Minute}
-	b.core = New(set, b.now, b.now.Milliseconds())
+	b.core = New(testSettings(testToken), b.now, b.now.Milliseconds())
 	for _, id := range workers {
 		b.workers[id] = &testWorker{born: b.now - time.Second}
 		b.workers[id].lists.Born = 1
@@ -74,6 +71,12 @@
 	return b
 }
 
+func testSettings(token int64) Settings {
+	return Settings{Token: token, TermOffset: testOffset, Lease: 6 * time.Second, MaxLease: 10 * time.Second,
+		PreviousLeaderBound: 11500 * time.Millisecond, ConfirmationTTL: 5 * time.Second, StopTimeout: 2 * time.Second,
+		RemoteFactor: 2, StatusRetention: time.Minute}
+}
+
 // testInfo returns the list entry of a worker of one core.
 func testInfo(id string, born int64) worker.Info {
 	return worker.Info{ID: id, Address: id + ":1", Pool: "p", Machine: id + "-m", Born: born, Capacity: workflow.Size{MilliCPU: 1000}, Labels: []string{"std", "r1"}}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -49,6 +49,21 @@
 	// nothing but what Runs lists: the tasks that may still run there.
 	Unreachable bool     `json:"x,omitempty"`
 	Runs        []string `json:"r,omitempty"`
+	// Leader is the token of the last leader that may have started tasks or extended
+	// leases there, 0 if its version didn't record it.
+	Leader int64 `json:"t,omitempty"`
+	// NonVoter is set if the worker doesn't count in the majority of workers that
+	// confirms a leader.
+	NonVoter bool `json:"n,omitempty"`
+}
+
+// Succession is the log record of what a leader knows of its predecessors. A leader
+// writes it before it registers the first worker.
+type Succession struct {
+	// Token is the leader's token.
+	Token int64 `json:"t"`
+	// LegacyToken is that of its Settings.
+	LegacyToken int64 `json:"l,omitempty"`
 }
 
 // WorkerRegistered supplies a registration recorded by a previous leader.
@@ -177,6 +192,8 @@
 // Commit writes its records to the log, all or none. Its result is Committed.
 type Commit struct {
 	Number int64
+	// Succession, if not nil, is to be written before all other records.
+	Succession *Succession
 	// Progress holds the newest progress of jobs, by ID.
 	Progress []JobProgress
 	// Registered and Released are the worker incarnations on which tasks may run
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -52,7 +52,7 @@
 		heartbeat.Address = h.claim.address
 	}
 	// Leases on an unreachable worker are not extended, since they must expire.
-	if c.leadershipConfirmed() && h.clock > 0 && !h.contactLost() && len(h.runs) > 0 {
+	if h.engaged && c.leadershipConfirmed() && h.clock > 0 && !h.contactLost() && len(h.runs) > 0 {
 		heartbeat.DeadlineMillis = c.workerClock(h) + c.set.Lease.Milliseconds()
 		h.latestDeadline = max(h.latestDeadline, heartbeat.DeadlineMillis)
 	}
@@ -251,9 +251,10 @@
 	return max(lossyHeartbeatWait, time.Duration(len(c.sortedHosts))*time.Second/maxLossyHeartbeatsPerSecond)
 }
 
-// registerWorker records the incarnation before the first task is started on it.
+// registerWorker records the incarnation before this leader starts the first task or
+// extends a lease there.
 func (c *Core) registerWorker(h *host) {
-	if h.registered || h.registering {
+	if h.engaged || h.registering {
 		return
 	}
 	h.registering = true
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -31,10 +31,20 @@
 	// fenced is set once the worker has answered a heartbeat of this leader, after
 	// which no previous leader can act there.
 	fenced bool
-	// registered is set once the log records that the incarnation may run tasks,
-	// registering while that record is not committed yet.
-	registered  bool
+	// registered is set once the log records that the incarnation may run tasks.
+	registered bool
+	// engaged is set once the record names this leader as the last one that gives orders
+	// there, registering while that record is not committed yet.
+	engaged     bool
 	registering bool
+	// recordQueued is set while a record of the worker is not committed yet,
+	// recordRejected if the log can't hold the last one.
+	recordQueued, recordRejected bool
+	// voter is set while the record states that the worker counts in the majority of
+	// workers that confirms a leader.
+	voter bool
+	// former is the record that a previous leader left.
+	former Registration
 	// contact is what the log records about contact with the worker.
 	contact contactRecord
 	// free is the capacity less all runs that run, may run or are being stopped.
@@ -67,8 +77,9 @@
 	// nextInquiry is when the platform may be asked about the worker again, inquiryDelay
 	// the time from the last inquiry to then.
 	nextInquiry, inquiryDelay time.Duration
-	// fencedAt is when the first answer under this token arrived.
-	fencedAt time.Duration
+	// fencedAt is when the first answer under this token arrived, endedAt when it became
+	// certain that the incarnation has ended.
+	fencedAt, endedAt time.Duration
 	// confirmedAt is the send time of the last heartbeat answered under this token.
 	confirmedAt time.Duration
 	// lastEnd is the number of the last end that was processed, lastRecordedEnd of
@@ -213,7 +224,6 @@
 		}
 		if h == nil {
 			h = c.newHost(info)
-			h.registered = false
 			changed = true
 		}
 		changed = c.updateHost(h, info) || changed
@@ -274,7 +284,14 @@
 		}
 	}
 	h.answered = true
-	h.inherited, h.registered = true, true
+	h.inherited, h.registered, h.former = true, true, e
+	// A leader that recorded no voters counted all workers.
+	if h.voter = !e.NonVoter || e.Leader <= c.set.LegacyToken; h.voter {
+		c.formerVoters = append(c.formerVoters, h)
+	}
+	if !e.NonVoter {
+		c.recordedVoters = append(c.recordedVoters, h)
+	}
 	if e.Unreachable {
 		h.contact = contactLossRecorded
 		for _, name := range e.Runs {
@@ -395,8 +412,9 @@
 		c.loseRun(r, cause, reason)
 	}
 	delete(c.hosts, h.info.ID)
+	h.endedAt = c.now
 	if h.registered || h.registering {
-		c.commits.release(h.info.ID)
+		c.commits.release(h)
 	}
 	c.sortHosts()
 	for _, t := range culprits {
@@ -472,7 +490,7 @@
 
 // usable reports whether new work may be sent to the worker.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.registered && !h.restartClaimed() && h.drainingSince == 0 &&
+	return h.listed && h.fenced && h.engaged && !h.restartClaimed() && h.drainingSince == 0 &&
 		c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -91,7 +91,7 @@
 		return "no-contact"
 	case !h.fenced:
 		return "not-fenced"
-	case !h.registered:
+	case !h.engaged:
 		return "not-engaged"
 	}
 	return "resting"
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -8,13 +8,25 @@
 )
 
 // The leader may extend leases while the store confirms its leadership, or while
-// more than half of the registered workers answer heartbeats under its token. So
-// work goes on during an outage of the store.
+// more than half of the voters answer heartbeats under its token. So work goes on
+// during an outage of the store.
 //
-// A new leader fences the workers. Once it has fenced more than half, no previous
-// leader can be confirmed by a majority of workers. Since its own claim, none has
-// been confirmed by the store. The leases that a previous leader may have extended
-// on an unreachable worker are counted from that point.
+// A new leader fences the workers. Once it has fenced more than half of the voters
+// that it inherited, no previous leader can be confirmed by a majority of workers.
+// Since its own claim, none has been confirmed by the store. The leases that a
+// previous leader may have extended on an unreachable worker are counted from that
+// point.
+//
+// The voters are the registered workers with which the leader is in contact, as the
+// log records them. Workers that have left or are lost don't count, or the majority
+// might never come. Any majority of a previous leader shares a worker with the one
+// that ends it, because
+//
+//   - a leader whose record of a change is in flight needs a majority of the voters
+//     before and after that change;
+//   - until the previous leaders have ended, no worker becomes a voter, and one ceases
+//     to be a voter only once it has been fenced or its incarnation has ended, after
+//     which it can confirm no previous leader.
 
 // leadershipConfirmed reports whether leadership was confirmed recently enough to
 // extend leases.
@@ -22,9 +34,24 @@
 	if c.now < c.confirmedUntil {
 		return true
 	}
-	// Sorted newest first, the last answer of the majority is its oldest.
-	at, ok := c.majorityAt(func(h *host) time.Duration { return h.confirmedAt }, newestFirst)
-	return ok && c.now < at+c.set.ConfirmationTTL
+	if c.workersConfirmRound != c.round {
+		c.workersConfirmRound, c.workersConfirmUntil = c.round, c.confirmationByWorkers()
+	}
+	return c.now < c.workersConfirmUntil
+}
+
+// confirmationByWorkers returns until when the voters confirm the leadership.
+func (c *Core) confirmationByWorkers() time.Duration {
+	at, ok := majorityAt(c.voters((*host).isVoter), (*host).lastConfirmation, newestFirst)
+	if ok && c.commits.inFlight {
+		var after time.Duration
+		after, ok = majorityAt(c.voters(c.commits.sent.isVoter), (*host).lastConfirmation, newestFirst)
+		at = min(at, after)
+	}
+	if !ok {
+		return 0
+	}
+	return at + c.set.ConfirmationTTL
 }
 
 // previousLeaderEnded returns the time since which no previous leader can have its
@@ -33,41 +60,113 @@
 	if c.previousLeaderEnd > 0 {
 		return c.previousLeaderEnd, true
 	}
-	// Sorted oldest first, the last fence of the majority is the one that completes it.
-	at, ok := c.majorityAt(func(h *host) time.Duration { return h.fencedAt }, oldestFirst)
+	at, ok := fencedAt(c.formerVoters)
+	if ok && len(c.recordedVoters) < len(c.formerVoters) {
+		var recorded time.Duration
+		recorded, ok = fencedAt(c.recordedVoters)
+		at = max(at, recorded)
+	}
 	if ok {
 		c.previousLeaderEnd = max(at, c.termStart)
 	}
 	return c.previousLeaderEnd, ok
 }
 
+// fencedAt returns when the fence of a majority of the hosts was complete. No previous
+// leader can be confirmed by a majority of no hosts.
+func fencedAt(hosts []*host) (time.Duration, bool) {
+	if len(hosts) == 0 {
+		return 0, true
+	}
+	return majorityAt(hosts, (*host).barredAt, oldestFirst)
+}
+
 func newestFirst(a, b time.Duration) int { return cmp.Compare(b, a) }
 func oldestFirst(a, b time.Duration) int { return cmp.Compare(a, b) }
 
 // majorityAt returns the time, in the given order, that completes a majority of the
-// registered workers. A worker with time 0 counts only towards their total.
-func (c *Core) majorityAt(timeOf func(*host) time.Duration, order func(a, b time.Duration) int) (time.Duration, bool) {
-	times := c.durations[:0]
-	// Records in flight count, so that the majorities of both leaders overlap.
-	registered := len(c.commits.sent.released) + len(c.commits.next.released)
-	for _, h := range c.sortedHosts {
-		if !h.registered && !h.registering {
-			continue
-		}
-		registered++
+// hosts. A host with time 0 counts only towards their total.
+func majorityAt(hosts []*host, timeOf func(*host) time.Duration, order func(a, b time.Duration) int) (time.Duration, bool) {
+	times := make([]time.Duration, 0, len(hosts))
+	for _, h := range hosts {
 		if t := timeOf(h); t > 0 {
 			times = append(times, t)
 		}
 	}
-	c.durations = times
-	need := registered/2 + 1
-	if registered == 0 || len(times) < need {
+	need := len(hosts)/2 + 1
+	if len(times) < need {
 		return 0, false
 	}
 	slices.SortFunc(times, order)
 	return times[need-1], true
 }
 
+func (h *host) isVoter() bool { return h.voter }
+
+// lastConfirmation returns when the host last confirmed the leadership, or 0.
+func (h *host) lastConfirmation() time.Duration {
+	if h.endedAt > 0 {
+		return 0
+	}
+	return h.confirmedAt
+}
+
+// barredAt returns when it became certain that the host confirms no previous leader any
+// more, or 0.
+func (h *host) barredAt() time.Duration {
+	if h.fencedAt > 0 {
+		return h.fencedAt
+	}
+	return h.endedAt
+}
+
+// voters returns the incarnations that counts selects, among them ended ones that the
+// log still holds.
+func (c *Core) voters(counts func(*host) bool) []*host {
+	var out []*host
+	add := func(hosts []*host) {
+		for _, h := range hosts {
+			if counts(h) {
+				out = append(out, h)
+			}
+		}
+	}
+	add(c.sortedHosts)
+	add(c.commits.sent.released)
+	add(c.commits.next.released)
+	return out
+}
+
+// isVoter reports whether the incarnation is a voter once the batch is in the log.
+func (p *batch) isVoter(h *host) bool {
+	if x, ok := p.recorded[h]; ok {
+		return x.voter
+	}
+	return h.voter && !slices.Contains(p.released, h)
+}
+
+// mayVote reports whether a record of the worker made now states that it is a voter.
+func (c *Core) mayVote(h *host) bool {
+	_, ended := c.previousLeaderEnded()
+	if !h.fenced {
+		return h.voter && !(ended && h.contactLost())
+	}
+	return (h.voter || ended) && h.inContact()
+}
+
+// recordVoters records the workers that have become voters, or have ceased to be ones,
+// for other causes than a change of contact.
+func (c *Core) recordVoters() {
+	if _, ended := c.previousLeaderEnded(); !ended {
+		return
+	}
+	for _, h := range c.sortedHosts {
+		if h.registered && !h.recordQueued && !h.recordRejected && (h.engaged || !h.fenced) && h.voter != c.mayVote(h) {
+			c.commits.recordWorker(h)
+		}
+	}
+}
+
 // takeoverReportDelay is how long a takeover may take before what it waits for is
 // reported, takeoverReportInterval the time between two such reports.
 const (
@@ -81,14 +180,13 @@
 		return
 	}
 	c.nextTakeoverReport = c.now + takeoverReportInterval
-	voters, fenced, unfenced, unknown := 0, 0, 0, 0
-	for _, h := range c.sortedHosts {
-		if h.registered || h.registering {
-			voters++
-		}
-		if h.fencedAt > 0 && (h.registered || h.registering) {
+	fenced, unfenced, unknown := 0, 0, 0
+	for _, h := range c.formerVoters {
+		if h.barredAt() > 0 {
 			fenced++
 		}
+	}
+	for _, h := range c.sortedHosts {
 		if h.inherited && !h.fenced {
 			unfenced++
 			if h.contact == contactNormal {
@@ -104,6 +202,6 @@
 		ended = fmt.Sprintf("have ended %d ms ago", (c.now - at).Milliseconds())
 	}
 	c.recordDecision(Decision{Kind: "takeover-waits", Age: c.now - c.termStart, Reason: fmt.Sprintf(
-		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d registered workers fenced; previous leaders %s; %d tasks may run unseen",
-		unfenced, unknown, fenced, voters, ended, len(c.suspectTasks))})
+		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d voters fenced; previous leaders %s; %d tasks may run unseen",
+		unfenced, unknown, fenced, len(c.formerVoters), ended, len(c.suspectTasks))})
 }
--- /dev/null
+++ b/internal/dispatch/succession_test.go
@@ -0,0 +1,380 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// succession is a sequence of leaders over one log and one set of workers. The last
+// leader has the store; the ones before are cut off from it and go on.
+type succession struct {
+	now     time.Duration
+	leaders []*simLeader
+	workers map[string]*simWorker
+	// registrations and succession are the records in the log.
+	registrations map[string]Registration
+	succession    Succession
+}
+
+type simLeader struct {
+	core   *Core
+	token  int64
+	queued []Event
+	// unreachable holds the workers that the leader doesn't reach.
+	unreachable map[string]bool
+	// holdsCommits is set while the leader's commits get no answer.
+	holdsCommits bool
+	// storeDown is set while the store doesn't confirm the leadership.
+	storeDown bool
+	starts    []StartTask
+	stopped   bool
+}
+
+type simWorker struct {
+	born, token, deadline int64
+	// gone workers have left, and answer nobody.
+	gone    bool
+	running []worker.ActiveRun
+}
+
+func newSuccession(workers ...string) *succession {
+	s := &succession{now: time.Minute, workers: map[string]*simWorker{}, registrations: map[string]Registration{}}
+	for _, id := range workers {
+		s.addWorker(id)
+	}
+	return s
+}
+
+func (s *succession) addWorker(id string) {
+	s.workers[id] = &simWorker{born: s.now.Milliseconds() - 1000}
+}
+
+// clock is the worker's clock in milliseconds.
+func (w *simWorker) clock(now time.Duration) int64 { return now.Milliseconds() - w.born }
+
+// takeOver begins the term of the next leader, and returns it.
+func (s *succession) takeOver() *simLeader {
+	l := &simLeader{token: int64(100 * (len(s.leaders) + 1)), unreachable: map[string]bool{}}
+	set := testSettings(l.token)
+	set.LegacyToken = s.succession.LegacyToken
+	l.core = New(set, s.now, s.now.Milliseconds())
+	l.queued = append(l.queued, CatalogChanged{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p", Attempts: 2}}}})
+	for _, id := range sortedKeys(s.registrations) {
+		l.queued = append(l.queued, WorkerRegistered{s.registrations[id]})
+	}
+	s.leaders = append(s.leaders, l)
+	s.list()
+	return l
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var ids []string
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// list tells the last leader which workers there are.
+func (s *succession) list() {
+	var infos []worker.Info
+	for _, id := range sortedKeys(s.workers) {
+		if w := s.workers[id]; !w.gone {
+			infos = append(infos, testInfo(id, w.born))
+		}
+	}
+	l := s.leaders[len(s.leaders)-1]
+	l.queued = append(l.queued, WorkersListed{infos})
+}
+
+func (s *succession) leave(ids ...string) {
+	for _, id := range ids {
+		s.workers[id].gone, s.workers[id].running = true, nil
+	}
+	s.list()
+}
+
+// advance runs steps of all leaders until the given time has passed.
+func (s *succession) advance(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += tick {
+		for i, l := range s.leaders {
+			if l.stopped {
+				continue
+			}
+			events := l.queued
+			l.queued = nil
+			last := i == len(s.leaders)-1
+			if last && !l.storeDown {
+				events = append(events, LeadershipConfirmed{s.now + 5*time.Second})
+			}
+			for _, e := range l.core.Step(s.now, s.now.Milliseconds(), events...) {
+				s.answer(l, last, e)
+			}
+		}
+	}
+}
+
+func (s *succession) answer(l *simLeader, last bool, e Effect) {
+	switch e := e.(type) {
+	case StepDown:
+		l.stopped = true
+	case ListMachines:
+		l.queued = append(l.queued, MachinesListed{Failed: true})
+	case Commit:
+		if !last || l.storeDown {
+			return
+		}
+		s.commit(e)
+		if !l.holdsCommits {
+			l.queued = append(l.queued, Committed{Number: e.Number})
+		}
+	case SendHeartbeat:
+		ev := HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.Unknown, SentAt: s.now}
+		if w := s.reach(l, e.Heartbeat.Worker); w != nil {
+			if ev.Code = w.accept(l); ev.Code == worker.OK {
+				w.extend(s.now, e.Heartbeat.DeadlineMillis)
+				ev.Lists = worker.HeartbeatResponse{ClockMillis: w.clock(s.now), Born: w.born, Running: slices.Clone(w.running)}
+			}
+		}
+		l.queued = append(l.queued, ev)
+	case StartTask:
+		ev := StartAnswered{Worker: e.Start.Worker, Incarnation: e.Incarnation, Task: e.Start.Task, Run: e.Start.Run, Code: worker.Unknown}
+		if w := s.reach(l, e.Start.Worker); w != nil {
+			if ev.Code = w.accept(l); ev.Code == worker.OK {
+				w.extend(s.now, e.Start.DeadlineMillis)
+				w.running = append(w.running, worker.ActiveRun{Task: e.Start.Task, Run: e.Start.Run})
+				l.starts = append(l.starts, e)
+			}
+		}
+		l.queued = append(l.queued, ev)
+	case StopTask:
+		l.queued = append(l.queued, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown})
+	}
+}
+
+// reach returns the worker if it gets the leader's calls.
+func (s *succession) reach(l *simLeader, id string) *simWorker {
+	w := s.workers[id]
+	if w == nil || w.gone || l.unreachable[id] {
+		return nil
+	}
+	if w.deadline < w.clock(s.now) {
+		w.running = nil // its lease has expired
+	}
+	return w
+}
+
+func (w *simWorker) accept(l *simLeader) worker.Code {
+	if l.token < w.token {
+		return worker.Fenced
+	}
+	w.token = l.token
+	return worker.OK
+}
+
+func (w *simWorker) extend(now time.Duration, deadline int64) {
+	w.deadline = max(w.deadline, deadline)
+}
+
+func (s *succession) commit(e Commit) {
+	if e.Succession != nil {
+		s.succession = *e.Succession
+	}
+	for _, id := range e.Released {
+		delete(s.registrations, id)
+	}
+	for _, r := range e.Registered {
+		s.registrations[r.Worker] = r
+	}
+}
+
+// runsOn returns the workers on which the task runs under a lease.
+func (s *succession) runsOn(job string) []string {
+	var out []string
+	for _, id := range sortedKeys(s.workers) {
+		w := s.workers[id]
+		for _, r := range w.running {
+			if r.Task == testTaskID(job, 0) && !w.gone && w.deadline >= w.clock(s.now) {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
+func (l *simLeader) accept(id string, offset int64) {
+	step := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}, LongRunning: true}
+	l.queued = append(l.queued, JobAccepted{Job: &workflow.Job{ID: id, Queue: "q", Spec: "s", Steps: []workflow.Step{step}}, Offset: offset})
+}
+
+// Workers that have left must not keep a new leader from ending its predecessors, nor a
+// leader without the store from going on.
+func TestMajorityLeavesOutWorkersThatLeft(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5", "w6")
+	first := s.takeOver()
+	s.advance(time.Second)
+	s.leave("w1", "w2", "w3", "w4")
+	s.advance(3 * time.Second)
+	first.stopped = true
+	next := s.takeOver()
+	s.advance(200 * time.Millisecond)
+	_, ended := next.core.previousLeaderEnded()
+	g.Expect(ended).To(BeTrue(), "two of two voters are fenced")
+	next.storeDown = true
+	s.advance(8 * time.Second)
+	g.Expect(next.core.leadershipConfirmed()).To(BeTrue(), "all voters answer")
+}
+
+// A worker that left while the leader changed ceases to be a voter as soon as the previous
+// leaders have ended, so that such workers don't add up.
+func TestWorkersThatLeaveDuringTakeoversDoNotAddUp(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5", "w6")
+	for i := range 5 {
+		l := s.takeOver()
+		s.advance(2 * time.Second)
+		_, ended := l.core.previousLeaderEnded()
+		g.Expect(ended).To(BeTrue(), "leader %d", i)
+		l.stopped = true
+		for k := 1; k <= 2; k++ {
+			s.workers[fmt.Sprint("w", 2*i+k)].gone = true
+			s.addWorker(fmt.Sprint("w", 2*i+k+6))
+		}
+	}
+}
+
+// Workers that a leader registers while a predecessor may still lead must not help to end
+// that predecessor, whose own majority they are not part of.
+func TestNewWorkersDoNotEndPreviousLeaders(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4")
+	first := s.takeOver()
+	first.accept("j", testOffset)
+	s.advance(time.Second)
+	on := s.runsOn("j")
+	g.Expect(on).To(HaveLen(1))
+	for token := range 2 {
+		for i := range 8 {
+			s.addWorker(fmt.Sprint("x", token, i))
+		}
+		next := s.takeOver()
+		next.accept("j", -1)
+		for id := range s.workers {
+			next.unreachable[id] = id[0] == 'w'
+		}
+		s.advance(20 * time.Second)
+		_, ended := next.core.previousLeaderEnded()
+		g.Expect(ended).To(BeFalse(), "all four voters may still confirm the first leader")
+		g.Expect(next.starts).To(BeEmpty())
+		next.stopped = true
+	}
+	g.Expect(s.runsOn("j")).To(Equal(on), "the first leader goes on by its majority of workers")
+}
+
+// A worker whose record is in flight is no voter yet: the record may not reach the log,
+// and the next leader would not know of the worker.
+func TestWorkersBeingRegisteredDoNotConfirm(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3")
+	l := s.takeOver()
+	s.advance(time.Second)
+	for _, id := range []string{"w1", "w2"} {
+		l.unreachable[id] = true
+	}
+	l.holdsCommits = true
+	for i := range 5 {
+		s.addWorker(fmt.Sprint("x", i))
+	}
+	s.list()
+	s.advance(200 * time.Millisecond)
+	l.storeDown = true
+	s.advance(8 * time.Second)
+	g.Expect(l.core.leadershipConfirmed()).To(BeFalse())
+}
+
+// A leader of a version that records no voters counts all registered workers.
+func TestAllWorkersVoteAfterLegacyLeader(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3")
+	for id := range s.workers {
+		s.registrations[id] = Registration{Worker: id, Address: id + ":1", Pool: "p", Born: s.workers[id].born, Leader: 40, NonVoter: id != "w1"}
+	}
+	s.succession.LegacyToken = 50
+	l := s.takeOver()
+	l.unreachable["w2"], l.unreachable["w3"] = true, true
+	s.advance(time.Second)
+	_, ended := l.core.previousLeaderEnded()
+	g.Expect(ended).To(BeFalse(), "w2 and w3 may confirm the former leader")
+	l.unreachable["w2"] = false
+	s.advance(time.Second)
+	_, ended = l.core.previousLeaderEnded()
+	g.Expect(ended).To(BeTrue())
+}
+
+// Whichever workers come, leave and are cut off, no leader is confirmed by a majority of
+// workers after a successor has found it to have ended.
+func TestMajoritiesOfLeadersOverlap(t *testing.T) {
+	for range 5 { // one check of 100 sequences doesn't always find a fault
+		rapid.Check(t, checkOverlap)
+	}
+}
+
+func checkOverlap(t *rapid.T) {
+	s := newSuccession("w0", "w1", "w2", "w3", "w4")
+	s.takeOver()
+	s.advance(500 * time.Millisecond)
+	for range rapid.IntRange(5, 25).Draw(t, "actions") {
+		some := rapid.SliceOfDistinct(rapid.SampledFrom(sortedKeys(s.workers)), func(id string) string { return id })
+		l := s.leaders[rapid.IntRange(max(0, len(s.leaders)-2), len(s.leaders)-1).Draw(t, "leader")]
+		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "cut", "cut", "heal", "hold", "run"}).Draw(t, "action") {
+		case "take-over":
+			next := s.takeOver()
+			for _, id := range some.Draw(t, "unreachable") {
+				next.unreachable[id] = true
+			}
+		case "add":
+			for range rapid.IntRange(1, 8).Draw(t, "workers") {
+				s.addWorker(fmt.Sprint("w", len(s.workers)))
+			}
+			s.list()
+		case "leave":
+			s.leave(some.Draw(t, "gone")...)
+		case "cut":
+			for _, id := range some.Draw(t, "cut") {
+				l.unreachable[id] = true
+			}
+		case "heal":
+			clear(l.unreachable)
+		case "hold":
+			l.holdsCommits = true
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "ticks") {
+			s.advance(tick)
+			s.checkEnds(t)
+		}
+	}
+}
+
+func (s *succession) checkEnds(t *rapid.T) {
+	for j, next := range s.leaders {
+		end, ok := next.core.previousLeaderEnded()
+		if !ok {
+			continue
+		}
+		for _, l := range s.leaders[:j] {
+			if until := l.core.confirmationByWorkers(); !l.stopped && until > end+l.core.set.ConfirmationTTL {
+				t.Fatalf("leader %d is confirmed until %v, though leader %d found it to have ended at %v", l.token, until, next.token, end)
+			}
+		}
+	}
+}
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -116,6 +116,13 @@
 // commitRecords returns the job log records of a commit, none of them larger than maxBytes.
 func commitRecords(c dispatch.Commit, maxBytes int) (encodedCommit, error) {
 	var out encodedCommit
+	if c.Succession != nil {
+		r, err := encodeRecord(successionKey, c.Succession)
+		if err != nil {
+			return out, err
+		}
+		out.records = append(out.records, r)
+	}
 	// Release an incarnation that is over before the next one of the same worker is
 	// engaged.
 	for _, id := range c.Released {
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -20,6 +20,7 @@
 	progressKeyPrefix = "p/"
 	workerKeyPrefix   = "w/"
 	termKey           = "term"
+	successionKey     = "succession"
 )
 
 // jobEntry is the state of one job according to the job log.
@@ -70,6 +71,7 @@
 	// unmatchedCancels counts the cancellations of jobs whose records are not in the log.
 	unmatchedCancels int
 	registrations    map[string]dispatch.Registration
+	succession       successionView
 	// splits holds the values that are too large for one record.
 	splits splitValues
 	// newestOffsets holds, by key, the offset of the newest record applied.
@@ -170,8 +172,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	kept := make(map[string]bool, len(records))
+	t.succession.gap = true
 	for _, r := range records {
 		kept[r.Key] = true
+		if r.Key == termKey && r.Offset == t.newestOffsets[termKey] {
+			t.succession.gap = false // no term has been missed
+		}
 	}
 	for id, e := range t.entries {
 		if e.job != nil && e.offset < next && !kept[jobKeyPrefix+id] {
@@ -205,6 +211,8 @@
 		return nil, t.applyProgress(r, r.Key[len(progressKeyPrefix):])
 	case r.Key == termKey:
 		return t.applyTerm(r)
+	case r.Key == successionKey:
+		return nil, t.applySuccession(r)
 	case strings.HasPrefix(r.Key, workerKeyPrefix):
 		return nil, t.applyWorker(r, r.Key[len(workerKeyPrefix):])
 	}
@@ -306,6 +314,9 @@
 type termRecord struct {
 	Node  string `json:"n"`
 	Token int64  `json:"t"`
+	// RecordsSuccession is set if the leader writes a dispatch.Succession before it
+	// registers workers, and records its token with each worker to which it gives orders.
+	RecordsSuccession bool `json:"s,omitempty"`
 }
 
 func (t *jobTable) applyTerm(r store.StoredRecord) (*tableChange, error) {
@@ -313,9 +324,19 @@
 	if err := json.Unmarshal(r.Value, &rec); err != nil {
 		return nil, errors.Wrap(err, "term record")
 	}
+	t.succession.applyTerm(rec)
 	return &tableChange{term: rec.Token}, nil
 }
 
+func (t *jobTable) applySuccession(r store.StoredRecord) error {
+	var rec dispatch.Succession
+	if err := json.Unmarshal(r.Value, &rec); err != nil {
+		return errors.Wrap(err, "succession record")
+	}
+	t.succession.applyRecord(rec)
+	return nil
+}
+
 func (t *jobTable) applyWorker(r store.StoredRecord, id string) error {
 	if len(r.Value) == 0 {
 		delete(t.registrations, id)
--- a/internal/node/pagecache.go
+++ b/internal/node/pagecache.go
@@ -91,6 +91,11 @@
 	for id := range t.registrations {
 		keys = append(keys, workerKeyPrefix+id)
 	}
+	for _, key := range []string{termKey, successionKey} {
+		if _, ok := t.newestOffsets[key]; ok {
+			keys = append(keys, key)
+		}
+	}
 	slices.Sort(keys)
 	return keys, t.nextOffset, t.readAt
 }
@@ -127,6 +132,12 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	offset = t.newestOffsets[key]
+	switch key {
+	case termKey:
+		return t.succession.term, offset, true
+	case successionKey:
+		return t.succession.record, offset, true
+	}
 	kind, id := key[:len(jobKeyPrefix)], key[len(jobKeyPrefix):]
 	if kind == workerKeyPrefix {
 		value, ok = t.registrations[id]
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -59,7 +59,7 @@
 	n.termToken.Store(t.token)
 	n.members.resetPolicyNodes()
 	n.log.WithField("token", t.token).Info("term begins")
-	value, _ := json.Marshal(termRecord{Node: n.settings.Node, Token: t.token})
+	value, _ := json.Marshal(termRecord{Node: n.settings.Node, Token: t.token, RecordsSuccession: true})
 	x := t.writer.enqueue([]store.Record{{Key: termKey, Value: value}})
 	// Callers' records follow the term's own record.
 	n.termWriter.Store(t.writer)
@@ -101,7 +101,9 @@
 	if !t.recorded || cat == nil || !t.workersLoaded || n.table.position() <= t.offset {
 		return nil
 	}
-	t.dispatcher = dispatch.New(n.dispatchSettings(t.token, t.offset), n.uptime(), time.Now().UnixMilli())
+	settings := n.dispatchSettings(t.token, t.offset)
+	settings.LegacyToken = n.table.legacyToken()
+	t.dispatcher = dispatch.New(settings, n.uptime(), time.Now().UnixMilli())
 	events := []dispatch.Event{dispatch.CatalogChanged{Catalog: cat}}
 	n.table.mu.RLock()
 	defer n.table.mu.RUnlock()
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -63,6 +63,8 @@
 	{"worker-evacuating", "events", "a worker gets nothing new and its runs are moved, since its machine is to be taken away"},
 	{"answers-late", "events", "workers' answers reach the holder late on the whole; the age is by how much: it is short of processor time, or the links are slow"},
 	{"answers-in-time", "events", "they are in time again"},
+	{"takeover-waits", "events", "a second or more after a takeover, work of the time before waits for workers that don't answer; the reason tells for how many, and whether a majority of the voters is fenced"},
+	{"former-leases-lapsed", "events", "a worker that never answered this holder can have no run of a former one any more; the age is that of the term"},
 	{"takeover-complete", "events", "no former holder can have work running unseen any more"},
 	{"step-down", "events", "a worker has seen a higher token: this holder was fenced"},
 }
