--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -24,8 +24,11 @@
 	next     batch
 	// urgent is set if the next commit must not wait for more changes.
 	urgent bool
-	// successionRecorded is set once the log holds this leader's Succession.
-	successionRecorded bool
+	// successionRecorded is set once the log holds this leader's Succession. The newest one
+	// was made at successionMadeAt, and holds the end of the previous leaders if
+	// endRecorded is set.
+	successionRecorded, endRecorded bool
+	successionMadeAt                time.Duration
 	// ended holds ended jobs, in order of their ends.
 	ended []*job
 	// dueAt is the latest time at which the next batch must be sent.
@@ -44,6 +47,8 @@
 	// purged holds the IDs of jobs whose records are to be removed.
 	purged  []string
 	crashes []*crashHistory
+	// succession is set if the leader's Succession is to be recorded anew.
+	succession bool
 }
 
 // workerRecord is what the record of a worker's incarnation states.
@@ -64,7 +69,7 @@
 func newCommits() commits { return commits{} }
 
 func (p *batch) empty() bool {
-	return len(p.jobs)+len(p.workers)+len(p.ends)+len(p.released)+len(p.purged) == 0
+	return len(p.jobs)+len(p.workers)+len(p.ends)+len(p.released)+len(p.purged) == 0 && !p.succession
 }
 
 func (c *Core) commitWithin(delay time.Duration) {
@@ -124,8 +129,8 @@
 	m.inFlight, m.urgent, m.dueAt = true, false, 0
 	m.sent, m.next = m.next, batch{}
 	e := Commit{Number: m.number}
-	if !m.successionRecorded {
-		e.Succession = &Succession{Token: c.set.Token, LegacyToken: c.set.LegacyToken}
+	if m.sent.succession || !m.successionRecorded {
+		e.Succession = c.makeSuccession()
 	}
 	for _, h := range m.sent.released {
 		e.Released = append(e.Released, h.info.ID)
@@ -253,6 +258,7 @@
 	m.next.released = append(m.next.released, sent.released...)
 	m.next.purged = append(m.next.purged, sent.purged...)
 	m.next.crashes = append(m.next.crashes, sent.crashes...)
+	m.next.succession = m.next.succession || sent.succession
 }
 
 // purgeJobs removes ended jobs whose retention time has passed.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -88,6 +88,9 @@
 	// previousLeaderEnd is the time since which no previous leader can have had its
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
+	// leaderEnds are the ends of leaders before the last one that previous leaders have
+	// recorded.
+	leaderEnds []LeadersEnded
 	// formerVoters are the voters at the begin of the term, recordedVoters those that
 	// are recorded as such.
 	formerVoters, recordedVoters []*host
@@ -165,6 +168,7 @@
 	c.reportDelay()
 	c.recordContactChanges()
 	c.recordVoters()
+	c.recordSuccession()
 	c.checkRuns()
 	c.drainHosts()
 	c.evacuateHosts()
@@ -197,6 +201,8 @@
 		c.acceptJob(ev)
 	case JobCancelled:
 		c.cancelJob(ev)
+	case LeadersEnded:
+		c.leaderEnds = append(c.leaderEnds, ev)
 	case WorkerRegistered:
 		c.inheritWorker(ev.Registration)
 	case LeadershipConfirmed:
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -64,6 +64,22 @@
 	Token int64 `json:"t"`
 	// LegacyToken is that of its Settings.
 	LegacyToken int64 `json:"l,omitempty"`
+	// Ends are the ends of previous leaders that may still matter.
+	Ends []LeaderEnd `json:"e,omitempty"`
+}
+
+// LeaderEnd states that no leader with a token below Before has been confirmed for
+// AgeMillis, at least, when the record was made.
+type LeaderEnd struct {
+	Before    int64 `json:"b"`
+	AgeMillis int64 `json:"a"`
+}
+
+// LeadersEnded states that no leader with a token below Before has been confirmed since
+// the local time Since, as a previous leader has recorded.
+type LeadersEnded struct {
+	Before int64
+	Since  time.Duration
 }
 
 // WorkerRegistered supplies a registration recorded by a previous leader.
@@ -134,6 +150,7 @@
 func (JobAccepted) event()         {}
 func (JobCancelled) event()        {}
 func (WorkerRegistered) event()    {}
+func (LeadersEnded) event()        {}
 func (LeadershipConfirmed) event() {}
 func (HeartbeatAnswered) event()   {}
 func (StartAnswered) event()       {}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -431,7 +431,7 @@
 		bound = h.clockAt + time.Duration(float64(left)/(1-clockDrift)) + expirySlack
 	}
 	if h.inherited && !h.fenced {
-		from, ok := c.previousLeaderEnded()
+		from, ok := c.lastLeaderEnded(h)
 		if !ok {
 			return never
 		}
@@ -451,7 +451,7 @@
 func (c *Core) expireLeases() {
 	for _, h := range c.sortedHosts {
 		if len(h.runs) == 0 && !(h.inherited && !h.fenced) {
-			if !h.listed && c.now-h.lastContact > unlistedRetention {
+			if !h.listed && c.now-c.silentSince(h) > unlistedRetention {
 				c.endIncarnation(h, lossDeparture, "not listed any more")
 				return
 			}
@@ -476,6 +476,14 @@
 	}
 }
 
+// silentSince returns since when the worker has answered no leader.
+func (c *Core) silentSince(h *host) time.Duration {
+	if at, ok := c.lastLeaderEnded(h); ok && h.fencedAt == 0 {
+		return min(at, h.lastContact)
+	}
+	return h.lastContact
+}
+
 // unlistedRetention is how long a worker is kept that is neither listed nor
 // answers.
 const unlistedRetention = 20 * time.Second
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -15,7 +15,8 @@
 // that it inherited, no previous leader can be confirmed by a majority of workers.
 // Since its own claim, none has been confirmed by the store. The leases that a
 // previous leader may have extended on an unreachable worker are counted from that
-// point.
+// point. The log holds it, and which leader was the last one that gave the worker
+// orders, so that the next leaders count on from there (succession.go).
 //
 // The voters are the registered workers with which the leader is in contact, as the
 // log records them. Workers that have left or are lost don't count, or the majority
@@ -180,7 +181,7 @@
 		return
 	}
 	c.nextTakeoverReport = c.now + takeoverReportInterval
-	fenced, unfenced, unknown := 0, 0, 0
+	fenced, unfenced, unknown, longest := 0, 0, 0, c.now
 	for _, h := range c.formerVoters {
 		if h.barredAt() > 0 {
 			fenced++
@@ -189,6 +190,7 @@
 	for _, h := range c.sortedHosts {
 		if h.inherited && !h.fenced {
 			unfenced++
+			longest = max(longest, c.leasesExpireAt(h))
 			if h.contact == contactNormal {
 				unknown++
 			}
@@ -201,7 +203,11 @@
 	if at, ok := c.previousLeaderEnded(); ok {
 		ended = fmt.Sprintf("have ended %d ms ago", (c.now - at).Milliseconds())
 	}
+	wait := "without a bound"
+	if longest != never {
+		wait = fmt.Sprintf("for %d ms at most", (longest - c.now).Milliseconds())
+	}
 	c.recordDecision(Decision{Kind: "takeover-waits", Age: c.now - c.termStart, Reason: fmt.Sprintf(
-		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d voters fenced; previous leaders %s; %d tasks may run unseen",
-		unfenced, unknown, fenced, len(c.formerVoters), ended, len(c.suspectTasks))})
+		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d voters fenced; previous leaders %s; %d tasks may run unseen; it waits %s",
+		unfenced, unknown, fenced, len(c.formerVoters), ended, len(c.suspectTasks), wait)})
 }
--- /dev/null
+++ b/internal/dispatch/succession.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A worker that doesn't answer may run tasks until the leases are over that the last
+// leader that gave it orders may have extended. That leader is named by the worker's
+// registration, since none starts a task or extends a lease there before its token is
+// recorded. When a leader finds its predecessors ended, it records that. So a worker's
+// wait begins with the first leader that didn't reach it, however often the leader
+// changes after that.
+//
+// Nodes have no common clock, and processes end. Records therefore hold ages: a reader
+// takes an end for as old as the record says when it reads it, so never for older than
+// it is. The record is renewed while a wait goes on.
+
+const (
+	// successionInterval is how often the ages are recorded anew. A successor whose process
+	// has just started repeats that much of a wait.
+	successionInterval = 250 * time.Millisecond
+	// maxLeaderEnds bounds the recorded ends. Beyond it, workers that last answered one of
+	// the leaders in between wait for the end of a later one.
+	maxLeaderEnds = 16
+)
+
+// lastLeaderEnded returns since when no leader that may have given the worker orders has
+// been confirmed. The worker must not have been fenced.
+func (c *Core) lastLeaderEnded(h *host) (time.Duration, bool) {
+	at, ok := c.previousLeaderEnded()
+	for _, e := range c.leaderEnds {
+		if e.Before > h.former.Leader && e.Before > c.set.LegacyToken && (!ok || e.Since < at) {
+			at, ok = e.Since, true
+		}
+	}
+	return at, ok
+}
+
+// makeSuccession returns what is to be recorded of this leader's predecessors.
+func (c *Core) makeSuccession() *Succession {
+	m := &c.commits
+	m.successionMadeAt = c.now
+	_, m.endRecorded = c.previousLeaderEnded()
+	rec := &Succession{Token: c.set.Token, LegacyToken: c.set.LegacyToken}
+	for _, e := range c.relevantEnds() {
+		rec.Ends = append(rec.Ends, LeaderEnd{Before: e.Before, AgeMillis: (c.now - e.Since).Milliseconds()})
+	}
+	return rec
+}
+
+// relevantEnds returns the ends known, latest leader first, without those that one of a
+// later leader makes needless.
+func (c *Core) relevantEnds() []LeadersEnded {
+	ends := slices.Clone(c.leaderEnds)
+	if at, ok := c.previousLeaderEnded(); ok {
+		ends = append(ends, LeadersEnded{c.set.Token, at})
+	}
+	slices.SortFunc(ends, func(a, b LeadersEnded) int { return cmp.Compare(b.Before, a.Before) })
+	var out []LeadersEnded
+	for _, e := range ends {
+		if last := len(out) - 1; last < 0 || e.Since < out[last].Since && c.now-out[last].Since < c.longestWait() {
+			out = append(out, e)
+		}
+	}
+	if surplus := len(out) - maxLeaderEnds; surplus > 0 {
+		out = slices.Delete(out, 1, 1+surplus)
+	}
+	return out
+}
+
+// longestWait is the age from which on the end of a leader no longer matters.
+func (c *Core) longestWait() time.Duration { return max(c.set.PreviousLeaderBound, unlistedRetention) }
+
+// recordSuccession records the end of the previous leaders and, while workers wait for
+// it, how long ago it was.
+func (c *Core) recordSuccession() {
+	m := &c.commits
+	if !m.successionRecorded || m.next.succession || m.sent.succession {
+		return
+	}
+	if _, ended := c.previousLeaderEnded(); ended == m.endRecorded && !c.successionOutdated() {
+		return
+	}
+	m.next.succession, m.urgent = true, true
+}
+
+// successionOutdated reports whether a successor would wait longer than need be by the
+// ages that are recorded.
+func (c *Core) successionOutdated() bool {
+	madeAt := c.commits.successionMadeAt
+	if c.now < madeAt+successionInterval {
+		return false
+	}
+	ends := c.relevantEnds()
+	return len(ends) > 0 && madeAt-ends[0].Since < c.longestWait() &&
+		slices.ContainsFunc(c.sortedHosts, func(h *host) bool { return h.inherited && !h.fenced })
+}
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -22,6 +22,10 @@
 	// registrations and succession are the records in the log.
 	registrations map[string]Registration
 	succession    Succession
+	// readAt is when the next leader's process has read the succession. If restarts is
+	// set, each process begins when it takes over.
+	readAt   time.Duration
+	restarts bool
 }
 
 type simLeader struct {
@@ -67,6 +71,12 @@
 	set.LegacyToken = s.succession.LegacyToken
 	l.core = New(set, s.now, s.now.Milliseconds())
 	l.queued = append(l.queued, CatalogChanged{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p", Attempts: 2}}}})
+	if s.restarts || s.readAt == 0 {
+		s.readAt = s.now
+	}
+	for _, e := range s.succession.Ends {
+		l.queued = append(l.queued, LeadersEnded{e.Before, s.readAt - time.Duration(e.AgeMillis)*time.Millisecond})
+	}
 	for _, id := range sortedKeys(s.registrations) {
 		l.queued = append(l.queued, WorkerRegistered{s.registrations[id]})
 	}
@@ -157,7 +167,13 @@
 		}
 		l.queued = append(l.queued, ev)
 	case StopTask:
-		l.queued = append(l.queued, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown})
+		ev := StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown}
+		if w := s.reach(l, e.Stop.Worker); w != nil {
+			if ev.Code = w.accept(l); ev.Code == worker.OK {
+				w.running = slices.DeleteFunc(w.running, func(r worker.ActiveRun) bool { return r.Task == e.Stop.Task })
+			}
+		}
+		l.queued = append(l.queued, ev)
 	}
 }
 
@@ -187,7 +203,7 @@
 
 func (s *succession) commit(e Commit) {
 	if e.Succession != nil {
-		s.succession = *e.Succession
+		s.succession, s.readAt = *e.Succession, s.now
 	}
 	for _, id := range e.Released {
 		delete(s.registrations, id)
@@ -216,6 +232,13 @@
 	l.queued = append(l.queued, JobAccepted{Job: &workflow.Job{ID: id, Queue: "q", Spec: "s", Steps: []workflow.Step{step}}, Offset: offset})
 }
 
+// cutOffBut cuts the leader off from all workers but one.
+func (l *simLeader) cutOffBut(s *succession, id string) {
+	for other := range s.workers {
+		l.unreachable[other] = other != id
+	}
+}
+
 // Workers that have left must not keep a new leader from ending its predecessors, nor a
 // leader without the store from going on.
 func TestMajorityLeavesOutWorkersThatLeft(t *testing.T) {
@@ -281,6 +304,27 @@
 	g.Expect(s.runsOn("j")).To(Equal(on), "the first leader goes on by its majority of workers")
 }
 
+// A leader that reaches few workers must not take the others' votes before its predecessors
+// have ended: its successor would find them ended by the few that are left.
+func TestUnreachedWorkersStayVotersUntilPreviousLeadersHaveEnded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4")
+	first := s.takeOver()
+	s.advance(time.Second)
+	first.unreachable["w1"] = true
+	for range 2 {
+		next := s.takeOver()
+		for _, id := range []string{"w2", "w3", "w4"} {
+			next.unreachable[id] = true
+		}
+		s.advance(5 * time.Second)
+		_, ended := next.core.previousLeaderEnded()
+		g.Expect(ended).To(BeFalse(), "three of four voters confirm the first leader")
+		next.stopped = true
+	}
+	g.Expect(first.core.leadershipConfirmed()).To(BeTrue())
+}
+
 // A worker whose record is in flight is no voter yet: the record may not reach the log,
 // and the next leader would not know of the worker.
 func TestWorkersBeingRegisteredDoNotConfirm(t *testing.T) {
@@ -321,6 +365,142 @@
 	g.Expect(ended).To(BeTrue())
 }
 
+// A worker is lost near a change of the leader, so that its loss is not recorded. However
+// often the leader changes after that, the wait for its leases is not begun anew (issue
+// 45, review/7).
+func TestWaitForLostWorkerGoesOnAcrossLeaders(t *testing.T) {
+	for _, c := range []struct {
+		term     time.Duration
+		restarts bool
+		within   time.Duration
+	}{
+		{300 * time.Millisecond, false, 12 * time.Second},
+		{2 * time.Second, false, 14 * time.Second},
+		{9 * time.Second, false, 21 * time.Second},
+		{2 * time.Second, true, 16 * time.Second},
+		{9 * time.Second, true, 21 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%v, restarts %v", c.term, c.restarts), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSuccession("w1", "w2", "w3", "w4", "w5")
+			s.restarts = c.restarts
+			l := s.takeOver()
+			l.accept("j", testOffset)
+			s.advance(time.Second)
+			s.workers[s.runsOn("j")[0]].gone = true
+			lostAt := s.now
+			for len(s.runsOn("j")) == 0 && s.now < lostAt+time.Minute {
+				l.stopped = true
+				l = s.takeOver()
+				l.accept("j", -1)
+				s.advance(c.term)
+			}
+			g.Expect(s.now-lostAt).To(BeNumerically("<", c.within), "11.5 s, and the rest of a term")
+		})
+	}
+}
+
+// A worker is cut off from all leaders but the first, which goes on without the store
+// until it is no longer confirmed. The worker's run goes on until its lease ends, and must
+// not be started elsewhere before, however often the leader changes.
+func TestRunThatGoesOnUntilItsLeaseEndsIsNotRepeated(t *testing.T) {
+	for _, term := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 5 * time.Second, 20 * time.Second} {
+		t.Run(term.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSuccession("w1", "w2", "w3", "w4", "w5")
+			first := s.takeOver()
+			first.accept("j", testOffset)
+			s.advance(time.Second)
+			on := s.runsOn("j")
+			first.cutOffBut(s, on[0])
+			cutAt, lastRun := s.now, time.Duration(0)
+			for s.now < cutAt+40*time.Second {
+				l := s.takeOver()
+				l.accept("j", -1)
+				l.unreachable[on[0]] = true
+				for end := s.now + term; s.now < end; s.advance(tick) {
+					now := s.runsOn("j")
+					g.Expect(len(now)).To(BeNumerically("<=", 1))
+					if len(now) == 1 && now[0] == on[0] {
+						lastRun = s.now
+					}
+				}
+				l.stopped = true
+			}
+			g.Expect(lastRun-cutAt).To(BeNumerically(">", 10*time.Second), "5 s confirmed by the store, and a lease of 6 s")
+			g.Expect(s.runsOn("j")).To(And(HaveLen(1), Not(Equal(on))))
+		})
+	}
+}
+
+// A leader that reached the worker may have extended leases there, so that the wait
+// begins with its own end.
+func TestWaitBeginsWithEndOfLastLeaderThatReachedTheWorker(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5")
+	s.takeOver().accept("j", testOffset)
+	s.advance(time.Second)
+	on := s.runsOn("j")
+	for i, reached := range []bool{false, true, false} {
+		s.leaders[i].cutOffBut(s, on[0])
+		l := s.takeOver()
+		l.accept("j", -1)
+		l.unreachable[on[0]] = !reached
+		s.advance(6 * time.Second)
+		g.Expect(s.runsOn("j")).To(Equal(on), "term %d", i)
+	}
+	s.advance(4 * time.Second)
+	g.Expect(s.runsOn("j")).To(Equal(on), "under the lease that the third leader has extended")
+	s.advance(4 * time.Second)
+	g.Expect(s.runsOn("j")).To(And(HaveLen(1), Not(Equal(on))))
+}
+
+// A leader that reaches a worker again while it can't record that must not extend leases
+// there: the next leader counts them from the end of those before.
+func TestNoLeaseIsExtendedBeforeItsLeaderIsRecorded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5")
+	s.takeOver().accept("j", testOffset)
+	s.advance(time.Second)
+	on := s.runsOn("j")
+	s.leaders[0].cutOffBut(s, on[0])
+	second := s.takeOver()
+	second.accept("j", -1)
+	second.unreachable[on[0]] = true
+	s.advance(2 * time.Second)
+	second.storeDown = true
+	s.advance(4 * time.Second)
+	second.unreachable[on[0]] = false
+	s.advance(2 * time.Second)
+	third := s.takeOver()
+	third.accept("j", -1)
+	third.unreachable[on[0]] = true
+	second.cutOffBut(s, on[0])
+	for range 600 {
+		s.advance(tick)
+		g.Expect(len(s.runsOn("j"))).To(BeNumerically("<=", 1))
+	}
+	g.Expect(s.runsOn("j")).To(And(HaveLen(1), Not(Equal(on))))
+}
+
+// Registrations that name no leader may have been in use by any leader of a version that
+// didn't record it.
+func TestRecordedEndsDoNotCoverLegacyLeaders(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3")
+	for id := range s.workers {
+		s.registrations[id] = Registration{Worker: id, Address: id + ":1", Pool: "p", Born: s.workers[id].born, Leader: 40}
+	}
+	s.succession = Succession{Token: 60, LegacyToken: 50, Ends: []LeaderEnd{{Before: 45, AgeMillis: 60_000}}}
+	s.workers["w1"].gone = true
+	l := s.takeOver()
+	l.accept("j", -1)
+	s.advance(11 * time.Second)
+	g.Expect(l.starts).To(BeEmpty(), "a legacy leader with token 50 may have used w1")
+	s.advance(2 * time.Second)
+	g.Expect(l.starts).To(HaveLen(1))
+}
+
 // Whichever workers come, leave and are cut off, no leader is confirmed by a majority of
 // workers after a successor has found it to have ended.
 func TestMajoritiesOfLeadersOverlap(t *testing.T) {
@@ -331,7 +511,7 @@
 
 func checkOverlap(t *rapid.T) {
 	s := newSuccession("w0", "w1", "w2", "w3", "w4")
-	s.takeOver()
+	s.takeOver().accept("j", testOffset)
 	s.advance(500 * time.Millisecond)
 	for range rapid.IntRange(5, 25).Draw(t, "actions") {
 		some := rapid.SliceOfDistinct(rapid.SampledFrom(sortedKeys(s.workers)), func(id string) string { return id })
@@ -339,6 +519,7 @@
 		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "cut", "cut", "heal", "hold", "run"}).Draw(t, "action") {
 		case "take-over":
 			next := s.takeOver()
+			next.accept("j", -1)
 			for _, id := range some.Draw(t, "unreachable") {
 				next.unreachable[id] = true
 			}
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/mimosaspool/mimosaspool/internal/dispatch"
+import (
+	"time"
+
+	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+)
 
 // successionView is what the job log tells of the order of the leaders. A reader of the
 // whole log sees each term. One that begins with the newest records of each key sees the
@@ -15,6 +19,8 @@
 	legacyToken int64
 	// gap is set while terms may have passed unread before the next one that is read.
 	gap bool
+	// ends holds, by token, since when no leader with a lower one has been confirmed.
+	ends map[int64]time.Time
 }
 
 func (v *successionView) applyTerm(rec termRecord) {
@@ -28,16 +34,45 @@
 		v.legacyToken = rec.Token - 1
 	}
 	v.term, v.gap = rec, false
-	v.applyRecord(v.record)
+	v.trustRecord()
 }
 
-// applyRecord applies what a leader has recorded. It had read all terms before its own, or
-// assumed the worst of those that it had not read.
 func (v *successionView) applyRecord(rec dispatch.Succession) {
 	v.record = rec
-	if rec.Token == v.term.Token {
-		v.legacyToken = min(v.legacyToken, rec.LegacyToken)
+	v.applyEnds(rec.Ends)
+	v.trustRecord()
+}
+
+// trustRecord takes over what the newest leader has recorded of its succession. It had read
+// all terms before its own, or assumed the worst of those that it had not read.
+func (v *successionView) trustRecord() {
+	if v.record.Token == v.term.Token {
+		v.legacyToken = min(v.legacyToken, v.record.LegacyToken)
+	}
+}
+
+// applyEnds replaces the ends by those recorded. They are at least as old as the record
+// says, or as an earlier one that this node has read.
+func (v *successionView) applyEnds(ends []dispatch.LeaderEnd) {
+	known := v.ends
+	v.ends = make(map[int64]time.Time, len(ends))
+	for _, e := range ends {
+		at := time.Now().Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+		if before, ok := known[e.Before]; ok && before.Before(at) {
+			at = before
+		}
+		v.ends[e.Before] = at
+	}
+}
+
+// leadersEnded returns the ends of previous leaders in the local time of a node whose
+// uptime is now.
+func (v *successionView) leadersEnded(now time.Duration) []dispatch.Event {
+	events := make([]dispatch.Event, 0, len(v.ends))
+	for before, at := range v.ends {
+		events = append(events, dispatch.LeadersEnded{Before: before, Since: now - time.Since(at)})
 	}
+	return events
 }
 
 // legacyToken returns the highest token of a leader that may not have recorded its
--- a/internal/node/succession_test.go
+++ b/internal/node/succession_test.go
@@ -82,6 +82,25 @@
 	})
 }
 
+// A worker is lost just before the leader changes, so that its loss isn't recorded, and the
+// leader changes again within the bound on former leases. The wait must not begin anew
+// (issue 45, review/7), also if all processes have started since.
+func TestLostTaskRestartsDespiteChangesOfLeader(t *testing.T) {
+	runSuccession(t, func(c *cluster) {
+		c.fleet.Add(emulator.WorkerConfig{ID: "n7", Machine: "host-n7", Pool: "cpu", Labels: []string{"std", "r4"}, Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}})
+		time.Sleep(2 * time.Second)
+		lostAt := time.Now()
+		c.fleet.Cut("w1")
+		c.fleet.Unlist("w1", true)
+		time.Sleep(500 * time.Millisecond)
+		for time.Since(lostAt) < 11*time.Second {
+			c.changeLeader()
+			time.Sleep(time.Second)
+		}
+		c.Expect(c.idleAfter(time.Until(lostAt.Add(16 * time.Second)))).To(BeZero())
+	})
+}
+
 func putTerm(g *WithT, offset, token int64, records bool) store.StoredRecord {
 	value, err := json.Marshal(termRecord{Token: token, RecordsSuccession: records})
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -107,6 +107,7 @@
 	events := []dispatch.Event{dispatch.CatalogChanged{Catalog: cat}}
 	n.table.mu.RLock()
 	defer n.table.mu.RUnlock()
+	events = append(events, n.table.succession.leadersEnded(n.uptime())...)
 	for _, e := range sortedEngagements(n.table.registrations) {
 		events = append(events, dispatch.WorkerRegistered{Registration: e})
 	}
