A leader that only workers confirm takes no leases for lapsed

A leader without the store, confirmed by a majority of workers, waited until its leases on a lost worker were over and started the worker's tasks elsewhere, though a successor that reached that worker had extended them.

Cause: a lapsed lease was concluded from the leader's own leases. A successor gives others from its claim on, before it has fenced a majority.

Change: leases count as lapsed only once the store has confirmed the leader after that time, so that no successor had claimed before. With the store in reach that is one renewal later; while it is out, tasks of lost workers wait for its return.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -447,7 +447,8 @@
 const expirySlack = 150 * time.Millisecond
 
 // expireLeases removes the runs on workers whose leases are certain to have
-// expired.
+// expired. A successor may have extended them since its claim, so the store must have
+// confirmed this leader after the time at which they expired.
 func (c *Core) expireLeases() {
 	for _, h := range c.sortedHosts {
 		if len(h.runs) == 0 && !(h.inherited && !h.fenced) {
@@ -457,7 +458,7 @@
 			}
 			continue
 		}
-		if c.now < c.leasesExpireAt(h) {
+		if c.confirmedByStoreAt() < c.leasesExpireAt(h) {
 			continue
 		}
 		if h.contact != contactNormal && len(h.runs) > 0 {
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -41,6 +41,12 @@
 	return c.now < c.workersConfirmUntil
 }
 
+// confirmedByStoreAt returns the latest time at which the store is known to have had no
+// claim of a successor.
+func (c *Core) confirmedByStoreAt() time.Duration {
+	return min(c.now, c.confirmedUntil-c.set.ConfirmationTTL)
+}
+
 // confirmationByWorkers returns until when the voters confirm the leadership.
 func (c *Core) confirmationByWorkers() time.Duration {
 	at, ok := majorityAt(c.voters((*host).isVoter), (*host).lastConfirmation, newestFirst)
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -325,6 +325,26 @@
 	g.Expect(first.core.leadershipConfirmed()).To(BeTrue())
 }
 
+// A leader that only workers confirm must not take the leases on a lost worker for lapsed:
+// a successor that reaches the worker extends them.
+func TestLeaderWithoutStoreLeavesTasksOfLostWorkersAlone(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5")
+	first := s.takeOver()
+	first.accept("j", testOffset)
+	s.advance(time.Second)
+	on := s.runsOn("j")
+	first.unreachable[on[0]] = true
+	next := s.takeOver()
+	next.accept("j", -1)
+	next.cutOffBut(s, on[0])
+	for range 1000 {
+		s.advance(tick)
+		g.Expect(s.runsOn("j")).To(Equal(on))
+	}
+	g.Expect(first.core.leadershipConfirmed()).To(BeTrue(), "by four of five workers")
+}
+
 // A worker whose record is in flight is no voter yet: the record may not reach the log,
 // and the next leader would not know of the worker.
 func TestWorkersBeingRegisteredDoNotConfirm(t *testing.T) {
@@ -502,7 +522,7 @@
 }
 
 // Whichever workers come, leave and are cut off, no leader is confirmed by a majority of
-// workers after a successor has found it to have ended.
+// workers after a successor has found it to have ended, and no task runs twice.
 func TestMajoritiesOfLeadersOverlap(t *testing.T) {
 	for range 5 { // one check of 100 sequences doesn't always find a fault
 		rapid.Check(t, checkOverlap)
@@ -542,6 +562,9 @@
 		for range rapid.IntRange(1, 120).Draw(t, "ticks") {
 			s.advance(tick)
 			s.checkEnds(t)
+			if on := s.runsOn("j"); len(on) > 1 {
+				t.Fatalf("the task runs on %v", on)
+			}
 		}
 	}
 }
