Planned departures are recorded when they are announced

Cause: a worker left as planned at the moment at which the leader changed.

Change: a worker that drains, or whose machine is to be taken away, is recorded like one that is lost, with the runs it has, when that is known: it gets no new work from then on. It is recorded once more when its last run has ended.

TestPlannedDepartureDoesNotHoldUpOtherWork failed without the change.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -173,6 +173,7 @@
 	}
 	e := Registration{Worker: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Machine: h.info.Machine, Born: h.info.Born, LastEnd: h.lastEnd,
 		Leader: c.set.Token, NonVoter: !c.mayVote(h)}
+	h.recordedRuns = 0
 	if h.inContact() {
 		return e
 	}
@@ -180,6 +181,7 @@
 	for _, r := range h.sortedRuns() {
 		e.Runs = append(e.Runs, r.taskID.String())
 	}
+	h.recordedRuns = len(e.Runs)
 	return e
 }
 
--- a/internal/dispatch/contact.go
+++ b/internal/dispatch/contact.go
@@ -4,7 +4,9 @@
 
 // contactRecord is the state of contact with a worker as the log records it.
 // While contact is lost, nothing is started there. So a later leader that can't
-// reach the worker either knows all runs that may exist on it.
+// reach the worker either knows all runs that may exist on it. A worker that is about to
+// leave is recorded like one that is lost: it gets no new work either, and is gone when
+// the next leader looks for it.
 type contactRecord int
 
 const (
@@ -39,12 +41,20 @@
 // what runs there.
 func (c *Core) recordContactChanges() {
 	for _, h := range c.sortedHosts {
+		if !h.fenced {
+			continue
+		}
+		lost := h.contactLost() || c.delisted(h)
 		switch {
-		case (h.contactLost() || c.delisted(h)) && h.contact == contactNormal && h.engaged && h.fenced:
+		case (lost || c.isLeaving(h)) && h.contact == contactNormal && h.engaged:
 			h.contact = contactLossPending
-			c.recordDecision(Decision{Kind: "contact-lost", Worker: h.info.ID, Age: c.now - h.lastContact})
+			if lost {
+				c.recordDecision(Decision{Kind: "contact-lost", Worker: h.info.ID, Age: c.now - h.lastContact})
+			}
+			c.commits.recordWorker(h)
+		case h.contact == contactLossRecorded && h.recordedRuns > 0 && len(h.runs) == 0 && !h.recordQueued:
 			c.commits.recordWorker(h)
-		case h.unanswered == 0 && h.listed && h.fenced && h.contact == contactLossRecorded:
+		case h.unanswered == 0 && h.listed && h.contact == contactLossRecorded && !c.isLeaving(h):
 			h.contact = contactRegainPending
 			c.recordDecision(Decision{Kind: "contact-regained", Worker: h.info.ID})
 			c.commits.recordWorker(h)
@@ -52,6 +62,12 @@
 	}
 }
 
+// isLeaving reports whether the worker gets no new work because it or its machine is about
+// to be taken away.
+func (c *Core) isLeaving(h *host) bool {
+	return h.drainingSince > 0 || c.evacuations[h.info.ID] != nil
+}
+
 // delisted reports whether the worker has been missing from the platform's list
 // for a while. Nothing is started there, and without runs it gets no heartbeats
 // either, so that the end of its incarnation would go unnoticed.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -43,6 +43,8 @@
 	// voter is set while the record states that the worker counts in the majority of
 	// workers that confirms a leader.
 	voter bool
+	// recordedRuns is how many runs the record lists.
+	recordedRuns int
 	// former is the record that a previous leader left.
 	former Registration
 	// contact is what the log records about contact with the worker.
@@ -499,8 +501,7 @@
 
 // usable reports whether new work may be sent to the worker.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.engaged && !h.restartClaimed() && h.drainingSince == 0 &&
-		c.evacuations[h.info.ID] == nil && !h.contactLost() && h.contact == contactNormal &&
+	return h.listed && h.fenced && h.engaged && !h.restartClaimed() && !c.isLeaving(h) && !h.contactLost() && h.contact == contactNormal &&
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -47,7 +47,7 @@
 	}
 	c.nextRunCheck = c.now + runCheckInterval
 	for _, h := range c.sortedHosts {
-		if len(h.runs) == 0 || h.contactLost() || h.contact != contactNormal {
+		if len(h.runs) == 0 || h.contactLost() || h.contact != contactNormal && !c.isLeaving(h) {
 			continue
 		}
 		c.checkProbes(h)
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -45,8 +45,10 @@
 type simWorker struct {
 	born, token, deadline int64
 	// gone workers have left, and answer nobody.
-	gone    bool
-	running []worker.ActiveRun
+	gone bool
+	// draining workers are about to leave.
+	draining bool
+	running  []worker.ActiveRun
 }
 
 func newSuccession(workers ...string) *succession {
@@ -99,7 +101,9 @@
 	var infos []worker.Info
 	for _, id := range sortedKeys(s.workers) {
 		if w := s.workers[id]; !w.gone {
-			infos = append(infos, testInfo(id, w.born))
+			info := testInfo(id, w.born)
+			info.Draining = w.draining
+			infos = append(infos, info)
 		}
 	}
 	l := s.leaders[len(s.leaders)-1]
@@ -503,6 +507,33 @@
 	g.Expect(s.runsOn("j")).To(And(HaveLen(1), Not(Equal(on))))
 }
 
+// A worker that left as planned while the leader changed must not hold up the work of all
+// others: the log says what may have run there.
+func TestPlannedDepartureDoesNotHoldUpOtherWork(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3", "w4", "w5")
+	first := s.takeOver()
+	first.accept("moved", testOffset)
+	s.advance(time.Second)
+	old := s.workers[s.runsOn("moved")[0]]
+	old.draining = true
+	s.list()
+	s.advance(time.Second)
+	g.Expect(s.runsOn("moved")).To(HaveLen(1))
+	g.Expect(old.running).To(BeEmpty())
+	old.gone = true
+	failed := s.workers[s.runsOn("moved")[0]]
+	first.stopped = true
+	next := s.takeOver()
+	next.accept("moved", -1)
+	next.accept("waiting", -1)
+	s.advance(100 * time.Millisecond)
+	g.Expect(s.runsOn("waiting")).To(HaveLen(1))
+	failed.running = nil
+	s.advance(time.Second)
+	g.Expect(s.runsOn("moved")).To(HaveLen(1), "it had left the worker before")
+}
+
 // Registrations that name no leader may have been in use by any leader of a version that
 // didn't record it.
 func TestRecordedEndsDoNotCoverLegacyLeaders(t *testing.T) {
