A leader goes on without the store for ten minutes at most

What callers could see: LOST. If most voters are lost for good at the same time as the leader, no successor ever fences a majority of them: tasks that were there, and all older work while the runs of one of them are unknown, are never started again.

Cause: only a majority ended the previous leaders, and it need not come.

Change: a majority of workers confirms a leader for 10 minutes after the store last did. A successor finds its predecessors ended that long after its claim at the latest, and carries that over to the next one like the other ends. Until such predecessors of an older version have ended otherwise, the bound is not used.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -88,6 +88,8 @@
 	// previousLeaderEnd is the time since which no previous leader can have had its
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
+	// endCheckRound is the round in which that was last looked for.
+	endCheckRound int64
 	// leaderEnds are the ends of leaders before the last one that previous leaders have
 	// recorded.
 	leaderEnds []LeadersEnded
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -69,14 +69,15 @@
 }
 
 // LeaderEnd states that no leader with a token below Before has been confirmed for
-// AgeMillis, at least, when the record was made.
+// AgeMillis, at least, when the record was made. A negative age is the time until then,
+// at most.
 type LeaderEnd struct {
 	Before    int64 `json:"b"`
 	AgeMillis int64 `json:"a"`
 }
 
-// LeadersEnded states that no leader with a token below Before has been confirmed since
-// the local time Since, as a previous leader has recorded.
+// LeadersEnded states that no leader with a token below Before is confirmed after the
+// local time Since, as a previous leader has recorded.
 type LeadersEnded struct {
 	Before int64
 	Since  time.Duration
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -15,7 +15,8 @@
 // that it inherited, no previous leader can be confirmed by a majority of workers.
 // Since its own claim, none has been confirmed by the store. The leases that a
 // previous leader may have extended on an unreachable worker are counted from that
-// point. The log holds it, and which leader was the last one that gave the worker
+// point. If the majority never comes, the previous leaders have ended maxStoreOutage
+// after the claim. The log holds that point, and which leader was the last one that gave the worker
 // orders, so that the next leaders count on from there (succession.go).
 //
 // The voters are the registered workers with which the leader is in contact, as the
@@ -58,15 +59,25 @@
 	if !ok {
 		return 0
 	}
-	return at + c.set.ConfirmationTTL
+	return min(at+c.set.ConfirmationTTL, c.confirmedUntil+maxStoreOutage)
 }
 
+// maxStoreOutage bounds how long a leader goes on without the store. It is long, since all
+// work stops then. It bounds as well how long tasks of lost workers wait if a majority of
+// the voters is lost together with the leader.
+const maxStoreOutage = 10 * time.Minute
+
 // previousLeaderEnded returns the time since which no previous leader can have its
 // leadership confirmed.
 func (c *Core) previousLeaderEnded() (time.Duration, bool) {
-	if c.previousLeaderEnd > 0 {
-		return c.previousLeaderEnd, true
+	if c.previousLeaderEnd == 0 && c.endCheckRound != c.round {
+		c.endCheckRound = c.round
+		c.previousLeaderEnd = c.findPreviousLeaderEnd()
 	}
+	return c.previousLeaderEnd, c.previousLeaderEnd > 0
+}
+
+func (c *Core) findPreviousLeaderEnd() time.Duration {
 	at, ok := fencedAt(c.formerVoters)
 	if ok && len(c.recordedVoters) < len(c.formerVoters) {
 		var recorded time.Duration
@@ -74,9 +85,21 @@
 		at = max(at, recorded)
 	}
 	if ok {
-		c.previousLeaderEnd = max(at, c.termStart)
+		return max(at, c.termStart)
 	}
-	return c.previousLeaderEnd, ok
+	if at, ok = c.latestEnd(); ok && c.now >= at {
+		return at
+	}
+	return 0
+}
+
+// latestEnd returns when the previous leaders will have ended at the latest, without a
+// majority of their voters. It isn't known while a leader of a version that has no
+// maxStoreOutage may go on.
+func (c *Core) latestEnd() (time.Duration, bool) {
+	legacyEnded := slices.ContainsFunc(c.leaderEnds, func(e LeadersEnded) bool { return e.Before > c.set.LegacyToken })
+	limit := float64(c.set.ConfirmationTTL+maxStoreOutage) / (1 - clockDrift)
+	return c.termStart + time.Duration(limit), legacyEnded
 }
 
 // fencedAt returns when the fence of a majority of the hosts was complete. No previous
--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -19,17 +19,19 @@
 
 const (
 	// successionInterval is how often the ages are recorded anew. A successor whose process
-	// has just started repeats that much of a wait.
+	// has just started repeats that much of a wait. endlessInterval is the same while no
+	// majority has ended the previous leaders, which may take maxStoreOutage.
 	successionInterval = 250 * time.Millisecond
+	endlessInterval    = 5 * time.Second
 	// maxLeaderEnds bounds the recorded ends. Beyond it, workers that last answered one of
 	// the leaders in between wait for the end of a later one.
 	maxLeaderEnds = 16
 )
 
-// lastLeaderEnded returns since when no leader that may have given the worker orders has
-// been confirmed. The worker must not have been fenced.
+// lastLeaderEnded returns since when, or from when on, no leader that may have given the
+// worker orders is confirmed. The worker must not have been fenced.
 func (c *Core) lastLeaderEnded(h *host) (time.Duration, bool) {
-	at, ok := c.previousLeaderEnded()
+	at, ok := c.ownEnd()
 	for _, e := range c.leaderEnds {
 		if e.Before > h.former.Leader && e.Before > c.set.LegacyToken && (!ok || e.Since < at) {
 			at, ok = e.Since, true
@@ -38,6 +40,15 @@
 	return at, ok
 }
 
+// ownEnd returns when the previous leaders of this one have ended or, ahead of the time,
+// will have ended at the latest.
+func (c *Core) ownEnd() (time.Duration, bool) {
+	if at, ok := c.previousLeaderEnded(); ok {
+		return at, true
+	}
+	return c.latestEnd()
+}
+
 // makeSuccession returns what is to be recorded of this leader's predecessors.
 func (c *Core) makeSuccession() *Succession {
 	m := &c.commits
@@ -54,7 +65,7 @@
 // later leader makes needless.
 func (c *Core) relevantEnds() []LeadersEnded {
 	ends := slices.Clone(c.leaderEnds)
-	if at, ok := c.previousLeaderEnded(); ok {
+	if at, ok := c.ownEnd(); ok {
 		ends = append(ends, LeadersEnded{c.set.Token, at})
 	}
 	slices.SortFunc(ends, func(a, b LeadersEnded) int { return cmp.Compare(b.Before, a.Before) })
@@ -90,10 +101,13 @@
 // ages that are recorded.
 func (c *Core) successionOutdated() bool {
 	madeAt := c.commits.successionMadeAt
-	if c.now < madeAt+successionInterval {
+	if c.now < madeAt+successionInterval || !slices.ContainsFunc(c.sortedHosts, func(h *host) bool { return h.inherited && !h.fenced }) {
 		return false
 	}
-	ends := c.relevantEnds()
-	return len(ends) > 0 && madeAt-ends[0].Since < c.longestWait() &&
-		slices.ContainsFunc(c.sortedHosts, func(h *host) bool { return h.inherited && !h.fenced })
+	for _, e := range c.relevantEnds() {
+		if age := madeAt - e.Since; age < c.longestWait() && (age >= 0 || c.now >= madeAt+endlessInterval) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -507,6 +507,56 @@
 	g.Expect(s.runsOn("j")).To(And(HaveLen(1), Not(Equal(on))))
 }
 
+// A majority of the voters is lost for good together with the leader, so that no successor
+// can fence it. The wait for it must have an end, also if the leader changes meanwhile.
+func TestWaitForLostMajorityHasAnEnd(t *testing.T) {
+	for _, term := range []time.Duration{20 * time.Minute, 50 * time.Second} {
+		t.Run(term.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSuccession("w1", "w2", "w3", "w4", "w5")
+			s.restarts = true
+			s.takeOver()
+			s.advance(time.Second)
+			l := s.takeOver() // its predecessor's end is recorded
+			l.accept("j", testOffset)
+			s.advance(time.Second)
+			lost := s.runsOn("j")
+			for _, id := range []string{lost[0], "w4", "w5", "w3"} {
+				s.workers[id].gone = true
+			}
+			lostAt, again := s.now, time.Duration(0)
+			for again == 0 && s.now < lostAt+15*time.Minute {
+				l.stopped = true
+				l = s.takeOver()
+				l.accept("j", -1)
+				for end := s.now + term; s.now < end && again == 0; s.advance(time.Second) {
+					if len(s.runsOn("j")) > 0 {
+						again = s.now
+					}
+				}
+			}
+			g.Expect(again).NotTo(BeZero())
+			g.Expect(again - lostAt).To(BeNumerically("~", 10*time.Minute+30*time.Second, 90*time.Second))
+		})
+	}
+}
+
+// A leader that goes on without the store ends before its successor relies on that.
+func TestLeaderEndsWhileStoreIsOutForLong(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3")
+	l := s.takeOver()
+	l.accept("j", testOffset)
+	s.advance(time.Second)
+	l.storeDown = true
+	s.advance(9 * time.Minute)
+	g.Expect(s.runsOn("j")).To(HaveLen(1), "work goes on while the store is out")
+	s.advance(time.Minute + 6*time.Second)
+	g.Expect(l.core.leadershipConfirmed()).To(BeFalse())
+	s.advance(7 * time.Second)
+	g.Expect(s.runsOn("j")).To(BeEmpty())
+}
+
 // A worker that left as planned while the leader changed must not hold up the work of all
 // others: the log says what may have run there.
 func TestPlannedDepartureDoesNotHoldUpOtherWork(t *testing.T) {
