Waits of tasks that were never started go on across leaders

What callers could see: jobs that wait for room near their data, or behind other work, for as long as leaders follow each other faster than that wait.

Cause: the time since which a step waits was the begin of the leader's term.

Change: while none of a job's tasks has been started, its first steps have waited since its acceptance, or since the occurrence was due. For steps that became ready later, and tasks that are started again, nothing in the log says since when; their waits are as before, and in the table of docs/design/recovery.md.

Evidence: TestWaitForLocalityGoesOnAcrossLeaders, a leader each second: not started within 20 s before, after 3 s now.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -355,7 +355,7 @@
 	if j.finishedLater[k] {
 		return
 	}
-	o := newOccurrence(j, k, c.now)
+	o := newOccurrence(j, k, c.now-c.waitedBefore(j, k))
 	j.occurrences = append(j.occurrences, o)
 	if o.stepsLeft == 0 {
 		c.finishOccurrence(o)
@@ -366,12 +366,25 @@
 	}
 }
 
+// waitedBefore returns how long the occurrence has waited under previous leaders if none
+// of the job's tasks has been started yet, and 0 otherwise.
+func (c *Core) waitedBefore(j *job, k int) time.Duration {
+	if j.started || j.def.AcceptedMillis == 0 {
+		return 0
+	}
+	since := max(j.def.AcceptedMillis, j.def.DueMillis(k))
+	return time.Duration(max(0, c.wall-since)) * time.Millisecond
+}
+
 // enqueueIfReady queues the step once it has no unfinished dependencies.
 func (c *Core) enqueueIfReady(s *step) {
 	if s.ready || s.blockers > 0 || s.finished() || s.occurrence.job.ended() {
 		return
 	}
 	s.ready, s.readyAt = true, c.now
+	if len(s.def.DependsOn) == 0 {
+		s.readyAt = s.occurrence.waitingSince
+	}
 	c.enqueue(s)
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -50,6 +50,8 @@
 	number    int
 	steps     []*step
 	stepsLeft int
+	// waitingSince is since when it could have been started, also under previous leaders.
+	waitingSince time.Duration
 }
 
 // step is one step of an occurrence.
@@ -134,14 +136,15 @@
 	}
 }
 
-// newOccurrence returns the state of occurrence k with its recorded progress.
-func newOccurrence(j *job, k int, now time.Duration) *occurrence {
-	o := &occurrence{job: j, number: k, steps: make([]*step, len(j.def.Steps))}
+// newOccurrence returns the state of occurrence k with its recorded progress. Its tasks
+// have waited since the given time.
+func newOccurrence(j *job, k int, since time.Duration) *occurrence {
+	o := &occurrence{job: j, number: k, steps: make([]*step, len(j.def.Steps)), waitingSince: since}
 	for i := range j.def.Steps {
 		def := &j.def.Steps[i]
 		s := &step{occurrence: o, def: def, index: i, tasks: make([]task, def.Count), blockers: len(def.DependsOn)}
 		for n := range s.tasks {
-			s.tasks[n] = task{step: s, index: n, waitingSince: now}
+			s.tasks[n] = task{step: s, index: n, waitingSince: since}
 		}
 		if def.MaxPerWorker > 0 {
 			s.runsPerWorker = map[*host]int{}
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -48,7 +48,9 @@
 	gone bool
 	// draining workers are about to leave.
 	draining bool
-	running  []worker.ActiveRun
+	// rack is r1 if it is empty.
+	rack    string
+	running []worker.ActiveRun
 }
 
 func newSuccession(workers ...string) *succession {
@@ -103,6 +105,9 @@
 		if w := s.workers[id]; !w.gone {
 			info := testInfo(id, w.born)
 			info.Draining = w.draining
+			if w.rack != "" {
+				info.Labels = []string{"std", w.rack}
+			}
 			infos = append(infos, info)
 		}
 	}
@@ -557,6 +562,28 @@
 	g.Expect(s.runsOn("j")).To(BeEmpty())
 }
 
+// A task that waits for room near its data waits no longer than it would under one leader.
+func TestWaitForLocalityGoesOnAcrossLeaders(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1", "w2", "w3")
+	s.workers["w1"].rack = "r2"
+	acceptedAt, longestWait := s.now, localityWaitShare*5
+	step := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}, DataRack: "r2", EstimateMillis: 5000}
+	blocker := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}, DataRack: "r2", LongRunning: true}
+	for len(s.runsOn("near")) == 0 && s.now < acceptedAt+20*time.Second {
+		l := s.takeOver()
+		for id, def := range map[string]workflow.Step{"blocker": blocker, "near": step} {
+			job := &workflow.Job{ID: id, Queue: "q", Spec: "s", AcceptedMillis: acceptedAt.Milliseconds(), Steps: []workflow.Step{def}}
+			if id == "blocker" || s.now > acceptedAt {
+				l.queued = append(l.queued, JobAccepted{Job: job, Offset: -1, Progress: workflow.Progress{Started: id == "blocker" && s.now > acceptedAt}})
+			}
+		}
+		s.advance(time.Second)
+		l.stopped = true
+	}
+	g.Expect((s.now - acceptedAt).Seconds()).To(BeNumerically("~", longestWait, 2))
+}
+
 // A worker that left as planned while the leader changed must not hold up the work of all
 // others: the log says what may have run there.
 func TestPlannedDepartureDoesNotHoldUpOtherWork(t *testing.T) {
