--- a/internal/dispatch/succession.go
+++ b/internal/dispatch/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -111,3 +112,47 @@
 	}
 	return false
 }
+
+// takeoverReportDelay is how long a takeover may take before what it waits for is
+// reported, takeoverReportInterval the time between two such reports.
+const (
+	takeoverReportDelay    = time.Second
+	takeoverReportInterval = 5 * time.Second
+)
+
+// reportTakeover reports at intervals what work that may run unseen still waits for.
+func (c *Core) reportTakeover() {
+	if c.now < max(c.nextTakeoverReport, c.termStart+takeoverReportDelay) {
+		return
+	}
+	c.nextTakeoverReport = c.now + takeoverReportInterval
+	fenced, unfenced, unknown, longest := 0, 0, 0, c.now
+	for _, h := range c.formerVoters {
+		if h.barredAt() > 0 {
+			fenced++
+		}
+	}
+	for _, h := range c.sortedHosts {
+		if h.inherited && !h.fenced {
+			unfenced++
+			longest = max(longest, c.leasesExpireAt(h))
+			if h.contact == contactNormal {
+				unknown++
+			}
+		}
+	}
+	if unfenced == 0 {
+		return
+	}
+	ended := "may still be confirmed by workers"
+	if at, ok := c.previousLeaderEnded(); ok {
+		ended = fmt.Sprintf("have ended %d ms ago", (c.now - at).Milliseconds())
+	}
+	wait := "without a bound"
+	if longest != never {
+		wait = fmt.Sprintf("for %d ms at most", (longest - c.now).Milliseconds())
+	}
+	c.recordDecision(Decision{Kind: "takeover-waits", Age: c.now - c.termStart, Reason: fmt.Sprintf(
+		"%d workers of previous leaders are not fenced, the runs of %d of them unknown; %d of %d voters fenced; previous leaders %s; %d tasks may run unseen; it waits %s",
+		unfenced, unknown, fenced, len(c.formerVoters), ended, len(c.suspectTasks), wait)})
+}
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -567,21 +567,21 @@
 	g := NewWithT(t)
 	s := newSuccession("w1", "w2", "w3")
 	s.workers["w1"].rack = "r2"
-	acceptedAt, longestWait := s.now, localityWaitShare*5
 	step := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}, DataRack: "r2", EstimateMillis: 5000}
-	blocker := workflow.Step{Count: 1, Size: workflow.Size{MilliCPU: 1000}, DataRack: "r2", LongRunning: true}
-	for len(s.runsOn("near")) == 0 && s.now < acceptedAt+20*time.Second {
+	accept := func(l *simLeader, id string, p workflow.Progress) {
+		job := &workflow.Job{ID: id, Queue: "q", Spec: "s", AcceptedMillis: time.Minute.Milliseconds(), Steps: []workflow.Step{step}}
+		l.queued = append(l.queued, JobAccepted{Job: job, Offset: -1, Progress: p})
+	}
+	accept(s.takeOver(), "fills the rack", workflow.Progress{})
+	s.advance(time.Second)
+	for len(s.runsOn("waits")) == 0 && s.now < time.Minute+20*time.Second {
+		s.leaders[len(s.leaders)-1].stopped = true
 		l := s.takeOver()
-		for id, def := range map[string]workflow.Step{"blocker": blocker, "near": step} {
-			job := &workflow.Job{ID: id, Queue: "q", Spec: "s", AcceptedMillis: acceptedAt.Milliseconds(), Steps: []workflow.Step{def}}
-			if id == "blocker" || s.now > acceptedAt {
-				l.queued = append(l.queued, JobAccepted{Job: job, Offset: -1, Progress: workflow.Progress{Started: id == "blocker" && s.now > acceptedAt}})
-			}
-		}
+		accept(l, "fills the rack", workflow.Progress{Started: true})
+		accept(l, "waits", workflow.Progress{})
 		s.advance(time.Second)
-		l.stopped = true
 	}
-	g.Expect((s.now - acceptedAt).Seconds()).To(BeNumerically("~", longestWait, 2))
+	g.Expect((s.now - time.Minute).Seconds()).To(BeNumerically("~", localityWaitShare*5, 2))
 }
 
 // A worker that left as planned while the leader changed must not hold up the work of all
