Leases from before a worker's restart count for what is started there

A worker restarts under its ID while a heartbeat to its previous life is on its way, which extends the new life's lease by the old life's clock. A lease holds for all that is started there later. The next leader took the worker for free of older leases, and a task that it had started there for lapsed before it was.

Cause: only if runs were known when the worker first answered, the longest lease was assumed.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -148,6 +148,12 @@
 	return last, ok && h.info.Born != 0 && last.born == h.info.Born
 }
 
+// hasRestarted reports whether an earlier incarnation of the worker has ended in this term.
+func (c *Core) hasRestarted(h *host) bool {
+	_, ok := c.endedIncarnations[h.info.ID]
+	return ok
+}
+
 // entryClaim is what an entry of the platform's list says against the worker's own
 // answers. The entry may be outdated, or of another writer, so that the worker is asked
 // first: at the address where it has answered or, while it is silent there, by turns at
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -230,6 +230,11 @@
 	return w.accept(l)
 }
 
+// restart begins the worker's next incarnation, which knows of no leader.
+func (w *simWorker) restart(now time.Duration) {
+	w.born, w.token, w.deadline, w.running = now.Milliseconds(), 0, 0, nil
+}
+
 func (w *simWorker) extend(now time.Duration, deadline int64) {
 	w.deadline = max(w.deadline, min(deadline, w.clock(now)+simMaxLease.Milliseconds()))
 }
@@ -645,6 +650,33 @@
 	g.Expect(s.runsOn("moved")).To(HaveLen(1), "it had left the worker before")
 }
 
+// A heartbeat that is meant for a worker's previous incarnation, and reaches the next one, may
+// extend its lease beyond what the next leader grants. It holds for what that leader starts.
+func TestLeaseFromBeforeRestartCounts(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuccession("w1")
+	s.workers["w1"].born = 1
+	s.takeOver().accept("j", testOffset)
+	s.advance(time.Second)
+	s.workers["w1"].restart(s.now)
+	s.advance(tick) // the heartbeat
+	s.leaders[0].stopped = true
+	next := s.takeOver()
+	next.accept("j", -1)
+	s.advance(100 * time.Millisecond)
+	s.list()
+	s.advance(400 * time.Millisecond)
+	g.Expect(s.runsOn("j")).To(Equal([]string{"w1"}))
+	next.unreachable["w1"] = true
+	s.addWorker("w2")
+	s.list()
+	for range 600 {
+		s.advance(tick)
+		g.Expect(len(s.runsOn("j"))).To(BeNumerically("<=", 1))
+	}
+	g.Expect(s.runsOn("j")).To(Equal([]string{"w2"}))
+}
+
 // Workers that no record names as unreached may have been in use by any leader of a version
 // that records nothing.
 func TestRecordedEndsDoNotCoverLegacyLeaders(t *testing.T) {
@@ -678,7 +710,7 @@
 	for range rapid.IntRange(5, 25).Draw(t, "actions") {
 		some := rapid.SliceOfDistinct(rapid.SampledFrom(sortedKeys(s.workers)), func(id string) string { return id })
 		l := s.leaders[rapid.IntRange(max(0, len(s.leaders)-2), len(s.leaders)-1).Draw(t, "leader")]
-		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "cut", "cut", "heal", "hold", "store", "run"}).Draw(t, "action") {
+		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "restart", "cut", "cut", "heal", "hold", "store", "run"}).Draw(t, "action") {
 		case "take-over":
 			next := s.takeOver()
 			next.accept("j", -1)
@@ -702,6 +734,10 @@
 			l.holdsCommits = true
 		case "store":
 			l.storeDown = !l.storeDown
+		case "restart":
+			for _, id := range some.Draw(t, "restarted") {
+				s.workers[id].restart(s.now)
+			}
 		}
 		for range rapid.IntRange(1, 120).Draw(t, "ticks") {
 			s.advance(tick)
