--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -710,7 +710,7 @@
 	for range rapid.IntRange(5, 25).Draw(t, "actions") {
 		some := rapid.SliceOfDistinct(rapid.SampledFrom(sortedKeys(s.workers)), func(id string) string { return id })
 		l := s.leaders[rapid.IntRange(max(0, len(s.leaders)-2), len(s.leaders)-1).Draw(t, "leader")]
-		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "restart", "cut", "cut", "heal", "hold", "store", "run"}).Draw(t, "action") {
+		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "restart", "fail", "cut", "cut", "heal", "hold", "store", "run"}).Draw(t, "action") {
 		case "take-over":
 			next := s.takeOver()
 			next.accept("j", -1)
@@ -734,6 +734,10 @@
 			l.holdsCommits = true
 		case "store":
 			l.storeDown = !l.storeDown
+		case "fail":
+			for _, id := range some.Draw(t, "failing") {
+				s.workers[id].running = nil
+			}
 		case "restart":
 			for _, id := range some.Draw(t, "restarted") {
 				s.workers[id].restart(s.now)
