--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -105,6 +105,20 @@
 	return previous
 }
 
+// takeOverJob begins the term of the next leader, which finds a job from before.
+func (s *succession) takeOverJob(id string) *simLeader {
+	l := s.takeOver()
+	l.accept(id, -1)
+	return l
+}
+
+// startJob begins the first term, in which a job is started, and returns its worker.
+func (s *succession) startJob(id string) []string {
+	s.takeOver().accept(id, testOffset)
+	s.advance(time.Second)
+	return s.runsOn(id)
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	var ids []string
 	for id := range m {
@@ -328,8 +342,7 @@
 		for i := range 8 {
 			s.addWorker(fmt.Sprint("x", token, i))
 		}
-		next := s.takeOver()
-		next.accept("j", -1)
+		next := s.takeOverJob("j")
 		for id := range s.workers {
 			next.unreachable[id] = id[0] == 'w'
 		}
@@ -373,8 +386,7 @@
 	s.advance(time.Second)
 	on := s.runsOn("j")
 	first.unreachable[on[0]] = true
-	next := s.takeOver()
-	next.accept("j", -1)
+	next := s.takeOverJob("j")
 	next.cutOffBut(s, on[0])
 	for range 1000 {
 		s.advance(tick)
@@ -449,16 +461,14 @@
 			lostAt := s.now
 			for len(s.runsOn("j")) == 0 && s.now < lostAt+time.Minute {
 				l.stopped = true
-				l = s.takeOver()
-				l.accept("j", -1)
+				l = s.takeOverJob("j")
 				s.advance(c.term)
 			}
 			g.Expect(s.now-lostAt).To(BeNumerically("<", c.within), "11.5 s, and the rest of a term")
 			for range 3 { // nor does it begin anew for others that fail later
 				failed := s.workers[s.runsOn("j")[0]]
 				l.stopped = true
-				l = s.takeOver()
-				l.accept("j", -1)
+				l = s.takeOverJob("j")
 				s.advance(c.term)
 				failed.running = nil
 				s.advance(time.Second)
@@ -483,8 +493,7 @@
 			first.cutOffBut(s, on[0])
 			cutAt, lastRun := s.now, time.Duration(0)
 			for s.now < cutAt+40*time.Second {
-				l := s.takeOver()
-				l.accept("j", -1)
+				l := s.takeOverJob("j")
 				l.unreachable[on[0]] = true
 				for end := s.now + term; s.now < end; s.advance(tick) {
 					now := s.runsOn("j")
@@ -506,13 +515,10 @@
 func TestWaitBeginsWithEndOfLastLeaderThatReachedTheWorker(t *testing.T) {
 	g := NewWithT(t)
 	s := newSuccession("w1", "w2", "w3", "w4", "w5")
-	s.takeOver().accept("j", testOffset)
-	s.advance(time.Second)
-	on := s.runsOn("j")
+	on := s.startJob("j")
 	for i, reached := range []bool{false, true, false} {
 		s.leaders[i].cutOffBut(s, on[0])
-		l := s.takeOver()
-		l.accept("j", -1)
+		l := s.takeOverJob("j")
 		l.unreachable[on[0]] = !reached
 		s.advance(6 * time.Second)
 		g.Expect(s.runsOn("j")).To(Equal(on), "term %d", i)
@@ -528,20 +534,16 @@
 func TestNoLeaseIsExtendedBeforeItsLeaderIsRecorded(t *testing.T) {
 	g := NewWithT(t)
 	s := newSuccession("w1", "w2", "w3", "w4", "w5")
-	s.takeOver().accept("j", testOffset)
-	s.advance(time.Second)
-	on := s.runsOn("j")
+	on := s.startJob("j")
 	s.leaders[0].cutOffBut(s, on[0])
-	second := s.takeOver()
-	second.accept("j", -1)
+	second := s.takeOverJob("j")
 	second.unreachable[on[0]] = true
 	s.advance(2 * time.Second)
 	second.storeDown = true
 	s.advance(4 * time.Second)
 	second.unreachable[on[0]] = false
 	s.advance(2 * time.Second)
-	third := s.takeOver()
-	third.accept("j", -1)
+	third := s.takeOverJob("j")
 	third.unreachable[on[0]] = true
 	second.cutOffBut(s, on[0])
 	for range 600 {
@@ -571,8 +573,7 @@
 			lostAt, again := s.now, time.Duration(0)
 			for again == 0 && s.now < lostAt+15*time.Minute {
 				l.stopped = true
-				l = s.takeOver()
-				l.accept("j", -1)
+				l = s.takeOverJob("j")
 				for end := s.now + term; s.now < end && again == 0; s.advance(time.Second) {
 					if len(s.runsOn("j")) > 0 {
 						again = s.now
@@ -661,8 +662,7 @@
 	s.workers["w1"].restart(s.now)
 	s.advance(tick) // the heartbeat
 	s.leaders[0].stopped = true
-	next := s.takeOver()
-	next.accept("j", -1)
+	next := s.takeOverJob("j")
 	s.advance(100 * time.Millisecond)
 	s.list()
 	s.advance(400 * time.Millisecond)
@@ -687,8 +687,7 @@
 	}
 	s.succession = Succession{Token: 60, LegacyToken: 50, Ends: []LeaderEnd{{Before: 45, AgeMillis: 60_000}}}
 	s.workers["w1"].gone = true
-	l := s.takeOver()
-	l.accept("j", -1)
+	l := s.takeOverJob("j")
 	s.advance(11 * time.Second)
 	g.Expect(l.starts).To(BeEmpty(), "a legacy leader with token 50 may have used w1")
 	s.advance(2 * time.Second)
@@ -712,8 +711,7 @@
 		l := s.leaders[rapid.IntRange(max(0, len(s.leaders)-2), len(s.leaders)-1).Draw(t, "leader")]
 		switch rapid.SampledFrom([]string{"take-over", "add", "leave", "restart", "fail", "cut", "cut", "heal", "hold", "store", "run"}).Draw(t, "action") {
 		case "take-over":
-			next := s.takeOver()
-			next.accept("j", -1)
+			next := s.takeOverJob("j")
 			for _, id := range some.Draw(t, "unreachable") {
 				next.unreachable[id] = true
 			}
