The longest lease counts again for a next life that has runs of the one before

A life without a start time is not among those known to have restarted.

Change: either condition is enough.

--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -175,7 +175,7 @@
 	h.confirmedAt = max(h.confirmedAt, ev.SentAt)
 	h.clock, h.clockAt = ev.Lists.ClockMillis, c.now
 	first := !h.fenced
-	if first && (h.inherited || c.hasRestarted(h)) {
+	if first && (len(h.runs) > 0 || h.inherited || c.hasRestarted(h)) {
 		// A previous leader may have granted leases here, or an order to the previous
 		// incarnation has. They hold for whatever is started.
 		h.latestDeadline = max(h.latestDeadline, h.clock+c.set.MaxLease.Milliseconds())
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -108,3 +108,27 @@
 	b.advance(60 * time.Second)
 	b.Expect(b.startHosts("j")).To(HaveLen(2))
 }
+
+// A worker that doesn't report its start time is replaced while a start is on its way. The
+// longest lease counts for its next life as well.
+func TestLongestLeaseCountsForNextLifeWithoutStartTime(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.workers["w1"].lists.Born = 0
+	b.listWorkers()
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	b.advance(time.Second)
+	b.Expect(b.startHosts("j")).To(Equal([]string{"w1"}))
+	ended := b.core.hosts["w1"]
+	b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: "w1", Incarnation: ended.incarnation, Code: worker.WrongIncarnation})
+	b.advance(tick)
+	b.Expect(b.core.hosts["w1"]).NotTo(BeIdenticalTo(ended))
+	b.Expect(b.core.hosts["w1"].runs).To(HaveLen(1), "the start may reach the next life")
+	for range 10 {
+		if b.core.hosts["w1"].fenced {
+			break
+		}
+		b.advance(tick)
+	}
+	h := b.core.hosts["w1"]
+	b.Expect(h.latestDeadline).To(BeNumerically(">=", h.clock+b.core.set.MaxLease.Milliseconds()))
+}
