--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -488,7 +488,10 @@
 
 // silentSince returns since when the worker has answered no leader.
 func (c *Core) silentSince(h *host) time.Duration {
-	if at, ok := c.lastLeaderEnded(h); ok && h.fencedAt == 0 {
+	if h.fenced {
+		return h.lastContact
+	}
+	if at, ok := c.lastLeaderEnded(h); ok {
 		return min(at, h.lastContact)
 	}
 	return h.lastContact
@@ -508,7 +511,8 @@
 
 // usable reports whether new work may be sent to the worker.
 func (c *Core) usable(h *host) bool {
-	return h.listed && h.fenced && h.registered && !c.recordedUnreached[h.info.ID] && !h.restartClaimed() && !c.isLeaving(h) && !h.contactLost() && h.contact == contactNormal &&
+	return h.listed && h.fenced && h.registered && !c.recordedUnreached[h.info.ID] && !h.restartClaimed() &&
+		!c.isLeaving(h) && !h.contactLost() && h.contact == contactNormal &&
 		c.now-h.lastContact < maxContactAge && !h.health.quarantined(c.now)
 }
 
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -333,10 +333,7 @@
 func TestNewWorkersDoNotEndPreviousLeaders(t *testing.T) {
 	g := NewWithT(t)
 	s := newSuccession("w1", "w2", "w3", "w4")
-	first := s.takeOver()
-	first.accept("j", testOffset)
-	s.advance(time.Second)
-	on := s.runsOn("j")
+	on := s.startJob("j")
 	g.Expect(on).To(HaveLen(1))
 	for token := range 2 {
 		for i := range 8 {
@@ -381,10 +378,8 @@
 func TestLeaderWithoutStoreLeavesTasksOfLostWorkersAlone(t *testing.T) {
 	g := NewWithT(t)
 	s := newSuccession("w1", "w2", "w3", "w4", "w5")
-	first := s.takeOver()
-	first.accept("j", testOffset)
-	s.advance(time.Second)
-	on := s.runsOn("j")
+	on := s.startJob("j")
+	first := s.leaders[0]
 	first.unreachable[on[0]] = true
 	next := s.takeOverJob("j")
 	next.cutOffBut(s, on[0])
