Keys of client accounts

Queues that are not public now need a known key before the body is read: 401, or 403 for another account's job. Keys are kept as digests under a secret of the process. Where keys must be refused within a bound after their removal, a host accepts them only while its configuration was read within 0.6 of that bound, counted from when the read was sent on a clock that includes suspension, and logs the change of state.

--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -68,9 +68,11 @@
 	return f.outcome
 }
 
-func (f *fake) Cancel(context.Context, *workflow.Queue, string) intake.Outcome { return f.outcome }
+func (f *fake) Cancel(context.Context, intake.Caller, *workflow.Queue, string) intake.Outcome {
+	return f.outcome
+}
 
-func (f *fake) State(context.Context, *workflow.Queue, string) (workflow.State, intake.Outcome) {
+func (f *fake) State(context.Context, intake.Caller, *workflow.Queue, string) (workflow.State, intake.Outcome) {
 	return "", intake.Outcome{Code: intake.JobNotFound, Reason: "no-job"}
 }
 
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -61,6 +61,9 @@
 	return api.NewOperatorServer(&server{n, &http.Client{Transport: transport}, handed})
 }
 
+// operatorCaller is the caller on whose behalf operators' requests are made.
+var operatorCaller = intake.Caller{Unrestricted: true}
+
 type server struct {
 	node   Node
 	http   *http.Client
@@ -119,7 +122,7 @@
 	j, ok := s.node.Job(req.GetId())
 	if !ok && !req.GetOnlyHere() {
 		// It may have been taken in a moment ago: the desk reads on first.
-		if _, out := s.node.Desk().State(ctx, nil, req.GetId()); out.Code != intake.OK {
+		if _, out := s.node.Desk().State(ctx, operatorCaller, nil, req.GetId()); out.Code != intake.OK {
 			resp.Unavailable = out.Reason
 		}
 		j, ok = s.node.Job(req.GetId())
@@ -311,7 +314,7 @@
 // Cancel implements the Operator service.
 func (s *server) Cancel(ctx context.Context, req *api.CancelRequest) (*api.OutcomeResponse, error) {
 	began := time.Now()
-	out := s.node.Desk().Cancel(ctx, nil, req.GetId())
+	out := s.node.Desk().Cancel(ctx, operatorCaller, nil, req.GetId())
 	h := Handed{Job: req.GetId(), Cancel: true, Outcome: out, Took: time.Since(began)}
 	if j, ok := s.node.Job(req.GetId()); ok {
 		h.Queue = j.Job.Queue
--- a/internal/demo/showing.go
+++ b/internal/demo/showing.go
@@ -100,7 +100,9 @@
 			return s.call(ctx, func(ctx context.Context, d intake.Service) intake.Outcome { return d.Submit(ctx, q, job) })
 		},
 		Cancel: func(ctx context.Context, q *workflow.Queue, id string) bool {
-			ok, _ := s.call(ctx, func(ctx context.Context, d intake.Service) intake.Outcome { return d.Cancel(ctx, q, id) })
+			ok, _ := s.call(ctx, func(ctx context.Context, d intake.Service) intake.Outcome {
+				return d.Cancel(ctx, intake.Caller{Unrestricted: true}, q, id)
+			})
 			return ok
 		}})
 	s.group.Go(func() { g.load.Run(s.ctx) })
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -41,6 +41,9 @@
 	failsOnce, failsAlways, failsWhileRunning, crashesWorkers = "f", "e", "d", "c"
 )
 
+// anyCaller may access all jobs.
+var anyCaller = intake.Caller{Unrestricted: true}
+
 // process is one incarnation of a node.
 type process struct {
 	name   string
@@ -564,7 +567,7 @@
 	h.cancelling = true
 	c.mu.Unlock()
 	ok, _ := c.callUntilOK(0, nil, func(ctx context.Context, d intake.Service) intake.Outcome {
-		o := d.Cancel(ctx, &h.queue, h.job.ID)
+		o := d.Cancel(ctx, anyCaller, &h.queue, h.job.ID)
 		if o.Code == intake.JobNotFound && time.Since(h.acceptedAt) > visibilityDelay {
 			o.Code = intake.OK // this acknowledges it too
 		}
@@ -648,7 +651,7 @@
 // checkState reports whether the state that a node shows for a job is final, and
 // what is wrong with it, if anything.
 func (c *cluster) checkState(p *process, h *submittedJob) (ended bool, wrong string) {
-	state, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+	state, o := p.node.Desk().State(c.ctx, anyCaller, &h.queue, h.job.ID)
 	progress, _ := c.fleet.Progress(h.job.ID)
 	c.mu.Lock()
 	inTouch := time.Since(c.lastDisruption) > contactRecoveryTime
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -170,6 +170,7 @@
 		n.handleMaintenanceEvent(ev)
 	case settingsChanged:
 		n.settings.Limits = ev.Limits
+		n.desk.keys.configure(&ev.Limits)
 	case dispatcherEvent:
 		if n.term != nil && n.term.token == ev.token {
 			return append(batch, ev.event)
@@ -420,6 +421,7 @@
 	}
 	if !r.readAt.IsZero() {
 		n.desk.configReadAt.Store(r.readAt.UnixNano())
+		n.desk.keys.configurationRead(r)
 	}
 	for _, rec := range r.records {
 		cat, err := n.deps.Feeds.DecodeCatalog(rec.Record)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -27,6 +27,8 @@
 	// endSeenAt, if not nil, returns when the end of the log was last seen, by a
 	// read or by other means.
 	endSeenAt func() time.Time
+	// clock, if not nil, stamps the reads.
+	clock func() time.Duration
 	// termToken, if not nil, returns the token of this node's term. The feed is
 	// not read while it is zero, and is read from the start when it changes.
 	termToken func() int64
@@ -49,6 +51,8 @@
 	// the end of the log.
 	sentAt     time.Time
 	reachedEnd bool
+	// sentClock is the time of the feed's clock before the read was sent.
+	sentClock time.Duration
 }
 
 const (
@@ -80,6 +84,10 @@
 			next = max(next, f.position())
 		}
 		startedAt := time.Now()
+		sentClock := time.Duration(0)
+		if f.clock != nil {
+			sentClock = f.clock()
+		}
 		current := f
 		if failed {
 			// Do not wait for a record: recovery should be noticed at once.
@@ -89,6 +97,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		r.sentClock = sentClock
 		handle(r)
 		failed = r.err != nil
 		switch {
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -78,6 +78,7 @@
 	// configReadAt is when the operators' records were last read without error,
 	// in Unix nanoseconds.
 	configReadAt atomic.Int64
+	keys         *keyGuard
 	leaving      atomic.Bool
 	// writeSlots bounds the writes that wait for the store.
 	writeSlots chan struct{}
@@ -85,9 +86,10 @@
 	// submissions holds the submissions in progress by job ID, so that repeated
 	// requests wait for the first.
 	submissions map[string]*submission
-	// storedIDs holds the jobs that this node has stored and not yet read back.
-	storedIDs map[string]bool
-	count     func(kind, reason string)
+	// storedAccounts holds the accounts of the jobs that this node has stored and not yet
+	// read back.
+	storedAccounts map[string]string
+	count          func(kind, reason string)
 }
 
 // submission is a Submit call in progress. done is closed once outcome is set.
@@ -97,14 +99,14 @@
 }
 
 func newJobAPI(directWriter *jobLogWriter, jobs *jobTable, count func(kind, reason string), appendViaLeader func(context.Context, store.Record) (bool, error)) *jobAPI {
-	return &jobAPI{directWriter: directWriter, appendViaLeader: appendViaLeader, table: jobs, writeSlots: make(chan struct{}, maxPendingWrites), submissions: map[string]*submission{}, storedIDs: map[string]bool{}, count: count}
+	return &jobAPI{directWriter: directWriter, appendViaLeader: appendViaLeader, table: jobs, writeSlots: make(chan struct{}, maxPendingWrites), submissions: map[string]*submission{}, storedAccounts: map[string]string{}, count: count}
 }
 
 // outcome builds an outcome with its retry delay, and counts refusals.
 func (d *jobAPI) outcome(code intake.Code, reason string) intake.Outcome {
 	o := intake.Outcome{Code: code, Reason: reason}
 	switch {
-	case reason == "store-unreachable" || reason == "configuration-stale":
+	case reason == "store-unreachable" || reason == "configuration-stale" || reason == reasonKeysExpired:
 		o.RetryAfter = retryAfterStoreDown
 	case code == intake.Busy || code == intake.Unavailable:
 		o.RetryAfter = retryAfter
@@ -131,6 +133,19 @@
 	return q, rest, intake.Outcome{}
 }
 
+// Authenticate implements intake.Service.
+func (d *jobAPI) Authenticate(q *workflow.Queue, key string) (intake.Caller, intake.Outcome) {
+	cat := d.catalog.Load()
+	if cat == nil {
+		return intake.Caller{}, d.outcome(intake.Unavailable, "no-configuration")
+	}
+	caller, refused := d.keys.authenticate(cat, q, key)
+	if refused != nil {
+		return intake.Caller{}, d.outcome(refused.Code, refused.Reason)
+	}
+	return caller, intake.Outcome{}
+}
+
 // MaxBodyBytes implements intake.Desk.
 func (d *jobAPI) MaxBodyBytes() int64 {
 	if cat := d.catalog.Load(); cat != nil {
@@ -175,7 +190,7 @@
 		f.outcome = d.write(ctx, store.Record{Key: jobKeyPrefix + job.ID, Value: value}, job.ID,
 			func(_ jobEntry, ok bool) bool { return ok })
 	}
-	d.endSubmission(job.ID, f)
+	d.endSubmission(job.ID, job.Account, f)
 	return f.outcome
 }
 
@@ -194,11 +209,11 @@
 
 // endSubmission removes a submission whose outcome is set and wakes those that
 // wait for it.
-func (d *jobAPI) endSubmission(id string, f *submission) {
+func (d *jobAPI) endSubmission(id, account string, f *submission) {
 	d.mu.Lock()
 	delete(d.submissions, id)
 	if f.outcome.Code == intake.OK {
-		d.storedIDs[id] = true
+		d.storedAccounts[id] = account
 	}
 	d.mu.Unlock()
 	close(f.done)
@@ -339,33 +354,44 @@
 }
 
 // State implements intake.Desk.
-func (d *jobAPI) State(ctx context.Context, _ *workflow.Queue, id string) (workflow.State, intake.Outcome) {
-	if e, ok := d.table.lookup(id); ok {
-		return e.state(), intake.Outcome{}
+func (d *jobAPI) State(ctx context.Context, caller intake.Caller, _ *workflow.Queue, id string) (workflow.State, intake.Outcome) {
+	e, ok := d.table.lookup(id)
+	if owner, stored := d.storedBy(id); !ok && stored {
+		return workflow.Queued, d.authorize(caller, owner)
 	}
-	if d.isStored(id) {
-		return workflow.Queued, intake.Outcome{}
+	if !ok {
+		if out := d.resolveMissing(ctx, id); out.Code != intake.OK {
+			return "", out
+		}
+		e, _ = d.table.lookup(id)
 	}
-	if out := d.resolveMissing(ctx, id); out.Code != intake.OK {
-		return "", out
+	return e.state(), d.authorize(caller, e.account())
+}
+
+// authorize returns the outcome of a caller's access to a job of the account.
+func (d *jobAPI) authorize(caller intake.Caller, account string) intake.Outcome {
+	if caller.MayAccess(account) {
+		return intake.Outcome{}
 	}
-	e, _ := d.table.lookup(id)
-	return e.state(), intake.Outcome{}
+	return d.outcome(intake.Forbidden, "other-account")
 }
 
-func (d *jobAPI) isStored(id string) bool {
+// storedBy returns the account of a job that this node has stored and not yet read
+// back, and false for other jobs.
+func (d *jobAPI) storedBy(id string) (account string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.storedIDs[id]
+	account, ok = d.storedAccounts[id]
+	return account, ok
 }
 
-// forgetStored removes jobs that the table now holds from storedIDs.
+// forgetStored removes jobs that the table now holds from storedAccounts.
 func (d *jobAPI) forgetStored(changes []tableChange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range changes {
 		if c.accepted != nil {
-			delete(d.storedIDs, c.accepted.job.ID)
+			delete(d.storedAccounts, c.accepted.job.ID)
 		}
 	}
 }
@@ -391,9 +417,10 @@
 }
 
 // Cancel implements intake.Desk.
-func (d *jobAPI) Cancel(ctx context.Context, _ *workflow.Queue, id string) intake.Outcome {
+func (d *jobAPI) Cancel(ctx context.Context, caller intake.Caller, _ *workflow.Queue, id string) intake.Outcome {
 	e, ok := d.table.lookup(id)
-	if !ok && !d.isStored(id) {
+	owner, stored := d.storedBy(id)
+	if !ok && !stored {
 		out := d.resolveMissing(ctx, id)
 		if out.Code == intake.JobNotFound {
 			return d.cancelUnknown(ctx, id, out)
@@ -401,7 +428,13 @@
 		if out.Code != intake.OK {
 			return out
 		}
-		e, _ = d.table.lookup(id)
+		e, ok = d.table.lookup(id)
+	}
+	if ok {
+		owner = e.account()
+	}
+	if out := d.authorize(caller, owner); out.Code != intake.OK {
+		return out
 	}
 	if e.cancelled || e.progress.Final != "" {
 		return intake.Outcome{}
--- a/internal/node/jobapi_test.go
+++ b/internal/node/jobapi_test.go
@@ -46,7 +46,7 @@
 		waitingJob := c.submit(huge, "plain", a)
 		runningJob := c.submit(singleTaskJob("00000000000000b2"), "plain", b)
 		state := func(p *process, h *submittedJob) workflow.State {
-			s, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+			s, o := p.node.Desk().State(c.ctx, anyCaller, &h.queue, h.job.ID)
 			c.Expect(o.Code).To(Equal(intake.OK))
 			return s
 		}
@@ -63,7 +63,7 @@
 			pending, o := p.node.Desk().Pending(c.ctx, &waitingJob.queue)
 			c.Expect(o.Code).To(Equal(intake.OK))
 			c.Expect(pending).To(Equal(1))
-			_, o = p.node.Desk().State(c.ctx, &waitingJob.queue, "00000000000000ff")
+			_, o = p.node.Desk().State(c.ctx, anyCaller, &waitingJob.queue, "00000000000000ff")
 			c.Expect(o.Code).To(Equal(intake.JobNotFound))
 		}
 		c.cancelJob(waitingJob)
@@ -97,7 +97,7 @@
 		p := c.running()[0]
 		h := c.submit(job, "plain", p)
 		c.Expect(h.accepted).To(BeTrue())
-		o := c.other(p).node.Desk().Cancel(c.ctx, &h.queue, job.ID)
+		o := c.other(p).node.Desk().Cancel(c.ctx, anyCaller, &h.queue, job.ID)
 		c.Expect(o.Code).NotTo(Equal(intake.JobNotFound), "a caller would take this as the confirmation of the cancellation")
 		c.cancelJob(h)
 	})
@@ -128,7 +128,7 @@
 		c.Expect(api.Submit(c.ctx, &plain, job).Code).To(Equal(intake.Invalid))
 		_, _, o := api.Match("h", "/nowhere/x")
 		c.Expect(o.Code).To(Equal(intake.QueueNotFound))
-		_, o = api.State(c.ctx, &plain, "00000000000000b4")
+		_, o = api.State(c.ctx, anyCaller, &plain, "00000000000000b4")
 		c.Expect(o.Code).To(Equal(intake.JobNotFound))
 		c.kill(c.leader())
 		time.Sleep(3 * time.Second)
@@ -158,7 +158,7 @@
 	for try := range callerAttempts {
 		up := c.running()
 		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		o := up[try%len(up)].node.Desk().Cancel(ctx, &h.queue, h.job.ID)
+		o := up[try%len(up)].node.Desk().Cancel(ctx, anyCaller, &h.queue, h.job.ID)
 		cancel()
 		if o.Code == intake.OK || o.Code == intake.JobNotFound {
 			c.fleet.Cancelled(h.job.ID)
@@ -211,13 +211,13 @@
 		h := &submittedJob{job: singleTaskJob("00000000000000da"), queue: c.catalog.Queues["plain"]}
 		c.fleet.Know(&h.job, h.queue.Pool, h.queue.Attempts)
 		a, b := c.running()[0], c.running()[1]
-		c.Expect(a.node.Desk().Cancel(c.ctx, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound))
-		c.Expect(a.node.Desk().Cancel(c.ctx, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound), "a repeat")
+		c.Expect(a.node.Desk().Cancel(c.ctx, anyCaller, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound))
+		c.Expect(a.node.Desk().Cancel(c.ctx, anyCaller, &h.queue, h.job.ID).Code).To(Equal(intake.JobNotFound), "a repeat")
 		c.fleet.Cancelled(h.job.ID)
 		c.Expect(b.node.Desk().Submit(c.ctx, &h.queue, h.job).Code).To(Equal(intake.OK))
 		time.Sleep(2 * time.Second)
 		for _, p := range c.running() {
-			state, o := p.node.Desk().State(c.ctx, &h.queue, h.job.ID)
+			state, o := p.node.Desk().State(c.ctx, anyCaller, &h.queue, h.job.ID)
 			c.Expect(o.Code).To(Equal(intake.OK))
 			c.Expect(state).To(Equal(workflow.Cancelled))
 		}
@@ -239,12 +239,12 @@
 			c.log.Put(jobsPartition, store.Record{Key: fmt.Sprintf("%s%016x", cancelKeyPrefix, i), Value: []byte("{}")})
 		}
 		time.Sleep(2 * time.Second)
-		o := p.node.Desk().Cancel(c.ctx, &plain, "00000000000fffff")
+		o := p.node.Desk().Cancel(c.ctx, anyCaller, &plain, "00000000000fffff")
 		c.Expect(o.Code).To(Equal(intake.Busy))
 		c.Expect(o.RetryAfter).To(BeNumerically(">", 0))
-		c.Expect(p.node.Desk().Cancel(c.ctx, &plain, "0000000000000001").Code).To(Equal(intake.JobNotFound))
+		c.Expect(p.node.Desk().Cancel(c.ctx, anyCaller, &plain, "0000000000000001").Code).To(Equal(intake.JobNotFound))
 		time.Sleep(p.node.settings.Limits.StatusRetention + 5*time.Second)
 		c.Expect(p.node.table.unmatchedCancelCount()).To(BeZero(), "the leader removes those of an earlier version, too")
-		c.Expect(p.node.Desk().Cancel(c.ctx, &plain, "00000000000fffff").Code).To(Equal(intake.JobNotFound))
+		c.Expect(p.node.Desk().Cancel(c.ctx, anyCaller, &plain, "00000000000fffff").Code).To(Equal(intake.JobNotFound))
 	})
 }
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -57,6 +57,14 @@
 	return workflow.Queued
 }
 
+// account returns the client account of the job, empty for none.
+func (e *jobEntry) account() string {
+	if e.job == nil {
+		return ""
+	}
+	return e.job.Account
+}
+
 func (e *jobEntry) pending() bool {
 	return e.job != nil && !e.progress.Started && e.progress.Final == "" && !e.cancelled
 }
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -102,10 +102,10 @@
 func TestJobAcceptedAndRemovedInOneRead(t *testing.T) {
 	g := NewWithT(t)
 	table := newJobTable()
-	desk := &jobAPI{storedIDs: map[string]bool{"a": true}}
+	desk := &jobAPI{storedAccounts: map[string]string{"a": ""}}
 	changes := table.apply(withOffsets(0, jobRecord(g, "a", ""), store.Record{Key: jobKeyPrefix + "a"}), 2)
 	g.Expect(func() { desk.forgetStored(changes) }).NotTo(Panic())
-	g.Expect(desk.storedIDs).To(BeEmpty())
+	g.Expect(desk.storedAccounts).To(BeEmpty())
 	g.Expect(table.pendingCount("plain")).To(BeZero())
 	_, ok := table.lookup("a")
 	g.Expect(ok).To(BeFalse())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,8 @@
 	direct := newJobLogWriter(deps.Store, 0, newAppendLimits(&settings), n.storeReader, log, deps.Count, nil)
 	n.desk = newJobAPI(direct, t, deps.Count, n.writeAtLeader)
 	n.desk.maxValueBytes = direct.limits.maxValueBytes()
+	n.desk.keys = newKeyGuard(n.suspendAwareUptime, log)
+	n.desk.keys.configure(&settings.Limits)
 	n.desk.leaderCanWrite = n.leaderCanWrite
 	n.catcher = newReadCoalescer(func(ctx context.Context) {
 		n.send(ctx, jobsRead{readOnce(ctx, n.storeReader, feed{partition: jobsPartition}, n.table.position())})
@@ -265,7 +267,7 @@
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.followFeed(ctx, feed{partition: jobsPartition, wait: jobsReadWait, interval: n.jobsPollPause, reader: newJobLogReader(n), loadAll: newViewLoader(n).load, position: n.table.position, endSeenAt: n.table.endSeen}, func(r readResult) any { return jobsRead{r} })
 	n.followFeed(ctx, feed{partition: tenurePartition, wait: leadershipReadWait, interval: n.leadershipPollPause}, func(r readResult) any { return leadershipRead{r} })
-	n.followFeed(ctx, feed{partition: n.deps.Feeds.Operators, wait: operatorsReadWait, interval: every(operatorsPollInterval)}, func(r readResult) any { return operatorsRead{r} })
+	n.followFeed(ctx, feed{partition: n.deps.Feeds.Operators, wait: operatorsReadWait, interval: every(operatorsPollInterval), clock: n.suspendAwareUptime}, func(r readResult) any { return operatorsRead{r} })
 	n.followFeed(ctx, feed{partition: n.deps.Feeds.Workers, interval: every(workersPollInterval), termToken: n.termToken.Load}, func(r readResult) any { return workersRead{r} })
 	n.followFeed(ctx, feed{partition: memberPartition, wait: membersReadWait, interval: every(membersPollInterval)}, func(r readResult) any { return membersRead{r} })
 	go n.storeReader.probe(ctx)
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -73,6 +73,12 @@
 	MachineListPerSecond, MachineOrdersPerSecond float64
 	// Heartbeat is how often a worker writes its entry.
 	Heartbeat time.Duration
+	// AccountsInUse is whether callers need keys even if the configuration has no
+	// accounts.
+	AccountsInUse bool
+	// RevocationBound is how long after its removal is acknowledged a key may still be
+	// accepted, by hosts out of reach too; 0 means no bound.
+	RevocationBound time.Duration
 	// MemoryMiB limits the memory of the process.
 	MemoryMiB int64
 	// CPUShare is the process's share of a core.
--- a/internal/node/probation_test.go
+++ b/internal/node/probation_test.go
@@ -38,7 +38,7 @@
 				}
 				time.Sleep(15 * time.Second)
 				for _, h := range sound {
-					state, o := c.running()[0].node.Desk().State(c.ctx, &h.queue, h.job.ID)
+					state, o := c.running()[0].node.Desk().State(c.ctx, anyCaller, &h.queue, h.job.ID)
 					c.Expect(o.Code).To(Equal(intake.OK))
 					c.Expect(state).To(Equal(workflow.Completed))
 				}
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -214,7 +214,7 @@
 	api, q := p.node.Desk(), s.catalog.Queues["plain"]
 	for i := 0; time.Since(s.startedAt) < 3*maxDispatchDelay && s.ctx.Err() == nil; i++ {
 		known := fmt.Sprintf("00000000%08x", i)
-		s.callers.Go(func() { api.State(s.ctx, &q, known) })
+		s.callers.Go(func() { api.State(s.ctx, anyCaller, &q, known) })
 		job := singleTaskJob(fmt.Sprintf("%s%012x", p.name, i))
 		s.fleet.Know(&job, q.Pool, q.Attempts)
 		if _, _, o := api.Match(q.Host, q.Prefix); o.Code == intake.OK && api.Submit(s.ctx, &q, job).Code == intake.OK {
--- a/internal/node/splitvalue_test.go
+++ b/internal/node/splitvalue_test.go
@@ -53,7 +53,7 @@
 				during(c)
 				time.Sleep(8 * time.Second)
 				for _, p := range c.running() {
-					state, o := p.node.Desk().State(c.ctx, &later.queue, later.job.ID)
+					state, o := p.node.Desk().State(c.ctx, anyCaller, &later.queue, later.job.ID)
 					c.Expect(o.Code).To(Equal(intake.OK))
 					c.Expect(state).To(Equal(workflow.Completed), "a job beside the large one, at %s", p.name)
 				}
@@ -312,7 +312,7 @@
 		time.Sleep(3 * time.Second)
 		h := c.submit(singleTaskJob("00000000000000e5"), "plain")
 		time.Sleep(4 * time.Second)
-		state, o := c.running()[0].node.Desk().State(c.ctx, &h.queue, h.job.ID)
+		state, o := c.running()[0].node.Desk().State(c.ctx, anyCaller, &h.queue, h.job.ID)
 		c.Expect(o.Code).To(Equal(intake.OK))
 		c.Expect(state).To(Equal(workflow.Completed))
 	})
--- a/internal/node/viewloader_test.go
+++ b/internal/node/viewloader_test.go
@@ -107,7 +107,7 @@
 		api, q := p.node.Desk(), s.catalog.Queues["plain"]
 		before := s.log.Usage("a").ReadBytes
 		for i := range 20 {
-			_, o := api.State(s.ctx, &q, fmt.Sprintf("00000000%08x", i))
+			_, o := api.State(s.ctx, anyCaller, &q, fmt.Sprintf("00000000%08x", i))
 			s.Expect(o.Code).To(Equal(intake.Unavailable))
 			s.Expect(o.Reason).To(Equal("view-loading"))
 		}
@@ -126,7 +126,7 @@
 		e, ok := p.node.table.lookup(job.ID)
 		s.Expect(ok).To(BeTrue())
 		s.Expect(e.job.MaybeDuplicate).To(BeTrue(), "it may have been accepted before")
-		state, o := api.State(s.ctx, &q, "0000000000000001")
+		state, o := api.State(s.ctx, anyCaller, &q, "0000000000000001")
 		s.Expect(o.Code).To(Equal(intake.OK))
 		s.Expect(state).To(Equal(workflow.Completed))
 	})
--- a/internal/noded/requests.go
+++ b/internal/noded/requests.go
@@ -44,15 +44,15 @@
 }
 
 // State implements intake.Desk.
-func (d desk) State(ctx context.Context, q *workflow.Queue, id string) (workflow.State, intake.Outcome) {
-	s, o := d.Service.State(ctx, q, id)
+func (d desk) State(ctx context.Context, caller intake.Caller, q *workflow.Queue, id string) (workflow.State, intake.Outcome) {
+	s, o := d.Service.State(ctx, caller, q, id)
 	requestOf(ctx).say(id, q, o)
 	return s, o
 }
 
 // Cancel implements intake.Desk.
-func (d desk) Cancel(ctx context.Context, q *workflow.Queue, id string) intake.Outcome {
-	o := d.Service.Cancel(ctx, q, id)
+func (d desk) Cancel(ctx context.Context, caller intake.Caller, q *workflow.Queue, id string) intake.Outcome {
+	o := d.Service.Cancel(ctx, caller, q, id)
 	requestOf(ctx).say(id, q, o)
 	return o
 }
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mimosaspool/mimosaspool/internal/account"
 )
 
 // Size is the amount of a worker's resources that one task requests.
@@ -100,6 +102,8 @@
 	QueueSnapshot *Queue `json:"y,omitempty"`
 	// AcceptedMillis is when an entry accepted the job, in Unix milliseconds.
 	AcceptedMillis int64 `json:"a,omitempty"`
+	// Account is the client account that submitted the job, empty for none.
+	Account string `json:"c,omitempty"`
 	// MaybeDuplicate is set when the entry had not yet loaded the known jobs, so
 	// that this one may already have been accepted before.
 	MaybeDuplicate bool `json:"u,omitempty"`
@@ -109,7 +113,7 @@
 // and the number and size of the tasks of each step, because some tasks may still
 // be running.
 func (j *Job) Summary() *Job {
-	s := &Job{ID: j.ID, Queue: j.Queue, Steps: make([]Step, len(j.Steps)), AcceptedMillis: j.AcceptedMillis}
+	s := &Job{ID: j.ID, Queue: j.Queue, Steps: make([]Step, len(j.Steps)), AcceptedMillis: j.AcceptedMillis, Account: j.Account}
 	for i := range j.Steps {
 		d := &j.Steps[i]
 		s.Steps[i] = Step{Count: d.Count, Size: d.Size, Gang: d.Gang, Filler: d.Filler}
@@ -259,6 +263,20 @@
 	Advice *PolicySettings
 	// Timeout bounds a call of a caller; 0 means no timeout.
 	Timeout time.Duration
+	// Public queues serve callers without a key.
+	Public bool
+}
+
+// Account is a client account, which shares the workers with others.
+type Account struct {
+	Name string
+	// Weight is the number of jobs per second that the account may send, and its
+	// proportion of the room when there is not enough for all. 0 means that neither is
+	// set.
+	Weight float64
+	// Maximum bounds what the account's tasks have on all workers together; an amount of
+	// 0 means no limit.
+	Maximum Size
 }
 
 // Pool is a named group of workers.
@@ -279,6 +297,9 @@
 	Pools  map[string]Pool
 	// MaxBodyBytes bounds the body of a caller's request; 0 means no limit.
 	MaxBodyBytes int64
+	// Accounts are the client accounts, keyed by name, and Keys their keys.
+	Accounts map[string]Account
+	Keys     account.KeySet `json:"-"`
 }
 
 // Match returns the queue that a caller addresses and the remainder of the path
