Limits and weighted shares of client accounts

The leader now counts what each account has running, and what previous leaders may have running unseen, and starts nothing beyond the maximum. Jobs beyond an account's rate wait behind all others; within a priority, accounts above their weighted share come after those below it. internal/team holds quotas, weights and rates for both schedulers.

Deployments without accounts: the new keys of the order are equal for all steps.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -135,6 +135,7 @@
 	// for maintenance or a move to another pool.
 	evacuations    map[string]*evacuation
 	nextEvacuation time.Duration
+	accounts       accounts
 }
 
 // Counters counts refusals, retries and losses by reason.
@@ -147,7 +148,7 @@
 		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow}, calls: callCounts{since: now},
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, recordedUnreached: map[string]bool{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
-		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}},
+		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}}, accounts: newAccounts(),
 	}
 }
 
@@ -247,6 +248,7 @@
 
 func (c *Core) configure(cat *workflow.Catalog) {
 	c.catalog = cat
+	c.configureAccounts()
 	for _, j := range c.activeJobs {
 		if q, ok := cat.Queues[j.def.Queue]; ok {
 			j.setQueue(q)
@@ -294,6 +296,7 @@
 		endedAt: ev.Progress.EndedMillis, finishedBefore: ev.Progress.FinishedOccurrences, finishedLater: map[int]bool{},
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
+	c.countJob(j)
 	if q, ok := c.catalog.Queues[ev.Job.Queue]; ok {
 		j.setQueue(q)
 	} else if ev.Job.QueueSnapshot != nil {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -52,7 +52,7 @@
 			return false
 		}
 	}
-	if !c.window.hasRoom() {
+	if !c.window.hasRoom() || !c.withinLimit(s, len(s.tasks)) {
 		return false
 	}
 	plan := c.planGang(s)
@@ -148,6 +148,9 @@
 			if !t.pending(c.now) || c.mayRunUnseen(t) {
 				continue
 			}
+			if !c.withinLimit(s, 1) {
+				continue
+			}
 			h := c.pickHost(t, nil)
 			if h == nil {
 				continue
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -439,6 +439,7 @@
 	}
 	r.size = c.taskSize(x.Task)
 	h.addRun(r)
+	c.chargeRun(r)
 	// A previous leader granted its lease, for the maximum time at most.
 	h.latestDeadline = max(h.latestDeadline, h.clock+c.set.MaxLease.Milliseconds())
 	c.dirty = true
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -348,6 +348,7 @@
 			r.task = nil
 		}
 		next.addRun(r)
+		c.chargeRun(r)
 		c.stopRun(r, "its start may reach the worker's next life")
 	}
 	c.sortHosts()
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -26,8 +26,12 @@
 	endedAt        int64
 	// cancelled jobs get no more starts.
 	cancelled bool
-	started   bool
-	dirty     bool
+	// excess is set if the job is beyond the rate of its account. excessOrder then orders it
+	// among the excess jobs.
+	excess      bool
+	excessOrder int64
+	started     bool
+	dirty       bool
 	// finalRecorded is set once the final state is in the log.
 	finalRecorded bool
 	// objective is when the job should be complete, in Unix milliseconds.
@@ -68,6 +72,9 @@
 	ready   bool
 	// queued is set while the step is in the list of waiting steps.
 	queued bool
+	// limited is set if its account may start none of its tasks now, overShare if its account
+	// uses more than its share, both as of the current pass.
+	limited, overShare bool
 	// overdue is set if one of its long-running tasks has waited for too long.
 	overdue bool
 	// runsPerWorker counts the live runs by worker, for steps that bound them.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -15,6 +15,7 @@
 	c.lastPass = c.now
 	c.adjustWindow()
 	c.round++
+	c.prepareAccounts()
 	c.sortWaiting()
 	c.countBacklogs()
 	for _, h := range c.sortedHosts {
@@ -119,18 +120,32 @@
 func (c *Core) sortWaiting() {
 	for _, s := range c.waitingSteps {
 		s.overdue = c.isOverdue(s)
+		s.limited, s.overShare = !c.withinLimit(s, 1), c.accounts.overShare(s.occurrence.job.def.Account)
 	}
 	sort.SliceStable(c.waitingSteps, func(a, b int) bool {
-		if c.waitingSteps[a].overdue != c.waitingSteps[b].overdue {
-			return c.waitingSteps[a].overdue
+		s, t := c.waitingSteps[a], c.waitingSteps[b]
+		if s.limited != t.limited {
+			return t.limited
 		}
-		x, y := c.waitingSteps[a].occurrence.job, c.waitingSteps[b].occurrence.job
+		if s.overdue != t.overdue {
+			return s.overdue
+		}
+		x, y := s.occurrence.job, t.occurrence.job
 		if lx, ly := c.pastHorizon(x), c.pastHorizon(y); lx != ly {
 			return ly
 		}
+		if x.excess != y.excess {
+			return y.excess
+		}
+		if x.excessOrder != y.excessOrder {
+			return x.excessOrder < y.excessOrder
+		}
 		if x.queue.Priority != y.queue.Priority {
 			return x.queue.Priority < y.queue.Priority
 		}
+		if s.overShare != t.overShare {
+			return t.overShare
+		}
 		if x.objective != y.objective {
 			return x.objective < y.objective
 		}
@@ -173,7 +188,7 @@
 	} else {
 		waiting = c.placeTasks(s)
 	}
-	if waiting {
+	if waiting && c.withinLimit(s, 1) {
 		c.queueAdviceRequest(s, prefetched)
 		c.preempt(s)
 	}
@@ -193,6 +208,10 @@
 			waiting = true
 			continue
 		}
+		if !c.withinLimit(s, 1) {
+			waiting, full = true, true
+			continue
+		}
 		h := c.pickHost(t, nil)
 		if h == nil {
 			waiting, full = true, c.now >= t.avoidUntil && t.crashHistory().suspicion() == 0
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/mimosaspool/mimosaspool/internal/resource"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -63,6 +64,10 @@
 	latencyMillis float64
 	latencyAt     time.Duration
 	pace          pace
+	// account is the client account that the run counts for, with the amount charge. It is
+	// empty for none.
+	account string
+	charge  resource.Vector
 }
 
 func (r *run) key() runKey { return runKey{r.taskID, r.number} }
@@ -133,6 +138,7 @@
 	r.crashesBefore = t.crashHistory().suspicion()
 	t.runs = append(t.runs, r)
 	h.addRun(r)
+	c.chargeRun(r)
 	c.sendStart(r)
 	j := s.occurrence.job
 	queued := time.Duration(0)
@@ -356,6 +362,7 @@
 // removeRun removes a run that is certain to have ended.
 func (c *Core) removeRun(r *run) {
 	r.host.dropRun(r)
+	c.refundRun(r)
 	c.dirty = true
 	t := r.task
 	if t == nil {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -193,7 +193,7 @@
 // copyRun starts a second run of a speculative task, unless a worker has crashed
 // under it.
 func (c *Core) copyRun(t *task, exclude *host) bool {
-	if t.crashHistory().suspicion() > 0 {
+	if t.crashHistory().suspicion() > 0 || !c.withinLimit(t.step, 1) {
 		return false
 	}
 	h := c.pickOtherHost(t, exclude)
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -28,6 +28,7 @@
 	reasonBackoff  = "backoff"
 	reasonRecord   = "unrecorded-crash"
 	reasonNoWorker = "no-worker"
+	reasonLimit    = "account-limit"
 )
 
 // reportWait reports a decision about why a step still waits, if it has waited for
@@ -98,6 +99,9 @@
 	case c.now < t.notBefore:
 		return reasonBackoff, strconv.Itoa(t.failures) + " failed attempts"
 	}
+	if n := t.step.startsTogether(); !c.withinLimit(t.step, n) {
+		return reasonLimit, c.describeLimit(t.step, n)
+	}
 	if t.awaitsCrashRecord(c.now) {
 		return reasonRecord, strconv.Itoa(t.crashHistory().suspicion()) + " workers may have crashed under it"
 	}
@@ -125,6 +129,22 @@
 	return reason, detail + ", of " + strconv.Itoa(len(pool)) + " workers"
 }
 
+// startsTogether returns how many tasks of the step start at the same time.
+func (s *step) startsTogether() int {
+	if s.def.Gang {
+		return len(s.tasks)
+	}
+	return 1
+}
+
+// describeLimit describes the usage and the limit of the step's account.
+func (c *Core) describeLimit(s *step, n int) string {
+	name := s.occurrence.job.def.Account
+	used := c.accounts.usage.Used(name)
+	return fmt.Sprintf("account %s uses %v of %v, and may have %v unseen; the step needs %v more", name, used,
+		vectorOf(c.catalog.Accounts[name].Maximum), c.accounts.usage.Unseen(name), vectorOf(s.def.Size).Scale(int64(n)))
+}
+
 // refusals are the reasons why a worker doesn't get a task, in the order in which
 // they are checked.
 var refusals = []string{"unusable", "label", "room", "most-per-worker", "reserved", "probing", "failed-there", "kept-apart", "no-ticket", "fits"}
--- a/internal/scheduler/sync.go
+++ b/internal/scheduler/sync.go
@@ -129,7 +129,7 @@
 	}
 	for name, e := range cat.Teams {
 		quota := team.SplitQuota(e.Value.Quota, local[name], total[name])
-		if c.quotas.SetQuota(name, e.Value.Weight, quota) {
+		if c.quotas.SetQuota(name, float64(e.Value.Weight), quota) {
 			c.wakeTeam(name)
 		}
 	}
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -1,5 +1,5 @@
-// Package team tracks the resource usage of the teams in one failure domain, their
-// quotas and their weighted shares.
+// Package team tracks the resource usage of teams or client accounts, their quotas,
+// weighted shares and rates of jobs.
 package team
 
 import (
@@ -16,9 +16,11 @@
 }
 
 type account struct {
-	weight int64
+	weight float64
 	quota  resource.Vector
 	used   resource.Vector
+	// unseen is what may be in use without being known.
+	unseen resource.Vector
 }
 
 // NewQuotaTracker returns a tracker without teams.
@@ -36,10 +38,12 @@
 // SetQuota sets a team's weight and its quota in this domain; a zero amount means
 // no limit. Usage above a lowered quota stays until the tasks end. SetQuota reports
 // whether the quota changed.
-func (t *QuotaTracker) SetQuota(name string, weight int64, quota resource.Vector) bool {
+func (t *QuotaTracker) SetQuota(name string, weight float64, quota resource.Vector) bool {
 	a := t.account(name)
 	changed := a.quota != quota
-	a.weight, a.quota = max(weight, 1), quota
+	if a.weight, a.quota = weight, quota; weight <= 0 {
+		a.weight = 1
+	}
 	return changed
 }
 
@@ -58,10 +62,21 @@
 	a.used = a.used.Sub(size)
 }
 
+// SetUnseen states what may be in use, by team, without being known. It replaces what was
+// stated before and counts towards quotas, not towards shares.
+func (t *QuotaTracker) SetUnseen(unseen map[string]resource.Vector) {
+	for _, a := range t.accounts {
+		a.unseen = resource.Vector{}
+	}
+	for name, amount := range unseen {
+		t.account(name).unseen = amount
+	}
+}
+
 // Allows reports whether the team's quota allows the amount in addition to its usage.
 func (t *QuotaTracker) Allows(name string, size resource.Vector) bool {
 	a := t.account(name)
-	used := a.used.Add(size)
+	used := a.used.Add(a.unseen).Add(size)
 	return withinQuota(used.MilliCPU, a.quota.MilliCPU) &&
 		withinQuota(used.MemoryMiB, a.quota.MemoryMiB) &&
 		withinQuota(used.Accelerators, a.quota.Accelerators)
@@ -78,9 +93,15 @@
 func (t *QuotaTracker) DominantShare(name string, total resource.Vector) float64 {
 	a := t.account(name)
 	dominant := max(ratio(a.used.MilliCPU, total.MilliCPU), ratio(a.used.MemoryMiB, total.MemoryMiB), ratio(a.used.Accelerators, total.Accelerators))
-	return dominant / float64(a.weight)
+	return dominant / a.weight
 }
 
+// Unseen returns what the team may have in use without being known.
+func (t *QuotaTracker) Unseen(name string) resource.Vector { return t.account(name).unseen }
+
+// Weight returns the team's weight.
+func (t *QuotaTracker) Weight(name string) float64 { return t.account(name).weight }
+
 func ratio(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
