dispatch: expected run times are learned from finished runs

Cause: objectives, slack, stall times, waits for locality and workers' speeds were computed from the callers' declared run times, which are unreliable.

Each step's expected time is computed when its job is accepted or its queue is set; expectedTime is the one way to it. `--run-times declared` turns the model off.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -51,6 +51,8 @@
 	// the workers that the record lists.
 	succession bool
 	unreached  []string
+	// runTimes is set if the run times are recorded.
+	runTimes bool
 }
 
 // workerRecord is what the record of a worker's incarnation states.
@@ -160,6 +162,8 @@
 			e.Registered = append(e.Registered, c.registration(h))
 		}
 	}
+	e.RunTimes = c.recordRunTimes()
+	m.sent.runTimes = e.RunTimes != nil
 	c.emit(e)
 }
 
@@ -260,6 +264,7 @@
 	m.next.purged = append(m.next.purged, sent.purged...)
 	m.next.crashes = append(m.next.crashes, sent.crashes...)
 	m.next.succession = m.next.succession || sent.succession
+	c.runTimes.changed = c.runTimes.changed || sent.runTimes
 }
 
 // purgeJobs removes ended jobs whose retention time has passed.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,8 @@
 	// RemoteFactor is the factor by which a task takes longer away from its data.
 	RemoteFactor    float64
 	StatusRetention time.Duration
+	// DeclaredRunTimes is set if run times are taken as declared, and not learned.
+	DeclaredRunTimes bool
 }
 
 // clockDrift is the fraction by which a worker's monotonic clock may run slow.
@@ -134,6 +136,7 @@
 	// evacuations holds the workers that get no new work because their machine is due
 	// for maintenance or a move to another pool.
 	evacuations    map[string]*evacuation
+	runTimes       runTimes
 	nextEvacuation time.Duration
 }
 
@@ -147,7 +150,7 @@
 		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow}, calls: callCounts{since: now},
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, recordedUnreached: map[string]bool{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
-		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}},
+		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}}, runTimes: newRunTimes(set),
 	}
 }
 
@@ -234,6 +237,8 @@
 		c.incarnationEnded(ev)
 	case MachinesListed:
 		c.machinesListed(ev)
+	case RunTimesRecorded:
+		c.mergeRunTimes(ev)
 	}
 }
 
@@ -249,6 +254,7 @@
 	c.catalog = cat
 	for _, j := range c.activeJobs {
 		if q, ok := cat.Queues[j.def.Queue]; ok {
+			c.expectRunTimes(j)
 			j.setQueue(q)
 		}
 	}
@@ -258,7 +264,7 @@
 func (j *job) setQueue(q workflow.Queue) {
 	j.queue, j.queueKnown = q, true
 	stretch := max(q.Stretch, 1)
-	span := int64(stretch*float64(j.criticalPath())) + q.Target.Milliseconds()
+	span := int64(stretch*float64(j.criticalPath)) + q.Target.Milliseconds()
 	if q.Advice != nil {
 		span += int64(stretch * float64(q.Advice.Decision.Milliseconds()) * float64(len(j.def.Steps)))
 	}
@@ -270,9 +276,9 @@
 // of use.
 const horizonFactor = 3
 
-// criticalPath returns the estimated duration of the longest chain of dependent
+// longestChain returns the expected duration of the longest chain of dependent
 // steps, in milliseconds.
-func (j *job) criticalPath() int64 {
+func (j *job) longestChain() int64 {
 	ends := make([]int64, len(j.def.Steps))
 	longest := int64(0)
 	for i := range j.def.Steps {
@@ -280,7 +286,7 @@
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += s.EstimateMillis
+		ends[i] += j.expected[i]
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -294,6 +300,7 @@
 		endedAt: ev.Progress.EndedMillis, finishedBefore: ev.Progress.FinishedOccurrences, finishedLater: map[int]bool{},
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
+	c.expectRunTimes(j)
 	if q, ok := c.catalog.Queues[ev.Job.Queue]; ok {
 		j.setQueue(q)
 	} else if ev.Job.QueueSnapshot != nil {
@@ -560,6 +567,8 @@
 	Age time.Duration
 	// Queued is the time from the acceptance of a job to its first start.
 	Queued time.Duration
+	// Expected is the learned run time of a task that is started.
+	Expected time.Duration
 }
 
 func (c *Core) recordDecision(d Decision) {
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -123,8 +123,7 @@
 	if r.percent > r.startPercent {
 		return c.now+c.remainingTime(r) <= deadline
 	}
-	estimate := time.Duration(r.task.step.def.EstimateMillis) * time.Millisecond
-	return max(c.now, r.beganAt+estimate) <= deadline
+	return max(c.now, r.beganAt+c.expectedTime(r.task.step)) <= deadline
 }
 
 // mayDisrupt reports whether the run of a long-running task may be stopped: fewer
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -152,6 +152,10 @@
 	RejectedJobs, RejectedWorkers []string
 }
 
+// RunTimesRecorded supplies the run times that a previous leader has learned. It comes before
+// the jobs.
+type RunTimesRecorded struct{ Snapshot []byte }
+
 func (Tick) event()                {}
 func (CatalogChanged) event()      {}
 func (WorkersListed) event()       {}
@@ -166,6 +170,7 @@
 func (PaceAnswered) event()        {}
 func (AdviceAnswered) event()      {}
 func (Committed) event()           {}
+func (RunTimesRecorded) event()    {}
 
 // Effect is an action that the core requests.
 type Effect interface{ effect() }
@@ -227,6 +232,8 @@
 	Released   []string
 	// Purged holds the IDs of jobs whose state is no longer kept.
 	Purged []string
+	// RunTimes is a snapshot of the learned run times, nil if none is to be written.
+	RunTimes []byte
 }
 
 // JobProgress is the progress of one job.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -30,6 +30,10 @@
 	dirty     bool
 	// finalRecorded is set once the final state is in the log.
 	finalRecorded bool
+	// expected holds the run times expected of the steps, criticalPath that of their longest
+	// chain, in milliseconds, as of when the queue was set.
+	expected     []int64
+	criticalPath int64
 	// objective is when the job should be complete, in Unix milliseconds.
 	objective int64
 	// horizon is when the job is no longer of use, in Unix milliseconds.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -286,7 +286,7 @@
 // maxLocalityWait bounds how long a task waits for a worker near its data or its
 // gang.
 func (c *Core) maxLocalityWait(s *step) time.Duration {
-	return time.Duration(localityWaitShare * (c.set.RemoteFactor - 1) * float64(s.def.EstimateMillis) * float64(time.Millisecond))
+	return time.Duration(localityWaitShare * (c.set.RemoteFactor - 1) * float64(c.expectedTime(s).Milliseconds()) * float64(time.Millisecond))
 }
 
 // policyAllows reports whether the policy service has allowed the worker. A step
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -150,7 +150,7 @@
 	if j.def.LongRunning() {
 		return 0
 	}
-	return time.Duration(j.objective-c.wall-j.criticalPath()*3/2) * time.Millisecond
+	return time.Duration(j.objective-c.wall-j.criticalPath*3/2) * time.Millisecond
 }
 
 // freesMissing reports whether a run holds some of the resources that are missing.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -142,7 +142,7 @@
 		c.markDirty(j)
 	}
 	c.recordDecision(Decision{Kind: "task-started", Job: j.def.ID, Task: r.taskID.String(), Worker: h.info.ID, Run: number,
-		Age: c.waitTime(t), Queued: queued})
+		Age: c.waitTime(t), Queued: queued, Expected: c.learnedTime(t.step)})
 	return r
 }
 
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	s := t.step
-	stall := r.stallTime()
+	stall := c.stallTime(r)
 	progressed, listed := r.lastProgress()
 	if c.now-progressed > stall && listed > progressed+stall/2 && (!s.def.Gang || s.gang.complete(s)) {
 		c.moveRun(r, fmt.Sprintf("it shows no progress at %.0f%%", r.percent))
@@ -115,8 +115,8 @@
 
 // stallTime returns how long the run may make no progress. Progress is reported in
 // whole percents, each of which takes long in a long task.
-func (r *run) stallTime() time.Duration {
-	percent := time.Duration(r.task.step.def.EstimateMillis) * time.Millisecond / 100
+func (c *Core) stallTime(r *run) time.Duration {
+	percent := c.expectedTime(r.task.step) / 100
 	if r.percent > r.startPercent {
 		percent = max(percent, time.Duration(float64(r.progressAt-r.beganAt)/(r.percent-r.startPercent)))
 	}
@@ -216,13 +216,16 @@
 	if took <= 0 || share <= 0 {
 		return
 	}
+	expected := c.expectedTime(r.task.step)
 	r.task.runTime = time.Duration(took/share) * time.Millisecond
-	speed := min(max(share*float64(r.task.step.def.EstimateMillis)/took, minSpeed), maxSpeed)
+	c.learnRunTime(r, share)
+	speed := min(max(share*float64(expected.Milliseconds())/took, minSpeed), maxSpeed)
 	h := r.host
 	if h.speed == 0 {
 		h.speed = 1
 	}
 	h.speed += speedGain * (speed - h.speed)
+	c.runTimes.updatePoolSpeed(h)
 }
 
 // drainHosts moves work off workers that are about to leave.
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -32,6 +32,9 @@
 		n.deps.Count("loss", "record-trimmed")
 		n.log.WithField("record", key).Warn("a record is too large to be written whole")
 	}
+	if encoded.runTimesOmitted {
+		n.deps.Count("loss", "run-times-omitted")
+	}
 	for _, key := range encoded.rejected {
 		n.deps.Count("loss", "record-rejected")
 		n.log.WithField("record", key).Error("a record is too large to be written")
@@ -78,6 +81,8 @@
 	trimmed []string
 	// rejected holds the keys of the records that are too large and were left out.
 	rejected []string
+	// runTimesOmitted is set if the run times are too large to be recorded.
+	runTimesOmitted bool
 }
 
 func encodeRecord(key string, v any) (store.Record, error) {
@@ -148,6 +153,16 @@
 			return out, err
 		}
 	}
+	if len(c.RunTimes) > 0 {
+		r, err := encodeRecord(runTimesKey, runTimesRecord{c.RunTimes})
+		if err != nil {
+			return out, err
+		}
+		// Without the record, the next leader learns anew.
+		if out.runTimesOmitted = len(r.Value) > maxBytes; !out.runTimesOmitted {
+			out.records = append(out.records, r)
+		}
+	}
 	for _, id := range c.Purged {
 		out.records = append(out.records, store.Record{Key: jobKeyPrefix + id}, store.Record{Key: cancelKeyPrefix + id}, store.Record{Key: progressKeyPrefix + id})
 	}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -94,6 +94,9 @@
 		if d.Queued != 0 {
 			fields["queued_ms"] = d.Queued.Milliseconds()
 		}
+		if d.Expected != 0 {
+			fields["expected_ms"] = d.Expected.Milliseconds()
+		}
 		n.log.WithFields(fields).Info("decision")
 	}
 }
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -21,6 +21,7 @@
 	workerKeyPrefix   = "w/"
 	termKey           = "term"
 	successionKey     = "succession"
+	runTimesKey       = "runtimes"
 )
 
 // jobEntry is the state of one job according to the job log.
@@ -72,6 +73,8 @@
 	unmatchedCancels int
 	registrations    map[string]dispatch.Registration
 	succession       successionView
+	// runTimes is the newest snapshot of the leaders' run times, nil if there is none.
+	runTimes []byte
 	// splits holds the values that are too large for one record.
 	splits splitValues
 	// newestOffsets holds, by key, the offset of the newest record applied.
@@ -213,6 +216,8 @@
 		return t.applyTerm(r)
 	case r.Key == successionKey:
 		return nil, t.applySuccession(r)
+	case r.Key == runTimesKey:
+		return nil, t.applyRunTimes(r)
 	case strings.HasPrefix(r.Key, workerKeyPrefix):
 		return nil, t.applyWorker(r, r.Key[len(workerKeyPrefix):])
 	}
@@ -336,6 +341,24 @@
 	return nil
 }
 
+// runTimesRecord is the log record of the run times that a leader has learned.
+type runTimesRecord struct {
+	Snapshot []byte `json:"s"`
+}
+
+func (t *jobTable) applyRunTimes(r store.StoredRecord) error {
+	if len(r.Value) == 0 {
+		t.runTimes = nil
+		return nil
+	}
+	var rec runTimesRecord
+	if err := json.Unmarshal(r.Value, &rec); err != nil {
+		return errors.Wrap(err, "run times record")
+	}
+	t.runTimes = rec.Snapshot
+	return nil
+}
+
 func (t *jobTable) applyWorker(r store.StoredRecord, id string) error {
 	if len(r.Value) == 0 {
 		delete(t.registrations, id)
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -132,6 +132,49 @@
 	g.Expect(table.unmatchedCancelCount()).To(BeZero())
 }
 
+// TestRunTimesAreKeptAndServed guards against run times that a new leader lacks though they
+// are in the log: after a full read, in the pages of another node, or if those are of a node
+// of a version that does not list them.
+func TestRunTimesAreKeptAndServed(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	commit := func(snapshot string) store.Record {
+		encoded, err := commitRecords(dispatch.Commit{RunTimes: []byte(snapshot)}, store.DefaultMaxRequestBytes)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(encoded.records).To(HaveLen(1))
+		return encoded.records[0]
+	}
+	table.apply(withOffsets(0, commit("first"), commit("second"), store.Record{Key: "of a later version", Value: []byte("?")}), 3)
+	g.Expect(string(table.runTimes)).To(Equal("second"))
+	table.apply(withOffsets(3, store.Record{Key: runTimesKey, Value: []byte("?")}), 4)
+	g.Expect(table.unreadable).To(Equal(int64(1)))
+	g.Expect(string(table.runTimes)).To(Equal("second"), "an unreadable record replaces nothing")
+
+	keys, _, _ := table.recordKeys()
+	page, err := table.buildPage(keys, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	other := newJobTable()
+	other.prune(page.Records, 4)
+	other.apply(page.Records, 4)
+	g.Expect(string(other.runTimes)).To(Equal("second"))
+
+	table.prune(nil, 4)
+	g.Expect(string(table.runTimes)).To(Equal("second"))
+	table.apply(withOffsets(4, commit("third")), 5)
+	g.Expect(string(table.runTimes)).To(Equal("third"))
+}
+
+// TestRunTimesBeyondARecordAreLeftOut guards against a commit that can't be written because
+// of its run times.
+func TestRunTimesBeyondARecordAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	encoded, err := commitRecords(dispatch.Commit{RunTimes: make([]byte, 1000), Purged: []string{"a"}}, 500)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(encoded.runTimesOmitted).To(BeTrue())
+	g.Expect(encoded.rejected).To(BeEmpty())
+	g.Expect(encoded.records).To(HaveLen(3))
+}
+
 // TestDeletedKeysAreForgotten checks that a node's memory doesn't grow with each key that
 // was ever deleted.
 func TestDeletedKeysAreForgotten(t *testing.T) {
--- a/internal/node/pagecache.go
+++ b/internal/node/pagecache.go
@@ -91,7 +91,7 @@
 	for id := range t.registrations {
 		keys = append(keys, workerKeyPrefix+id)
 	}
-	for _, key := range []string{termKey, successionKey} {
+	for _, key := range []string{termKey, successionKey, runTimesKey} {
 		if _, ok := t.newestOffsets[key]; ok {
 			keys = append(keys, key)
 		}
@@ -137,6 +137,8 @@
 		return t.succession.term, offset, true
 	case successionKey:
 		return t.succession.record, offset, true
+	case runTimesKey:
+		return runTimesRecord{t.runTimes}, offset, len(t.runTimes) > 0
 	}
 	kind, id := key[:len(jobKeyPrefix)], key[len(jobKeyPrefix):]
 	if kind == workerKeyPrefix {
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -102,4 +102,6 @@
 	// called.
 	OrdersByHeartbeat bool
 	Limits            Limits
+	// DeclaredRunTimes is set if run times are taken as callers declare them.
+	DeclaredRunTimes bool
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -107,6 +107,9 @@
 	events := []dispatch.Event{dispatch.CatalogChanged{Catalog: cat}}
 	n.table.mu.RLock()
 	defer n.table.mu.RUnlock()
+	if b := n.table.runTimes; len(b) > 0 {
+		events = append(events, dispatch.RunTimesRecorded{Snapshot: b})
+	}
 	events = append(events, n.table.succession.leadersEnded(n.uptime())...)
 	for _, e := range sortedEngagements(n.table.registrations) {
 		events = append(events, dispatch.WorkerRegistered{Registration: e, LastLeader: n.table.succession.lastLeader(e.Worker)})
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -58,6 +58,7 @@
 
 func newDaemon(p *Platform, opt options) (*daemon, error) {
 	set := p.Settings
+	set.DeclaredRunTimes = opt.RunTimes == "declared"
 	tune(set)
 	t, err := telemetry.New("mimosaspool-node")
 	if err != nil {
--- a/internal/noded/main.go
+++ b/internal/noded/main.go
@@ -37,6 +37,7 @@
 	LogLevel    string `flag:"log-level" validate:"oneof=error warning info debug"`
 	LogBudget   int    `flag:"log-budget" validate:"min=0"`
 	MetricsPort int    `flag:"metrics-port" validate:"min=0,max=65535"`
+	RunTimes    string `flag:"run-times" validate:"oneof=learned declared"`
 }
 
 // Main runs the program and returns its exit code.
@@ -53,6 +54,7 @@
 	cmd.Flags().StringVar(&opt.LogLevel, "log-level", "info", "lowest level that is logged: error, warning, info or debug")
 	cmd.Flags().IntVar(&opt.LogBudget, "log-budget", logging.DefaultLinesPerSecond, "log lines of each kind that are written a second; 0 is without bound")
 	cmd.Flags().IntVar(&opt.MetricsPort, "metrics-port", 0, "port of /metrics; 0 serves it on the port between nodes")
+	cmd.Flags().StringVar(&opt.RunTimes, "run-times", "learned", "where expected run times come from: learned from finished runs, or declared by callers")
 	return settings.Execute(cmd, &opt)
 }
 
