--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,6 +40,8 @@
 	StatusRetention time.Duration
 	// DeclaredRunTimes is set if run times are taken as declared, and not learned.
 	DeclaredRunTimes bool
+	// MaxRunTimesBytes bounds the snapshots of learned run times, 0 stands for 64 KiB.
+	MaxRunTimesBytes int
 }
 
 // clockDrift is the fraction by which a worker's monotonic clock may run slow.
--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -43,7 +43,7 @@
 	if set.DeclaredRunTimes {
 		return runTimes{}
 	}
-	return runTimes{model: runtimes.New(runtimes.Settings{}), poolSpeeds: map[string]float64{}}
+	return runTimes{model: runtimes.New(runtimes.Settings{MaxSnapshotBytes: set.MaxRunTimesBytes}), poolSpeeds: map[string]float64{}}
 }
 
 // jobAccount returns the client account of a job, empty for none.
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"strings"
 	"time"
@@ -118,6 +119,13 @@
 	return r
 }
 
+// maxRunTimesBytes is the size of the largest snapshot of run times whose record, in base64, need
+// not be split: a part that is missing would make all of it unreadable.
+func (l appendLimits) maxRunTimesBytes() int {
+	empty, _ := json.Marshal(runTimesRecord{Snapshot: []byte{}})
+	return max(1, base64.StdEncoding.DecodedLen(l.record-recordHeaderBytes-len(runTimesKey)-len(empty))-3)
+}
+
 // commitRecords returns the job log records of a commit, none of them larger than maxBytes.
 func commitRecords(c dispatch.Commit, maxBytes int) (encodedCommit, error) {
 	var out encodedCommit
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -175,6 +175,17 @@
 	g.Expect(encoded.records).To(HaveLen(3))
 }
 
+// TestRunTimesFitARecord guards against run times that are kept in several parts.
+func TestRunTimesFitARecord(t *testing.T) {
+	g := NewWithT(t)
+	for _, record := range []int{100, 2 << 10, 64 << 10} {
+		limits := appendLimits{record: record}
+		encoded, err := commitRecords(dispatch.Commit{RunTimes: make([]byte, limits.maxRunTimesBytes())}, 1<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(partCount(encoded.records[0], record)).To(BeNumerically("<=", 1))
+	}
+}
+
 // TestDeletedKeysAreForgotten checks that a node's memory doesn't grow with each key that
 // was ever deleted.
 func TestDeletedKeysAreForgotten(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -340,7 +340,7 @@
 		Token: token, TermOffset: offset, Lease: lease, MaxLease: limits.MaxLease,
 		PreviousLeaderBound: time.Duration(previousLeaseBound) + leaseMargin, ConfirmationTTL: tenure.DefaultTiming().Confidence,
 		StopTimeout: limits.StopTimeout, RemoteFactor: limits.RemoteFactor, StatusRetention: limits.StatusRetention,
-		DeclaredRunTimes: n.settings.DeclaredRunTimes,
+		DeclaredRunTimes: n.settings.DeclaredRunTimes, MaxRunTimesBytes: newAppendLimits(&n.settings).maxRunTimesBytes(),
 	}
 }
 
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -55,6 +55,8 @@
 	// MaxQueues, MaxPairs and MaxSpecs bound the queues, the pairs of account and queue,
 	// and the specs.
 	MaxQueues, MaxPairs, MaxSpecs int
+	// MaxSnapshotBytes bounds snapshots; it is 64 KiB at most.
+	MaxSnapshotBytes int
 }
 
 // Observation is a finished run: how long a whole run took, scaled to a worker of speed 1.
@@ -140,11 +142,13 @@
 	queues *lru[string, *queue]
 	pairs  *lru[pairKey, *pair]
 	specs  *lru[specKey, *spec]
+	// snapshotBytes bounds snapshots.
+	snapshotBytes int
 }
 
 // New returns a model that knows nothing.
 func New(set Settings) *Model {
-	m := &Model{}
+	m := &Model{snapshotBytes: min(orDefault(set.MaxSnapshotBytes, maxSnapshotBytes), maxSnapshotBytes)}
 	m.queues = newLRU(orDefault(set.MaxQueues, 256), m.dropQueue)
 	m.pairs = newLRU(orDefault(set.MaxPairs, 1024), m.dropPair)
 	m.specs = newLRU[specKey, *spec](orDefault(set.MaxSpecs, 2048), nil)
--- a/internal/runtimes/model_test.go
+++ b/internal/runtimes/model_test.go
@@ -212,8 +212,13 @@
 	for i := range 4000 {
 		m.Observe(Observation{Account: fmt.Sprintf("%0100d", i%1500), Queue: fmt.Sprintf("%0100d", i%300), Spec: strconv.Itoa(i), Declared: time.Second, Actual: time.Second})
 	}
+	for _, limit := range []int{100, 1000, 10000, 1 << 20} {
+		m.snapshotBytes = New(Settings{MaxSnapshotBytes: limit}).snapshotBytes
+		g.Expect(len(m.Snapshot())).To(BeNumerically("<=", min(limit, 64<<10)))
+		g.Expect(New(Settings{}).Merge(m.Snapshot())).To(Succeed())
+	}
 	snapshot := m.Snapshot()
-	g.Expect(len(snapshot)).To(And(BeNumerically("<=", 64<<10), BeNumerically(">", 32<<10)))
+	g.Expect(len(snapshot)).To(BeNumerically(">", 32<<10))
 	next := New(Settings{})
 	g.Expect(next.Merge(snapshot)).To(Succeed())
 	_, ok := next.pairs.get(pairKey{fmt.Sprintf("%0100d", 3999%1500), fmt.Sprintf("%0100d", 3999%300)})
--- a/internal/runtimes/snapshot.go
+++ b/internal/runtimes/snapshot.go
@@ -15,8 +15,8 @@
 const (
 	// snapshotFormat is changed whenever earlier versions could misread a snapshot.
 	snapshotFormat = "rt1:"
-	// maxSnapshotBytes bounds a snapshot, pairsBytes the pairs in it.
-	maxSnapshotBytes, pairsBytes = 64 << 10, 40 << 10
+	// maxSnapshotBytes bounds a snapshot. Pairs take pairsShare of it at most.
+	maxSnapshotBytes, pairsShare = 64 << 10, 0.6
 	headerBytes                  = len(snapshotFormat) + 4
 	// maxLog bounds the logarithms of times in a snapshot; those of a Duration are smaller.
 	maxLog = 44
@@ -30,9 +30,10 @@
 // ErrDamaged is returned for snapshots that can't be decoded.
 var ErrDamaged = errors.New("damaged run times")
 
-// Snapshot returns what the model knows, in 64 KiB at most. Of a larger model, the least
+// Snapshot returns what the model knows, in as many bytes as its Settings state. Of a larger model, the least
 // recently used entries are left out.
 func (m *Model) Snapshot() []byte {
+	pairsBytes := int(pairsShare * float64(m.snapshotBytes-headerBytes-binary.MaxVarintLen32))
 	pairs, pairCount := make([]byte, 0, 4096), 0
 	numbers := map[pairKey]int{}
 	m.pairs.each(func(k pairKey, p *pair) bool {
@@ -52,7 +53,7 @@
 		}
 		p, _ := m.pairs.get(k.pairKey)
 		b := appendSpec(nil, number, k, s, p)
-		if headerBytes+len(pairs)+len(specs)+len(b)+2*binary.MaxVarintLen32 > maxSnapshotBytes {
+		if headerBytes+len(pairs)+len(specs)+len(b)+2*binary.MaxVarintLen32 > m.snapshotBytes {
 			return false
 		}
 		specs, specCount = append(specs, b...), specCount+1
