--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -46,7 +46,14 @@
 	return runTimes{model: runtimes.New(runtimes.Settings{MaxSnapshotBytes: set.MaxRunTimesBytes}), poolSpeeds: map[string]float64{}}
 }
 
-// jobAccount returns the client account of a job, empty for none.
+// expectedReasons names the counters of estimates by their source.
+var expectedReasons = map[string]string{
+	runtimes.SourceDeclared: "expected-declared", runtimes.SourceQueue: "expected-queue",
+	runtimes.SourceAccount: "expected-account", runtimes.SourceSpec: "expected-spec",
+}
+
+// jobAccount returns the client account of a job, empty for none. Jobs record no account yet, so
+// that all of a queue count as of one.
 func jobAccount(*workflow.Job) string { return "" }
 
 // expectRunTimes sets the run times expected of a job's steps.
@@ -60,7 +67,7 @@
 		}
 		e := c.runTimes.model.Estimate(jobAccount(j.def), j.def.Queue, j.def.Spec, s.Image, time.Duration(s.EstimateMillis)*time.Millisecond)
 		j.expected[i] = e.Expected.Milliseconds()
-		c.reasons["expected-"+e.Source]++
+		c.reasons[expectedReasons[e.Source]]++
 	}
 	j.criticalPath = j.longestChain()
 }
