--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -38,6 +38,10 @@
 	// RemoteFactor is the factor by which a task takes longer away from its data.
 	RemoteFactor    float64
 	StatusRetention time.Duration
+	// DeclaredRunTimes is set if run times are taken as declared, and not learned.
+	DeclaredRunTimes bool
+	// MaxRunTimesBytes bounds the snapshots of learned run times, 0 stands for 64 KiB.
+	MaxRunTimesBytes int
 }
 
 // clockDrift is the fraction by which a worker's monotonic clock may run slow.
@@ -134,6 +138,7 @@
 	// evacuations holds the workers that get no new work because their machine is due
 	// for maintenance or a move to another pool.
 	evacuations    map[string]*evacuation
+	runTimes       runTimes
 	nextEvacuation time.Duration
 	accounts       accounts
 }
@@ -148,7 +153,7 @@
 		catalog: &workflow.Catalog{}, window: startWindow{size: initialWindow}, calls: callCounts{since: now},
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, recordedUnreached: map[string]bool{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
-		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}}, accounts: newAccounts(),
+		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}}, accounts: newAccounts(), runTimes: newRunTimes(set),
 	}
 }
 
@@ -235,6 +240,8 @@
 		c.incarnationEnded(ev)
 	case MachinesListed:
 		c.machinesListed(ev)
+	case RunTimesRecorded:
+		c.mergeRunTimes(ev)
 	}
 }
 
@@ -251,6 +258,7 @@
 	c.configureAccounts()
 	for _, j := range c.activeJobs {
 		if q, ok := cat.Queues[j.def.Queue]; ok {
+			c.expectRunTimes(j)
 			j.setQueue(q)
 		}
 	}
@@ -260,7 +268,7 @@
 func (j *job) setQueue(q workflow.Queue) {
 	j.queue, j.queueKnown = q, true
 	stretch := max(q.Stretch, 1)
-	span := int64(stretch*float64(j.criticalPath())) + q.Target.Milliseconds()
+	span := int64(stretch*float64(j.criticalPath)) + q.Target.Milliseconds()
 	if q.Advice != nil {
 		span += int64(stretch * float64(q.Advice.Decision.Milliseconds()) * float64(len(j.def.Steps)))
 	}
@@ -272,9 +280,9 @@
 // of use.
 const horizonFactor = 3
 
-// criticalPath returns the estimated duration of the longest chain of dependent
+// longestChain returns the expected duration of the longest chain of dependent
 // steps, in milliseconds.
-func (j *job) criticalPath() int64 {
+func (j *job) longestChain() int64 {
 	ends := make([]int64, len(j.def.Steps))
 	longest := int64(0)
 	for i := range j.def.Steps {
@@ -282,7 +290,7 @@
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += s.EstimateMillis
+		ends[i] += j.expected[i]
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -297,6 +305,7 @@
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
 	c.countJob(j)
+	c.expectRunTimes(j)
 	if q, ok := c.catalog.Queues[ev.Job.Queue]; ok {
 		j.setQueue(q)
 	} else if ev.Job.QueueSnapshot != nil {
@@ -563,6 +572,8 @@
 	Age time.Duration
 	// Queued is the time from the acceptance of a job to its first start.
 	Queued time.Duration
+	// Expected is the learned run time of a task that is started.
+	Expected time.Duration
 }
 
 func (c *Core) recordDecision(d Decision) {
--- a/internal/node/commit.go
+++ b/internal/node/commit.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"strings"
 	"time"
@@ -32,6 +33,9 @@
 		n.deps.Count("loss", "record-trimmed")
 		n.log.WithField("record", key).Warn("a record is too large to be written whole")
 	}
+	if encoded.runTimesOmitted {
+		n.deps.Count("loss", "run-times-omitted")
+	}
 	for _, key := range encoded.rejected {
 		n.deps.Count("loss", "record-rejected")
 		n.log.WithField("record", key).Error("a record is too large to be written")
@@ -78,6 +82,8 @@
 	trimmed []string
 	// rejected holds the keys of the records that are too large and were left out.
 	rejected []string
+	// runTimesOmitted is set if the run times are too large to be recorded.
+	runTimesOmitted bool
 }
 
 func encodeRecord(key string, v any) (store.Record, error) {
@@ -113,6 +119,13 @@
 	return r
 }
 
+// maxRunTimesBytes is the size of the largest snapshot of run times whose record, in base64, need
+// not be split: a part that is missing would make all of it unreadable.
+func (l appendLimits) maxRunTimesBytes() int {
+	empty, _ := json.Marshal(runTimesRecord{Snapshot: []byte{}})
+	return max(1, base64.StdEncoding.DecodedLen(l.record-recordHeaderBytes-len(runTimesKey)-len(empty))-3)
+}
+
 // commitRecords returns the job log records of a commit, none of them larger than maxBytes.
 func commitRecords(c dispatch.Commit, maxBytes int) (encodedCommit, error) {
 	var out encodedCommit
@@ -148,6 +161,16 @@
 			return out, err
 		}
 	}
+	if len(c.RunTimes) > 0 {
+		r, err := encodeRecord(runTimesKey, runTimesRecord{c.RunTimes})
+		if err != nil {
+			return out, err
+		}
+		// Without the record, the next leader learns anew.
+		if out.runTimesOmitted = len(r.Value) > maxBytes; !out.runTimesOmitted {
+			out.records = append(out.records, r)
+		}
+	}
 	for _, id := range c.Purged {
 		out.records = append(out.records, store.Record{Key: jobKeyPrefix + id}, store.Record{Key: cancelKeyPrefix + id}, store.Record{Key: progressKeyPrefix + id})
 	}
