--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -4,7 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/mimosaspool/mimosaspool/internal/runtimes")
+	"github.com/mimosaspool/mimosaspool/internal/runtimes"
+)
 
 const (
 	// runTimesInterval is the least time between two records of the run times.
