Jobs that can still be on time go before those that can't

With earliest-objective order, a pool that is short of room serves first the jobs that are late already and makes the others late as well. Within a priority, jobs that can't meet their objective any more now follow those that can. Excess jobs wait behind others of their priority and behind those of any priority that may soon be late, not behind all work: many of them failed although there was room.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -134,6 +134,8 @@
 	}
 }
 
+func (a *accounts) inUse() bool { return a.fairShare > 0 }
+
 // overShare reports whether the account uses more than its weighted share of the room
 // among the accounts that wait for some.
 func (a *accounts) overShare(name string) bool {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -60,6 +60,8 @@
 	stepsLeft int
 	// waitingSince is since when it could have been started, also under previous leaders.
 	waitingSince time.Duration
+	// pathEnds is reused by remainingPath.
+	pathEnds []int64
 }
 
 // step is one step of an occurrence.
@@ -79,6 +81,10 @@
 	// limited is set if its account may start none of its tasks now, overShare if its account
 	// uses more than its share, both as of the current pass.
 	limited, overShare bool
+	// late is set if its job can't meet its objective any more, class ranks its job, both as
+	// of the current pass.
+	late  bool
+	class int
 	// overdue is set if one of its long-running tasks has waited for too long.
 	overdue bool
 	// runsPerWorker counts the live runs by worker, for steps that bound them.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -117,10 +117,15 @@
 	backlogHead, backlogSlice = 24, 16
 )
 
+// sortWaiting orders the waiting steps. Where accounts are in use, work within their rates and
+// shares goes before work beyond them: of the same priority, or of any if it may soon be late.
+// Among equals, jobs that can still meet their objective go before those that can't, which
+// would only make others late as well.
 func (c *Core) sortWaiting() {
 	for _, s := range c.waitingSteps {
 		s.overdue = c.isOverdue(s)
 		s.limited, s.overShare = !c.withinLimit(s, 1), c.accounts.overShare(s.occurrence.job.def.Account)
+		s.late, s.class = c.missesObjective(s.occurrence.job), c.orderClass(s.occurrence.job)
 	}
 	sort.SliceStable(c.waitingSteps, func(a, b int) bool {
 		s, t := c.waitingSteps[a], c.waitingSteps[b]
@@ -134,18 +139,18 @@
 		if lx, ly := c.pastHorizon(x), c.pastHorizon(y); lx != ly {
 			return ly
 		}
-		if x.excess != y.excess {
-			return y.excess
+		if s.class != t.class {
+			return s.class < t.class
 		}
 		if x.excessOrder != y.excessOrder {
 			return x.excessOrder < y.excessOrder
 		}
-		if x.queue.Priority != y.queue.Priority {
-			return x.queue.Priority < y.queue.Priority
-		}
 		if s.overShare != t.overShare {
 			return t.overShare
 		}
+		if s.late != t.late {
+			return t.late
+		}
 		if x.objective != y.objective {
 			return x.objective < y.objective
 		}
@@ -153,6 +158,52 @@
 	})
 }
 
+// orderClass ranks jobs by the priorities of their queues, with the jobs in excess of their
+// account's rate behind the others of their priority, and also behind those of lower
+// priorities that may soon be late. The highest priority is 0.
+func (c *Core) orderClass(j *job) int {
+	const perPriority = 4
+	switch class := perPriority * j.queue.Priority; {
+	case j.excess:
+		return class + 2
+	case c.accounts.inUse() && j.queue.Priority > 0 && !j.def.LongRunning() && c.slack(j) < maxPreemptorSlack:
+		return perPriority*0 + 1
+	default:
+		return class
+	}
+}
+
+// missesObjective reports whether the job can't be complete by its objective any more, as
+// far as is known.
+func (c *Core) missesObjective(j *job) bool {
+	return j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.def.LongRunning() && c.wall+c.remainingPath(j) > j.objective
+}
+
+// remainingPath returns the expected duration of the longest chain of steps of the job that
+// are not finished, in milliseconds.
+func (c *Core) remainingPath(j *job) int64 {
+	if len(j.occurrences) == 0 {
+		return j.criticalPath
+	}
+	longest := int64(0)
+	for _, o := range j.occurrences {
+		ends := o.pathEnds[:0]
+		for i, s := range o.steps {
+			end := int64(0)
+			for _, d := range s.def.DependsOn {
+				end = max(end, ends[d])
+			}
+			if !s.finished() {
+				end += j.expected[i]
+			}
+			ends = append(ends, end)
+			longest = max(longest, end)
+		}
+		o.pathEnds = ends
+	}
+	return longest
+}
+
 // isOverdue reports whether a long-running task has waited for so long that it
 // takes precedence over all finite work.
 func (c *Core) isOverdue(s *step) bool {
