The most urgent work of a pool goes to its fast workers

Workers differ in speed by up to 1.25 to 0.8, and the slowest task of a step decides when a short job is done. Queues of the highest priority now prefer fast workers strongly, and the others, which can wait for longer, leave them to these. Speeds are relative to the pool's.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -141,6 +141,8 @@
 	runTimes       runTimes
 	nextEvacuation time.Duration
 	accounts       accounts
+	// priorities holds the priorities of the pools with queues of several.
+	priorities map[string]prioritySpan
 }
 
 // Counters counts refusals, retries and losses by reason.
@@ -255,6 +257,7 @@
 
 func (c *Core) configure(cat *workflow.Catalog) {
 	c.catalog = cat
+	c.priorities = prioritiesByPool(cat)
 	c.configureAccounts()
 	for _, j := range c.activeJobs {
 		if q, ok := cat.Queues[j.def.Queue]; ok {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -414,8 +414,10 @@
 	// localityWaitShare is the fraction of the time lost away from the data that a
 	// task may wait for a worker near it.
 	localityWaitShare = 0.6
-	// speedWeight is the weight of a worker's speed in its score.
-	speedWeight = 1.0
+	// urgentSpeedWeight and otherSpeedWeight are the weights of a worker's speed, relative to
+	// that of its pool, in its score: for the most urgent finite work of the pool and for
+	// the rest, which leaves it the fast workers since it can wait for longer.
+	urgentSpeedWeight, otherSpeedWeight = 4.0, -2.0
 	// servingPenalty is subtracted from the score for a filler, per serving task on
 	// the worker.
 	servingPenalty = 0.5
@@ -446,7 +448,7 @@
 		return score + unused - servingPenalty*ratio(h.fillerMilliCPU, h.info.Capacity.MilliCPU)
 	}
 	if h.speed > 0 {
-		score += speedWeight * min(h.speed, 1.5)
+		score += c.speedWeight(s) * min(c.relativeSpeed(h), 1.5)
 	}
 	left := h.free.Sub(size)
 	if h.info.Capacity.Accelerators > 0 {
@@ -455,6 +457,51 @@
 	return score - ratio(left.MilliCPU, h.info.Capacity.MilliCPU) - ratio(left.MemoryMiB, h.info.Capacity.MemoryMiB)
 }
 
+// speedWeight returns the weight of a worker's speed for the step. Where all queues of a pool
+// have the same priority, each prefers fast workers.
+func (c *Core) speedWeight(s *step) float64 {
+	q := &s.occurrence.job.queue
+	span, ok := c.priorities[q.Pool]
+	if ok && (q.Priority > span.highest || s.def.LongRunning) {
+		return otherSpeedWeight
+	}
+	return urgentSpeedWeight
+}
+
+// relativeSpeed returns the speed of a worker relative to its pool, 1 if unknown.
+func (c *Core) relativeSpeed(h *host) float64 {
+	pool := c.runTimes.poolSpeeds[h.info.Pool]
+	switch {
+	case h.speed <= 0:
+		return 1
+	case pool <= 0:
+		return h.speed
+	}
+	return h.speed / pool
+}
+
+// prioritySpan holds the priorities of the queues of a pool. The highest is the smallest
+// number.
+type prioritySpan struct{ highest, lowest int }
+
+// prioritiesByPool returns the priorities of the pools whose queues have several.
+func prioritiesByPool(cat *workflow.Catalog) map[string]prioritySpan {
+	spans := map[string]prioritySpan{}
+	for _, q := range cat.Queues {
+		span, ok := spans[q.Pool]
+		if !ok {
+			span = prioritySpan{q.Priority, q.Priority}
+		}
+		spans[q.Pool] = prioritySpan{min(span.highest, q.Priority), max(span.lowest, q.Priority)}
+	}
+	for pool, span := range spans {
+		if span.highest == span.lowest {
+			delete(spans, pool)
+		}
+	}
+	return spans
+}
+
 func ratio(part, whole int64) float64 {
 	if whole == 0 {
 		return 0
