Bounds on callers' connections, heads, bodies and jobs

A node held whatever its callers sent: heads of up to 1 MiB each, bodies that stand still without end, and jobs without a bound on their bytes.

internal/ingress accounts for connections, heads and bodies over all connections and closes those with the least progress first; noded puts it before the callers' handler. The operators' limits (maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs) apply while the process runs. The bounds are derived from limits.memoryMb and limits.maxFds; each has a flag.

--- /dev/null
+++ b/internal/ingress/gate.go
@@ -0,0 +1,473 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// sweepInterval is the precision of the time limits of connections.
+	sweepInterval = 100 * time.Millisecond
+	// reportInterval is the least time between two log lines of a reason.
+	reportInterval = 30 * time.Second
+	// receiveBuffer bounds what the kernel holds unread for a connection, which counts as
+	// memory of the host. The kernel doubles it.
+	receiveBuffer = 32 << 10
+	// lingerTime is for how long a refused client's bytes are read and dropped, so that it
+	// receives the response before the connection is reset.
+	lingerTime = 300 * time.Millisecond
+	// writeTimeout bounds a request including its response, so that a client that does not
+	// read responses is disconnected. It exceeds the time that a request may take.
+	writeTimeout = 90 * time.Second
+	// retryAfterSeconds is sent with 503.
+	retryAfterSeconds = "1"
+	countKind         = "ingress"
+)
+
+// Config sets up a Gate.
+type Config struct {
+	Bounds Bounds
+	// Limits returns the limits in force. It is called often.
+	Limits func() Limits
+	// Refusal returns the content type and body of a refusal.
+	Refusal func(reason string) (contentType string, body []byte)
+	Count   func(kind, reason string)
+	Log     logrus.FieldLogger
+}
+
+// Gate applies the bounds to one server. Its methods may be called concurrently.
+type Gate struct {
+	cfg Config
+	mu  sync.Mutex
+	// ledger and reports are guarded by mu.
+	ledger  *ledger
+	reports map[string]*report
+}
+
+// report counts the events of a reason since its last log line.
+type report struct {
+	events   int64
+	loggedAt time.Time
+}
+
+// New returns a gate without connections.
+func New(cfg Config) *Gate {
+	return &Gate{cfg: cfg, ledger: newLedger(cfg.Bounds), reports: map[string]*report{}}
+}
+
+// Listen opens a listener whose connections the gate accounts for.
+func (g *Gate) Listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		// Accepted connections inherit the option.
+		ctlErr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+		if ctlErr != nil {
+			return ctlErr
+		}
+		return err
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return &listener{l, g}, nil
+}
+
+// Server returns a server of the handler for the gate's listener.
+func (g *Gate) Server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, WriteTimeout: writeTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(nc net.Conn, s http.ConnState) {
+			if c, ok := nc.(*conn); ok && s == http.StateIdle {
+				c.requestEnded()
+			}
+		},
+	}
+}
+
+type connKey struct{}
+
+// Run closes connections that take too long until the context ends.
+func (g *Gate) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			g.sweep(now)
+		}
+	}
+}
+
+func (g *Gate) sweep(now time.Time) {
+	limits := g.cfg.Limits()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.ledger.clients {
+		switch reason := c.overdue(now, limits); reason {
+		case "":
+		case reasonBodyStalled, reasonBodyTimeout:
+			g.endBody(c, reason, now)
+		default:
+			g.close(c, reason, now)
+		}
+	}
+}
+
+// close closes a connection at once. The caller holds g.mu.
+func (g *Gate) close(c *client, reason string, now time.Time) {
+	g.report(reason, now)
+	g.ledger.remove(c)
+	_ = c.conn.Conn.Close()
+}
+
+// endBody makes the read of a body fail; its request is answered with 408. The caller holds
+// g.mu.
+func (g *Gate) endBody(c *client, reason string, now time.Time) {
+	g.report(reason, now)
+	g.ledger.enter(c, draining, now)
+	c.conn.ended = reason
+	_ = c.conn.Conn.SetReadDeadline(now)
+}
+
+// report counts an event and logs it if the reason's last line is old. The caller holds g.mu.
+func (g *Gate) report(reason string, now time.Time) {
+	g.cfg.Count(countKind, reason)
+	if reason == reasonIdleTimeout {
+		return // an ordinary end
+	}
+	r := g.reports[reason]
+	if r == nil {
+		r = &report{}
+		g.reports[reason] = r
+	}
+	r.events++
+	if now.Sub(r.loggedAt) >= reportInterval {
+		g.cfg.Log.WithFields(logrus.Fields{"kind": "clients-bounded", "reason": reason, "events": r.events,
+			"connections": len(g.ledger.clients)}).Warn("connections closed or requests refused")
+		r.events, r.loggedAt = 0, now
+	}
+}
+
+type listener struct {
+	net.Listener
+	gate *Gate
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.admit(raw, time.Now()); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+func (g *Gate) admit(raw net.Conn, now time.Time) *conn {
+	c := &conn{Conn: raw, gate: g}
+	c.account.conn = c
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	closed, ok := g.ledger.add(&c.account, now)
+	if closed != nil {
+		_ = closed.conn.Conn.Close()
+	}
+	if closed != nil || !ok {
+		g.report(reasonConnections, now)
+	}
+	if !ok {
+		return nil
+	}
+	return c
+}
+
+// conn is a connection of a client. The fields after gate are guarded by gate.mu.
+type conn struct {
+	net.Conn
+	gate    *Gate
+	account client
+	scan    headScan
+	// headEnded is set after the end of a head until the next one begins.
+	headEnded bool
+	// early is the first byte of the next head, received while a request is answered.
+	early    [1]byte
+	hasEarly bool
+	// ended is why the request was ended, empty if it was not.
+	ended string
+}
+
+var errHeadRefused = errors.New("the head is refused")
+
+// Read implements net.Conn. Of requests that are sent before the response to an earlier one
+// (pipelining), the part of the head that net/http has buffered, at most 4 KiB, is not counted.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	now := time.Now()
+	limits := c.gate.cfg.Limits()
+	c.gate.mu.Lock()
+	if a := &c.account; a.phase == idle {
+		c.gate.ledger.enter(a, receivingHead, now)
+	}
+	if c.account.phase != receivingHead {
+		// net/http reads a single byte while a handler runs, to notice a closed connection.
+		if len(p) == 1 {
+			c.early[0], c.hasEarly = p[0], true
+		}
+		c.gate.mu.Unlock()
+		return n, err
+	}
+	status, reason := c.receiveHead(p[:n], limits.MaxHeadBytes, now)
+	c.gate.mu.Unlock()
+	if status != 0 {
+		c.refuseHead(status, reason)
+		// net/http closes the connection without a response after an error of a read.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+	}
+	return n, err
+}
+
+// receiveHead accounts for bytes in the phase receivingHead. It returns a status if the head
+// is refused. The caller holds gate.mu.
+func (c *conn) receiveHead(p []byte, limit int64, now time.Time) (status int, reason string) {
+	if c.headEnded {
+		return 0, ""
+	}
+	n, ended := c.scan.next(p)
+	c.headEnded = ended
+	switch victim := c.gate.ledger.receiveHead(&c.account, int64(n), now); {
+	case c.account.head > limit:
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, reasonHeadLarge
+	case victim == &c.account:
+		status, reason = http.StatusServiceUnavailable, reasonHeadBytes
+	case victim != nil:
+		c.gate.close(victim, reasonHeadBytes, now)
+	}
+	if status != 0 {
+		c.gate.report(reason, now)
+		c.gate.ledger.enter(&c.account, draining, now)
+	}
+	return status, reason
+}
+
+// refuseHead writes a response and drops what the client still sends for a short time.
+func (c *conn) refuseHead(status int, reason string) {
+	contentType, body := c.gate.cfg.Refusal(reason)
+	out := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nContent-Type: " + contentType +
+		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\nConnection: close\r\n"
+	if status == http.StatusServiceUnavailable {
+		out += "Retry-After: " + retryAfterSeconds + "\r\n"
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	if _, err := c.Conn.Write(append([]byte(out+"\r\n"), body...)); err != nil {
+		return
+	}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	var dropped [512]byte
+	for {
+		if _, err := c.Conn.Read(dropped[:]); err != nil {
+			return
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn. The deadline of a request that was ended stays.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended != "" {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.gate.mu.Lock()
+	c.gate.ledger.remove(&c.account)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// requestEnded begins the wait for the next request, whose first byte may have come already.
+func (c *conn) requestEnded() {
+	now := time.Now()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended != "" {
+		return
+	}
+	c.scan, c.headEnded = headScan{}, false
+	c.gate.ledger.enter(&c.account, idle, now)
+	if c.hasEarly {
+		c.hasEarly = false
+		c.gate.ledger.enter(&c.account, receivingHead, now)
+		c.receiveHead(c.early[:], c.gate.cfg.Limits().MaxHeadBytes, now)
+	}
+	if victim := c.gate.ledger.surplusIdle(now); victim != nil {
+		c.gate.close(victim, reasonIdle, now)
+	}
+}
+
+// enter begins a phase of the request unless it was ended.
+func (c *conn) enter(p phase) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended == "" && c.account.phase != p {
+		c.gate.ledger.enter(&c.account, p, time.Now())
+	}
+}
+
+// Handler accounts for the bodies of requests to next.
+func (g *Gate) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.enter(answering)
+		if r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		b := &body{ReadCloser: r.Body, conn: c, response: &response{ResponseWriter: w}}
+		r.Body = b
+		next.ServeHTTP(b.response, r)
+		if !b.complete {
+			// net/http still reads a part of the rest.
+			c.enter(draining)
+		}
+	})
+}
+
+// response drops what the handler writes after the request was refused.
+type response struct {
+	http.ResponseWriter
+	refused bool
+}
+
+// Unwrap lets http.ResponseController find what is below.
+func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *response) WriteHeader(status int) {
+	if !r.refused {
+		r.ResponseWriter.WriteHeader(status)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (r *response) Write(p []byte) (int, error) {
+	if r.refused {
+		return len(p), nil
+	}
+	return r.ResponseWriter.Write(p)
+}
+
+// body is a request's body. Its Read refuses the request if it was ended or its bytes take too
+// much memory.
+type body struct {
+	io.ReadCloser
+	conn     *conn
+	response *response
+	// complete is set once the end was read.
+	complete bool
+}
+
+var errBodyRefused = errors.New("the body is refused")
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.response.refused {
+		return 0, errBodyRefused
+	}
+	b.conn.enter(receivingBody)
+	n, err := b.ReadCloser.Read(p)
+	switch status, reason := b.conn.receiveBody(n); {
+	case status != 0:
+		b.refuse(status, reason)
+		return 0, errBodyRefused
+	case errors.Is(err, io.EOF):
+		b.complete = true
+		b.conn.enter(answering)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.refuse(http.StatusRequestTimeout, b.conn.expire())
+		return 0, errBodyRefused
+	}
+	return n, err
+}
+
+// receiveBody accounts for bytes of a body. It returns a status if the request is refused.
+func (c *conn) receiveBody(n int) (status int, reason string) {
+	if n == 0 {
+		return 0, ""
+	}
+	now := time.Now()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended != "" {
+		return http.StatusRequestTimeout, c.ended
+	}
+	ended, ok := c.gate.ledger.receiveBody(&c.account, int64(n), now)
+	for _, victim := range ended {
+		c.gate.endBody(victim, reasonBodyStalled, now)
+	}
+	if ok {
+		return 0, ""
+	}
+	c.gate.endBody(&c.account, reasonBodyBytes, now)
+	_ = c.Conn.SetReadDeadline(now.Add(lingerTime))
+	return http.StatusServiceUnavailable, reasonBodyBytes
+}
+
+// expire ends the request at the deadline that its handler has set, unless it was ended
+// before, and returns the reason.
+func (c *conn) expire() string {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended == "" {
+		c.gate.endBody(&c.account, reasonBodyTimeout, time.Now())
+	}
+	return c.ended
+}
+
+// refuse writes the response in place of the handler.
+func (b *body) refuse(status int, reason string) {
+	contentType, text := b.conn.gate.cfg.Refusal(reason)
+	h := b.response.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Type", contentType)
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfterSeconds)
+	}
+	b.response.WriteHeader(status)
+	_, _ = b.response.Write(text) // the client may have gone
+	b.response.refused = true
+}
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -42,6 +42,13 @@
 	retryAfterStoreDown = 2 * time.Second
 	// maxPendingWrites bounds the callers' writes in progress.
 	maxPendingWrites = 256
+	// defaultMaxBodyBytes applies if the operators state no limit.
+	defaultMaxBodyBytes = 262144
+	// pendingMemoryDivisor and jobMemoryDivisor are the shares of the memory for the records
+	// that wait for the store and for the job records in the table. A decoded job takes
+	// about three times the memory of its record.
+	pendingMemoryDivisor = 16
+	jobMemoryDivisor     = 8
 	// maxUnmatchedCancels bounds the cancellations in the log of jobs that are not in it.
 	maxUnmatchedCancels = 10000
 	// catchUpTimeout bounds the wait to read the log to its end before a job is
@@ -81,7 +88,11 @@
 	leaving      atomic.Bool
 	// writeSlots bounds the writes that wait for the store.
 	writeSlots chan struct{}
-	mu         sync.Mutex
+	// pending bounds their bytes; maxJobBytes bounds the job records in the table, 0 is
+	// without bound.
+	pending     byteBudget
+	maxJobBytes int64
+	mu          sync.Mutex
 	// submissions holds the submissions in progress by job ID, so that repeated
 	// requests wait for the first.
 	submissions map[string]*submission
@@ -133,10 +144,39 @@
 
 // MaxBodyBytes implements intake.Desk.
 func (d *jobAPI) MaxBodyBytes() int64 {
-	if cat := d.catalog.Load(); cat != nil {
+	if cat := d.catalog.Load(); cat != nil && cat.MaxBodyBytes > 0 {
 		return cat.MaxBodyBytes
 	}
-	return 0
+	return defaultMaxBodyBytes
+}
+
+// byteBudget bounds the bytes that are held at the same time.
+type byteBudget struct{ held, limit atomic.Int64 }
+
+// take reserves n bytes until release is called, and returns false if the limit is reached.
+// The first holder always gets them.
+func (b *byteBudget) take(n int64) bool {
+	held := b.held.Add(n)
+	if limit := b.limit.Load(); limit > 0 && held > limit && held > n {
+		b.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *byteBudget) release(n int64) { b.held.Add(-n) }
+
+// applyBounds sets the bounds on bytes; those of 0 are shares of the memory.
+func (d *jobAPI) applyBounds(l Limits) {
+	memory := l.MemoryMiB << 20
+	share := func(v, divisor int64) int64 {
+		if v > 0 {
+			return v
+		}
+		return memory / divisor
+	}
+	d.pending.limit.Store(share(l.MaxPendingBytes, pendingMemoryDivisor))
+	d.maxJobBytes = share(l.MaxJobBytes, jobMemoryDivisor)
 }
 
 // Ready implements intake.Desk.
@@ -171,6 +211,8 @@
 		f.outcome = d.outcome(intake.Invalid, "invalid-job")
 	case len(value) > d.maxValueBytes:
 		f.outcome = d.outcome(intake.TooLarge, "job-too-large")
+	case d.maxJobBytes > 0 && d.table.jobBytesHeld()+int64(len(value)) > d.maxJobBytes:
+		f.outcome = d.outcome(intake.Unavailable, "job-table-full")
 	default:
 		f.outcome = d.write(ctx, store.Record{Key: jobKeyPrefix + job.ID, Value: value}, job.ID,
 			func(_ jobEntry, ok bool) bool { return ok })
@@ -217,6 +259,11 @@
 	default:
 		return d.outcome(intake.Busy, "too-many-accepts")
 	}
+	size := int64(len(r.Key) + len(r.Value))
+	if !d.pending.take(size) {
+		return d.outcome(intake.Busy, "too-many-accept-bytes")
+	}
+	defer d.pending.release(size)
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	switch d.hedgedWrite(ctx, r) {
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -25,9 +25,11 @@
 
 // jobEntry is the state of one job according to the job log.
 type jobEntry struct {
-	job       *workflow.Job
-	offset    int64
-	cancelled bool
+	job    *workflow.Job
+	offset int64
+	// recordBytes is the size of the job's record.
+	recordBytes int
+	cancelled   bool
 	// cancelledMillis is when the cancellation was written, in Unix milliseconds, 0 if
 	// that isn't recorded.
 	cancelledMillis int64
@@ -68,6 +70,8 @@
 	entries map[string]*jobEntry
 	// pendingByQueue counts, by queue, the jobs of which no task has started.
 	pendingByQueue map[string]int
+	// jobBytes is the size of all job records.
+	jobBytes int64
 	// unmatchedCancels counts the cancellations of jobs whose records are not in the log.
 	unmatchedCancels int
 	registrations    map[string]dispatch.Registration
@@ -236,6 +240,7 @@
 }
 
 func (t *jobTable) countEntry(e *jobEntry, n int) {
+	t.jobBytes += int64(n * e.recordBytes)
 	if e.pending() {
 		t.pendingByQueue[e.job.Queue] += n
 	}
@@ -271,10 +276,11 @@
 		return nil, err
 	}
 	if e.job != nil {
-		e.job = &job // the summary kept after the end of the job
+		// The summary kept after the end of the job.
+		t.updateEntry(e, func() { e.job, e.recordBytes = &job, len(r.Value) })
 		return nil, nil
 	}
-	t.updateEntry(e, func() { e.job, e.offset = &job, r.Offset })
+	t.updateEntry(e, func() { e.job, e.offset, e.recordBytes = &job, r.Offset, len(r.Value) })
 	return &tableChange{accepted: e}, nil
 }
 
@@ -403,6 +409,13 @@
 	return *e, e.job != nil
 }
 
+// jobBytesHeld returns the size of all job records.
+func (t *jobTable) jobBytesHeld() int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.jobBytes
+}
+
 // unmatchedCancelCount returns the number of cancellations of jobs whose records are not in
 // the log.
 func (t *jobTable) unmatchedCancelCount() int {
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -146,3 +147,37 @@
 	g.Expect(len(table.newestOffsets)).To(BeNumerically("<=", maxDeletions))
 	g.Expect(table.entries).To(BeEmpty())
 }
+
+// TestJobTableIsBounded guards against jobs that take the memory of the process: new jobs are
+// refused at the bound, repeats of known ones are not, and the bytes of jobs that are deleted
+// or reduced to a summary are released.
+func TestJobTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	a, b := jobRecord(g, "a", ""), jobRecord(g, "b", "")
+	table.apply(withOffsets(0, a, b, a), 3)
+	size := int64(len(a.Value))
+	g.Expect(table.jobBytesHeld()).To(Equal(2 * size))
+	desk := newJobAPI(nil, table, func(string, string) {}, nil)
+	desk.maxValueBytes = 1 << 20
+	desk.applyBounds(Limits{MemoryMiB: 144, MaxJobBytes: 2*size + 10})
+	q := workflow.Queue{Name: "plain"}
+	g.Expect(desk.Submit(t.Context(), &q, singleTaskJob("a")).Code).To(Equal(intake.OK))
+	refused := desk.Submit(t.Context(), &q, singleTaskJob("c"))
+	g.Expect(refused).To(Equal(intake.Outcome{Code: intake.Unavailable, Reason: "job-table-full", RetryAfter: retryAfter}))
+	table.apply(withOffsets(3, store.Record{Key: jobKeyPrefix + "a"}), 4)
+	g.Expect(table.jobBytesHeld()).To(Equal(size))
+	g.Expect(desk.pending.limit.Load()).To(Equal(int64(9 << 20)))
+}
+
+// TestByteBudget guards against records that wait for the store without a bound on their
+// bytes. A single record is always admitted.
+func TestByteBudget(t *testing.T) {
+	g := NewWithT(t)
+	var b byteBudget
+	b.limit.Store(100)
+	g.Expect(b.take(150)).To(BeTrue())
+	g.Expect(b.take(1)).To(BeFalse())
+	b.release(150)
+	g.Expect([]bool{b.take(60), b.take(40), b.take(1)}).To(Equal([]bool{true, true, false}))
+}
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -366,6 +366,12 @@
 			return false, errors.Errorf("record %q is not a caller's", r.Key)
 		}
 	}
+	size := int64(totalBytes(records))
+	if !n.forwarded.take(size) {
+		n.deps.Count("refusal", "write-queue-full")
+		return false, nil
+	}
+	defer n.forwarded.release(size)
 	switch _, err := w.append(ctx, records); {
 	case err == nil:
 		return true, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,8 +60,10 @@
 
 // Node is the scheduler process of one host. Run may be called only once.
 type Node struct {
-	settings  Settings
-	deps      Dependencies
+	settings Settings
+	deps     Dependencies
+	// forwarded bounds the bytes of callers' records that wait for this node as the leader.
+	forwarded byteBudget
 	log       logrus.FieldLogger
 	desk      *jobAPI
 	table     *jobTable
@@ -126,6 +128,8 @@
 	n.inspector.latest.Store(&Inspection{superseded: make(chan struct{})})
 	direct := newJobLogWriter(deps.Store, 0, newAppendLimits(&settings), n.storeReader, log, deps.Count, nil)
 	n.desk = newJobAPI(direct, t, deps.Count, n.writeAtLeader)
+	n.desk.applyBounds(settings.Limits)
+	n.forwarded.limit.Store(n.desk.pending.limit.Load())
 	n.desk.maxValueBytes = direct.limits.maxValueBytes()
 	n.desk.leaderCanWrite = n.leaderCanWrite
 	n.catcher = newReadCoalescer(func(ctx context.Context) {
@@ -227,6 +231,14 @@
 // Desk returns the API for callers' requests.
 func (n *Node) Desk() intake.Service { return n.desk }
 
+// ConnectionLimits returns the operators' limits of callers' connections.
+func (n *Node) ConnectionLimits() workflow.ConnectionLimits {
+	if cat := n.desk.catalog.Load(); cat != nil {
+		return cat.Connections
+	}
+	return workflow.ConnectionLimits{}
+}
+
 // uptime is the monotonic time since the process started.
 func (n *Node) uptime() time.Duration { return time.Since(n.startedAt) }
 
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -75,6 +75,11 @@
 	Heartbeat time.Duration
 	// MemoryMiB limits the memory of the process.
 	MemoryMiB int64
+	// MaxDescriptors limits the descriptors of the process; 0 is unknown.
+	MaxDescriptors int64
+	// MaxPendingBytes bounds the callers' records that wait for the store, MaxJobBytes the
+	// job records in the job table. 0 is a share of the memory.
+	MaxPendingBytes, MaxJobBytes int64
 	// CPUShare is the process's share of a core.
 	CPUShare float64
 }
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -21,6 +21,7 @@
 	operators "github.com/mimosaspool/mimosaspool/api/operator"
 	api "github.com/mimosaspool/mimosaspool/api/peer"
 	"github.com/mimosaspool/mimosaspool/internal/console"
+	"github.com/mimosaspool/mimosaspool/internal/ingress"
 	"github.com/mimosaspool/mimosaspool/internal/lifecycle"
 	"github.com/mimosaspool/mimosaspool/internal/logging"
 	"github.com/mimosaspool/mimosaspool/internal/node"
@@ -34,9 +35,12 @@
 	noticeTime = 2500 * time.Millisecond
 	// finishTime bounds the wait for requests in flight after that.
 	finishTime = 2 * time.Second
-	// headerTimeout bounds a caller's request headers, idleTimeout a silent connection.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
+	// headerTimeout and maxHeaderBytes bound request heads, idleTimeout a silent
+	// connection, where the operators state no limits and at the servers that do not serve
+	// callers.
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+	maxHeaderBytes = 16384
 	// flushTime bounds the wait for the last log lines to be read.
 	flushTime = 300 * time.Millisecond
 	// recentBytes is how much of the newest log lines is kept for explain.
@@ -49,6 +53,7 @@
 	platform  *Platform
 	node      *node.Node
 	telemetry *telemetry.Telemetry
+	gate      *ingress.Gate
 	log       logrus.FieldLogger
 	lines     *logging.Writer
 	budget    int
@@ -81,7 +86,12 @@
 	if opt.MetricsPort > 0 {
 		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
 	}
+	set.Limits.MaxPendingBytes, set.Limits.MaxJobBytes = opt.clients.PendingBytes, opt.clients.JobBytes
 	d.node = node.New(set, ports, log, internal, uuid.NewString(), node.ClaimDelay(set.Node))
+	d.gate = ingress.New(ingress.Config{
+		Bounds: opt.clients.bounds(set.Limits), Limits: func() ingress.Limits { return opt.clients.limits(d.node.ConnectionLimits()) },
+		Refusal: p.RefusalBody, Count: ports.Count, Log: log,
+	})
 	return d, t.RegisterNodeGauges(telemetry.NodeState{ViewAges: d.node.ViewAges, IsLeader: d.node.IsLeader, IsReady: d.node.Desk().Ready})
 }
 
@@ -105,6 +115,7 @@
 	defer cancelRun()
 	go d.node.Run(run)
 	go d.reload(run, hangups)
+	go d.gate.Run(run)
 	servers, failed, err := d.listen()
 	if err != nil {
 		return err
@@ -129,19 +140,27 @@
 // listen opens the servers: callers, readiness, and the other nodes.
 func (d *daemon) listen() ([]*http.Server, <-chan error, error) {
 	desk := desk{d.node.Desk()}
-	callers := &requestLog{next: d.platform.Callers(desk), log: d.log, observe: d.telemetry.Observe, age: d.node.JobsViewAge}
+	callers := &requestLog{next: d.gate.Handler(d.platform.Callers(desk)), log: d.log, observe: d.telemetry.Observe, age: d.node.JobsViewAge}
 	inner := mux.NewRouter()
 	inner.Handle("/metrics", d.telemetry.Handler())
 	inner.Path("/recent").Methods(http.MethodGet).HandlerFunc(d.recent)
 	inner.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(d.node))
 	inner.PathPrefix(operators.OperatorPathPrefix).Handler(console.Handler(d.node, d.platform.PeerTransport, d.handed))
 	handlers := map[string]http.Handler{
-		d.platform.Settings.CallersAddress: callers,
-		d.platform.Settings.ReadyAddress:   d.platform.Ready(desk),
-		d.internal:                         inner,
+		d.platform.Settings.ReadyAddress: d.platform.Ready(desk),
+		d.internal:                       inner,
 	}
-	failed := make(chan error, len(handlers))
+	failed := make(chan error, len(handlers)+1)
 	var servers []*http.Server
+	if addr := d.platform.Settings.CallersAddress; addr != "" {
+		l, err := d.gate.Listen(addr)
+		if err != nil {
+			return nil, nil, err
+		}
+		s := d.gate.Server(callers)
+		servers = append(servers, s)
+		go func() { failed <- s.Serve(l) }()
+	}
 	for addr, h := range handlers {
 		if addr == "" {
 			continue
@@ -165,7 +184,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen on %s", addr)
 	}
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l, nil
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, l, nil
 }
 
 // serveMetrics serves the metrics on the further port, if there is one. The
--- a/internal/noded/main.go
+++ b/internal/noded/main.go
@@ -27,6 +27,9 @@
 	PeerTransport http.RoundTripper
 	// Callers and Ready serve callers and the platform's balancer.
 	Callers, Ready func(intake.Service) http.Handler
+	// RefusalBody returns the content type and body of a refusal that is made before a
+	// request reaches Callers.
+	RefusalBody func(reason string) (contentType string, body []byte)
 }
 
 // Connect reads the settings that the platform has laid down and opens its
@@ -37,6 +40,7 @@
 	LogLevel    string `flag:"log-level" validate:"oneof=error warning info debug"`
 	LogBudget   int    `flag:"log-budget" validate:"min=0"`
 	MetricsPort int    `flag:"metrics-port" validate:"min=0,max=65535"`
+	clients     clientOptions
 }
 
 // Main runs the program and returns its exit code.
@@ -53,7 +57,8 @@
 	cmd.Flags().StringVar(&opt.LogLevel, "log-level", "info", "lowest level that is logged: error, warning, info or debug")
 	cmd.Flags().IntVar(&opt.LogBudget, "log-budget", logging.DefaultLinesPerSecond, "log lines of each kind that are written a second; 0 is without bound")
 	cmd.Flags().IntVar(&opt.MetricsPort, "metrics-port", 0, "port of /metrics; 0 serves it on the port between nodes")
-	return settings.Execute(cmd, &opt)
+	opt.clients.addFlags(cmd.Flags())
+	return settings.Execute(cmd, &opt, &opt.clients)
 }
 
 func run(parent context.Context, connect Connect, opt options) error {
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -277,8 +277,18 @@
 	// Queues and Pools are keyed by name.
 	Queues map[string]Queue
 	Pools  map[string]Pool
-	// MaxBodyBytes bounds the body of a caller's request; 0 means no limit.
+	// MaxBodyBytes bounds the body of a caller's request; 0 means the default.
 	MaxBodyBytes int64
+	Connections  ConnectionLimits
+}
+
+// ConnectionLimits bound a caller's connection. Fields of 0 mean the default.
+type ConnectionLimits struct {
+	// MaxHeadBytes bounds the head of a request, HeadTimeout the time to receive it.
+	MaxHeadBytes int64
+	HeadTimeout  time.Duration
+	// IdleTimeout bounds the time between two requests.
+	IdleTimeout time.Duration
 }
 
 // Match returns the queue that a caller addresses and the remainder of the path
