--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -19,6 +19,9 @@
 const (
 	// sweepInterval is the precision of the time limits of connections.
 	sweepInterval = 100 * time.Millisecond
+	// maxSweepGap is the longest time between two sweeps that counts as the clients' own. After
+	// a longer one the process was suspended or short of processor time.
+	maxSweepGap = time.Second
 	// reportInterval is the least time between two log lines of a reason.
 	reportInterval = 30 * time.Second
 	// receiveBuffer bounds what the kernel holds unread for a connection, which counts as
@@ -50,9 +53,10 @@
 type Gate struct {
 	cfg Config
 	mu  sync.Mutex
-	// ledger and reports are guarded by mu.
+	// The fields below are guarded by mu.
 	ledger  *ledger
 	reports map[string]*report
+	sweptAt time.Time
 }
 
 // report counts the events of a reason since its last log line.
@@ -63,7 +67,7 @@
 
 // New returns a gate without connections.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, ledger: newLedger(cfg.Bounds), reports: map[string]*report{}}
+	return &Gate{cfg: cfg, ledger: newLedger(cfg.Bounds), reports: map[string]*report{}, sweptAt: time.Now()}
 }
 
 // Listen opens a listener whose connections the gate accounts for.
@@ -109,8 +113,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			g.sweep(now)
+		case <-tick.C:
+			g.sweep(time.Now())
 		}
 	}
 }
@@ -119,6 +123,10 @@
 	limits := g.cfg.Limits()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if gap := now.Sub(g.sweptAt); gap > maxSweepGap {
+		g.ledger.postpone(gap)
+	}
+	g.sweptAt = now
 	for c := range g.ledger.clients {
 		switch reason := c.overdue(now, limits); reason {
 		case "":
--- a/internal/ingress/ledger.go
+++ b/internal/ingress/ledger.go
@@ -22,8 +22,10 @@
 	// descriptorDivisor leaves the other descriptors to connections that the process makes.
 	descriptorDivisor = 2
 	// connectionBytes is what net/http takes for a connection: its goroutine and two buffers.
+	// The garbage of their requests comes on top: 1,500 clients with large bodies, of whom
+	// 1,024 were connected at once, brought a process of 19 MiB to 90 MiB.
 	connectionBytes          = 24 << 10
-	connectionsMemoryDivisor = 4
+	connectionsMemoryDivisor = 6
 	headMemoryDivisor        = 16
 	bodyMemoryDivisor        = 8
 	minConnections           = 16
@@ -233,6 +235,13 @@
 	reasonDrained     = "drain-timeout"
 )
 
+// postpone extends the time limits of all connections by a time in which nothing was read.
+func (l *ledger) postpone(d time.Duration) {
+	for c := range l.clients {
+		c.since, c.progress = c.since.Add(d), c.progress.Add(d)
+	}
+}
+
 // overdue returns why a connection has taken too long, or an empty string.
 func (c *client) overdue(now time.Time, lim Limits) string {
 	age := now.Sub(c.since)
