A leader that is short of processor time hands leadership over

A leader whose workers' answers are late for a second while it gets less than 0.4 of its processor share now hands over, at most every 15 s, and leaves claims to others for that time. A leader that uses its share has too much to do and stays.

--- a/internal/emulator/processor.go
+++ b/internal/emulator/processor.go
@@ -22,6 +22,8 @@
 	// Longest is the longest line of uses at one time.
 	Longest int
 	Busy    time.Duration
+	// Used is the processor time that the uses have got, less than Busy on a slow processor.
+	Used time.Duration
 }
 
 // Processor is the processor of one node. It serves one use at a time, first
@@ -30,6 +32,8 @@
 	mu    sync.Mutex
 	line  []*use
 	usage ProcessorUsage
+	// slowdown multiplies the time of uses, 0 means 1.
+	slowdown int
 }
 
 type use struct {
@@ -61,9 +65,17 @@
 	return ctx.Err() == nil
 }
 
+// SetSlowdown makes the processor slower by a factor from now on.
+func (p *Processor) SetSlowdown(factor int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slowdown = factor
+}
+
 func (p *Processor) join(u *use) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	u.takes *= time.Duration(max(p.slowdown, 1))
 	p.line = append(p.line, u)
 	p.usage.Longest = max(p.usage.Longest, len(p.line))
 	if len(p.line) == 1 {
@@ -75,6 +87,7 @@
 func (p *Processor) begin() {
 	u := p.line[0]
 	p.usage.Busy += u.takes
+	p.usage.Used += u.takes / time.Duration(max(p.slowdown, 1))
 	time.AfterFunc(u.takes, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/node/claim.go
+++ b/internal/node/claim.go
@@ -54,5 +54,9 @@
 func (n *Node) updateClaimDeferral(members []Member) {
 	h, _ := n.leadership.Leader()
 	known := n.members.records != nil && h.Node != ""
-	n.leadership.SetDeferral(claimDeferral(n.settings.Node, n.settings.Limits.CPUShare, h.Node, members, known))
+	deferral := claimDeferral(n.settings.Node, n.settings.Limits.CPUShare, h.Node, members, known)
+	if n.uptime() < n.restUntil {
+		deferral = max(deferral, restDeferral)
+	}
+	n.leadership.SetDeferral(deferral)
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -275,6 +275,7 @@
 	if n.term != nil && n.storeReader.isolatedFor(stepDownAfter) && n.uptime() > n.leadership.ConfirmedAt()+stepDownUnconfirmed+stepDownStoreFactor*n.leadership.StoreLatency() {
 		n.stepDown(ctx)
 	}
+	n.handOverIfOverloaded(ctx)
 	if n.term == nil && n.leadership.IsLeader() && !n.desk.leaving.Load() {
 		n.beginTerm(ctx)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,9 @@
 	// BootTime is a clock that also counts the time during which the host was
 	// suspended. It is nil if the host is never suspended.
 	BootTime func() time.Duration
+	// ProcessorTime returns the processor time that the process has used. It is nil if that
+	// is unknown.
+	ProcessorTime func() time.Duration
 	// Count increments the counter of a kind and reason.
 	Count func(kind, reason string)
 	// Observe adds a duration to the named histogram.
@@ -102,6 +105,9 @@
 	// membersLoaded is closed when the other nodes are known.
 	membersLoaded chan struct{}
 	catcher       *readCoalescer
+	// restUntil is until when this node leaves claims to others, as it was overloaded.
+	restUntil time.Duration
+	lateness  lateness
 	// waves are the operators' maintenance waves by record key.
 	waves map[string]requestedWave
 }
--- a/internal/node/processor_test.go
+++ b/internal/node/processor_test.go
@@ -134,8 +134,10 @@
 			Capacity: workflow.Size{MilliCPU: 4000, MemoryMiB: 8192}})
 	}
 	s.logger.AddHook(s.decisions)
-	s.configure = func(p *process, _ *Settings, ports *Dependencies) {
+	s.configure = func(p *process, settings *Settings, ports *Dependencies) {
+		settings.Limits.CPUShare = 0.8
 		s.processors[p.name] = &emulator.Processor{}
+		ports.ProcessorTime = func() time.Duration { return s.processors[p.name].Usage().Used }
 		ports.Workers = s.processors[p.name].Workers(countingWorkers{ports.Workers, s.orders}, emulator.CallCost{Send: cost, Read: cost})
 	}
 	for _, name := range []string{"a", "b", "c"} {
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -82,6 +82,7 @@
 	ports.Peers = peer.NewClient(p.PeerTransport)
 	ports.Count = func(kind, reason string) { t.Count(kind, reason, 1) }
 	ports.Observe = t.Observe
+	ports.ProcessorTime = processorTime
 	ports.Store = measuredStore{ports.Store, t.Observe}
 	d := &daemon{platform: p, telemetry: t, log: log, lines: lines, budget: opt.LogBudget, internal: internal}
 	if opt.MetricsPort > 0 {
@@ -96,6 +97,15 @@
 	return d, t.RegisterNodeGauges(telemetry.NodeState{ViewAges: d.node.ViewAges, IsLeader: d.node.IsLeader, IsReady: d.node.Desk().Ready})
 }
 
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // tune keeps the runtime within the host's limits.
 func tune(set node.Settings) {
 	runtime.GOMAXPROCS(1)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -26,6 +26,8 @@
 	Members []string `json:"m,omitempty"`
 	// Resigned releases leadership.
 	Resigned bool `json:"r,omitempty"`
+	// Overloaded is set in a release by a leader that is short of processor time.
+	Overloaded bool `json:"o,omitempty"`
 	// StoreMillis is the leader's recent response time of the store, in milliseconds.
 	StoreMillis int64 `json:"s,omitempty"`
 	// Address is the address at which the leader serves the other nodes.
@@ -127,6 +129,8 @@
 	sentAt   time.Duration
 	retryAt  time.Duration
 	resigned bool
+	// overloadedAt is when the last release by an overloaded leader was read, or 0.
+	overloadedAt time.Duration
 	// suspectedAt is when the leader's address last refused a connection.
 	suspectedAt time.Duration
 	// storeLatency is the response time of the store for the last action.
@@ -179,6 +183,9 @@
 	if len(r.Members) > 0 {
 		e.members = r.Members
 	}
+	if r.Resigned && r.Overloaded {
+		e.overloadedAt = now
+	}
 	if r.Resigned && r.Token == e.token {
 		e.markFree(now)
 	}
@@ -363,6 +370,19 @@
 	return e.releaseRecord()
 }
 
+// StepDownOverloaded is like StepDown for a leader that is short of processor time.
+func (e *Election) StepDownOverloaded() Record {
+	r := e.StepDown()
+	r.Overloaded = true
+	return r
+}
+
+// OverloadedReleaseAt returns when this node last read that an overloaded leader has released
+// leadership, and false if it never has.
+func (e *Election) OverloadedReleaseAt() (time.Duration, bool) {
+	return e.overloadedAt, e.overloadedAt > 0
+}
+
 // Resign returns the record that releases leadership, and prevents further claims by
 // this process.
 func (e *Election) Resign() Record {
