Excess jobs that would wait for too long are rejected at once

Work in excess of an account's rate waits behind the rest. The leader estimates from the starts of the last two seconds how long an account's excess work waits, and rejects a further excess job with 429 if it would be of no use by then; Retry-After is the rest of that wait. Other nodes get the rejection as a twirp error with metadata, which versions before take for an unknown outcome.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -31,10 +31,13 @@
 	fairShare float64
 	// total is the capacity of all workers, as of the current pass.
 	total resource.Vector
+	// backlogs holds the waiting excess work by account, as of backlogAt.
+	backlogs  map[string]*excessBacklog
+	backlogAt time.Duration
 }
 
 func newAccounts() accounts {
-	return accounts{usage: team.NewQuotaTracker(), rates: map[string]*team.Rate{}}
+	return accounts{usage: team.NewQuotaTracker(), rates: map[string]*team.Rate{}, backlogs: map[string]*excessBacklog{}}
 }
 
 func vectorOf(z workflow.Size) resource.Vector {
@@ -50,6 +53,7 @@
 		if _, ok := c.catalog.Accounts[name]; !ok {
 			a.usage.SetQuota(name, 0, resource.Vector{})
 			delete(a.rates, name)
+			delete(a.backlogs, name)
 		}
 	}
 	for name, def := range c.catalog.Accounts {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -271,13 +271,20 @@
 
 func (j *job) setQueue(q workflow.Queue) {
 	j.queue, j.queueKnown = q, true
+	span := objectiveSpan(&q, j.criticalPath, len(j.def.Steps))
+	j.objective = j.def.AcceptedMillis + span
+	j.horizon = j.def.AcceptedMillis + horizonFactor*span
+}
+
+// objectiveSpan returns the time from acceptance to its objective of a job whose longest
+// chain of steps takes path, in milliseconds.
+func objectiveSpan(q *workflow.Queue, path int64, steps int) int64 {
 	stretch := max(q.Stretch, 1)
-	span := int64(stretch*float64(j.criticalPath)) + q.Target.Milliseconds()
+	span := int64(stretch*float64(path)) + q.Target.Milliseconds()
 	if q.Advice != nil {
-		span += int64(stretch * float64(q.Advice.Decision.Milliseconds()) * float64(len(j.def.Steps)))
+		span += int64(stretch * float64(q.Advice.Decision.Milliseconds()) * float64(steps))
 	}
-	j.objective = j.def.AcceptedMillis + span
-	j.horizon = j.def.AcceptedMillis + horizonFactor*span
+	return span
 }
 
 // horizonFactor is the multiple of its objective after which a job is no longer
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -24,10 +24,13 @@
 		}
 	}
 	prefetched := map[string]int{}
-	kept := c.waitingSteps[:0]
+	kept, excessPlaced := c.waitingSteps[:0], map[string]int{}
 	for _, s := range c.waitingSteps {
 		if c.inThisPass(s) && c.placeStep(s, prefetched) {
 			s.queued = false
+			if j := s.occurrence.job; j.excess && !j.ended() {
+				excessPlaced[j.def.Account]++
+			}
 			continue
 		}
 		c.reportWait(s)
@@ -37,6 +40,7 @@
 		c.waitingSteps[i] = nil
 	}
 	c.waitingSteps = kept
+	c.accounts.countBacklog(c.now, kept, excessPlaced)
 	c.dirty = !c.window.hasRoom()
 	c.sendAdviceRequests()
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -49,6 +49,15 @@
 	RetryAfter time.Duration
 }
 
+// RejectedError reports that a job was not accepted and never runs.
+type RejectedError struct {
+	Reason string
+	// RetryAfter is the delay before a retry.
+	RetryAfter time.Duration
+}
+
+func (e *RejectedError) Error() string { return "job rejected: " + e.Reason }
+
 // Caller is the sender of a request.
 type Caller struct {
 	// Account is the client account whose key the request carries, empty for none.
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -281,9 +281,13 @@
 	defer d.pending.release(size)
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	switch d.hedgedWrite(ctx, r) {
+	switch outcome, rejected := d.hedgedWrite(ctx, r); outcome {
 	case writeDone:
 		return intake.Outcome{}
+	case writeRejected:
+		o := d.outcome(intake.Busy, rejected.Reason)
+		o.RetryAfter = rejected.RetryAfter
+		return o
 	case writeNotDone:
 		return d.outcome(intake.Unavailable, "store-refused")
 	}
@@ -304,6 +308,9 @@
 
 const (
 	writeDone writeOutcome = iota
+	// writeRejected means that the leader has rejected the record: nothing was written and
+	// nothing will be.
+	writeRejected
 	// writeNotDone means that nothing was written and nothing will be.
 	writeNotDone
 	// writeUnknown means that the record may have been written or may still be.
@@ -314,9 +321,14 @@
 // leader fails, or if it is slow and not in contact with the store: with a slow
 // store, direct writes would only lengthen the queue of the store. The first
 // success wins.
-func (d *jobAPI) hedgedWrite(ctx context.Context, r store.Record) writeOutcome {
+func (d *jobAPI) hedgedWrite(ctx context.Context, r store.Record) (writeOutcome, *intake.RejectedError) {
 	outcomes := make(chan writeOutcome, 2)
-	go func() { outcomes <- d.writeViaLeader(ctx, r) }()
+	var rejected *intake.RejectedError // set before writeRejected is sent
+	go func() {
+		outcome, why := d.writeViaLeader(ctx, r)
+		rejected = why
+		outcomes <- outcome
+	}()
 	hedge := time.NewTimer(d.hedgeDelay())
 	defer hedge.Stop()
 	pending, directStarted, worst := 1, false, writeNotDone
@@ -338,13 +350,16 @@
 			startDirect()
 		case outcome := <-outcomes:
 			pending--
-			if outcome == writeDone {
-				return writeDone
+			switch {
+			case outcome == writeDone:
+				return writeDone, nil
+			case outcome == writeRejected && !directStarted:
+				return writeRejected, rejected
 			}
 			worst = max(worst, outcome)
 			startDirect()
 			if pending == 0 {
-				return worst
+				return worst, nil
 			}
 		}
 	}
@@ -352,18 +367,21 @@
 
 // writeViaLeader sends the record to the leader. While there is no leader, it
 // waits for the next one, and longer if the store is slow.
-func (d *jobAPI) writeViaLeader(ctx context.Context, r store.Record) writeOutcome {
+func (d *jobAPI) writeViaLeader(ctx context.Context, r store.Record) (writeOutcome, *intake.RejectedError) {
 	deadline := time.Now().Add(hedgeLatencyFactor * time.Duration(d.storeLatency.Load()))
 	for {
 		done, err := d.appendViaLeader(ctx, r)
+		var rejected *intake.RejectedError
 		switch {
+		case errors.As(err, &rejected):
+			return writeRejected, rejected
 		case err != nil:
 			d.count("retry", "holder-unanswered")
-			return writeUnknown
+			return writeUnknown, nil
 		case done:
-			return writeDone
+			return writeDone, nil
 		case ctx.Err() != nil || time.Now().Add(leaderRetryDelay).After(deadline):
-			return writeNotDone
+			return writeNotDone, nil
 		}
 		sleepContext(ctx, leaderRetryDelay)
 	}
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -366,6 +366,9 @@
 			return false, errors.Errorf("record %q is not a caller's", r.Key)
 		}
 	}
+	if err := n.admit(records); err != nil {
+		return false, err
+	}
 	size := int64(totalBytes(records))
 	if !n.forwarded.take(size) {
 		n.deps.Count("refusal", "write-queue-full")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,8 @@
 	// restUntil is until when this node leaves claims to others, as it was overloaded.
 	restUntil time.Duration
 	lateness  lateness
+	// admission is that of this node's term, nil if no job is rejected.
+	admission atomic.Pointer[dispatch.Admission]
 	// waves are the operators' maintenance waves by record key.
 	waves map[string]requestedWave
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -40,6 +40,8 @@
 	// handoverUntil is when the term ends at the latest after its release, or 0 if it
 	// is not released.
 	handoverUntil time.Duration
+	// admissionAt is when the admission was last published.
+	admissionAt time.Duration
 }
 
 // producerName is the producer name under which leaders append to the store.
@@ -72,6 +74,7 @@
 func (n *Node) endTerm(reason string) {
 	n.log.WithFields(logrus.Fields{"token": n.term.token, "reason": reason}).Info("term ends")
 	n.termWriter.Store(nil)
+	n.admission.Store(nil)
 	n.term.cancel()
 	n.term = nil
 	n.termToken.Store(0)
@@ -171,6 +174,7 @@
 	for _, e := range effects {
 		n.execute(t, e)
 	}
+	n.publishAdmission(t)
 	n.stepMaintenance(t)
 	n.logDecisions(t.dispatcher.Decisions())
 	n.countDispatchReasons(t)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -12,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	api "github.com/mimosaspool/mimosaspool/api/peer"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
@@ -60,12 +62,34 @@
 		records = append(records, store.Record{Key: r.GetKey(), Value: r.GetValue()})
 	}
 	done, err := s.node.AppendRecords(ctx, records)
+	var rejected *intake.RejectedError
+	if errors.As(err, &rejected) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, rejected.Reason).
+			WithMeta(metaRetryAfter, strconv.FormatInt(rejected.RetryAfter.Milliseconds(), 10))
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &api.RecordResponse{Done: done}, nil
 }
 
+// metaRetryAfter is the metadata of a rejection: its RetryAfter in milliseconds. Versions
+// that don't know rejections take one for a call whose outcome is unknown.
+const metaRetryAfter = "retry_after_ms"
+
+// decodeRejection returns the rejection that an error of a call stands for, or nil.
+func decodeRejection(err error) *intake.RejectedError {
+	var te twirp.Error
+	if !errors.As(err, &te) || te.Code() != twirp.ResourceExhausted {
+		return nil
+	}
+	millis, parseErr := strconv.ParseInt(te.Meta(metaRetryAfter), 10, 64)
+	if parseErr != nil || millis < 0 {
+		return nil
+	}
+	return &intake.RejectedError{Reason: te.Msg(), RetryAfter: time.Duration(millis) * time.Millisecond}
+}
+
 // Writes implements the Peer service.
 func (s *server) Writes(context.Context, *api.WritesRequest) (*api.WritesResponse, error) {
 	return &api.WritesResponse{Writes: s.node.CanWrite()}, nil
@@ -215,6 +239,9 @@
 		req.Records = append(req.Records, &api.LogRecord{Key: r.Key, Value: r.Value})
 	}
 	resp, err := c.peerClient(address).Record(ctx, req)
+	if rejected := decodeRejection(err); rejected != nil {
+		return false, errors.WithStack(rejected)
+	}
 	if err != nil {
 		return false, errors.Wrap(err, "peer "+address)
 	}
