The leader does less for each answer

The dispatcher made a step for each of 3,400 answers a second. Now answers within 2 ms share a step, a worker's preemptible runs are determined once a round and not for each waiting task, the answers of the policy service take one map, and the leader's garbage collector runs less often (its memory limit stays).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -32,14 +32,19 @@
 
 // advice is what the policy service has answered for a step.
 type advice struct {
-	// allowed holds, for each worker asked about, whether the step may run there.
-	// deniedLife holds the start of the incarnation that it was not allowed on: the
+	// answers holds what was answered for each worker asked about.
+	answers   map[string]adviceAnswer
+	tickets   map[*host]ticket
+	inFlight  bool
+	notBefore time.Duration
+}
+
+// adviceAnswer is the answer for one worker.
+type adviceAnswer struct {
+	allowed bool
+	// deniedLife is the start of the incarnation that the step was not allowed on: the
 	// service does not approve a worker that is down.
-	allowed    map[string]bool
-	deniedLife map[string]int64
-	tickets    map[*host]ticket
-	inFlight   bool
-	notBefore  time.Duration
+	deniedLife int64
 }
 
 type ticket struct {
@@ -85,7 +90,7 @@
 	pool := c.pools[s.occurrence.job.queue.Pool]
 	// Once the service has answered for as many workers as the pool has, only wanted
 	// workers matter. Calling wanted is cheaper than looking up the answers.
-	allKnown := len(a.allowed) >= len(pool)
+	allKnown := len(a.answers) >= len(pool)
 	var names []string
 	for _, withRoom := range []bool{true, false} {
 		for _, h := range pool {
@@ -95,8 +100,8 @@
 			if withRoom != c.hasRoom(h, size) || allKnown && !wanted(h) || !c.eligible(s, h) {
 				continue
 			}
-			allowed, known := a.allowed[h.info.ID]
-			if known && !allowed && a.deniedLife[h.info.ID] == h.info.Born || allowed && !wanted(h) {
+			answer, known := a.answers[h.info.ID]
+			if known && !answer.allowed && answer.deniedLife == h.info.Born || answer.allowed && !wanted(h) {
 				continue
 			}
 			if t, ok := a.tickets[h]; ok && c.now < t.validUntil-s.occurrence.job.queue.Advice.Decision {
@@ -165,14 +170,15 @@
 		a.notBefore = c.now + adviceRetry
 		return
 	}
-	if a.allowed == nil {
-		a.allowed, a.tickets, a.deniedLife = map[string]bool{}, map[*host]ticket{}, map[string]int64{}
+	if a.answers == nil {
+		a.answers, a.tickets = make(map[string]adviceAnswer, len(ev.Asked)), make(map[*host]ticket, len(ev.Approvals.Approved))
 	}
 	for _, id := range ev.Asked {
-		a.allowed[id] = false
+		denied := adviceAnswer{}
 		if h := c.hosts[id]; h != nil {
-			a.deniedLife[id] = h.info.Born
+			denied.deniedLife = h.info.Born
 		}
+		a.answers[id] = denied
 	}
 	validity := ev.Approvals.Validity
 	if p := s.occurrence.job.queue.Advice; validity == 0 && p != nil {
@@ -188,7 +194,7 @@
 }
 
 func (c *Core) approve(s *step, ok worker.Approval, validity time.Duration) {
-	s.advice.allowed[ok.Worker] = true
+	s.advice.answers[ok.Worker] = adviceAnswer{allowed: true}
 	if h := c.hosts[ok.Worker]; h != nil {
 		s.advice.tickets[h] = ticket{ok.Ticket, c.now + validity - ticketMargin}
 	}
@@ -201,7 +207,7 @@
 		return
 	}
 	for _, next := range s.occurrence.steps[s.index+1:] {
-		if next.blockers != 1 || next.finished() || next.advice.allowed != nil {
+		if next.blockers != 1 || next.finished() || next.advice.answers != nil {
 			continue
 		}
 		for _, d := range next.def.DependsOn {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -117,6 +117,10 @@
 	// reservedFor is the step that the free capacity is reserved for.
 	reservedFor   *step
 	reservedUntil time.Duration
+	// preemptibleRuns are the runs that may be stopped for more urgent work, as of
+	// preemptibleRound.
+	preemptibleRuns  []*run
+	preemptibleRound int64
 }
 
 type runKey struct {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -366,7 +366,7 @@
 // policyAllows reports whether the policy service has allowed the worker. A step
 // without a policy may run anywhere.
 func (s *step) policyAllows(h *host) bool {
-	return s.occurrence.job.queue.Advice == nil || s.advice.allowed[h.info.ID]
+	return s.occurrence.job.queue.Advice == nil || s.advice.answers[h.info.ID].allowed
 }
 
 // feasible checks what the candidates don't cover: conditions that starts in the
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -111,8 +111,9 @@
 		return nil, true
 	}
 	var list []*run
-	for _, r := range c.preemptible(s, h) {
-		if slices.Contains(taken, r) || !freesMissing(r.size, size, free) {
+	for _, r := range c.preemptible(h) {
+		if r.state != running || r.task.step.occurrence.job.queue.Priority <= s.occurrence.job.queue.Priority ||
+			slices.Contains(taken, r) || !freesMissing(r.size, size, free) {
 			continue
 		}
 		list = append(list, r)
@@ -127,20 +128,24 @@
 	return nil, false
 }
 
-// preemptible returns the runs on a worker that may be stopped for the step, the
-// least advanced first.
-func (c *Core) preemptible(s *step, h *host) []*run {
-	var list []*run
+// preemptible returns the runs on a worker that may be stopped for work of a higher
+// priority, the least advanced first. They are determined once per round, since each waiting
+// task looks at all workers.
+func (c *Core) preemptible(h *host) []*run {
+	if h.preemptibleRound == c.round {
+		return h.preemptibleRuns
+	}
+	h.preemptibleRound, h.preemptibleRuns = c.round, h.preemptibleRuns[:0]
 	for _, r := range h.sortedRuns() {
 		t := r.task
 		if t == nil || r.state != running || t.done || !t.step.def.Checkpointing || t.step.def.LongRunning || t.step.def.Gang ||
-			t.step.occurrence.job.queue.Priority <= s.occurrence.job.queue.Priority || c.slack(t.step.occurrence.job) < minVictimSlack {
+			c.slack(t.step.occurrence.job) < minVictimSlack {
 			continue
 		}
-		list = append(list, r)
+		h.preemptibleRuns = append(h.preemptibleRuns, r)
 	}
-	sort.SliceStable(list, func(a, b int) bool { return list[a].percent < list[b].percent })
-	return list
+	sort.SliceStable(h.preemptibleRuns, func(a, b int) bool { return h.preemptibleRuns[a].percent < h.preemptibleRuns[b].percent })
+	return h.preemptibleRuns
 }
 
 // slack is how long the rest of the job's work could be put off for the job to
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -77,6 +77,7 @@
 			leave = nil
 			n.releaseLeadership(ctx)
 		case ev := <-n.events:
+			n.awaitStepGap(ctx)
 			batch = n.handleEvent(ctx, ev, batch)
 			batch = n.drainEvents(ctx, batch)
 		case <-timer.C:
@@ -93,6 +94,18 @@
 	}
 }
 
+// minStepGap is the least time between two steps of the dispatcher. Workers' answers come
+// one by one, thousands a second on a large site, and a step costs as much for one as for
+// several.
+const minStepGap = 2 * time.Millisecond
+
+// awaitStepGap lets more events come if the last step of the dispatcher was just now.
+func (n *Node) awaitStepGap(ctx context.Context) {
+	if n.term != nil && n.term.dispatcher != nil {
+		sleepContext(ctx, n.term.steppedAt+minStepGap-n.uptime())
+	}
+}
+
 // never is later than any other time.
 const never = time.Duration(1<<63 - 1)
 
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 	"sort"
 	"time"
 
@@ -40,6 +41,8 @@
 	// handoverUntil is when the term ends at the latest after its release, or 0 if it
 	// is not released.
 	handoverUntil time.Duration
+	// steppedAt is when the dispatcher's last step ended.
+	steppedAt time.Duration
 	// admissionAt is when the admission was last published.
 	admissionAt time.Duration
 }
@@ -58,6 +61,7 @@
 			n.send(t.ctx, termRecordWritten{token: t.token, err: err})
 		}
 	}()
+	debug.SetGCPercent(leaderGCPercent)
 	n.termToken.Store(t.token)
 	n.members.resetPolicyNodes()
 	n.log.WithField("token", t.token).Info("term begins")
@@ -71,7 +75,12 @@
 	}()
 }
 
+// leaderGCPercent is the garbage collector's target on the leader, whose answers from workers
+// make more garbage than all else. The memory limit of the process still holds.
+const leaderGCPercent, defaultGCPercent = 300, 100
+
 func (n *Node) endTerm(reason string) {
+	debug.SetGCPercent(defaultGCPercent)
 	n.log.WithFields(logrus.Fields{"token": n.term.token, "reason": reason}).Info("term ends")
 	n.termWriter.Store(nil)
 	n.admission.Store(nil)
@@ -178,4 +187,5 @@
 	n.stepMaintenance(t)
 	n.logDecisions(t.dispatcher.Decisions())
 	n.countDispatchReasons(t)
+	t.steppedAt = n.uptime()
 }
