Callers' jobs reach the next leader, and the end of an outage is seen sooner

A record that was sent to a leader which then lost the store waited for its answer to the end, 2.6 s of the 3 s that callers wait. It is now sent to the next leader as well. While the store is out, it is probed every 0.1 s: refused callers come back for the last time shortly after an outage's end, and were refused by up to 0.2 s of delay. A probe that waited on a silent connection no longer overrides a later one that was answered. The dispatcher waits for further events only while it is busy.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -94,15 +94,47 @@
 	}
 }
 
-// minStepGap is the least time between two steps of the dispatcher. Workers' answers come
-// one by one, thousands a second on a large site, and a step costs as much for one as for
-// several.
-const minStepGap = 2 * time.Millisecond
+const (
+	// busyStepGap is the least time between two steps of a busy dispatcher. Workers' answers
+	// come one by one, thousands a second on a large site, and a step costs as much for one
+	// as for several.
+	busyStepGap = 2 * time.Millisecond
+	// busySteps is the number of steps in stepWindow from which on a dispatcher is busy.
+	stepWindow = 100 * time.Millisecond
+	busySteps  = 60
+)
+
+// stepRate tells how often the dispatcher steps.
+type stepRate struct {
+	// lastAt is when the last step ended, windowAt when the present window began.
+	lastAt, windowAt time.Duration
+	steps            int
+	busy             bool
+}
+
+// record counts a step that has ended.
+func (r *stepRate) record(now time.Duration) {
+	r.lastAt = now
+	if now-r.windowAt >= stepWindow {
+		// Steps that wait for the gap still show that there is much to do.
+		r.busy = r.steps >= busySteps || r.busy && r.steps >= busySteps/2
+		r.windowAt, r.steps = now, 0
+	}
+	r.steps++
+}
+
+// gap returns how long the next step should wait for more events.
+func (r *stepRate) gap(now time.Duration) time.Duration {
+	if !r.busy {
+		return 0
+	}
+	return r.lastAt + busyStepGap - now
+}
 
-// awaitStepGap lets more events come if the last step of the dispatcher was just now.
+// awaitStepGap lets more events come if the dispatcher is busy and has stepped just now.
 func (n *Node) awaitStepGap(ctx context.Context) {
 	if n.term != nil && n.term.dispatcher != nil {
-		sleepContext(ctx, n.term.steppedAt+minStepGap-n.uptime())
+		sleepContext(ctx, n.term.steps.gap(n.uptime()))
 	}
 }
 
--- a/internal/node/failover_reader.go
+++ b/internal/node/failover_reader.go
@@ -12,8 +12,10 @@
 
 const (
 	// probeInterval is how often the store is probed while it is unreachable. A
-	// new probe starts even if the last one is unanswered.
-	probeInterval = 250 * time.Millisecond
+	// new probe starts even if the last one is unanswered. Callers that were refused during
+	// an outage come back for the last time up to 3 s later, so that each tenth of a second
+	// after its end counts.
+	probeInterval = 100 * time.Millisecond
 	// probeTimeout bounds a probe.
 	probeTimeout = 450 * time.Millisecond
 	// peerReadTimeout bounds a read through a peer, in addition to its wait.
@@ -80,7 +82,10 @@
 	defer cancel()
 	began := time.Now()
 	if _, err := r.direct.Newest(ctx, tenurePartition, ""); err != nil {
-		r.readFailed(began)
+		// A later probe may have been answered: this one waited on a silent connection.
+		if !r.answeredSince(began) {
+			r.readFailed(began)
+		}
 		return
 	}
 	r.setDown(false)
@@ -118,6 +123,13 @@
 	return !r.down && time.Since(r.storeAnsweredAt) < within
 }
 
+// answeredSince reports whether the store has answered a direct read after the given time.
+func (r *failoverReader) answeredSince(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeAnsweredAt.After(at)
+}
+
 // readFailed records that a direct read started at the given time has failed.
 func (r *failoverReader) readFailed(began time.Time) {
 	r.setDown(true)
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -70,6 +70,8 @@
 	directWriter *jobLogWriter
 	// appendViaLeader sends a record to the leader, which writes it.
 	appendViaLeader func(context.Context, store.Record) (bool, error)
+	// currentLeader identifies the leader as far as this node knows.
+	currentLeader func() string
 	// leaderCanWrite reports whether the leader is writing what it was sent.
 	leaderCanWrite func(context.Context) bool
 	// requestCatchUp requests a read of the log to its end.
@@ -317,46 +319,64 @@
 	writeUnknown
 )
 
+// maxLeaderWrites bounds the leaders that are sent the same record.
+const maxLeaderWrites = 3
+
+// writeResult is the result of one of the writes of a record.
+type writeResult struct {
+	outcome  writeOutcome
+	rejected *intake.RejectedError
+}
+
 // hedgedWrite has the leader write the record. It also writes directly if the
 // leader fails, or if it is slow and not in contact with the store: with a slow
-// store, direct writes would only lengthen the queue of the store. The first
+// store, direct writes would only lengthen the queue of the store. A call to a leader that
+// has lost the store stays unanswered, so its successor is sent the record as well. The first
 // success wins.
 func (d *jobAPI) hedgedWrite(ctx context.Context, r store.Record) (writeOutcome, *intake.RejectedError) {
-	outcomes := make(chan writeOutcome, 2)
-	var rejected *intake.RejectedError // set before writeRejected is sent
-	go func() {
-		outcome, why := d.writeViaLeader(ctx, r)
-		rejected = why
-		outcomes <- outcome
-	}()
-	hedge := time.NewTimer(d.hedgeDelay())
-	defer hedge.Stop()
-	pending, directStarted, worst := 1, false, writeNotDone
+	results := make(chan writeResult, maxLeaderWrites+1)
+	pending, sent, leaderWrites, directStarted, worst := 0, 0, 0, false, writeNotDone
+	start := func(write func() writeResult) {
+		pending++
+		sent++
+		go func() { results <- write() }()
+	}
+	leader := ""
+	startViaLeader := func() {
+		leader = d.currentLeader()
+		leaderWrites++
+		start(func() writeResult { return d.writeViaLeader(ctx, r) })
+	}
 	startDirect := func() {
 		if !directStarted {
 			directStarted = true
-			pending++
 			d.count("retry", "direct-write")
-			go func() { outcomes <- d.writeDirect(ctx, r) }()
+			start(func() writeResult { return writeResult{outcome: d.writeDirect(ctx, r)} })
 		}
 	}
+	startViaLeader()
+	hedge := time.NewTimer(d.hedgeDelay())
+	defer hedge.Stop()
 	for {
 		select {
 		case <-hedge.C:
-			if d.leaderCanWrite(ctx) {
-				hedge.Reset(baseHedgeDelay)
-				continue
+			hedge.Reset(baseHedgeDelay)
+			if now := d.currentLeader(); now != leader && now != "" && leaderWrites < maxLeaderWrites {
+				d.count("retry", "next-leader")
+				startViaLeader()
 			}
-			startDirect()
-		case outcome := <-outcomes:
+			if !d.leaderCanWrite(ctx) {
+				startDirect()
+			}
+		case result := <-results:
 			pending--
 			switch {
-			case outcome == writeDone:
+			case result.outcome == writeDone:
 				return writeDone, nil
-			case outcome == writeRejected && !directStarted:
-				return writeRejected, rejected
+			case result.outcome == writeRejected && sent == 1:
+				return writeRejected, result.rejected
 			}
-			worst = max(worst, outcome)
+			worst = max(worst, result.outcome)
 			startDirect()
 			if pending == 0 {
 				return worst, nil
@@ -367,21 +387,21 @@
 
 // writeViaLeader sends the record to the leader. While there is no leader, it
 // waits for the next one, and longer if the store is slow.
-func (d *jobAPI) writeViaLeader(ctx context.Context, r store.Record) (writeOutcome, *intake.RejectedError) {
+func (d *jobAPI) writeViaLeader(ctx context.Context, r store.Record) writeResult {
 	deadline := time.Now().Add(hedgeLatencyFactor * time.Duration(d.storeLatency.Load()))
 	for {
 		done, err := d.appendViaLeader(ctx, r)
 		var rejected *intake.RejectedError
 		switch {
 		case errors.As(err, &rejected):
-			return writeRejected, rejected
+			return writeResult{writeRejected, rejected}
 		case err != nil:
 			d.count("retry", "holder-unanswered")
-			return writeUnknown, nil
+			return writeResult{outcome: writeUnknown}
 		case done:
-			return writeDone, nil
+			return writeResult{outcome: writeDone}
 		case ctx.Err() != nil || time.Now().Add(leaderRetryDelay).After(deadline):
-			return writeNotDone, nil
+			return writeResult{outcome: writeNotDone}
 		}
 		sleepContext(ctx, leaderRetryDelay)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,13 @@
 	n.desk.keys = newKeyGuard(n.suspendAwareUptime, log)
 	n.desk.keys.configure(&settings.Limits)
 	n.desk.leaderCanWrite = n.leaderCanWrite
+	n.desk.currentLeader = func() string {
+		if n.termWriter.Load() != nil {
+			return n.address
+		}
+		address, _ := n.remoteLeader()
+		return address
+	}
 	n.catcher = newReadCoalescer(func(ctx context.Context) {
 		n.send(ctx, jobsRead{readOnce(ctx, n.storeReader, feed{partition: jobsPartition}, n.table.position())})
 	})
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -41,8 +41,7 @@
 	// handoverUntil is when the term ends at the latest after its release, or 0 if it
 	// is not released.
 	handoverUntil time.Duration
-	// steppedAt is when the dispatcher's last step ended.
-	steppedAt time.Duration
+	steps         stepRate
 	// admissionAt is when the admission was last published.
 	admissionAt time.Duration
 }
@@ -187,5 +186,5 @@
 	n.stepMaintenance(t)
 	n.logDecisions(t.dispatcher.Decisions())
 	n.countDispatchReasons(t)
-	t.steppedAt = n.uptime()
+	t.steps.record(n.uptime())
 }
