A gang that waits for its account's limit is not starved by small tasks

After a second a gang now has the rest of its account's limit kept for it. A known key on a public queue is refused while the configuration is too old for keys, as its holder would be told that its own jobs are another account's.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -12,6 +12,9 @@
 	// rateBurst is how much of its rate an account may use at once before its jobs count
 	// as excess.
 	rateBurst = time.Second
+	// gangLimitWait is how long a gang waits for the limit of its account before the
+	// account's other tasks wait for it.
+	gangLimitWait = time.Second
 	// stopSlack is how long after its recorded end a job may still have tasks that are
 	// being stopped, in addition to the longest lease.
 	stopSlack = 2 * time.Second
@@ -24,6 +27,9 @@
 	rates map[string]*team.Rate
 	// limited is set if some account has a maximum.
 	limited bool
+	// held names the accounts whose remaining room is left to one of their gangs in the
+	// current pass.
+	held map[string]bool
 	// unseenCounted is set while usage contains what may run unseen.
 	unseenCounted bool
 	// fairShare is an account's share of its weight, above which it is over its share, as
@@ -103,15 +109,30 @@
 	if account == "" || !c.accounts.limited {
 		return true
 	}
+	if c.accounts.held[account] && !s.def.Gang {
+		return false
+	}
 	return c.accounts.usage.Allows(account, vectorOf(s.def.Size).Scale(int64(n)))
 }
 
+// holdsLimit reports whether a gang has waited for its account's limit for so long that the
+// account's other tasks leave it the room. Without that, a stream of small tasks would take
+// each part of the limit that becomes free.
+func (c *Core) holdsLimit(s *step) bool {
+	if !s.def.Gang || c.now-s.readyAt < gangLimitWait || c.withinLimit(s, len(s.tasks)) {
+		return false
+	}
+	maximum := vectorOf(c.catalog.Accounts[s.occurrence.job.def.Account].Maximum)
+	return team.WithinQuota(vectorOf(s.def.Size).Scale(int64(len(s.tasks))), maximum)
+}
+
 // prepareAccounts brings what placement needs to know of the accounts up to date.
 func (c *Core) prepareAccounts() {
 	a := &c.accounts
 	if len(c.catalog.Accounts) == 0 {
 		return
 	}
+	a.held = map[string]bool{}
 	unknown := c.barrier || len(c.suspectTasks) > 0
 	if a.limited && unknown {
 		a.usage.SetUnseen(c.unseenUsage())
--- a/internal/node/keyguard.go
+++ b/internal/node/keyguard.go
@@ -73,7 +73,7 @@
 	switch current := g.current(); {
 	case known && current:
 		return intake.Caller{Account: account}, nil
-	case q.Public:
+	case q.Public && !known:
 		return intake.Caller{}, nil
 	case !current:
 		if g.expired.CompareAndSwap(false, true) {
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -76,10 +76,15 @@
 // Allows reports whether the team's quota allows the amount in addition to its usage.
 func (t *QuotaTracker) Allows(name string, size resource.Vector) bool {
 	a := t.account(name)
-	used := a.used.Add(a.unseen).Add(size)
-	return withinQuota(used.MilliCPU, a.quota.MilliCPU) &&
-		withinQuota(used.MemoryMiB, a.quota.MemoryMiB) &&
-		withinQuota(used.Accelerators, a.quota.Accelerators)
+	return WithinQuota(a.used.Add(a.unseen).Add(size), a.quota)
+}
+
+// WithinQuota reports whether the amount is within a quota, whose amounts of 0 mean no
+// limit.
+func WithinQuota(amount, quota resource.Vector) bool {
+	return withinQuota(amount.MilliCPU, quota.MilliCPU) &&
+		withinQuota(amount.MemoryMiB, quota.MemoryMiB) &&
+		withinQuota(amount.Accelerators, quota.Accelerators)
 }
 
 func withinQuota(used, quota int64) bool { return quota == 0 || used <= quota }
