Count all runs of previous leaders towards account limits

A new leader missed three kinds of runs of previous leaders, and could start work above an account's maximum beside them: - runs of ended jobs that were recorded for an unreachable worker, once the takeover barrier was lifted; - copies of speculative tasks, also those of done tasks and completed jobs; - tasks of steps that are not ready here, as the end of the step before is not recorded yet. During the barrier all of these count now, still up to the capacity of the workers that are not fenced. After it, the recorded runs of unreached workers count by name, whatever the state of their jobs.

TestUnseenTasksCountUntilWorkersAreFenced (two of four cases) and TestRecordedRunsOfEndedJobsCount failed before and pass now; the tests of internal/dispatch pass.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -151,13 +151,16 @@
 // been seen, and at most what these workers hold.
 func (c *Core) unseenUsage() map[string]resource.Vector {
 	unseen := map[string]resource.Vector{}
-	for _, j := range c.activeJobs {
-		if j.def.Account != "" {
-			c.addUnseenTasks(unseen, j)
+	if !c.barrier {
+		c.addSuspectTasks(unseen)
+	} else {
+		for _, j := range c.activeJobs {
+			if j.def.Account != "" && c.mayPredateTerm(j) {
+				c.addUnseenTasks(unseen, j)
+			}
 		}
-	}
-	if c.barrier {
 		c.addStoppedJobs(unseen)
+		c.addSuspectTasks(unseen)
 	}
 	if bound, known := c.unfencedCapacity(); known {
 		for name, v := range unseen {
@@ -168,23 +171,17 @@
 	return unseen
 }
 
+// addUnseenTasks adds the tasks of a job that previous leaders may have started. Also steps
+// that are not ready count: the end of what they depend on may not have been recorded.
 func (c *Core) addUnseenTasks(unseen map[string]resource.Vector, j *job) {
-	all := c.barrier && c.mayPredateTerm(j)
-	if !all && len(c.suspectTasks) == 0 {
-		return
-	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if !s.ready {
-				continue
-			}
-			n := int64(0)
+			n := 0
 			for i := range s.tasks {
-				if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && (all || c.mayRunUnseen(t)) {
-					n++
-				}
+				t := &s.tasks[i]
+				n += max(0, maxRuns(s.def, t.done)-len(t.runs))
 			}
-			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(s.def.Size).Scale(n))
+			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(s.def.Size).Scale(int64(n)))
 		}
 	}
 }
@@ -194,16 +191,46 @@
 func (c *Core) addStoppedJobs(unseen map[string]resource.Vector) {
 	since := c.wall - (c.set.MaxLease + stopSlack).Milliseconds()
 	for _, j := range c.commits.ended {
-		if j.def.Account == "" || j.finalState == workflow.Completed || j.endedAt < since {
+		if j.def.Account == "" || j.endedAt < since {
 			continue
 		}
 		for i := range j.def.Steps {
 			s := &j.def.Steps[i]
-			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(s.Size).Scale(int64(s.Count)))
+			n := s.Count * maxRuns(s, j.finalState == workflow.Completed)
+			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(s.Size).Scale(int64(n)))
 		}
 	}
 }
 
+// addSuspectTasks adds the tasks that previous leaders have recorded for workers that they
+// didn't reach, also those of jobs that have ended since.
+func (c *Core) addSuspectTasks(unseen map[string]resource.Vector) {
+	for name, h := range c.suspectTasks {
+		if c.hosts[h.info.ID] != h || !h.inherited || h.fenced {
+			continue
+		}
+		id, err := workflow.ParseTaskID(name)
+		if err != nil {
+			continue
+		}
+		if j := c.jobs[id.Job]; j != nil && j.def.Account != "" && id.Step < len(j.def.Steps) {
+			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(j.def.Steps[id.Step].Size))
+		}
+	}
+}
+
+// maxRuns returns how many runs a task of the step may have, also when it is done.
+func maxRuns(s *workflow.Step, done bool) int {
+	n := 1
+	if s.Speculative {
+		n = maxLiveCopies
+	}
+	if done {
+		n-- // the others are being stopped
+	}
+	return n
+}
+
 // unfencedCapacity returns the capacity of the workers where runs of previous leaders may
 // be unseen, and false if that of one is unknown.
 func (c *Core) unfencedCapacity() (sum resource.Vector, known bool) {
