Stop no work for tasks that an account's limit keeps from starting

Preemption and the order of waiting steps asked whether the account may start one more task. A gang that doesn't fit within the limit as a whole, and a step with more tasks than the limit leaves, had running work of other accounts stopped and workers reserved for tasks that could not start. Now a gang is judged by its whole size, and preemption plans only as many tasks as the limit allows.

TestGangWaitsForItsWholeSize (2 runs stopped, none expected) and TestPreemptionWithinLimit (3 stopped, 1 expected) failed before and pass now, as do the tests of internal/dispatch. The commit also adds tests of late starts, a lowered maximum, the order of excess and infeasible jobs, the cache of preemptible runs and Admission.Reject, which passed before.

--- a/internal/dispatch/account_test.go
+++ b/internal/dispatch/account_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -90,3 +92,164 @@
 	b.advance(10 * time.Second)
 	b.Expect(b.startHosts("new")).To(HaveLen(1))
 }
+
+// A start without an answer may be carried out late and counts until that is excluded.
+func TestLateStartsCount(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.limitAccounts(1000)
+	b.listWorkers()
+	b.advance(time.Second)
+	for _, w := range b.workers {
+		w.startCode = worker.Unknown
+	}
+	b.acceptFor("a", "first", testOffset+1, workflow.Progress{}, workflow.Step{})
+	b.acceptFor("a", "second", testOffset+2, workflow.Progress{}, workflow.Step{})
+	b.advance(100 * time.Millisecond)
+	b.Expect(b.startHosts("second")).To(BeEmpty())
+	b.Expect(b.core.accounts.usage.Used("a").MilliCPU).To(BeEquivalentTo(1000))
+	for _, w := range b.workers {
+		w.startCode = worker.OK
+	}
+	b.advance(3 * time.Second)
+	b.Expect(b.core.accounts.usage.Used("a").MilliCPU).To(BeEquivalentTo(1000), "charged and refunded once")
+}
+
+// A lowered maximum stops nothing, and nothing more starts until the usage is below it.
+func TestLoweredMaximum(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.limitAccounts(2000)
+	b.listWorkers()
+	b.acceptFor("a", "wide", testOffset+1, workflow.Progress{}, workflow.Step{Count: 3})
+	b.advance(time.Second)
+	b.Expect(b.startHosts("wide")).To(HaveLen(2))
+	b.limitAccounts(1000)
+	b.advance(time.Second)
+	b.Expect(b.stops).To(BeEmpty())
+	b.workers[b.startHosts("wide")[0]].end(b.starts[0].Start.Task, worker.Done)
+	b.advance(time.Second)
+	b.Expect(b.startHosts("wide")).To(HaveLen(2), "one task uses the whole maximum")
+	b.workers[b.startHosts("wide")[1]].end(b.starts[1].Start.Task, worker.Done)
+	b.advance(time.Second)
+	b.Expect(b.startHosts("wide")).To(HaveLen(3))
+}
+
+// A gang starts with all tasks or none. While its account's limit keeps it from starting, it
+// must neither hold up other accounts nor have their work stopped.
+func TestGangWaitsForItsWholeSize(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.limitAccounts(1500)
+	b.listWorkers()
+	b.acceptFor("b", "victims", testOffset+1, workflow.Progress{}, workflow.Step{Count: 3, Checkpointing: true, EstimateMillis: 1000})
+	b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job.AcceptedMillis = b.now.Milliseconds() + time.Hour.Milliseconds()
+	b.advance(time.Second)
+	b.Expect(b.startHosts("victims")).To(HaveLen(3))
+	b.acceptFor("a", "gang", testOffset+2, workflow.Progress{}, workflow.Step{Count: 2, Gang: true})
+	job := b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job
+	job.Queue, job.AcceptedMillis = "urgent", b.now.Milliseconds()
+	job.Steps[0].EstimateMillis = time.Minute.Milliseconds()
+	b.advance(3 * time.Second)
+	b.Expect(b.stops).To(BeEmpty(), "the gang can't start anyway")
+	reason := ""
+	for _, d := range b.core.Decisions() {
+		if d.Kind == "job-waits" && d.Job == "gang" {
+			reason = d.Outcome
+		}
+	}
+	b.Expect(reason).To(Equal(reasonLimit))
+	b.limitAccounts(2000)
+	b.advance(3 * time.Second)
+	b.Expect(b.startHosts("gang")).To(HaveLen(2), "preemption works once the limit allows the gang")
+}
+
+// No more work is stopped for a step than its account may start tasks.
+func TestPreemptionWithinLimit(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.limitAccounts(1000)
+	b.listWorkers()
+	b.acceptFor("b", "victims", testOffset+1, workflow.Progress{}, workflow.Step{Count: 3, Checkpointing: true, EstimateMillis: 1000})
+	b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job.AcceptedMillis = b.now.Milliseconds() + time.Hour.Milliseconds()
+	b.advance(time.Second)
+	b.acceptFor("a", "wide", testOffset+2, workflow.Progress{}, workflow.Step{Count: 3, EstimateMillis: time.Minute.Milliseconds()})
+	job := b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job
+	job.Queue, job.AcceptedMillis = "urgent", b.now.Milliseconds()
+	b.advance(3 * time.Second)
+	b.Expect(b.startHosts("wide")).To(HaveLen(1))
+	b.Expect(b.stops).To(HaveLen(1))
+}
+
+// The jobs that an account sends beyond its rate must not delay those of another. Among
+// jobs within their rates, those that can't be on time must not make others late.
+func TestOrderOfWaitingJobs(t *testing.T) {
+	b := newHarness(t)
+	b.limitAccounts(0)
+	wall := b.now.Milliseconds()
+	accept := func(account, id string, accepted, estimate int64) {
+		b.acceptFor(account, id, testOffset+int64(len(b.queuedEvents)), workflow.Progress{}, workflow.Step{EstimateMillis: estimate})
+		b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job.AcceptedMillis = accepted
+	}
+	for i := range 5 {
+		accept("a", "flood"+strconv.Itoa(i), wall-900, 10_000)
+	}
+	accept("b", "infeasible", wall-2000, 10_000)
+	accept("b", "feasible", wall, 20_000)
+	b.advance(tick)
+	var order []string
+	for _, s := range b.core.waitingSteps {
+		order = append(order, s.occurrence.job.def.ID)
+	}
+	b.Expect(order).To(Equal([]string{"feasible", "infeasible", "flood0", "flood1", "flood2", "flood3", "flood4"}))
+}
+
+// The runs that may be stopped are kept for one round only, and a run that is being stopped
+// in this round is not chosen again.
+func TestPreemptibleRunsAreCurrent(t *testing.T) {
+	g := NewWithT(t)
+	c := New(testSettings(testToken), time.Minute, 0)
+	h := &host{runs: map[runKey]*run{}}
+	j := &job{def: &workflow.Job{}, objective: time.Hour.Milliseconds(), queue: workflow.Queue{Priority: 1}}
+	s := &step{occurrence: &occurrence{job: j}, def: &workflow.Step{Checkpointing: true}}
+	for i, percent := range []float64{50, 10} {
+		h.addRun(&run{task: &task{step: s, index: i}, taskID: testTaskID("j", i), state: running, host: h, percent: percent, size: workflow.Size{MilliCPU: 500}})
+	}
+	c.round = 1
+	runs := c.preemptible(h)
+	g.Expect(runs).To(HaveLen(2))
+	g.Expect(runs[0].percent).To(BeEquivalentTo(10), "the least advanced first")
+	runs[0].state = stopping
+	urgent := &step{occurrence: &occurrence{job: &job{def: &workflow.Job{}}}, def: &workflow.Step{Size: workflow.Size{MilliCPU: 500}}}
+	victims, ok := c.selectVictims(urgent, h, workflow.Size{}, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(victims).To(HaveLen(1))
+	g.Expect(victims[0].percent).To(BeEquivalentTo(50))
+	c.round++
+	g.Expect(c.preemptible(h)).To(HaveLen(1))
+}
+
+// Only a job beyond its account's rate that would wait until it is of no use is rejected.
+func TestAdmissionRejects(t *testing.T) {
+	g := NewWithT(t)
+	c := New(testSettings(testToken), time.Minute, 0)
+	c.catalog = &workflow.Catalog{Accounts: map[string]workflow.Account{"a": {Name: "a", Weight: 1}}}
+	c.configureAccounts()
+	def := &workflow.Job{ID: "j", Account: "a", QueueSnapshot: &workflow.Queue{Target: time.Second}, AcceptedMillis: 1000,
+		Steps: []workflow.Step{{Count: 1, EstimateMillis: 1000}}}
+	c.countJob(&job{def: def})
+	g.Expect(c.Admission()).To(BeNil(), "there is no backlog")
+	c.accounts.backlogs["a"] = &excessBacklog{waiting: 10, placed: 1}
+	a := c.Admission()
+	after, reject := a.Reject(def, 1000)
+	g.Expect(reject).To(BeTrue())
+	g.Expect(after).To(Equal(15*time.Second), "20 s of backlog, of use for 5 s")
+	_, reject = a.Reject(def, 3000)
+	g.Expect(reject).To(BeFalse(), "within the rate")
+	patient := *def
+	patient.QueueSnapshot = &workflow.Queue{Target: time.Minute}
+	_, reject = a.Reject(&patient, 1000)
+	g.Expect(reject).To(BeFalse(), "of use for long enough")
+	for _, change := range []func(*workflow.Job){func(j *workflow.Job) { j.Account = "b" }, func(j *workflow.Job) { j.Account = "" }, func(j *workflow.Job) { j.QueueSnapshot = nil }} {
+		other := *def
+		change(&other)
+		_, reject = a.Reject(&other, 1000)
+		g.Expect(reject).To(BeFalse())
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -128,7 +128,7 @@
 func (c *Core) sortWaiting() {
 	for _, s := range c.waitingSteps {
 		s.overdue = c.isOverdue(s)
-		s.limited, s.overShare = !c.withinLimit(s, 1), c.accounts.overShare(s.occurrence.job.def.Account)
+		s.limited, s.overShare = !c.withinLimit(s, s.startsTogether()), c.accounts.overShare(s.occurrence.job.def.Account)
 		s.late, s.class = c.missesObjective(s.occurrence.job), c.orderClass(s.occurrence.job)
 	}
 	sort.SliceStable(c.waitingSteps, func(a, b int) bool {
@@ -243,7 +243,7 @@
 	} else {
 		waiting = c.placeTasks(s)
 	}
-	if waiting && c.withinLimit(s, 1) {
+	if waiting && c.withinLimit(s, s.startsTogether()) {
 		c.queueAdviceRequest(s, prefetched)
 		c.preempt(s)
 	}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -36,16 +36,18 @@
 	}
 	plan := map[*host][]*run{}
 	freeAfter := map[*host]workflow.Size{}
-	missing := false
+	missing, planned := false, 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if !t.pending(c.now) || c.mayRunUnseen(t) {
 			continue
 		}
-		if !c.planPreemption(s, plan, freeAfter) {
+		// No work is stopped for tasks that the account's limit keeps from starting.
+		if !c.withinLimit(s, planned+1) || !c.planPreemption(s, plan, freeAfter) {
 			missing = true
 			break
 		}
+		planned++
 	}
 	s.nextPreempt = c.now + preemptRetry
 	if len(plan) == 0 || missing && s.def.Gang {
