Refuse expired keys until the new configuration is in force

A read of the configuration renewed its age before the configuration in it was decoded and put in force. On a host that had not read it for longer than the revocation bound, keys that had been revoked in the meantime were accepted again until then. The age is now renewed afterwards.

TestKeysOfOldConfigurationStayRefusedWhileNewOneIsDecoded failed before and passes now.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -465,10 +465,6 @@
 	if r.err != nil {
 		return batch
 	}
-	if !r.readAt.IsZero() {
-		n.desk.configReadAt.Store(r.readAt.UnixNano())
-		n.desk.keys.configurationRead(r)
-	}
 	for _, rec := range r.records {
 		cat, err := n.deps.Feeds.DecodeCatalog(rec.Record)
 		if err != nil {
@@ -489,6 +485,12 @@
 			batch = append(batch, dispatch.CatalogChanged{Catalog: cat})
 		}
 	}
+	// Only now, since the read says nothing good of the configuration before: its age must
+	// not admit keys that the new one has revoked.
+	if !r.readAt.IsZero() {
+		n.desk.configReadAt.Store(r.readAt.UnixNano())
+		n.desk.keys.configurationRead(r)
+	}
 	return batch
 }
 
