Forget stored jobs that were read back before their answer

A node keeps the account of a job that it has stored until it reads the job back. If the control loop read it back before the writer's answer reached the request, or if the request found the job in the log itself, the entry was added after it should have been removed and stayed for ever: memory grew, and after the job's removal its state was reported as queued. The entry is now added only if the table does not hold the job yet.

TestJobReadBackBeforeItsAnswerIsNotKept failed before and passes now.

--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -257,7 +257,10 @@
 	d.mu.Lock()
 	delete(d.submissions, id)
 	if f.outcome.Code == intake.OK {
-		d.storedAccounts[id] = account
+		// The control loop may have read the job back before its writer was answered.
+		if _, known := d.table.lookup(id); !known {
+			d.storedAccounts[id] = account
+		}
 	}
 	d.mu.Unlock()
 	close(f.done)
--- a/internal/node/jobapi_test.go
+++ b/internal/node/jobapi_test.go
@@ -248,3 +248,26 @@
 		c.Expect(p.node.Desk().Cancel(c.ctx, anyCaller, &plain, "00000000000fffff").Code).To(Equal(intake.JobNotFound))
 	})
 }
+
+// A job that the control loop has read back before its writer was answered must not stay
+// among those that wait to be read: it would be reported as queued for ever, and the list
+// would grow.
+func TestJobReadBackBeforeItsAnswerIsNotKept(t *testing.T) {
+	g := NewWithT(t)
+	table := newJobTable()
+	desk := newJobAPI(nil, table, func(string, string) {}, nil)
+	f, _ := desk.beginSubmission("a")
+	desk.forgetStored(table.apply(withOffsets(0, jobRecord(g, "a", "")), 1))
+	desk.endSubmission("a", "", f)
+	_, stored := desk.storedBy("a")
+	g.Expect(stored).To(BeFalse())
+
+	f, _ = desk.beginSubmission("b")
+	desk.endSubmission("b", "x", f)
+	owner, stored := desk.storedBy("b")
+	g.Expect(stored).To(BeTrue())
+	g.Expect(owner).To(Equal("x"))
+	desk.forgetStored(table.apply(withOffsets(1, jobRecord(g, "b", "")), 2))
+	_, stored = desk.storedBy("b")
+	g.Expect(stored).To(BeFalse())
+}
