Do not reject repeated submissions of accepted jobs

A caller whose first submission got no answer repeats it, perhaps at a node that has not read the job yet. The leader then rejected it with 429 if the account had a backlog, although the job was in the log and ran. Jobs that the leader's table holds are now passed on; the first record of a job counts, as before.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -43,6 +43,9 @@
 		if err := json.Unmarshal(r.Value, &job); err != nil {
 			continue // whoever reads the log reports it
 		}
+		if _, known := n.table.lookup(strings.TrimPrefix(r.Key, jobKeyPrefix)); known {
+			continue // a repeated submission of an accepted job, which runs
+		}
 		if after, reject := admission.Reject(&job, time.Now().UnixMilli()); reject {
 			return errors.WithStack(&intake.RejectedError{Reason: reasonAccountBacklog, RetryAfter: after})
 		}
