Order excess jobs last whatever the weight of their account

The order of an excess job is the time at which its account's excess work is paid off. With a weight of about 1e-16 or less that exceeds the range of integers, and the conversion gave the least integer: the account's excess jobs came before those of all others. The order is bounded now.

--- a/internal/team/rate.go
+++ b/internal/team/rate.go
@@ -1,6 +1,9 @@
 package team
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rate tells which jobs of an account are within the rate that it may send, by the generic
 // cell rate algorithm: a bucket of Burst that fills at PerSecond. Its state follows from the
@@ -31,5 +34,6 @@
 		return false, 0
 	}
 	r.nextExcess = max(r.nextExcess, at) + cost
-	return true, int64(r.nextExcess)
+	// A tiny rate leads beyond the range of integers.
+	return true, int64(min(r.nextExcess, math.MaxInt64/2))
 }
