--- a/internal/dispatch/account_test.go
+++ b/internal/dispatch/account_test.go
@@ -26,7 +26,11 @@
 	for i := range steps {
 		steps[i].Count, steps[i].Size = max(steps[i].Count, 1), workflow.Size{MilliCPU: 1000}
 	}
-	b.queuedEvents = append(b.queuedEvents, JobAccepted{Job: &workflow.Job{ID: id, Account: account, Queue: "q", Steps: steps}, Offset: offset, Progress: p})
+	job := &workflow.Job{ID: id, Account: account, Queue: "q", Steps: steps}
+	if p.Final != "" {
+		job = job.Summary() // what the log keeps of ended jobs
+	}
+	b.queuedEvents = append(b.queuedEvents, JobAccepted{Job: job, Offset: offset, Progress: p})
 }
 
 // newTakeover returns a harness whose previous leader had runs on w1, which is unreachable.
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -110,13 +110,13 @@
 }
 
 // Summary returns the part of a job that is kept after it has ended: its queue,
-// and the number and size of the tasks of each step, because some tasks may still
-// be running.
+// and the number and size of the tasks of each step and whether these are copied,
+// because some tasks may still be running.
 func (j *Job) Summary() *Job {
 	s := &Job{ID: j.ID, Queue: j.Queue, Steps: make([]Step, len(j.Steps)), AcceptedMillis: j.AcceptedMillis, Account: j.Account}
 	for i := range j.Steps {
 		d := &j.Steps[i]
-		s.Steps[i] = Step{Count: d.Count, Size: d.Size, Gang: d.Gang, Filler: d.Filler}
+		s.Steps[i] = Step{Count: d.Count, Size: d.Size, Gang: d.Gang, Filler: d.Filler, Speculative: d.Speculative}
 	}
 	return s
 }
