Judge the processor of each term by itself

The time for which answers have been late, and the processor time got in it, went on from an earlier term of the same node. A leader with late answers right after a takeover was then judged by a time in which it did not lead and needed little processor time, and could hand leadership over needlessly after 2 s.

TestLatenessOfEarlierTermDoesNotCount failed before and passes now, as does TestSlowLeaderHandsOver.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -83,6 +83,7 @@
 func (n *Node) handOverIfOverloaded(ctx context.Context) {
 	t := n.term
 	if n.deps.ProcessorTime == nil || t == nil || t.dispatcher == nil || t.handoverUntil > 0 || n.desk.leaving.Load() || n.storeReader.isDown() || !n.leadership.IsLeader() {
+		n.lateness = lateness{} // the next term is judged by itself
 		return
 	}
 	used, late := n.lateness.observe(n.uptime(), n.deps.ProcessorTime(), t.dispatcher.LateFor() > 0)
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -55,3 +55,14 @@
 		s.Expect(s.violations()).To(BeEmpty())
 	})
 }
+
+// The time since answers were late in an earlier term, in which the node got little work, must
+// not count against the processor of the next term.
+func TestLatenessOfEarlierTermDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	n := &Node{lateness: lateness{late: true, since: time.Second}}
+	n.deps.ProcessorTime = func() time.Duration { return 0 }
+	n.handOverIfOverloaded(t.Context())
+	_, since := n.lateness.observe(time.Hour, time.Minute, true)
+	g.Expect(since).To(BeZero())
+}
