Count only the missing members of a gang that is being completed

The change that judges a gang by its whole size counted members that run already twice: at its account's limit, a gang that was being completed went behind all other steps and got no tickets. Only the members without a run count now. The share of an account also stayed in effect for the order of steps after the last account was removed from the configuration; it is reset now.

TestFormingGangIsWithinLimit and TestRemovedAccountsHaveNoShare failed before and pass now, as do the tests of internal/dispatch.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -110,6 +110,7 @@
 func (c *Core) prepareAccounts() {
 	a := &c.accounts
 	if len(c.catalog.Accounts) == 0 {
+		a.fairShare = 0
 		return
 	}
 	unknown := c.barrier || len(c.suspectTasks) > 0
--- a/internal/dispatch/account_test.go
+++ b/internal/dispatch/account_test.go
@@ -165,6 +165,34 @@
 	b.Expect(b.startHosts("gang")).To(HaveLen(2), "preemption works once the limit allows the gang")
 }
 
+// Members of a gang that run already count once: a gang that is being completed must keep its
+// place among the waiting steps although the limit has no room for a second one.
+func TestFormingGangIsWithinLimit(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.limitAccounts(2000)
+	b.listWorkers()
+	b.advance(time.Second)
+	b.workers["w2"].startCode = worker.InsufficientCapacity
+	b.acceptFor("a", "gang", testOffset+1, workflow.Progress{}, workflow.Step{Count: 2, Gang: true})
+	b.advance(200 * time.Millisecond)
+	b.Expect(b.core.accounts.usage.Used("a").MilliCPU).To(BeEquivalentTo(1000))
+	s := b.core.findStep(testTaskID("gang", 0).StepID)
+	b.Expect(s.startsTogether()).To(Equal(1))
+	b.Expect(s.limited).To(BeFalse())
+}
+
+// Without accounts, steps are ordered as if there had never been any.
+func TestRemovedAccountsHaveNoShare(t *testing.T) {
+	b := newHarness(t)
+	b.limitAccounts(0)
+	b.acceptFor("a", "j", testOffset+1, workflow.Progress{}, workflow.Step{})
+	b.advance(tick)
+	b.Expect(b.core.accounts.inUse()).To(BeTrue())
+	b.queuedEvents = append(b.queuedEvents, CatalogChanged{&workflow.Catalog{Queues: b.core.catalog.Queues}})
+	b.advance(time.Second)
+	b.Expect(b.core.accounts.inUse()).To(BeFalse())
+}
+
 // No more work is stopped for a step than its account may start tasks.
 func TestPreemptionWithinLimit(t *testing.T) {
 	b := newHarness(t, "w1", "w2", "w3")
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -129,12 +129,19 @@
 	return reason, detail + ", of " + strconv.Itoa(len(pool)) + " workers"
 }
 
-// startsTogether returns how many tasks of the step start at the same time.
+// startsTogether returns how many tasks of the step start at the same time. The members of a
+// gang that have a run already do not start again.
 func (s *step) startsTogether() int {
-	if s.def.Gang {
-		return len(s.tasks)
+	if !s.def.Gang {
+		return 1
+	}
+	n := 0
+	for i := range s.tasks {
+		if len(s.tasks[i].runs) == 0 {
+			n++
+		}
 	}
-	return 1
+	return n
 }
 
 // describeLimit describes the usage and the limit of the step's account.
