Make the backlog of the admission test independent of the clock

TestAcceptedJobIsNotRejected failed once in one run of the race detector: its account had one job in the bucket, and Rate takes a second one as within the rate from 1 ms later on. The test now uses up the bucket for half an hour.

--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -18,10 +18,12 @@
 // backlogAdmission returns an admission that rejects excess jobs of account a.
 func backlogAdmission(now time.Time) *dispatch.Admission {
 	c := dispatch.New(dispatch.Settings{Lease: time.Second}, time.Hour, now.UnixMilli())
-	c.Step(time.Hour, now.UnixMilli(), dispatch.CatalogChanged{Catalog: &workflow.Catalog{Accounts: map[string]workflow.Account{"a": {Name: "a", Weight: 0.001}}}},
+	c.Step(time.Hour, now.UnixMilli(), dispatch.CatalogChanged{Catalog: &workflow.Catalog{Accounts: map[string]workflow.Account{"a": {Name: "a", Weight: 0.0005}}}},
 		dispatch.LeadershipConfirmed{Until: 2 * time.Hour})
-	for i, id := range []string{"within", "excess"} {
-		c.Step(time.Hour, now.UnixMilli(), dispatch.JobAccepted{Job: accountJob(id, now), Offset: int64(i + 1)})
+	// Two jobs use up the bucket for half an hour, however long the test takes.
+	for i, id := range []string{"first", "second", "excess"} {
+		accepted := now.Add(time.Duration(min(i, 1)-1) * time.Millisecond)
+		c.Step(time.Hour, now.UnixMilli(), dispatch.JobAccepted{Job: accountJob(id, accepted), Offset: int64(i + 1)})
 	}
 	c.Step(time.Hour+30*time.Second, now.UnixMilli()+30_000)
 	return c.Admission()
