The emulated processor's test checks the time used too

ProcessorUsage has the field Used since the handover of slow leaders; the test compares whole values and now expects it: 50 ms, as Busy on a processor that is not slowed.

--- a/internal/emulator/processor_test.go
+++ b/internal/emulator/processor_test.go
@@ -38,7 +38,7 @@
 		synctest.Wait()
 		g.Expect(codes).To(Equal([]worker.Code{worker.OK, worker.Unknown, worker.NotExecuted}))
 		u := p.Usage()
-		g.Expect(u).To(Equal(emulator.ProcessorUsage{Calls: 3, Unsent: 1, Unread: 1, Longest: 3, Busy: 50 * time.Millisecond}))
+		g.Expect(u).To(Equal(emulator.ProcessorUsage{Calls: 3, Unsent: 1, Unread: 1, Longest: 3, Busy: 50 * time.Millisecond, Used: 50 * time.Millisecond}))
 	})
 }
 
