--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -166,12 +166,12 @@
 // account's rate behind the others of their priority, and also behind those of lower
 // priorities that may soon be late. The highest priority is 0.
 func (c *Core) orderClass(j *job) int {
-	const perPriority = 4
+	const perPriority, soonLate, excess = 4, 1, 2
 	switch class := perPriority * j.queue.Priority; {
 	case j.excess:
-		return class + 2
+		return class + excess
 	case c.accounts.inUse() && j.queue.Priority > 0 && !j.def.LongRunning() && c.slack(j) < maxPreemptorSlack:
-		return perPriority*0 + 1
+		return soonLate // right behind the highest priority
 	default:
 		return class
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -86,7 +86,11 @@
 		n.lateness = lateness{} // the next term is judged by itself
 		return
 	}
-	used, late := n.lateness.observe(n.uptime(), n.deps.ProcessorTime(), t.dispatcher.LateFor() > 0)
+	isLate, total := t.dispatcher.LateFor() > 0, time.Duration(0)
+	if isLate {
+		total = n.deps.ProcessorTime() // a system call, which isn't made at each step
+	}
+	used, late := n.lateness.observe(n.uptime(), total, isLate)
 	o := overload{now: n.uptime(), termStartedAt: t.startedAt, lateFor: late, used: used, cpuShare: n.settings.Limits.CPUShare}
 	if o.lateFor < handOverAfter {
 		return
