--- a/internal/dispatch/runtimes.go
+++ b/internal/dispatch/runtimes.go
@@ -21,9 +21,6 @@
 	maxLearnedMillis = 365 * 24 * 3600 * 1000
 	// poolSpeedGain is the weight of the newest run in the speed of a pool.
 	poolSpeedGain = 0.1
-	// minBiasGain is the weight of the newest run in a queue's bias once many have ended. The
-	// runs of a job share its error, so that it must span many jobs.
-	minBiasGain = 0.005
 )
 
 // runTimes is what the leader has learned of how long tasks run.
@@ -31,12 +28,10 @@
 	// model is nil if run times are taken as declared.
 	model *runtimes.Model
 	// poolSpeeds holds, by pool, the moving average over runs of their workers' speeds.
-	// Speeds are measured by declared times corrected by their queue's bias, and that by runs
-	// scaled by speeds. Relative to the pool's, the speeds can't take up an error that all
-	// queues have in common.
+	// Workers' speeds are measured by expected times and expected times are learned from
+	// runs scaled by speeds. Relative to the pool's, the speeds can't take up an error that
+	// all expected times have in common.
 	poolSpeeds map[string]float64
-	// biases holds the bias of declared times by queue.
-	biases map[string]declaredBias
 	// changed is set if the model has changed since it was last recorded. It isn't recorded
 	// before nextRecord.
 	changed    bool
@@ -47,7 +42,7 @@
 	if set.DeclaredRunTimes {
 		return runTimes{}
 	}
-	return runTimes{model: runtimes.New(runtimes.Settings{MaxSnapshotBytes: set.MaxRunTimesBytes}), poolSpeeds: map[string]float64{}, biases: map[string]declaredBias{}}
+	return runTimes{model: runtimes.New(runtimes.Settings{MaxSnapshotBytes: set.MaxRunTimesBytes}), poolSpeeds: map[string]float64{}}
 }
 
 // expectedReasons names the counters of estimates by their source.
@@ -112,31 +107,6 @@
 	}
 }
 
-// declaredBias is how far a queue's run times are from the declared ones.
-type declaredBias struct {
-	runs float64
-	// log is the logarithm of actual over declared times, on a worker of its pool's speed.
-	log float64
-}
-
-// referenceTime returns the time, in milliseconds, by which the speed of a run's worker is
-// measured, and learns from the run, which took the given time. It is the declared time
-// corrected by the queue's bias. Times learned from the runs of a step or a queue would not do:
-// where urgent work goes to fast workers, they take up the speed of these.
-func (c *Core) referenceTime(r *run, took float64) float64 {
-	declared := float64(r.task.step.def.EstimateMillis)
-	if c.runTimes.model == nil {
-		return declared
-	}
-	queue := r.task.step.occurrence.job.def.Queue
-	b := c.runTimes.biases[queue]
-	reference := declared * math.Exp(b.log)
-	b.runs++
-	b.log += max(minBiasGain, 1/b.runs) * (math.Log(took/declared*c.relativeSpeed(r.host)) - b.log)
-	c.runTimes.biases[queue] = b
-	return reference
-}
-
 // speedFactor returns the factor by which a run time on a worker is scaled to that of its pool:
 // the square root of its speed relative to the pool's, 1 if unknown. A worker may run only tasks
 // of one kind. Scaling by the whole speed would then keep any error of their expected time, since
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -216,10 +216,10 @@
 	if took <= 0 || share <= 0 {
 		return
 	}
-	expected := c.referenceTime(r, took/share)
+	expected := c.expectedTime(r.task.step)
 	r.task.runTime = time.Duration(took/share) * time.Millisecond
 	c.learnRunTime(r, share)
-	speed := min(max(share*expected/took, minSpeed), maxSpeed)
+	speed := min(max(share*float64(expected.Milliseconds())/took, minSpeed), maxSpeed)
 	h := r.host
 	if h.speed == 0 {
 		h.speed = 1
