One piece of code writes releases; state and checks that stood twice are gone

A planned stop and a handover wrote the release with two copies of the same code; both use appendRelease now, with one and three attempts as before. The time since when answers are late was kept by the dispatcher and by the node; the node's stays, and begins at the step that reports them late, not at the next one. Unseen tasks of recorded workers are counted in one place, and Admission.Concerns, which only Reject called, is part of it.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -165,7 +165,7 @@
 // overShare reports whether the account uses more than its weighted share of the room
 // among the accounts that wait for some.
 func (a *accounts) overShare(name string) bool {
-	return name != "" && a.fairShare > 0 && a.usage.DominantShare(name, a.total) > a.fairShare
+	return name != "" && a.inUse() && a.usage.DominantShare(name, a.total) > a.fairShare
 }
 
 // unseenUsage bounds, by account, what previous leaders may have running on the workers
@@ -173,16 +173,14 @@
 // been seen, and at most what these workers hold.
 func (c *Core) unseenUsage() map[string]resource.Vector {
 	unseen := map[string]resource.Vector{}
-	if !c.barrier {
-		c.addSuspectTasks(unseen)
-	} else {
+	c.addSuspectTasks(unseen)
+	if c.barrier {
 		for _, j := range c.activeJobs {
 			if j.def.Account != "" && c.mayPredateTerm(j) {
 				c.addUnseenTasks(unseen, j)
 			}
 		}
 		c.addStoppedJobs(unseen)
-		c.addSuspectTasks(unseen)
 	}
 	if bound, known := c.unfencedCapacity(); known {
 		for name, v := range unseen {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -102,23 +102,14 @@
 	return out
 }
 
-// Concerns reports whether jobs of the account may be rejected.
-func (a *Admission) Concerns(account string) bool {
-	if a == nil || account == "" {
-		return false
-	}
-	_, ok := a.accounts[account]
-	return ok
-}
-
 // Reject reports whether a job that is submitted at a time in Unix milliseconds should be
 // rejected: it is in excess of its account's rate, and when the excess work before it has been
 // started the job is of no use any more. The caller may return after retryAfter.
 func (a *Admission) Reject(job *workflow.Job, atMillis int64) (retryAfter time.Duration, reject bool) {
-	if !a.Concerns(job.Account) || job.ScheduledOccurrences > 0 || job.LongRunning() || job.QueueSnapshot == nil {
+	x, ok := a.accounts[job.Account]
+	if !ok || job.ScheduledOccurrences > 0 || job.LongRunning() || job.QueueSnapshot == nil {
 		return 0, false
 	}
-	x := a.accounts[job.Account]
 	if excess, _ := x.rate.Take(atMillis); !excess {
 		return 0, false
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -87,7 +87,6 @@
 	// lateReported is set if the last reported decision on delay was that answers
 	// are late.
 	lateReported bool
-	lateSince    time.Duration
 	window       startWindow
 	calls        callCounts
 	// previousLeaderEnd is the time since which no previous leader can have had its
--- a/internal/dispatch/latency.go
+++ b/internal/dispatch/latency.go
@@ -87,19 +87,14 @@
 // one to open a connection, as after a call that timed out.
 func (h *host) roundTripAllowance() time.Duration { return 2 * h.roundTrip }
 
-// LateFor returns for how long answers have been late without being in time again.
-func (c *Core) LateFor() time.Duration {
-	if !c.lateReported {
-		return 0
-	}
-	return c.now - c.lateSince
-}
+// AnswersLate reports whether answers have become late and are not in time again.
+func (c *Core) AnswersLate() bool { return c.lateReported }
 
 // reportDelay reports a decision when answers become late, or in time again.
 func (c *Core) reportDelay() {
 	switch {
 	case c.answersLate() && !c.lateReported:
-		c.lateReported, c.lateSince = true, c.now
+		c.lateReported = true
 		c.recordDecision(Decision{Kind: "answers-late", Reason: fmt.Sprintf("at most %d starts at once; %s", c.window.size, c.takeCallReport()), Age: c.answerDelay})
 	case c.answerDelay < timelyThreshold && c.lateReported:
 		c.lateReported = false
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -427,12 +427,7 @@
 	record := n.leadership.Resign()
 	go func() {
 		defer close(n.leadershipReleased)
-		callCtx, cancel := context.WithTimeout(ctx, leadershipAppendTimeout)
-		defer cancel()
-		_, err := n.deps.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: record.Encode()}}, store.AppendOptions{})
-		if err != nil {
-			n.deps.Count("loss", "release-"+errorReason(err))
-		}
+		n.appendRelease(ctx, record, 1)
 	}()
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -28,9 +28,9 @@
 	handOverRest = 15 * time.Second
 	// restDeferral is how much later it claims in that time.
 	restDeferral = slowPollerDelay
-	// releaseAttempts is how often the release is written before the other nodes have to
+	// handOverAttempts is how often the release is written before the other nodes have to
 	// notice the silence.
-	releaseAttempts = 3
+	handOverAttempts = 3
 )
 
 // lateness measures the processor time of the process while answers are late.
@@ -86,7 +86,7 @@
 		n.lateness = lateness{} // the next term is judged by itself
 		return
 	}
-	isLate, total := t.dispatcher.LateFor() > 0, time.Duration(0)
+	isLate, total := t.dispatcher.AnswersLate(), time.Duration(0)
 	if isLate {
 		total = n.deps.ProcessorTime() // a system call, which isn't made at each step
 	}
@@ -110,13 +110,13 @@
 	record := n.leadership.StepDownOverloaded()
 	n.deps.Count("dispatch", "handed-over")
 	n.log.WithFields(logrus.Fields{"token": t.token, "late_ms": o.lateFor.Milliseconds()}).Warn("the term is handed over: this node is short of processor time")
-	go n.appendRelease(ctx, record)
+	go n.appendRelease(ctx, record, handOverAttempts)
 }
 
-// appendRelease writes the release of leadership. It needs no condition, since it has no
-// effect once there is a newer token.
-func (n *Node) appendRelease(ctx context.Context, record tenure.Record) {
-	for range releaseAttempts {
+// appendRelease writes the release of leadership, in so many attempts at most. It needs no
+// condition, since it has no effect once there is a newer token.
+func (n *Node) appendRelease(ctx context.Context, record tenure.Record, attempts int) {
+	for range attempts {
 		callCtx, cancel := context.WithTimeout(ctx, leadershipAppendTimeout)
 		_, err := n.deps.Store.Append(callCtx, tenurePartition, []store.Record{{Key: "holder", Value: record.Encode()}}, store.AppendOptions{})
 		cancel()
