Tasks that were never started take no memory at the leader

What callers saw: 60 accepted jobs of 50 kB, once, brought the leader to 390 MiB (96 allowed), a host that read them back to 419 MiB.

Cause: the dispatcher made a state of each task of each step when the job was accepted, some 200 bytes for each of 1.2 million tasks, and each pass went through all of them.

Change: a step keeps the state of the tasks that have been started, until they are done and their runs have ended; the others are an index and a bit. What ended jobs keep is dropped as soon as no run of theirs is left. Tasks are still placed in the order of their indexes. Of a step with more than 64 tasks, the newest 64 run times tell how long its tasks take.

Why it works: what runs is bounded by the workers, what is declared isn't.

A property test compares the order with a plain list. A commit now records no failures of tasks that are done.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -119,11 +119,11 @@
 // account's other tasks leave it the room. Without that, a stream of small tasks would take
 // each part of the limit that becomes free.
 func (c *Core) holdsLimit(s *step) bool {
-	if !s.def.Gang || c.now-s.readyAt < gangLimitWait || c.withinLimit(s, len(s.tasks)) {
+	if !s.def.Gang || c.now-s.readyAt < gangLimitWait || c.withinLimit(s, s.count()) {
 		return false
 	}
 	maximum := vectorOf(c.catalog.Accounts[s.occurrence.job.def.Account].Maximum)
-	return team.WithinQuota(vectorOf(s.def.Size).Scale(int64(len(s.tasks))), maximum)
+	return team.WithinQuota(vectorOf(s.def.Size).Scale(int64(s.count())), maximum)
 }
 
 // prepareAccounts brings what placement needs to know of the accounts up to date.
@@ -196,11 +196,14 @@
 func (c *Core) addUnseenTasks(unseen map[string]resource.Vector, j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			n := 0
-			for i := range s.tasks {
-				t := &s.tasks[i]
+			liveDone, n := 0, s.unstartedCount()*maxRuns(s.def, false)
+			for _, t := range s.tasks.live {
 				n += max(0, maxRuns(s.def, t.done)-len(t.runs))
+				if t.done {
+					liveDone++
+				}
 			}
+			n += (s.tasks.doneCount - liveDone) * maxRuns(s.def, true)
 			unseen[j.def.Account] = unseen[j.def.Account].Add(vectorOf(s.def.Size).Scale(int64(n)))
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -210,6 +210,7 @@
 	for _, j := range sent.jobs {
 		if j.finalState != "" && !j.dirty && !j.finalRecorded {
 			j.finalRecorded = true
+			j.def = j.def.Summary()
 			m.ended = append(m.ended, j)
 		}
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -383,6 +384,10 @@
 		return
 	}
 	o := newOccurrence(j, k, c.now-c.waitedBefore(j, k))
+	if p, ok := j.restored[k]; ok {
+		c.restoreOccurrence(o, p)
+		delete(j.restored, k)
+	}
 	j.occurrences = append(j.occurrences, o)
 	if o.stepsLeft == 0 {
 		c.finishOccurrence(o)
@@ -425,12 +430,7 @@
 
 func (c *Core) finishOccurrence(o *occurrence) {
 	j := o.job
-	for i, x := range j.occurrences {
-		if x == o {
-			j.occurrences = append(j.occurrences[:i], j.occurrences[i+1:]...)
-			break
-		}
-	}
+	j.dropOccurrence(o)
 	j.finishedLater[o.number] = true
 	for j.finishedLater[j.finishedBefore] {
 		delete(j.finishedLater, j.finishedBefore)
@@ -458,21 +458,29 @@
 			break
 		}
 	}
-	for _, o := range j.occurrences {
+	for _, o := range slices.Clone(j.occurrences) {
 		for _, s := range o.steps {
-			for i := range s.tasks {
-				if s.tasks[i].done && s.def.Gang {
-					continue // all members have ended already
-				}
-				for _, r := range append([]*run(nil), s.tasks[i].runs...) {
-					c.stopRun(r, "the job is over")
-				}
-			}
+			c.retireStep(s)
+		}
+		if o.liveTasks == 0 {
+			j.dropOccurrence(o)
 		}
 	}
 	c.dirty = true
 }
 
+// retireStep stops the runs of a step whose job has ended.
+func (c *Core) retireStep(s *step) {
+	for _, t := range slices.Clone(s.tasks.live) {
+		if !t.done || !s.def.Gang { // all members of a gang that is done have ended already
+			for _, r := range slices.Clone(t.runs) {
+				c.stopRun(r, "the job is over")
+			}
+		}
+		c.release(t)
+	}
+}
+
 func (c *Core) cancelJob(ev JobCancelled) {
 	j := c.jobs[ev.ID]
 	if j == nil {
@@ -490,10 +498,14 @@
 // findTask returns the task with the given ID, or nil if no such task is active.
 func (c *Core) findTask(id workflow.TaskID) *task {
 	s := c.findStep(id.StepID)
-	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+	if s == nil || id.Index < 0 || id.Index >= s.count() {
 		return nil
 	}
-	return &s.tasks[id.Index]
+	t := s.task(id.Index)
+	if !t.done && !s.occurrence.job.ended() {
+		c.keep(t)
+	}
+	return t
 }
 
 func (c *Core) findStep(id workflow.StepID) *step {
@@ -520,7 +532,8 @@
 		return
 	}
 	t.done = true
-	s.done++
+	s.markDone(t.index)
+	c.release(t)
 	c.markDirty(s.occurrence.job)
 	c.prefetchAdvice(s)
 	if !s.finished() {
--- a/internal/dispatch/core_bench_test.go
+++ b/internal/dispatch/core_bench_test.go
@@ -223,10 +223,8 @@
 		j := c.jobs[def.ID]
 		j.cancelled = true
 		for _, s := range j.occurrences[0].steps {
-			for i := range s.tasks {
-				for _, r := range append([]*run(nil), s.tasks[i].runs...) {
-					c.removeRun(r)
-				}
+			for _, r := range s.liveRuns() {
+				c.removeRun(r)
 			}
 		}
 		delete(c.jobs, def.ID)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -91,7 +91,7 @@
 			running += len(w.lists.Running)
 		}
 		b.Expect(running).To(Equal(6), "all tasks beside it run, delay %v", delay)
-		for _, beside := range b.core.jobs["innocent"].occurrences[0].steps[0].tasks {
+		for _, beside := range b.core.jobs["innocent"].occurrences[0].steps[0].tasks.live {
 			b.Expect(beside.crashes.count).To(BeZero(), "its crashes are attributed, delay %v", delay)
 		}
 	}
@@ -180,7 +180,7 @@
 		b.playDeadly(crashDowntime+time.Second, 0)
 	}
 	b.Expect(b.finalState("job")).To(BeEmpty())
-	b.Expect(b.core.jobs["job"].occurrences[0].steps[0].tasks[0].crashes.count).To(BeZero())
+	b.Expect(b.core.jobs["job"].occurrences[0].steps[0].task(0).crashes.count).To(BeZero())
 }
 
 func TestSuspectDoesNotHoldUpOtherTasksOfItsStep(t *testing.T) {
@@ -231,7 +231,7 @@
 	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("tried", 0), Run: 7}}
 	b.listWorkers()
 	b.advance(time.Second)
-	b.Expect(b.core.jobs["tried"].occurrences[0].steps[0].tasks[0].crashes.count).To(Equal(2))
+	b.Expect(b.core.jobs["tried"].occurrences[0].steps[0].task(0).crashes.count).To(Equal(2))
 	b.workers["w1"].end(testTaskID("tried", 0), worker.Done)
 	b.advance(time.Second)
 	b.Expect(b.finalState("tried")).To(Equal(workflow.Completed))
--- a/internal/dispatch/evacuate.go
+++ b/internal/dispatch/evacuate.go
@@ -131,9 +131,9 @@
 // reason.
 func (c *Core) mayDisrupt(r *run, e *evacuation) bool {
 	s := r.task.step
-	unavailable := 0
-	for i := range s.tasks {
-		if t := &s.tasks[i]; t != r.task && !c.available(t) {
+	unavailable := s.unstartedCount()
+	for _, t := range s.tasks.live {
+		if t != r.task && !c.available(t) {
 			unavailable++
 		}
 	}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -27,46 +27,40 @@
 
 // complete reports whether all members of the run are running.
 func (g *gang) complete(s *step) bool {
-	for i := range s.tasks {
-		if len(s.tasks[i].runs) == 0 || s.tasks[i].runs[0].state != running {
+	for _, t := range s.tasks.live {
+		if len(t.runs) == 0 || t.runs[0].state != running {
 			return false
 		}
 	}
-	return true
+	return len(s.tasks.live) == s.count()
 }
 
 // placeGang starts all members of a gang or none. It reports whether nothing is
 // left to do.
 func (c *Core) placeGang(s *step) bool {
-	live := 0
-	for i := range s.tasks {
-		if len(s.tasks[i].runs) > 0 {
-			live++
-		}
-	}
-	if live > 0 {
+	if live := s.withRuns(); live > 0 {
 		return c.completeGang(s, live)
 	}
-	for i := range s.tasks {
-		if !s.tasks[i].pending(c.now) || c.mayRunUnseen(&s.tasks[i]) {
+	for t := range s.unfinished() {
+		if !t.pending(c.now) || c.mayRunUnseen(t) {
 			return false
 		}
 	}
-	if !c.window.hasRoom() || !c.withinLimit(s, len(s.tasks)) {
+	if s.tasks.doneCount > 0 || !c.window.hasRoom() || !c.withinLimit(s, s.count()) {
 		return false
 	}
 	plan := c.planGang(s)
 	if plan == nil {
 		return false
 	}
-	if !c.openTrial(&s.tasks[0]) {
+	if !c.openTrial(s.task(0)) {
 		return s.occurrence.job.ended()
 	}
-	s.gang.runNumber = c.nextRunNumber(&s.tasks[0])
+	s.gang.runNumber = c.nextRunNumber(s.task(0))
 	s.gang.formingSince = c.now
 	for i, h := range plan {
 		t, _ := c.ticketFor(s, h)
-		c.startTask(&s.tasks[i], h, s.gang.runNumber, t)
+		c.startTask(s.task(i), h, s.gang.runNumber, t)
 	}
 	return true
 }
@@ -101,10 +95,10 @@
 }
 
 func (c *Core) planWithin(s *step, allowed func(*host) bool) []*host {
-	plan := make([]*host, 0, len(s.tasks))
+	plan := make([]*host, 0, s.count())
 	size := s.def.ReservedSize()
-	for i := range s.tasks {
-		h := c.pickHost(&s.tasks[i], allowed)
+	for i := range s.count() {
+		h := c.pickHost(s.task(i), allowed)
 		if h == nil {
 			break
 		}
@@ -122,7 +116,7 @@
 			}
 		}
 	}
-	if len(plan) < len(s.tasks) {
+	if len(plan) < s.count() {
 		return nil
 	}
 	return plan
@@ -131,20 +125,17 @@
 // completeGang starts the members of the current run that are still missing, and
 // stops the run if that takes too long.
 func (c *Core) completeGang(s *step, live int) bool {
-	if live == len(s.tasks) || s.gang.runNumber == 0 {
-		return live == len(s.tasks)
+	if live == s.count() || s.gang.runNumber == 0 {
+		return live == s.count()
 	}
-	for i := range s.tasks {
-		for _, r := range s.tasks[i].runs {
-			if r.number != s.gang.runNumber || r.state == stopping {
-				return false // an earlier run has not ended yet
-			}
+	for _, r := range s.liveRuns() {
+		if r.number != s.gang.runNumber || r.state == stopping {
+			return false // an earlier run has not ended yet
 		}
 	}
 	if c.now-s.gang.formingSince < gangStartTimeout && !c.barrier {
 		started := live
-		for i := range s.tasks {
-			t := &s.tasks[i]
+		for t := range s.unfinished() {
 			if !t.pending(c.now) || c.mayRunUnseen(t) {
 				continue
 			}
@@ -159,12 +150,10 @@
 			c.startTask(t, h, s.gang.runNumber, tk)
 			started++
 		}
-		return started == len(s.tasks)
+		return started == s.count()
 	}
-	for i := range s.tasks {
-		for _, r := range append([]*run(nil), s.tasks[i].runs...) {
-			c.stopRun(r, "the gang is not complete")
-		}
+	for _, r := range s.liveRuns() {
+		c.stopRun(r, "the gang is not complete")
 	}
 	return false
 }
@@ -178,11 +167,9 @@
 	if r.number == s.gang.runNumber {
 		s.gang.runNumber = 0
 	}
-	for i := range s.tasks {
-		for _, x := range append([]*run(nil), s.tasks[i].runs...) {
-			if x.number == r.number && x.state != stopping {
-				c.stopRun(x, "another member of the gang has ended")
-			}
+	for _, x := range s.liveRuns() {
+		if x.number == r.number && x.state != stopping {
+			c.stopRun(x, "another member of the gang has ended")
 		}
 	}
 }
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -343,8 +343,8 @@
 		c.taskDone(t)
 		return
 	}
-	for i := range t.step.tasks {
-		c.taskDone(&t.step.tasks[i])
+	for i := range t.step.count() {
+		c.taskDone(t.step.task(i))
 	}
 }
 
@@ -435,7 +435,7 @@
 	if t != nil {
 		t.trialSeen(true)
 		r.crashesBefore = t.crashHistory().suspicion()
-		t.runs = append(t.runs, r)
+		c.addRun(t, r)
 	}
 	r.size = c.taskSize(x.Task)
 	h.addRun(r)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -347,7 +347,7 @@
 		r := &run{task: d.task, taskID: d.taskID, number: d.number, host: next, size: d.size, sentAt: c.now, unconfirmed: true, carriedOver: true, latencyMillis: -1}
 		r.pace.percent = fullPace
 		if r.task != nil && !r.task.done {
-			r.task.runs = append(r.task.runs, r)
+			c.addRun(r.task, r)
 		} else {
 			r.task = nil
 		}
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -122,10 +122,12 @@
 }
 
 func (c *Core) inspectStep(s *step) StepView {
-	v := StepView{Occurrence: s.occurrence.number, Step: s.index, Tasks: len(s.tasks), Done: s.done}
+	v := StepView{Occurrence: s.occurrence.number, Step: s.index, Tasks: s.count(), Done: s.tasks.doneCount, Waiting: s.unstartedCount()}
 	seen := map[*host]bool{}
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	if s.ready && v.Waiting > 0 {
+		v.Waited = c.waitTime(s.task(s.nextUnstarted()))
+	}
+	for _, t := range s.tasks.live {
 		for _, r := range t.runs {
 			seen[r.host] = true
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
@@ -58,6 +59,8 @@
 	number    int
 	steps     []*step
 	stepsLeft int
+	// liveTasks counts the tasks of its steps that have a state of their own.
+	liveTasks int
 	// waitingSince is since when it could have been started, also under previous leaders.
 	waitingSince time.Duration
 	// pathEnds is reused by remainingPath.
@@ -69,10 +72,9 @@
 	occurrence *occurrence
 	def        *workflow.Step
 	index      int
-	tasks      []task
+	tasks      stepTasks
 	// blockers counts the dependencies that are not finished.
 	blockers int
-	done     int
 	// readyAt is when the step became ready.
 	readyAt time.Duration
 	ready   bool
@@ -105,8 +107,6 @@
 	return workflow.StepID{Job: s.occurrence.job.def.ID, Occurrence: s.occurrence.number, Step: s.index}
 }
 
-func (s *step) finished() bool { return s.done == len(s.tasks) }
-
 // task is one task of a step.
 type task struct {
 	step  *step
@@ -159,48 +159,68 @@
 	o := &occurrence{job: j, number: k, steps: make([]*step, len(j.def.Steps)), waitingSince: since}
 	for i := range j.def.Steps {
 		def := &j.def.Steps[i]
-		s := &step{occurrence: o, def: def, index: i, tasks: make([]task, def.Count), blockers: len(def.DependsOn)}
-		for n := range s.tasks {
-			s.tasks[n] = task{step: s, index: n, waitingSince: since}
-		}
+		s := &step{occurrence: o, def: def, index: i, blockers: len(def.DependsOn)}
 		if def.MaxPerWorker > 0 {
 			s.runsPerWorker = map[*host]int{}
 		}
 		o.steps[i] = s
 	}
 	o.stepsLeft = len(o.steps)
-	if p, ok := j.restored[k]; ok {
-		o.restore(p)
-		delete(j.restored, k)
-	}
 	return o
 }
 
-func (o *occurrence) restore(p workflow.OccurrenceProgress) {
-	for _, sp := range p.Steps {
-		if sp.Step < 0 || sp.Step >= len(o.steps) {
-			continue
+// dropOccurrence forgets an occurrence that is finished or of a job that has ended.
+func (j *job) dropOccurrence(o *occurrence) {
+	if i := slices.Index(j.occurrences, o); i >= 0 {
+		j.occurrences = slices.Delete(j.occurrences, i, i+1)
+	}
+}
+
+// restoreOccurrence applies the recorded progress of an occurrence.
+func (c *Core) restoreOccurrence(o *occurrence, p workflow.OccurrenceProgress) {
+	for i := range p.Steps {
+		if n := p.Steps[i].Step; n >= 0 && n < len(o.steps) {
+			c.restoreStep(o.steps[n], &p.Steps[i])
 		}
-		s := o.steps[sp.Step]
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if sp.Done.Has(i) && !t.done {
-				t.done = true
-				s.done++
-			}
-			t.failures = sp.Failures[i]
-			t.crashes.restore(sp.Crashes[i], sp.Trials.Has(i))
-			t.checkpoint = sp.Checkpoints[i]
+	}
+}
+
+func (c *Core) restoreStep(s *step, p *workflow.StepProgress) {
+	for i := range min(8*len(p.Done), s.count()) {
+		if p.Done.Has(i) {
+			s.markDone(i)
 		}
-		if s.def.Gang {
-			s.gang.failures, s.gang.checkpoint = sp.Failures[0], sp.Checkpoints[0]
-			s.gang.crashes.restore(sp.Crashes[0], sp.Trials.Has(0))
+	}
+	unfinished := func(i int) *task {
+		if i < 0 || i >= s.count() || s.tasks.done.has(i) {
+			return &task{step: s} // there is nothing to restore
 		}
-		if s.finished() {
-			o.stepsLeft--
-			o.unblockDependents(s)
+		t := s.task(i)
+		c.keep(t)
+		return t
+	}
+	for i, n := range p.Failures {
+		unfinished(i).failures = n
+	}
+	for i, n := range p.Crashes {
+		unfinished(i).crashes.restore(n, p.Trials.Has(i))
+	}
+	for i := range 8 * len(p.Trials) {
+		if p.Trials.Has(i) {
+			unfinished(i).crashes.restore(p.Crashes[i], true)
 		}
 	}
+	for i, checkpoint := range p.Checkpoints {
+		unfinished(i).checkpoint = checkpoint
+	}
+	if s.def.Gang {
+		s.gang.failures, s.gang.checkpoint = p.Failures[0], p.Checkpoints[0]
+		s.gang.crashes.restore(p.Crashes[0], p.Trials.Has(0))
+	}
+	if s.finished() {
+		s.occurrence.stepsLeft--
+		s.occurrence.unblockDependents(s)
+	}
 }
 
 // unblockDependents decrements the blockers of the steps that depend on a finished
@@ -243,44 +263,44 @@
 func (o *occurrence) progress() workflow.OccurrenceProgress {
 	op := workflow.OccurrenceProgress{Number: o.number}
 	for _, s := range o.steps {
-		sp := workflow.StepProgress{Step: s.index}
-		touched := false
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.done {
-				sp.Done.Set(i)
-				touched = true
-			}
-			if t.failures > 0 && !s.def.LongRunning {
-				if sp.Failures == nil {
-					sp.Failures = map[int]int{}
-				}
-				sp.Failures[i] = t.failures
-				touched = true
-			}
-			if t.crashes.suspicion() > 0 && !t.done {
-				addCrashes(&sp, i, &t.crashes)
-				touched = true
-			}
-			if t.checkpoint != "" && !t.done {
-				if sp.Checkpoints == nil {
-					sp.Checkpoints = map[int]string{}
-				}
-				sp.Checkpoints[i] = t.checkpoint
-				touched = true
+		if sp, touched := s.progress(); touched {
+			op.Steps = append(op.Steps, sp)
+		}
+	}
+	return op
+}
+
+// progress returns the step's progress, and false if there is none.
+func (s *step) progress() (sp workflow.StepProgress, touched bool) {
+	sp = workflow.StepProgress{Step: s.index, Done: s.tasks.done.bitmap()}
+	touched = s.tasks.doneCount > 0
+	for _, t := range s.tasks.live {
+		if t.failures > 0 && !s.def.LongRunning {
+			if sp.Failures == nil {
+				sp.Failures = map[int]int{}
 			}
+			sp.Failures[t.index] = t.failures
+			touched = true
 		}
-		if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "" || s.gang.crashes.suspicion() > 0) {
-			addCrashes(&sp, 0, &s.gang.crashes)
-			sp.Failures = map[int]int{0: s.gang.failures}
-			sp.Checkpoints = map[int]string{0: s.gang.checkpoint}
+		if t.crashes.suspicion() > 0 && !t.done {
+			addCrashes(&sp, t.index, &t.crashes)
 			touched = true
 		}
-		if touched {
-			op.Steps = append(op.Steps, sp)
+		if t.checkpoint != "" && !t.done {
+			if sp.Checkpoints == nil {
+				sp.Checkpoints = map[int]string{}
+			}
+			sp.Checkpoints[t.index] = t.checkpoint
+			touched = true
 		}
 	}
-	return op
+	if s.def.Gang && !s.finished() && (s.gang.failures > 0 || s.gang.checkpoint != "" || s.gang.crashes.suspicion() > 0) {
+		addCrashes(&sp, 0, &s.gang.crashes)
+		sp.Failures = map[int]int{0: s.gang.failures}
+		sp.Checkpoints = map[int]string{0: s.gang.checkpoint}
+		touched = true
+	}
+	return sp, touched
 }
 
 func addCrashes(p *workflow.StepProgress, index int, k *crashHistory) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -214,12 +215,8 @@
 	if !s.def.LongRunning {
 		return false
 	}
-	for i := range s.tasks {
-		if t := &s.tasks[i]; t.pending(c.now) && c.waitTime(t) > longRunningMaxWait {
-			return true
-		}
-	}
-	return false
+	overdue := func(t *task) bool { return t.pending(c.now) && c.waitTime(t) > longRunningMaxWait }
+	return slices.ContainsFunc(s.tasks.live, overdue) || s.nextUnstarted() < s.count() && overdue(s.task(s.nextUnstarted()))
 }
 
 // pastHorizon reports whether it is too late for the job to be of use.
@@ -256,23 +253,24 @@
 // placeTasks starts the tasks of a step one by one and reports whether some still
 // wait.
 func (c *Core) placeTasks(s *step) bool {
-	waiting, full := false, false
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.done || len(t.runs) > 0 && !t.allRunsStopping() {
+	waiting := false
+	for t := range s.unfinished() {
+		if len(t.runs) > 0 && !t.allRunsStopping() {
 			continue
 		}
-		if full || !t.pending(c.now) || c.mayRunUnseen(t) || !c.window.hasRoom() {
-			waiting = true
-			continue
+		if !c.window.hasRoom() || !c.withinLimit(s, 1) {
+			return true
 		}
-		if !c.withinLimit(s, 1) {
-			waiting, full = true, true
+		if !t.pending(c.now) || c.mayRunUnseen(t) {
+			waiting = true
 			continue
 		}
 		h := c.pickHost(t, nil)
 		if h == nil {
-			waiting, full = true, c.now >= t.avoidUntil && t.crashHistory().suspicion() == 0
+			if c.now >= t.avoidUntil && t.crashHistory().suspicion() == 0 {
+				return true // nor is there a worker for the others
+			}
+			waiting = true
 			continue
 		}
 		if !c.openTrial(t) {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -37,8 +37,7 @@
 	plan := map[*host][]*run{}
 	freeAfter := map[*host]workflow.Size{}
 	missing, planned := false, 0
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	for t := range s.unfinished() {
 		if !t.pending(c.now) || c.mayRunUnseen(t) {
 			continue
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -136,7 +136,7 @@
 		sentAt: c.now, progressAt: c.now, beganAt: c.now, ticket: ticket, startCheckpoint: checkpoint, latencyMillis: -1}
 	r.pace.percent = fullPace
 	r.crashesBefore = t.crashHistory().suspicion()
-	t.runs = append(t.runs, r)
+	c.addRun(t, r)
 	h.addRun(r)
 	c.chargeRun(r)
 	c.sendStart(r)
@@ -377,6 +377,7 @@
 	if !t.done && !t.step.occurrence.job.ended() {
 		c.enqueue(t.step)
 	}
+	c.release(t)
 }
 
 // loseRun removes a run that is gone without an end.
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -105,10 +105,8 @@
 	if !r.task.step.def.Gang {
 		return progressed, listed
 	}
-	for i := range r.task.step.tasks {
-		for _, x := range r.task.step.tasks[i].runs {
-			progressed, listed = max(progressed, x.progressAt), min(listed, x.host.clockAt)
-		}
+	for _, x := range r.task.step.liveRuns() {
+		progressed, listed = max(progressed, x.progressAt), min(listed, x.host.clockAt)
 	}
 	return progressed, listed
 }
@@ -139,11 +137,9 @@
 		return s.typical
 	}
 	s.typicalAt, s.typical = c.now, 0
-	took := c.durations[:0]
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	took := append(c.durations[:0], s.tasks.runTimes...)
+	for _, t := range s.tasks.live {
 		if t.runTime > 0 {
-			took = append(took, t.runTime)
 			continue
 		}
 		for _, r := range t.runs {
@@ -183,10 +179,8 @@
 		c.stopRun(r, reason)
 		return
 	}
-	for i := range t.step.tasks {
-		for _, x := range append([]*run(nil), t.step.tasks[i].runs...) {
-			c.stopRun(x, reason)
-		}
+	for _, x := range t.step.liveRuns() {
+		c.stopRun(x, reason)
 	}
 }
 
@@ -218,6 +212,9 @@
 	}
 	expected := c.expectedTime(r.task.step)
 	r.task.runTime = time.Duration(took/share) * time.Millisecond
+	if !r.task.done {
+		r.task.step.sampleRunTime(r.task.runTime)
+	}
 	c.learnRunTime(r, share)
 	speed := min(max(share*float64(expected.Milliseconds())/took, minSpeed), maxSpeed)
 	h := r.host
--- /dev/null
+++ b/internal/dispatch/tasks_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
+)
+
+// TestUnfinishedTasksAreYieldedInOrder compares the tasks that have a state, are done or were
+// never started with a plain list of all of them.
+func TestUnfinishedTasksAreYieldedInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Settings{}, 0, 0)
+		n := rapid.IntRange(1, 150).Draw(t, "tasks")
+		o := newOccurrence(&job{def: &workflow.Job{Steps: []workflow.Step{{Count: n}}}}, 0, 0)
+		s := o.steps[0]
+		done := make([]bool, n)
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 60).Draw(t, "changes") {
+			x := s.task(i)
+			switch {
+			case rapid.Bool().Draw(t, "keep"):
+				c.keep(x)
+			case !done[i]:
+				done[i] = true
+				x.done = true
+				s.markDone(i)
+				c.release(x)
+			}
+		}
+		var want, got, unstarted []int
+		for i := range n {
+			if !done[i] {
+				want = append(want, i)
+			}
+			if s.isUnstarted(i) {
+				unstarted = append(unstarted, i)
+			}
+		}
+		for x := range s.unfinished() {
+			got = append(got, x.index)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("unfinished %v, want %v", got, want)
+		}
+		if len(unstarted) != s.unstartedCount() || len(unstarted) > 0 && unstarted[0] != s.nextUnstarted() {
+			t.Fatalf("unstarted %v, counted %d from %d on", unstarted, s.unstartedCount(), s.nextUnstarted())
+		}
+		b := s.tasks.done.bitmap()
+		for i := range n {
+			if b.Has(i) != done[i] {
+				t.Fatalf("task %d: recorded as done %v, want %v", i, b.Has(i), done[i])
+			}
+		}
+	})
+}
+
+// acceptWide queues jobs with the largest number of tasks, which no worker has room for.
+func (b *harness) acceptWide(jobs int, step workflow.Step) {
+	step.Count, step.Size = workflow.MaxTasks, workflow.Size{MilliCPU: 5000}
+	for i := range jobs {
+		b.queuedEvents = append(b.queuedEvents, JobAccepted{Offset: int64(testOffset + i),
+			Job: &workflow.Job{ID: fmt.Sprint("wide-", i), Queue: "q", Steps: []workflow.Step{step}}})
+	}
+}
+
+// heapGrowth returns by how many bytes f makes the heap grow.
+func heapGrowth(f func()) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// Tasks that have never been started must take no memory, or a few jobs take all of it.
+func TestWaitingTasksTakeNoMemory(t *testing.T) {
+	b := newHarness(t, "w1", "w2")
+	b.listWorkers()
+	b.advance(time.Second)
+	grown := heapGrowth(func() {
+		b.acceptWide(50, workflow.Step{})
+		b.advance(time.Second)
+	})
+	b.Expect(grown).To(BeNumerically("<", 50*8<<10), "bytes for 50 jobs of %d tasks", workflow.MaxTasks)
+	runtime.KeepAlive(b)
+}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -75,12 +75,11 @@
 // firstPendingTask returns a task without a run, preferably one that may start now.
 func (s *step) firstPendingTask(now time.Duration) *task {
 	var found *task
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	for t := range s.unfinished() {
 		if t.pending(now) {
 			return t
 		}
-		if found == nil && !t.done && len(t.runs) == 0 {
+		if found == nil && len(t.runs) == 0 {
 			found = t
 		}
 	}
@@ -135,13 +134,7 @@
 	if !s.def.Gang {
 		return 1
 	}
-	n := 0
-	for i := range s.tasks {
-		if len(s.tasks[i].runs) == 0 {
-			n++
-		}
-	}
-	return n
+	return s.count() - s.withRuns()
 }
 
 // describeLimit describes the usage and the limit of the step's account.
