Of the occurrences that are due, a job has as many active as make 1,000 steps

What callers saw: ten jobs of 100 bytes each, of 100,000 occurrences due in the past, brought the leader to 2,520 MiB (96 allowed), and other callers got 503 configuration-stale meanwhile.

Cause: the dispatcher activated each occurrence when it was due, with a state of each of its steps.

Change: occurrences are activated in their order up to 1,000 steps together, and at least one; the others wait for one to finish. Those that a previous leader has started are activated as before.

Why it works: a job then holds no more steps than one without occurrences may have. No deployment's client has so many due at once: their jobs have one or two steps.

A test of the dispatcher plays 60 occurrences to their end, 20 at a time.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -363,7 +363,8 @@
 }
 
 func (c *Core) activateDue(j *job) {
-	for !j.ended() && j.nextOccurrence < j.def.Occurrences() && j.def.DueMillis(j.nextOccurrence) <= c.wall {
+	for !j.ended() && j.nextOccurrence < j.def.Occurrences() && j.def.DueMillis(j.nextOccurrence) <= c.wall &&
+		len(j.occurrences) < j.def.MaxActiveOccurrences() {
 		c.activateNext(j)
 	}
 }
--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -92,3 +93,24 @@
 	b.Expect(grown).To(BeNumerically("<", 50*8<<10), "bytes for 50 jobs of %d tasks", workflow.MaxTasks)
 	runtime.KeepAlive(b)
 }
+
+// Of a job with many occurrences that are due, only some are active at the same time, and all
+// of them run in the end.
+func TestDueOccurrencesAreActivatedInTurn(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	def := &workflow.Job{ID: "j", Queue: "q", ScheduledOccurrences: 60, FirstDueMillis: 1, Steps: make([]workflow.Step, workflow.MaxSteps/20)}
+	for i := range def.Steps {
+		def.Steps[i] = workflow.Step{Count: 1, EstimateMillis: 10, Size: workflow.Size{MilliCPU: 10}}
+	}
+	b.queuedEvents = append(b.queuedEvents, JobAccepted{Job: def, Offset: testOffset})
+	b.advance(100 * time.Millisecond)
+	j := b.core.jobs["j"]
+	b.Expect(j.occurrences).To(HaveLen(20))
+	for range 600 {
+		b.advance(tick)
+		b.Expect(len(j.occurrences)).To(BeNumerically("<=", 20))
+		b.endRuns(func(_, _ string) worker.ExitStatus { return worker.Done })
+	}
+	b.Expect(b.finalState("j")).To(Equal(workflow.Completed))
+}
