The tasks that a leader has started are bounded and divided among accounts

What callers would see: a few accepted jobs of tiny tasks (a thousandth of a core, or none) let the leader start tens of thousands, each with a run, its entries and its line in the lists of workers, until its memory is out. Found by reading; no crowd with workers was played.

Cause: only the workers' capacity bounded what runs, and a task may ask for none of it.

Change: the leader starts tasks up to memory / 12 KiB that are not done; the others wait with the reason task-limit. team.Room divides such an amount: half of it is guaranteed to the accounts by their weights, the rest is for whoever comes first.

The bound is 15,700 at 184 MB.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -55,6 +55,7 @@
 func (c *Core) configureAccounts() {
 	a := &c.accounts
 	a.limited = false
+	weights := map[string]float64{}
 	for _, name := range a.usage.Names() {
 		if _, ok := c.catalog.Accounts[name]; !ok {
 			a.usage.SetQuota(name, 0, resource.Vector{})
@@ -64,9 +65,11 @@
 	}
 	for name, def := range c.catalog.Accounts {
 		a.usage.SetQuota(name, def.Weight, vectorOf(def.Maximum))
+		weights[name] = def.Weight
 		a.limited = a.limited || def.Maximum != (workflow.Size{})
 		a.rate(name).PerSecond = def.Weight
 	}
+	c.liveTasks.SetWeights(weights)
 }
 
 func (a *accounts) rate(name string) *team.Rate {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/mimosaspool/mimosaspool/internal/team"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -43,6 +44,9 @@
 	DeclaredRunTimes bool
 	// MaxRunTimesBytes bounds the snapshots of learned run times, 0 stands for 64 KiB.
 	MaxRunTimesBytes int
+	// MaxLiveTasks bounds the tasks that have been started and are not done, 0 is without
+	// bound. Others wait meanwhile.
+	MaxLiveTasks int
 }
 
 // clockDrift is the fraction by which a worker's monotonic clock may run slow.
@@ -142,6 +146,8 @@
 	runTimes       runTimes
 	nextEvacuation time.Duration
 	accounts       accounts
+	// liveTasks divides MaxLiveTasks among the accounts.
+	liveTasks *team.Room
 	// priorities holds the priorities of the pools with queues of several.
 	priorities map[string]prioritySpan
 }
@@ -157,6 +163,7 @@
 		hosts: map[string]*host{}, pools: map[string][]*host{},
 		jobs: map[string]*job{}, suspectTasks: map[string]*host{}, recordedUnreached: map[string]bool{}, endedIncarnations: map[string]endedIncarnation{}, backlogs: map[string]*backlog{}, reasons: Counters{}, commits: newCommits(),
 		cancels: unmatchedCancels{byID: map[string]unmatchedCancel{}}, accounts: newAccounts(), runTimes: newRunTimes(set),
+		liveTasks: team.NewRoom(int64(set.MaxLiveTasks)),
 	}
 }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -46,7 +46,7 @@
 			return false
 		}
 	}
-	if s.tasks.doneCount > 0 || !c.window.hasRoom() || !c.withinLimit(s, s.count()) {
+	if s.tasks.doneCount > 0 || !c.window.hasRoom() || !c.withinLimit(s, s.count()) || !c.mayStart(s, s.unstartedCount()) {
 		return false
 	}
 	plan := c.planGang(s)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -253,11 +253,17 @@
 // placeTasks starts the tasks of a step one by one and reports whether some still
 // wait.
 func (c *Core) placeTasks(s *step) bool {
-	waiting := false
-	for t := range s.unfinished() {
+	waiting, tasks := false, s.unfinished()
+	if s.nextUnstarted() < s.count() && !c.mayStart(s, 1) {
+		waiting, tasks = true, s.started()
+	}
+	for t := range tasks {
 		if len(t.runs) > 0 && !t.allRunsStopping() {
 			continue
 		}
+		if s.isUnstarted(t.index) && !c.mayStart(s, 1) {
+			return true
+		}
 		if !c.window.hasRoom() || !c.withinLimit(s, 1) {
 			return true
 		}
--- a/internal/dispatch/tasks.go
+++ b/internal/dispatch/tasks.go
@@ -75,6 +75,7 @@
 	s := t.step
 	if at, found := s.search(t.index); !found {
 		s.tasks.live = slices.Insert(s.tasks.live, at, t)
+		c.liveTasks.Hold(s.occurrence.job.def.Account, 1)
 		s.occurrence.liveTasks++
 	}
 }
@@ -88,6 +89,7 @@
 	}
 	if at, found := s.search(t.index); found && s.tasks.live[at] == t {
 		s.tasks.live = slices.Delete(s.tasks.live, at, at+1)
+		c.liveTasks.Hold(o.job.def.Account, -1)
 		o.liveTasks--
 	}
 	if o.job.ended() && o.liveTasks == 0 {
@@ -101,6 +103,11 @@
 	c.keep(t)
 }
 
+// mayStart reports whether the step may start n more tasks that have no state of their own.
+func (c *Core) mayStart(s *step, n int) bool {
+	return c.liveTasks.Allows(s.occurrence.job.def.Account, int64(n))
+}
+
 // markDone adds a task to those that are done.
 func (s *step) markDone(index int) {
 	if !s.tasks.done.has(index) {
@@ -159,6 +166,18 @@
 	}
 }
 
+// started yields the tasks that are not done and have a state of their own.
+func (s *step) started() iter.Seq[*task] {
+	live := slices.Clone(s.tasks.live)
+	return func(yield func(*task) bool) {
+		for _, t := range live {
+			if !t.done && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // liveRuns returns the runs of all tasks of the step.
 func (s *step) liveRuns() []*run {
 	var out []*run
--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -114,3 +114,28 @@
 	}
 	b.Expect(b.finalState("j")).To(Equal(workflow.Completed))
 }
+
+// At the bound of started tasks, an account must not keep others from starting theirs, and a
+// task that ends makes room for another one.
+func TestStartedTasksAreBounded(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.core = New(func() Settings { s := testSettings(testToken); s.MaxLiveTasks = 40; return s }(), b.now, b.now.Milliseconds())
+	b.queuedEvents = []Event{CatalogChanged{&workflow.Catalog{Version: 1, Queues: map[string]workflow.Queue{"q": {Name: "q", Pool: "p", Attempts: 2}},
+		Accounts: map[string]workflow.Account{"busy": {Name: "busy"}, "calm": {Name: "calm"}}}}}
+	b.listWorkers()
+	accept := func(id, account string, count int) {
+		b.queuedEvents = append(b.queuedEvents, JobAccepted{Offset: testOffset, Job: &workflow.Job{ID: id, Queue: "q", Account: account,
+			Steps: []workflow.Step{{Count: count, Size: workflow.Size{MilliCPU: 1}, EstimateMillis: 100}}}})
+	}
+	accept("wide", "busy", 1000)
+	b.advance(2 * time.Second)
+	// Half of the bound is shared, and a third of the other half is guaranteed to the account.
+	b.Expect(b.starts).To(HaveLen(26))
+	accept("small", "calm", 3)
+	b.advance(time.Second)
+	b.Expect(b.startHosts("small")).To(HaveLen(3))
+	b.endRuns(func(_, _ string) worker.ExitStatus { return worker.Done })
+	b.advance(time.Second)
+	b.Expect(len(b.starts)).To(BeNumerically(">", 29))
+	b.Expect(b.core.liveTasks.Held()).To(BeNumerically("<=", 40))
+}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -29,6 +29,7 @@
 	reasonRecord   = "unrecorded-crash"
 	reasonNoWorker = "no-worker"
 	reasonLimit    = "account-limit"
+	reasonTasks    = "task-limit"
 )
 
 // reportWait reports a decision about why a step still waits, if it has waited for
@@ -101,6 +102,9 @@
 	if n := t.step.startsTogether(); !c.withinLimit(t.step, n) {
 		return reasonLimit, c.describeLimit(t.step, n)
 	}
+	if n := t.step.unstartedCount(); n > 0 && !c.mayStart(t.step, min(n, t.step.startsTogether())) {
+		return reasonTasks, strconv.FormatInt(c.liveTasks.Held(), 10) + " tasks have been started and are not done"
+	}
 	if t.awaitsCrashRecord(c.now) {
 		return reasonRecord, strconv.Itoa(t.crashHistory().suspicion()) + " workers may have crashed under it"
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -369,11 +369,16 @@
 		Token: token, TermOffset: offset, Lease: lease, MaxLease: limits.MaxLease,
 		PreviousLeaderBound: time.Duration(previousLeaseBound) + leaseMargin, ConfirmationTTL: tenure.DefaultTiming().Confidence,
 		StopTimeout: limits.StopTimeout, RemoteFactor: limits.RemoteFactor, StatusRetention: limits.StatusRetention,
+		MaxLiveTasks:     int(limits.MemoryMiB << 20 / liveTaskDivisor / liveTaskMemory),
 		DeclaredRunTimes: n.settings.DeclaredRunTimes, MaxRunTimesBytes: newAppendLimits(&n.settings).maxRunTimesBytes(),
 	}
 }
 
 const (
+	// liveTaskMemory is what a task that has been started and isn't done takes at the leader, in
+	// bytes, with its run and their entries; liveTaskDivisor is the share of the memory for them.
+	liveTaskMemory  = 1 << 10
+	liveTaskDivisor = 12
 	// maxLease is the longest lease that the node requests.
 	maxLease = 6 * time.Second
 	// maxClockDrift is the fraction by which a worker's monotonic clock may be slow.
--- a/internal/story/why.go
+++ b/internal/story/why.go
@@ -86,6 +86,7 @@
 	"room":             "too little was free on its pool's workers",
 	"most-per-worker":  "as many of its tasks as may run on one worker ran there",
 	"account-limit":    "its client account had as much running as it may have",
+	"task-limit":       "as many tasks were started and not done as the leader can hold",
 	"reserved":         "the room was kept for a larger step",
 	"probing":          "the workers with room were on probation",
 	"failed-there":     "it had just failed on the workers with room",
