At most 512 stops wait for an answer at the same time

What callers would see: the cancelling of a job with thousands of running tasks makes a call for each at once, each with its connection and buffers, on the leader. Found by reading.

Cause: only starts had a window.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -93,7 +93,11 @@
 	// are late.
 	lateReported bool
 	window       startWindow
-	calls        callCounts
+	// stops holds the runs to which stops were sent, of which some may be answered, as of
+	// stopsCheckedAt.
+	stops          []*run
+	stopsCheckedAt time.Duration
+	calls          callCounts
 	// previousLeaderEnd is the time since which no previous leader can have had its
 	// leadership confirmed, or 0 if that is not known yet.
 	previousLeaderEnd time.Duration
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -288,7 +289,25 @@
 	c.sendStop(r)
 }
 
+// maxStopsInFlight bounds the stops without an answer. A job of thousands of tasks may be
+// cancelled at once.
+const maxStopsInFlight = 512
+
+// stopsHaveRoom reports whether another stop may be sent.
+func (c *Core) stopsHaveRoom() bool {
+	if len(c.stops) >= maxStopsInFlight && c.stopsCheckedAt != c.now {
+		c.stopsCheckedAt = c.now
+		c.stops = slices.DeleteFunc(c.stops, func(r *run) bool { return !r.orderInFlight || c.now-r.orderSentAt >= c.orderTimeout(r) })
+	}
+	return len(c.stops) < maxStopsInFlight
+}
+
 func (c *Core) sendStop(r *run) {
+	if !c.stopsHaveRoom() {
+		r.nextOrderAt, r.host.hasOrdersToRetry = c.now+stopRetryDelay, true
+		return
+	}
+	c.stops = append(c.stops, r)
 	r.attempts++
 	r.orderInFlight, r.orderSentAt = true, c.now
 	c.countCall(callStop)
--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -139,3 +139,25 @@
 	b.Expect(len(b.starts)).To(BeNumerically(">", 29))
 	b.Expect(b.core.liveTasks.Held()).To(BeNumerically("<=", 40))
 }
+
+// The tasks of a large job that is cancelled are stopped a number at a time, as each call takes
+// memory, and all of them are stopped in the end. Nothing of the job is kept then.
+func TestStopsInFlightAreBounded(t *testing.T) {
+	b := newHarness(t, "w1", "w2", "w3")
+	b.listWorkers()
+	b.queuedEvents = append(b.queuedEvents, JobAccepted{Offset: testOffset, Job: &workflow.Job{ID: "wide", Queue: "q",
+		Steps: []workflow.Step{{Count: 3 * maxStopsInFlight, EstimateMillis: 100000, LongRunning: true}}}})
+	b.advance(10 * time.Second)
+	b.Expect(b.starts).To(HaveLen(3 * maxStopsInFlight))
+	b.queuedEvents = append(b.queuedEvents, JobCancelled{ID: "wide"})
+	b.advance(tick)
+	b.Expect(len(b.stops)).To(And(BeNumerically(">", 0), BeNumerically("<=", maxStopsInFlight)))
+	b.advance(5 * time.Second)
+	stopped := map[workflow.TaskID]bool{}
+	for _, s := range b.stops {
+		stopped[s.Stop.Task] = true
+	}
+	b.Expect(stopped).To(HaveLen(3 * maxStopsInFlight))
+	b.Expect(b.core.liveTasks.Held()).To(BeZero())
+	b.Expect(b.core.jobs["wide"].occurrences).To(BeEmpty())
+}
