A placement pass looks at each job once, not once for each of its steps

What callers see under a crowd of jobs with many steps: late answers and a configuration that gets stale, as the leader's goroutine is busy.

Cause: sorting the waiting steps asked each step's job again whether it runs until it is cancelled and how long its steps still take, which goes through all steps of the job: a job of 1,000 steps costs 1,000,000 looks.

Change: the dispatcher keeps the first with the job and the second for the round. A pass reports the reason to wait of 100 steps at most; the others have their turn in the next ones.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -65,6 +65,8 @@
 	// placement pass.
 	backlogs map[string]*backlog
 	lastPass time.Duration
+	// waitReports counts the steps of the current pass whose reason to wait was looked for.
+	waitReports int
 	// sampleStart is the index at which the next sampled search of a large pool
 	// begins.
 	sampleStart int
@@ -322,7 +324,7 @@
 	if c.jobs[ev.Job.ID] != nil {
 		return
 	}
-	j := &job{def: ev.Job, offset: ev.Offset, started: ev.Progress.Started, finalState: ev.Progress.Final,
+	j := &job{def: ev.Job, longRunning: ev.Job.LongRunning(), offset: ev.Offset, started: ev.Progress.Started, finalState: ev.Progress.Final,
 		endedAt: ev.Progress.EndedMillis, finishedBefore: ev.Progress.FinishedOccurrences, finishedLater: map[int]bool{},
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -104,7 +104,7 @@
 		return JobView{}
 	}
 	v := JobView{Known: true, Cancelled: j.cancelled, Final: j.finalState}
-	if j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.def.LongRunning() {
+	if j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.longRunning {
 		v.TimeLeft = time.Duration(j.objective-c.wall) * time.Millisecond
 	}
 	if j.ended() {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -9,8 +9,10 @@
 
 // job is the dispatcher's state of an accepted job.
 type job struct {
-	def    *workflow.Job
-	offset int64
+	def *workflow.Job
+	// longRunning is set if the job runs until it is cancelled.
+	longRunning bool
+	offset      int64
 	// queue is the policy under which the job was accepted.
 	queue workflow.Queue
 	// queueKnown is false while the queue isn't in the catalog.
@@ -39,6 +41,8 @@
 	// chain, in milliseconds, as of when the queue was set.
 	expected     []int64
 	criticalPath int64
+	// remaining is the result of remainingPath in the round remainingRound.
+	remaining, remainingRound int64
 	// objective is when the job should be complete, in Unix milliseconds.
 	objective int64
 	// horizon is when the job is no longer of use, in Unix milliseconds.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -13,7 +13,7 @@
 	if !c.leadershipConfirmed() || c.now < c.nextPassAt() {
 		return
 	}
-	c.lastPass = c.now
+	c.lastPass, c.waitReports = c.now, 0
 	c.adjustWindow()
 	c.round++
 	c.prepareAccounts()
@@ -171,7 +171,7 @@
 	switch class := perPriority * j.queue.Priority; {
 	case j.excess:
 		return class + excess
-	case c.accounts.inUse() && j.queue.Priority > 0 && !j.def.LongRunning() && c.slack(j) < maxPreemptorSlack:
+	case c.accounts.inUse() && j.queue.Priority > 0 && !j.longRunning && c.slack(j) < maxPreemptorSlack:
 		return soonLate // right behind the highest priority
 	default:
 		return class
@@ -181,12 +181,21 @@
 // missesObjective reports whether the job can't be complete by its objective any more, as
 // far as is known.
 func (c *Core) missesObjective(j *job) bool {
-	return j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.def.LongRunning() && c.wall+c.remainingPath(j) > j.objective
+	return j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.longRunning && c.wall+c.remainingPath(j) > j.objective
 }
 
 // remainingPath returns the expected duration of the longest chain of steps of the job that
-// are not finished, in milliseconds.
+// are not finished, in milliseconds, as of the current round.
 func (c *Core) remainingPath(j *job) int64 {
+	if j.remainingRound != c.round {
+		j.remainingRound, j.remaining = c.round, j.longestRemaining()
+	}
+	return j.remaining
+}
+
+// longestRemaining returns the expected duration of the longest chain of steps of the job that
+// are not finished, in milliseconds.
+func (j *job) longestRemaining() int64 {
 	if len(j.occurrences) == 0 {
 		return j.criticalPath
 	}
@@ -221,7 +230,7 @@
 
 // pastHorizon reports whether it is too late for the job to be of use.
 func (c *Core) pastHorizon(j *job) bool {
-	return j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.def.LongRunning() && c.wall > j.horizon
+	return j.queueKnown && j.def.ScheduledOccurrences == 0 && !j.longRunning && c.wall > j.horizon
 }
 
 // placeStep starts as many tasks of a step as it can. It reports whether none is
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -153,7 +153,7 @@
 // still complete by its objective. The estimates are rough, so they count one and a
 // half times.
 func (c *Core) slack(j *job) time.Duration {
-	if j.def.LongRunning() {
+	if j.longRunning {
 		return 0
 	}
 	return time.Duration(j.objective-c.wall-j.criticalPath*3/2) * time.Millisecond
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -19,6 +19,8 @@
 	// waitReportInterval is how often the reason is checked again. Only a change is
 	// reported.
 	waitReportInterval = 3 * time.Second
+	// maxWaitReports bounds the steps of a pass whose reasons are looked for.
+	maxWaitReports = 100
 )
 
 // Reasons why tasks wait, in addition to those of single workers.
@@ -38,6 +40,9 @@
 	if c.now-s.readyAt < waitReportAfter || c.now-s.lastWait.at < waitReportInterval && s.lastWait.at != 0 {
 		return
 	}
+	if c.waitReports++; c.waitReports > maxWaitReports {
+		return
+	}
 	s.lastWait.at = c.now
 	t := s.firstPendingTask(c.now)
 	if t == nil {
