Accepted jobs are bounded by the memory they take, before they are written

What callers saw: jobs of legal size, sent whole under new IDs, brought a node to 186 MiB (96 allowed), three nodes to 1,219, a successor to 155; one account filled the table, and another account's ordinary job got 503.

Cause: the bound counted bytes of records. What is made of them isn't in proportion: a step of 10 bytes is 1,000 in memory. It didn't count jobs that were being written, nor did anybody sum up what all hosts accepted, and all accounts shared it.

Change: intake.JobRoom counts bytes of memory, in the table and of jobs being written, each job once. The leader reserves the memory before it writes, and answers with a rejection when there is none: 503 job-table-full with the time in which there should be room at the rate of the last 10 s. A job may take a quarter of what is left to its account, so that large ones are refused first. Half of the room is guaranteed to the accounts by their weights (team.Room). Two sixteenths are kept: one for what hosts write without the leader, one for what a new leader writes before it has read all earlier records. The default is 1/5 of the memory. Decoded jobs that wait for the store count as well.

Why it works: the same count holds for the leader, each successor and a host that reads everything back, since it follows from the job alone. TestJobMemoryIsCounted compares it with the heap for nine kinds of jobs.

TestJobTableIsBounded counted bytes of records; it now asserts the same with bytes of memory, and that an ended job counts for less.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -475,6 +475,7 @@
 			continue
 		}
 		n.desk.catalog.Store(cat)
+		n.table.room.SetWeights(accountWeights(cat))
 		n.log.WithFields(logrus.Fields{"version": cat.Version, "offset": rec.Offset}).Info("configuration in force")
 		if n.term != nil && n.term.dispatcher != nil {
 			batch = append(batch, dispatch.CatalogChanged{Catalog: cat})
--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,11 +45,10 @@
 	maxPendingWrites = 256
 	// defaultMaxBodyBytes applies if the operators state no limit.
 	defaultMaxBodyBytes = 262144
-	// pendingMemoryDivisor and jobMemoryDivisor are the shares of the memory for the records
-	// that wait for the store and for the job records in the table. A decoded job takes
-	// about three times the memory of its record.
+	// pendingMemoryDivisor and jobMemoryDivisor are the shares of the memory for the jobs that
+	// wait for the store and for those that are accepted.
 	pendingMemoryDivisor = 16
-	jobMemoryDivisor     = 8
+	jobMemoryDivisor     = 5
 	// maxUnmatchedCancels bounds the cancellations in the log of jobs that are not in it.
 	maxUnmatchedCancels = 10000
 	// catchUpTimeout bounds the wait to read the log to its end before a job is
@@ -91,11 +91,11 @@
 	leaving      atomic.Bool
 	// writeSlots bounds the writes that wait for the store.
 	writeSlots chan struct{}
-	// pending bounds their bytes; maxJobBytes bounds the job records in the table, 0 is
-	// without bound.
-	pending     byteBudget
-	maxJobBytes int64
-	mu          sync.Mutex
+	// pending bounds their bytes.
+	pending byteBudget
+	// hosts returns how many hosts may accept jobs at the same time.
+	hosts func() int
+	mu    sync.Mutex
 	// submissions holds the submissions in progress by job ID, so that repeated
 	// requests wait for the first.
 	submissions map[string]*submission
@@ -112,7 +112,8 @@
 }
 
 func newJobAPI(directWriter *jobLogWriter, jobs *jobTable, count func(kind, reason string), appendViaLeader func(context.Context, store.Record) (bool, error)) *jobAPI {
-	return &jobAPI{directWriter: directWriter, appendViaLeader: appendViaLeader, table: jobs, writeSlots: make(chan struct{}, maxPendingWrites), submissions: map[string]*submission{}, storedAccounts: map[string]string{}, count: count}
+	return &jobAPI{directWriter: directWriter, appendViaLeader: appendViaLeader, table: jobs, writeSlots: make(chan struct{}, maxPendingWrites), submissions: map[string]*submission{}, storedAccounts: map[string]string{}, count: count,
+		hosts: func() int { return 1 }}
 }
 
 // outcome builds an outcome with its retry delay, and counts refusals.
@@ -193,7 +194,7 @@
 		return memory / divisor
 	}
 	d.pending.limit.Store(share(l.MaxPendingBytes, pendingMemoryDivisor))
-	d.maxJobBytes = share(l.MaxJobBytes, jobMemoryDivisor)
+	d.table.room.SetLimit(share(l.MaxJobBytes, jobMemoryDivisor))
 }
 
 // Ready implements intake.Desk.
@@ -228,16 +229,39 @@
 		f.outcome = d.outcome(intake.Invalid, "invalid-job")
 	case len(value) > d.maxValueBytes:
 		f.outcome = d.outcome(intake.TooLarge, "job-too-large")
-	case d.maxJobBytes > 0 && d.table.jobBytesHeld()+int64(len(value)) > d.maxJobBytes:
-		f.outcome = d.outcome(intake.Unavailable, "job-table-full")
 	default:
-		f.outcome = d.write(ctx, store.Record{Key: jobKeyPrefix + job.ID, Value: value}, job.ID,
-			func(_ jobEntry, ok bool) bool { return ok })
+		f.outcome = d.writeJob(ctx, &job, value)
 	}
 	d.endSubmission(job.ID, job.Account, f)
 	return f.outcome
 }
 
+// writeJob stores the record of a job if there is memory for the job.
+func (d *jobAPI) writeJob(ctx context.Context, job *workflow.Job, value []byte) intake.Outcome {
+	room := d.table.room
+	if rejected := room.Reserve(job.ID, job.Account, job.MemoryBytes(), time.Now()); rejected != nil {
+		return d.rejectedOutcome(rejected)
+	}
+	id := job.ID
+	// The decoded job is held as well until it is written.
+	decodedBytes := job.EndedMemoryBytes()
+	out := d.write(ctx, store.Record{Key: jobKeyPrefix + id, Value: value}, id, decodedBytes,
+		func(_ jobEntry, ok bool) bool { return ok })
+	room.Release(id, out.Code == intake.OK || out.Code == intake.OutcomeUnknown, time.Now())
+	return out
+}
+
+// rejectedOutcome returns the outcome for a job that was rejected before it was written.
+func (d *jobAPI) rejectedOutcome(rejected *intake.RejectedError) intake.Outcome {
+	code := intake.Busy
+	if rejected.Reason == intake.ReasonJobTableFull {
+		code = intake.Unavailable
+	}
+	o := d.outcome(code, rejected.Reason)
+	o.RetryAfter = rejected.RetryAfter
+	return o
+}
+
 // beginSubmission returns the submission in progress for a job, and whether the
 // caller has started it.
 func (d *jobAPI) beginSubmission(id string) (*submission, bool) {
@@ -268,8 +292,8 @@
 
 // write stores one record: through the leader, which writes all waiting records
 // in one append, or directly if the leader does not answer. Doing both is safe,
-// since the first record of a key wins.
-func (d *jobAPI) write(ctx context.Context, r store.Record, id string, seen func(jobEntry, bool) bool) intake.Outcome {
+// since the first record of a key wins. decodedBytes are held beside the record.
+func (d *jobAPI) write(ctx context.Context, r store.Record, id string, decodedBytes int64, seen func(jobEntry, bool) bool) intake.Outcome {
 	if !d.canWrite() {
 		return d.outcome(intake.Unavailable, "store-unreachable")
 	}
@@ -279,7 +303,7 @@
 	default:
 		return d.outcome(intake.Busy, "too-many-accepts")
 	}
-	size := int64(len(r.Key) + len(r.Value))
+	size := int64(len(r.Key)+len(r.Value)) + decodedBytes
 	if !d.pending.take(size) {
 		return d.outcome(intake.Busy, "too-many-accept-bytes")
 	}
@@ -290,9 +314,7 @@
 	case writeDone:
 		return intake.Outcome{}
 	case writeRejected:
-		o := d.outcome(intake.Busy, rejected.Reason)
-		o.RetryAfter = rejected.RetryAfter
-		return o
+		return d.rejectedOutcome(rejected)
 	case writeNotDone:
 		return d.outcome(intake.Unavailable, "store-refused")
 	}
@@ -351,7 +373,8 @@
 		start(func() writeResult { return d.writeViaLeader(ctx, r) })
 	}
 	startDirect := func() {
-		if !directStarted {
+		// Without the leader, nobody sums up what all hosts accept.
+		if !directStarted && d.table.room.AllowUncounted(strings.TrimPrefix(r.Key, jobKeyPrefix), d.hosts()) {
 			directStarted = true
 			d.count("retry", "direct-write")
 			start(func() writeResult { return writeResult{outcome: d.writeDirect(ctx, r)} })
@@ -554,7 +577,7 @@
 	if err != nil {
 		return d.outcome(intake.Invalid, "invalid-job")
 	}
-	return d.write(ctx, store.Record{Key: cancelKeyPrefix + id, Value: value}, id,
+	return d.write(ctx, store.Record{Key: cancelKeyPrefix + id, Value: value}, id, 0,
 		func(e jobEntry, _ bool) bool { return e.cancelled })
 }
 
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mimosaspool/mimosaspool/internal/dispatch"
+	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
@@ -28,9 +29,9 @@
 type jobEntry struct {
 	job    *workflow.Job
 	offset int64
-	// recordBytes is the size of the job's record.
-	recordBytes int
-	cancelled   bool
+	// memory is what the job counts for in the table's room.
+	memory    int64
+	cancelled bool
 	// cancelledMillis is when the cancellation was written, in Unix milliseconds, 0 if
 	// that isn't recorded.
 	cancelledMillis int64
@@ -79,8 +80,8 @@
 	entries map[string]*jobEntry
 	// pendingByQueue counts, by queue, the jobs of which no task has started.
 	pendingByQueue map[string]int
-	// jobBytes is the size of all job records.
-	jobBytes int64
+	// room bounds the memory of all jobs.
+	room *intake.JobRoom
 	// unmatchedCancels counts the cancellations of jobs whose records are not in the log.
 	unmatchedCancels int
 	registrations    map[string]dispatch.Registration
@@ -111,7 +112,7 @@
 
 func newJobTable() *jobTable {
 	return &jobTable{entries: map[string]*jobEntry{}, pendingByQueue: map[string]int{}, registrations: map[string]dispatch.Registration{}, splits: splitValues{},
-		newestOffsets: map[string]int64{}, changed: make(chan struct{})}
+		newestOffsets: map[string]int64{}, changed: make(chan struct{}), room: intake.NewJobRoom(0)}
 }
 
 // tableChange is the change that one record made to the table. One field is set.
@@ -250,10 +251,29 @@
 	t.countEntry(e, -1)
 	apply()
 	t.countEntry(e, 1)
+	t.changeMemory(e, e.currentMemory())
+}
+
+// changeMemory sets what the job of an entry counts for.
+func (t *jobTable) changeMemory(e *jobEntry, n int64) {
+	if n != e.memory {
+		t.room.Change(e.account(), n-e.memory, time.Now())
+		e.memory = n
+	}
+}
+
+// currentMemory returns the memory that the job takes in its state.
+func (e *jobEntry) currentMemory() int64 {
+	switch {
+	case e.job == nil:
+		return 0
+	case e.progress.Final != "":
+		return e.job.EndedMemoryBytes()
+	}
+	return e.job.MemoryBytes()
 }
 
 func (t *jobTable) countEntry(e *jobEntry, n int) {
-	t.jobBytes += int64(n * e.recordBytes)
 	if e.pending() {
 		t.pendingByQueue[e.job.Queue] += n
 	}
@@ -266,6 +286,7 @@
 // same read may refer to it.
 func (t *jobTable) removeEntry(id string, e *jobEntry) {
 	t.countEntry(e, -1)
+	t.changeMemory(e, 0)
 	delete(t.entries, id)
 }
 
@@ -290,10 +311,11 @@
 	}
 	if e.job != nil {
 		// The summary kept after the end of the job.
-		t.updateEntry(e, func() { e.job, e.recordBytes = &job, len(r.Value) })
+		t.updateEntry(e, func() { e.job = &job })
 		return nil, nil
 	}
-	t.updateEntry(e, func() { e.job, e.offset, e.recordBytes = &job, r.Offset, len(r.Value) })
+	t.updateEntry(e, func() { e.job, e.offset = &job, r.Offset })
+	t.room.Applied(id)
 	return &tableChange{accepted: e}, nil
 }
 
@@ -440,13 +462,6 @@
 	return *e, e.job != nil
 }
 
-// jobBytesHeld returns the size of all job records.
-func (t *jobTable) jobBytesHeld() int64 {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return t.jobBytes
-}
-
 // unmatchedCancelCount returns the number of cancellations of jobs whose records are not in
 // the log.
 func (t *jobTable) unmatchedCancelCount() int {
--- a/internal/node/jobwriter.go
+++ b/internal/node/jobwriter.go
@@ -366,16 +366,20 @@
 			return false, errors.Errorf("record %q is not a caller's", r.Key)
 		}
 	}
-	if err := n.admit(records); err != nil {
+	release, err := n.admit(records)
+	if err != nil {
 		return false, err
 	}
 	size := int64(totalBytes(records))
 	if !n.forwarded.take(size) {
 		n.deps.Count("refusal", "write-queue-full")
+		release(false)
 		return false, nil
 	}
 	defer n.forwarded.release(size)
-	switch _, err := w.append(ctx, records); {
+	_, err = w.append(ctx, records)
+	release(err == nil || !errors.Is(err, store.ErrNotExecuted))
+	switch {
 	case err == nil:
 		return true, nil
 	case errors.Is(err, store.ErrNotExecuted):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,8 @@
 	lateness  lateness
 	// admission is that of this node's term, nil if no job is rejected.
 	admission atomic.Pointer[dispatch.Admission]
+	// dispatching is set while the dispatcher of this node's term knows all earlier records.
+	dispatching atomic.Bool
 	// waves are the operators' maintenance waves by record key.
 	waves map[string]requestedWave
 }
@@ -137,6 +139,7 @@
 	direct := newJobLogWriter(deps.Store, 0, newAppendLimits(&settings), n.storeReader, log, deps.Count, nil)
 	n.desk = newJobAPI(direct, t, deps.Count, n.writeAtLeader)
 	n.desk.applyBounds(settings.Limits)
+	n.desk.hosts = n.hostCount
 	n.forwarded.limit.Store(n.desk.pending.limit.Load())
 	n.desk.maxValueBytes = direct.limits.maxValueBytes()
 	n.desk.keys = newKeyGuard(n.suspendAwareUptime, log)
@@ -199,6 +202,17 @@
 	return done, err
 }
 
+// assumedHosts is the number of hosts while it is not known.
+const assumedHosts = 32
+
+// hostCount returns how many hosts the system has.
+func (n *Node) hostCount() int {
+	if known := len(n.Members()); known > 0 {
+		return known
+	}
+	return assumedHosts
+}
+
 // connectionRefused reports whether no connection was made because it was refused. An
 // open connection, over which a request may have been sent, fails with the same error
 // number after an ICMP error.
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -83,6 +83,7 @@
 	n.log.WithFields(logrus.Fields{"token": n.term.token, "reason": reason}).Info("term ends")
 	n.termWriter.Store(nil)
 	n.admission.Store(nil)
+	n.dispatching.Store(false)
 	n.term.cancel()
 	n.term = nil
 	n.termToken.Store(0)
@@ -114,6 +115,7 @@
 	}
 	settings := n.dispatchSettings(t.token, t.offset)
 	settings.LegacyToken = n.table.legacyToken()
+	n.dispatching.Store(true)
 	t.dispatcher = dispatch.New(settings, n.uptime(), time.Now().UnixMilli())
 	events := []dispatch.Event{dispatch.CatalogChanged{Catalog: cat}}
 	n.table.mu.RLock()
--- a/internal/noded/clients.go
+++ b/internal/noded/clients.go
@@ -40,8 +40,8 @@
 	f.Int64Var(&o.BodyBytes, "client-body-bytes", 0, "most bytes of memory for all request bodies; 0 is 1/8 of the memory")
 	f.DurationVar(&o.BodyStall, "client-body-stall", defaultBodyStall, "longest time between two parts of a request body")
 	f.DurationVar(&o.BodyTimeout, "client-body-timeout", defaultBodyTimeout, "longest time to receive a request body")
-	f.Int64Var(&o.PendingBytes, "pending-write-bytes", 0, "most bytes of callers' records that wait for the store; 0 is 1/16 of the memory")
-	f.Int64Var(&o.JobBytes, "job-table-bytes", 0, "most bytes of all job records in memory; 0 is 1/8 of the memory")
+	f.Int64Var(&o.PendingBytes, "pending-write-bytes", 0, "most bytes of callers' jobs that wait for the store, record and decoded; 0 is 1/16 of the memory")
+	f.Int64Var(&o.JobBytes, "job-table-bytes", 0, "most bytes of memory of all accepted jobs; 0 is 1/5 of the memory")
 }
 
 func (o *clientOptions) bounds(l node.Limits) ingress.Bounds {
