A gang has 500 tasks at most

What callers would see: a job with one gang of 20,000 tiny tasks makes the leader plan all of them against all workers in each pass, start them at once, and stop them again, since they can't all be running within the time in which a gang has to form. Found by reading.

Change: a job with a larger gang gets 400 when it is submitted, as it can't be served. Jobs that an earlier version has accepted are kept.

Evidence: a test of the limit, which no job was held to before.

--- a/internal/node/jobapi.go
+++ b/internal/node/jobapi.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"strings"
@@ -204,7 +205,7 @@
 
 // Submit implements intake.Desk.
 func (d *jobAPI) Submit(ctx context.Context, q *workflow.Queue, job workflow.Job) intake.Outcome {
-	if err := job.Validate(); err != nil {
+	if err := cmp.Or(job.Validate(), job.ValidateGangs()); err != nil {
 		return d.outcome(intake.Invalid, "invalid-job")
 	}
 	// Checked before the lookup: a job that the view loads after the lookup must not be taken for a new one.
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -150,6 +150,8 @@
 	MaxTasks = 20000
 	// MaxSteps bounds the number of steps of a job.
 	MaxSteps = 1000
+	// MaxGangTasks bounds the tasks of a gang, which start at the same time.
+	MaxGangTasks = 500
 	// MaxOccurrences bounds the number of scheduled occurrences.
 	MaxOccurrences = 100000
 )
@@ -197,6 +199,17 @@
 	return nil
 }
 
+// ValidateGangs returns an *InvalidError if a gang is too large to be started at the same time.
+// Jobs that earlier versions have accepted are not held to it.
+func (j *Job) ValidateGangs() error {
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.Gang && s.Count > MaxGangTasks {
+			return errors.WithStack(&InvalidError{"steps", fmt.Sprintf("step %d is a gang of %d tasks, at most %d are allowed", i, s.Count, MaxGangTasks)})
+		}
+	}
+	return nil
+}
+
 // StepID identifies a step of one occurrence of a job.
 type StepID struct {
 	Job              string
--- a/internal/workflow/job_test.go
+++ b/internal/workflow/job_test.go
@@ -53,3 +53,16 @@
 		g.Expect(err).To(HaveOccurred(), bad)
 	}
 }
+
+// A gang whose tasks can't all start at the same time must be refused when it is submitted, and
+// kept if an earlier version has accepted it.
+func TestGangsAreBoundedWhenSubmitted(t *testing.T) {
+	g := NewWithT(t)
+	job := func(s Step) *Job { return &Job{Steps: []Step{{Count: 1}, s}} }
+	g.Expect(job(Step{Count: MaxGangTasks, Gang: true}).ValidateGangs()).To(Succeed())
+	g.Expect(job(Step{Count: MaxTasks - 1}).ValidateGangs()).To(Succeed())
+	large := job(Step{Count: MaxGangTasks + 1, Gang: true})
+	var invalid *InvalidError
+	g.Expect(errors.As(large.ValidateGangs(), &invalid)).To(BeTrue())
+	g.Expect(large.Validate()).To(Succeed())
+}
