The records that a node keeps for others are bounded in bytes

What callers would see: 2,048 records of up to 256 KiB, half a gigabyte, on a leader that is sent long jobs. Found by reading.

Cause: the tail of the log was bounded in records only.

Change: it is bounded by 1/32 of the memory as well, at least 1 MiB. A reader that is further behind reads the store, as before.

Evidence: TestLogTailIsBoundedInBytes, a bound that was not there before.

--- a/internal/node/logtail.go
+++ b/internal/node/logtail.go
@@ -16,6 +16,13 @@
 // new record.
 const maxTailRecords = 2048
 
+const (
+	// tailMemoryDivisor is the share of the memory for the records kept for other nodes,
+	// minTailBytes is the least bound on their bytes.
+	tailMemoryDivisor = 32
+	minTailBytes      = 1 << 20
+)
+
 // logTail holds the newest records of the job log without a gap, so that other
 // nodes can read them from the leader, or from the reader of their failure domain,
 // instead of from the store. It may be used concurrently.
@@ -24,13 +31,17 @@
 	// firstOffset is the offset of records[0].
 	firstOffset int64
 	records     []store.StoredRecord
+	// bytes is the size of the records. When it exceeds maxBytes, the older half is discarded.
+	bytes, maxBytes int
 	// readAt is when the log was last read up to the end of records.
 	readAt time.Time
 	// updated is closed and replaced with each read result.
 	updated chan struct{}
 }
 
-func newLogTail() *logTail { return &logTail{firstOffset: -1, updated: make(chan struct{})} }
+func newLogTail() *logTail {
+	return &logTail{firstOffset: -1, maxBytes: minTailBytes, updated: make(chan struct{})}
+}
 
 // add appends the records of a read result if they follow without a gap;
 // otherwise it restarts the tail.
@@ -43,15 +54,12 @@
 		}
 	}
 	if c.firstOffset < 0 || result.nextOffset > c.endOffset() {
-		c.firstOffset, c.records = result.nextOffset, nil
+		c.restart(result.nextOffset)
 	}
 	if result.readAt.After(c.readAt) {
 		c.readAt = result.readAt
 	}
-	if excess := len(c.records) - maxTailRecords/2; len(c.records) > maxTailRecords {
-		c.firstOffset += int64(excess)
-		c.records = slices.Delete(c.records, 0, excess)
-	}
+	c.discard()
 	close(c.updated)
 	c.updated = make(chan struct{})
 }
@@ -61,9 +69,29 @@
 	case c.firstOffset >= 0 && r.Offset < end:
 		return
 	case c.firstOffset < 0 || r.Offset > end:
-		c.firstOffset, c.records = r.Offset, nil
+		c.restart(r.Offset)
 	}
 	c.records = append(c.records, r)
+	c.bytes += storedBytes(r)
+}
+
+// restart discards all records; the next one has the offset.
+func (c *logTail) restart(offset int64) { c.firstOffset, c.records, c.bytes = offset, nil, 0 }
+
+func storedBytes(r store.StoredRecord) int { return len(r.Key) + len(r.Value) }
+
+// discard discards the oldest records if there are too many.
+func (c *logTail) discard() {
+	if len(c.records) <= maxTailRecords && c.bytes <= c.maxBytes {
+		return
+	}
+	n := 0
+	for len(c.records)-n > maxTailRecords/2 || c.bytes > c.maxBytes/2 {
+		c.bytes -= storedBytes(c.records[n])
+		n++
+	}
+	c.firstOffset += int64(n)
+	c.records = slices.Delete(c.records, 0, n)
 }
 
 func (c *logTail) endOffset() int64 { return c.firstOffset + int64(len(c.records)) }
--- a/internal/node/logtail_test.go
+++ b/internal/node/logtail_test.go
@@ -65,3 +65,22 @@
 	runtime.ReadMemStats(&after)
 	Expect((after.TotalAlloc - before.TotalAlloc) / maxTailRecords).To(BeNumerically("<", 1024))
 }
+
+// TestLogTailIsBoundedInBytes guards against a few large records that take the memory.
+func TestLogTailIsBoundedInBytes(t *testing.T) {
+	g := NewWithT(t)
+	c := newLogTail()
+	c.maxBytes = 1000
+	for o := range int64(50) {
+		c.add(readResult{records: []store.StoredRecord{{Offset: o, Record: store.Record{Key: "k", Value: make([]byte, 199)}}}, nextOffset: o + 1})
+		g.Expect(c.bytes).To(And(BeNumerically("<=", 1000), Equal(200*len(c.records))))
+		b, _, ok := c.from(c.firstOffset)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(b.Records).To(HaveLen(int(o + 1 - c.firstOffset)))
+		g.Expect(b.NextOffset).To(Equal(o + 1))
+	}
+	c.add(readResult{records: []store.StoredRecord{{Offset: 50, Record: store.Record{Value: make([]byte, 5000)}}}, nextOffset: 51})
+	g.Expect(c.bytes).To(BeZero(), "a record larger than the bound is read from the store")
+	_, _, ok := c.from(50)
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 		leaveRequested: make(chan struct{}), leadershipReleased: make(chan struct{}), views: newViewTracker(log), recent: newLogTail(),
 		membersLoaded: make(chan struct{}),
 	}
+	n.recent.maxBytes = max(minTailBytes, int(settings.Limits.MemoryMiB<<20/tailMemoryDivisor))
 	n.bulkSources.Store(&loadSources{})
 	n.logSource.Store(&logSource{})
 	n.storeReader = newFailoverReader(deps.Store, deps.Peers, n.peerAddresses, deps.Count)
