Entries and schedulers bound their clients as nodes do

What callers saw: heads of up to 1 MiB brought an entry to 530 MiB (96 allowed), streams of HTTP/2 to 2,227 MiB, and idle connections took all descriptors, so that no one else was answered for 30 s and more.

Cause: lifecycle.Serve bounded nothing but the time to receive a head, and net/http's limits hold for each connection only.

For that the gate learned to serve handlers that stream (64 KiB of a body count, a body stands still only while its handler waits for it, a response takes as long as its client reads), HTTP/2 (a connection carries 16 requests and counts as 16, the heads of its requests count until they are answered), and headers of refusals: an entry's have the outcome not-run and the reason, as its pages promise. A client that reads nothing of its response for 1 s gives way to others, and after 30 s its connection is closed; on streaming servers that takes the place of a bound on the whole response.

Why it works: what is bounded holds over all connections of the process.

--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -99,6 +99,7 @@
 }
 
 func run(parent context.Context, f flags, set routing.Settings) error {
+	lifecycle.LimitMemory(f.MemoryMiB)
 	lifecycle.TuneGC()
 	tel, err := telemetry.New("entry")
 	if err != nil {
@@ -113,11 +114,11 @@
 	}
 	ctx, cancel := lifecycle.SignalContext(parent, e.logCutOff)
 	defer cancel()
-	return e.serveUntil(ctx, f.Listen, f.Grace, tel.Handler())
+	return e.serveUntil(ctx, f.Listen, f.Grace, tel.Handler(), f.MemoryMiB)
 }
 
 // serveUntil serves until ctx has ended and nothing is in flight.
-func (e *Entry) serveUntil(ctx context.Context, listen string, grace time.Duration, metrics http.Handler) error {
+func (e *Entry) serveUntil(ctx context.Context, listen string, grace time.Duration, metrics http.Handler, memoryMiB int64) error {
 	r := lifecycle.Router(func() bool { return e.Ready() && ctx.Err() == nil }, metrics).SkipClean(true).UseEncodedPath()
 	e.Register(r)
 	base := context.WithoutCancel(ctx)
@@ -125,7 +126,9 @@
 	serving, stopServing := context.WithCancel(base)
 	defer stopServing()
 	served := make(chan error, 1)
-	go func() { served <- lifecycle.Serve(serving, listen, r) }()
+	opt := lifecycle.ServeOptions{MemoryMiB: memoryMiB, Streaming: true, RefusalHeader: refusalHeader,
+		Count: func(kind, reason string) { e.opt.Telemetry.Count(kind, reason, 1) }}
+	go func() { served <- lifecycle.Serve(serving, listen, r, opt) }()
 	var err error
 	select {
 	case err = <-served:
@@ -136,6 +139,11 @@
 	return err
 }
 
+// refusalHeader returns the headers of a refusal of a request that no handler has seen.
+func refusalHeader(reason string) http.Header {
+	return http.Header{headerOutcome: {outcomeNotRun}, headerReason: {reason}}
+}
+
 // drain stops accepting requests and waits for those in flight.
 func (e *Entry) drain(grace time.Duration, stopServing func(), served <-chan error) error {
 	e.opt.Logger.WithField("grace", grace.String()).Info("stopping: not ready, still taking requests")
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -33,6 +33,10 @@
 	// writeTimeout bounds a request including its response, so that a client that does not
 	// read responses is disconnected. It exceeds the time that a request may take.
 	writeTimeout = 90 * time.Second
+	// streamedBodyBytes is how much is held at most of a body that is passed on.
+	streamedBodyBytes = 64 << 10
+	// Limits of a connection of HTTP/2, in bytes.
+	streamReceiveBuffer, multiplexedReceiveBuffer = 64 << 10, 128 << 10
 	// retryAfterSeconds is sent with 503.
 	retryAfterSeconds = "1"
 	countKind         = "ingress"
@@ -45,8 +49,16 @@
 	Limits func() Limits
 	// Refusal returns the content type and body of a refusal.
 	Refusal func(reason string) (contentType string, body []byte)
-	Count   func(kind, reason string)
-	Log     logrus.FieldLogger
+	// RefusalHeader returns further headers of a refusal; it may be nil.
+	RefusalHeader func(reason string) http.Header
+	Count         func(kind, reason string)
+	Log           logrus.FieldLogger
+	// Streaming is set if the handler passes bodies of any length on while they come. Only a
+	// part of each counts, a response takes as long as its client reads it, and the handler
+	// itself answers requests whose bodies are ended.
+	Streaming bool
+	// HTTP2 makes the server speak HTTP/2 without TLS as well.
+	HTTP2 bool
 }
 
 // Gate applies the bounds to one server. Its methods may be called concurrently.
@@ -90,7 +102,7 @@
 
 // Server returns a server of the handler for the gate's listener.
 func (g *Gate) Server(h http.Handler) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler: h, WriteTimeout: writeTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -101,6 +113,18 @@
 			}
 		},
 	}
+	if g.cfg.Streaming {
+		s.WriteTimeout = 0 // maxUnread applies
+	}
+	if g.cfg.HTTP2 {
+		s.Protocols = &http.Protocols{}
+		s.Protocols.SetHTTP1(true)
+		s.Protocols.SetUnencryptedHTTP2(true)
+		s.MaxHeaderBytes = int(g.cfg.Limits().MaxHeadBytes)
+		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: multiplexedWeight, MaxReceiveBufferPerStream: streamReceiveBuffer,
+			MaxReceiveBufferPerConnection: multiplexedReceiveBuffer, WriteByteTimeout: maxUnread}
+	}
+	return s
 }
 
 type connKey struct{}
@@ -218,6 +242,10 @@
 	scan    headScan
 	// headEnded is set after the end of a head until the next one begins.
 	headEnded bool
+	// preface is how many bytes of that of HTTP/2 have been received, notHTTP2 if others have.
+	preface int
+	// bodyRead counts the bytes of the present body.
+	bodyRead int64
 	// early is the first byte of the next head, received while a request is answered.
 	early    [1]byte
 	hasEarly bool
@@ -237,6 +265,11 @@
 	now := time.Now()
 	limits := c.gate.cfg.Limits()
 	c.gate.mu.Lock()
+	if c.gate.cfg.HTTP2 && c.preface >= 0 && c.receivePreface(p[:n], now) {
+		c.account.progress = now
+		c.gate.mu.Unlock()
+		return n, err
+	}
 	if a := &c.account; a.phase == idle {
 		c.gate.ledger.enter(a, receivingHead, now)
 	}
@@ -258,6 +291,57 @@
 	return n, err
 }
 
+// http2Preface begins a connection of HTTP/2 (RFC 9113, section 3.4).
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// notHTTP2 is the value of conn.preface for a connection of HTTP/1.1.
+const notHTTP2 = -1
+
+// receivePreface compares the first bytes of a connection with the preface of HTTP/2. It
+// reports whether the connection is multiplexed. The caller holds gate.mu.
+func (c *conn) receivePreface(p []byte, now time.Time) bool {
+	if c.multiplexed() {
+		return true
+	}
+	n := min(len(p), len(http2Preface)-c.preface)
+	if string(p[:n]) != http2Preface[c.preface:c.preface+n] {
+		c.preface = notHTTP2
+		return false
+	}
+	if c.preface += n; !c.multiplexed() {
+		return false
+	}
+	g := c.gate
+	g.ledger.enter(&c.account, idle, now)
+	closed, ok := g.ledger.multiplex(&c.account, now)
+	if !ok {
+		closed = append(closed, &c.account)
+		g.ledger.remove(&c.account)
+	}
+	for _, x := range closed {
+		g.report(reasonConnections, now)
+		_ = x.conn.Conn.Close()
+	}
+	return true
+}
+
+// multiplexed reports whether the connection is one of HTTP/2. The caller holds gate.mu.
+func (c *conn) multiplexed() bool { return c.preface == len(http2Preface) }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	n, err := c.Conn.Write(p)
+	c.setWriting(time.Time{})
+	return n, err
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.account.writingSince = since
+}
+
 // receiveHead accounts for bytes in the phase receivingHead. It returns a status if the head
 // is refused. The caller holds gate.mu.
 func (c *conn) receiveHead(p []byte, limit int64, now time.Time) (status int, reason string) {
@@ -281,6 +365,13 @@
 	return status, reason
 }
 
+func (g *Gate) refusalHeader(reason string) http.Header {
+	if g.cfg.RefusalHeader == nil {
+		return nil
+	}
+	return g.cfg.RefusalHeader(reason)
+}
+
 // refuseHead writes a response and drops what the client still sends for a short time.
 func (c *conn) refuseHead(status int, reason string) {
 	contentType, body := c.gate.cfg.Refusal(reason)
@@ -289,6 +380,11 @@
 	if status == http.StatusServiceUnavailable {
 		out += "Retry-After: " + retryAfterSeconds + "\r\n"
 	}
+	for name, values := range c.gate.refusalHeader(reason) {
+		for _, v := range values {
+			out += name + ": " + v + "\r\n"
+		}
+	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
 	if _, err := c.Conn.Write(append([]byte(out+"\r\n"), body...)); err != nil {
 		return
@@ -327,10 +423,10 @@
 	now := time.Now()
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	if c.ended != "" {
+	if c.ended != "" || c.multiplexed() {
 		return
 	}
-	c.scan, c.headEnded = headScan{}, false
+	c.scan, c.headEnded, c.bodyRead, c.account.paused = headScan{}, false, 0, false
 	c.gate.ledger.enter(&c.account, idle, now)
 	if c.hasEarly {
 		c.hasEarly = false
@@ -359,6 +455,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if r.ProtoMajor > 1 {
+			c.serveStream(next, w, r)
+			return
+		}
 		c.enter(answering)
 		if r.Body == http.NoBody {
 			next.ServeHTTP(w, r)
@@ -374,6 +474,40 @@
 	})
 }
 
+// serveStream serves a request of a multiplexed connection, whose body is bounded by the
+// connection's receive buffer.
+func (c *conn) serveStream(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	g, n := c.gate, headBytes(r)
+	g.mu.Lock()
+	ok := g.ledger.beginStream(&c.account, n, time.Now())
+	if !ok {
+		g.report(reasonHeadBytes, time.Now())
+	}
+	g.mu.Unlock()
+	if !ok {
+		g.writeRefusal(w, http.StatusServiceUnavailable, reasonHeadBytes)
+		return
+	}
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.ledger.endStream(&c.account, n, time.Now())
+	}()
+	next.ServeHTTP(w, r)
+}
+
+// headBytes returns about how many bytes a request's head takes.
+func headBytes(r *http.Request) int64 {
+	const perField = 64
+	n := int64(len(r.RequestURI) + len(r.Host))
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += int64(len(name)+len(v)) + perField
+		}
+	}
+	return n
+}
+
 // response drops what the handler writes after the request was refused.
 type response struct {
 	http.ResponseWriter
@@ -415,7 +549,7 @@
 	if b.response.refused {
 		return 0, errBodyRefused
 	}
-	b.conn.enter(receivingBody)
+	b.conn.beginRead()
 	n, err := b.ReadCloser.Read(p)
 	switch status, reason := b.conn.receiveBody(n); {
 	case status != 0:
@@ -431,18 +565,39 @@
 	return n, err
 }
 
+// beginRead notes that the handler waits for bytes of the body.
+func (c *conn) beginRead() {
+	now := time.Now()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	switch a := &c.account; {
+	case c.ended != "":
+	case a.phase != receivingBody:
+		c.gate.ledger.enter(a, receivingBody, now)
+	case a.paused:
+		a.progress = now
+	}
+	c.account.paused = false
+}
+
 // receiveBody accounts for bytes of a body. It returns a status if the request is refused.
 func (c *conn) receiveBody(n int) (status int, reason string) {
-	if n == 0 {
-		return 0, ""
-	}
 	now := time.Now()
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
+	c.account.paused = c.gate.cfg.Streaming
+	if n == 0 {
+		return 0, ""
+	}
 	if c.ended != "" {
 		return http.StatusRequestTimeout, c.ended
 	}
-	ended, ok := c.gate.ledger.receiveBody(&c.account, int64(n), now)
+	c.bodyRead += int64(n)
+	held := int64(n)
+	if excess := c.bodyRead - streamedBodyBytes; c.gate.cfg.Streaming && excess > 0 {
+		held = max(0, held-excess)
+	}
+	ended, ok := c.gate.ledger.receiveBody(&c.account, held, now)
 	for _, victim := range ended {
 		c.gate.endBody(victim, reasonBodyStalled, now)
 	}
@@ -465,17 +620,27 @@
 	return c.ended
 }
 
-// refuse writes the response in place of the handler.
+// refuse writes the response in place of the handler. A handler that streams has passed a part
+// of the body on and answers itself.
 func (b *body) refuse(status int, reason string) {
-	contentType, text := b.conn.gate.cfg.Refusal(reason)
-	h := b.response.Header()
+	if g := b.conn.gate; !g.cfg.Streaming {
+		g.writeRefusal(b.response, status, reason)
+		b.response.refused = true
+	}
+}
+
+func (g *Gate) writeRefusal(w http.ResponseWriter, status int, reason string) {
+	contentType, text := g.cfg.Refusal(reason)
+	h := w.Header()
+	for name, values := range g.refusalHeader(reason) {
+		h[name] = values
+	}
 	h.Set("Connection", "close")
 	h.Set("Content-Type", contentType)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfterSeconds)
 	}
-	b.response.WriteHeader(status)
-	_, _ = b.response.Write(text) // the client may have gone
-	b.response.refused = true
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // the client may have gone
 }
--- a/internal/ingress/ledger.go
+++ b/internal/ingress/ledger.go
@@ -7,7 +7,8 @@
 
 // Bounds apply to all connections together.
 type Bounds struct {
-	// Connections and IdleConnections are numbers of open connections.
+	// Connections and IdleConnections are numbers of open connections. One of HTTP/2 counts as
+	// many as it carries requests at the same time.
 	Connections, IdleConnections int
 	// HeadBytes bounds the bytes of request heads that are held.
 	HeadBytes int64
@@ -75,6 +76,12 @@
 	bodyFactor = 4
 	// minStall is how long a body stands still before it may be ended in favour of others.
 	minStall = 250 * time.Millisecond
+	// multiplexedWeight is the number of connections that one of HTTP/2 counts for, which is
+	// how many requests it carries at the same time.
+	multiplexedWeight = 16
+	// minUnread is how long a client reads nothing of its response before its connection may be
+	// closed in favour of others, maxUnread before it is closed anyway.
+	minUnread, maxUnread = time.Second, 30 * time.Second
 	// drainTime bounds the time for which a connection drains.
 	drainTime = 2 * time.Second
 )
@@ -85,6 +92,15 @@
 	// since is when the phase began, progress when bytes were last received.
 	since, progress time.Time
 	head, body      int64
+	// streams counts the requests in progress of a multiplexed connection.
+	streams int
+	// weight is the number of connections that it counts for.
+	weight int
+	// writingSince is since when a write waits for the client to read, zero if none does.
+	writingSince time.Time
+	// paused is set while the handler doesn't read the body, which then stands still without
+	// the client's fault.
+	paused bool
 	// closed is set once the account is closed; nothing is accounted for after that.
 	closed bool
 	conn   *conn
@@ -92,8 +108,10 @@
 
 // ledger holds the accounts of all connections. It is not safe for concurrent use.
 type ledger struct {
-	bounds        Bounds
-	clients       map[*client]struct{}
+	bounds  Bounds
+	clients map[*client]struct{}
+	// connections is the sum of the weights of the clients.
+	connections   int
 	idle          int
 	heads, bodies int64
 }
@@ -105,7 +123,7 @@
 func (l *ledger) oldest(p phase, now time.Time, least time.Duration, except *client) *client {
 	var found *client
 	for c := range l.clients {
-		if c.phase == p && c != except && now.Sub(c.progress) >= least && (found == nil || c.progress.Before(found.progress)) {
+		if c.phase == p && c != except && !(p == receivingBody && c.paused) && now.Sub(c.progress) >= least && (found == nil || c.progress.Before(found.progress)) {
 			found = c
 		}
 	}
@@ -113,34 +131,108 @@
 }
 
 // add opens an account. If there are too many, it closes the one with the least progress and
-// returns it; a client whose request is being answered is never closed. It returns false if
-// there is none to close; the new account is not opened then.
+// returns it; a client whose request is being answered is only closed if it doesn't read the
+// response. It returns false if there is none to close; the new account is not opened then.
 func (l *ledger) add(c *client, now time.Time) (closed *client, ok bool) {
-	if len(l.clients) >= l.bounds.Connections {
-		for _, p := range [...]phase{draining, idle, receivingHead} {
-			if closed == nil {
-				closed = l.oldest(p, now, 0, nil)
-			}
-		}
-		if closed == nil {
-			closed = l.oldest(receivingBody, now, minStall, nil)
-		}
-		if closed == nil {
+	if l.connections >= l.bounds.Connections {
+		if closed = l.leastProgress(now, nil); closed == nil {
 			return nil, false
 		}
 		l.remove(closed)
 	}
-	c.phase, c.since, c.progress = receivingHead, now, now
+	c.phase, c.since, c.progress, c.weight = receivingHead, now, now, 1
 	l.clients[c] = struct{}{}
+	l.connections++
+	return closed, true
+}
+
+// leastProgress returns the client that is to be closed in favour of others, or nil.
+func (l *ledger) leastProgress(now time.Time, except *client) *client {
+	for _, p := range [...]phase{draining, idle, receivingHead} {
+		if c := l.oldest(p, now, 0, except); c != nil {
+			return c
+		}
+	}
+	if c := l.oldest(receivingBody, now, minStall, except); c != nil {
+		return c
+	}
+	return l.unread(now, except)
+}
+
+// unread returns the client that has read nothing of its response for the longest time, at least
+// for minUnread, or nil.
+func (l *ledger) unread(now time.Time, except *client) *client {
+	var found *client
+	for c := range l.clients {
+		if c != except && c.unreadFor(now) >= minUnread && (found == nil || c.writingSince.Before(found.writingSince)) {
+			found = c
+		}
+	}
+	return found
+}
+
+// unreadFor returns for how long the client has read nothing of what is written to it.
+func (c *client) unreadFor(now time.Time) time.Duration {
+	if c.writingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.writingSince)
+}
+
+// multiplex makes a client count for the requests that its connection can carry at the same
+// time. It closes others if there are too many and returns them, and false if those were not
+// enough.
+func (l *ledger) multiplex(c *client, now time.Time) (closed []*client, ok bool) {
+	if c.closed {
+		return nil, true
+	}
+	l.connections += multiplexedWeight - c.weight
+	c.weight = multiplexedWeight
+	for l.connections > l.bounds.Connections {
+		victim := l.leastProgress(now, c)
+		if victim == nil {
+			return closed, false
+		}
+		l.remove(victim)
+		closed = append(closed, victim)
+	}
 	return closed, true
 }
 
+// beginStream adds the head of a request on a multiplexed connection. It returns false if the
+// heads take too much.
+func (l *ledger) beginStream(c *client, n int64, now time.Time) bool {
+	if c.closed || l.heads+n > l.bounds.HeadBytes {
+		return c.closed
+	}
+	if c.phase != answering {
+		l.enter(c, answering, now)
+	}
+	c.head += n
+	l.heads += n
+	c.streams++
+	return true
+}
+
+// endStream ends a request on a multiplexed connection.
+func (l *ledger) endStream(c *client, n int64, now time.Time) {
+	if c.closed {
+		return
+	}
+	c.head -= n
+	l.heads -= n
+	if c.streams--; c.streams == 0 {
+		l.enter(c, idle, now)
+	}
+}
+
 // remove closes an account; it may be closed already.
 func (l *ledger) remove(c *client) {
 	if !c.closed {
 		l.enter(c, draining, time.Time{})
 		c.closed = true
 		delete(l.clients, c)
+		l.connections -= c.weight
 	}
 }
 
@@ -217,7 +309,8 @@
 	MaxHeadBytes int64
 	// HeadTimeout bounds the time to receive a head, IdleTimeout the time between requests.
 	HeadTimeout, IdleTimeout time.Duration
-	// BodyTimeout bounds the time to receive a body, BodyStall the time between its bytes.
+	// BodyTimeout bounds the time to receive a body, 0 is without bound; BodyStall bounds the
+	// time between its bytes.
 	BodyTimeout, BodyStall time.Duration
 }
 
@@ -232,6 +325,7 @@
 	reasonBodyBytes   = "body-bytes"
 	reasonBodyStalled = "body-stalled"
 	reasonBodyTimeout = "body-timeout"
+	reasonUnread      = "response-unread"
 	reasonDrained     = "drain-timeout"
 )
 
@@ -239,6 +333,9 @@
 func (l *ledger) postpone(d time.Duration) {
 	for c := range l.clients {
 		c.since, c.progress = c.since.Add(d), c.progress.Add(d)
+		if !c.writingSince.IsZero() {
+			c.writingSince = c.writingSince.Add(d)
+		}
 	}
 }
 
@@ -250,10 +347,12 @@
 		return reasonIdleTimeout
 	case c.phase == receivingHead && age > lim.HeadTimeout:
 		return reasonHeadTimeout
-	case c.phase == receivingBody && now.Sub(c.progress) > lim.BodyStall:
+	case c.phase == receivingBody && !c.paused && now.Sub(c.progress) > lim.BodyStall:
 		return reasonBodyStalled
-	case c.phase == receivingBody && age > lim.BodyTimeout:
+	case c.phase == receivingBody && lim.BodyTimeout > 0 && age > lim.BodyTimeout:
 		return reasonBodyTimeout
+	case c.unreadFor(now) > maxUnread:
+		return reasonUnread
 	case c.phase == draining && age > drainTime:
 		return reasonDrained
 	}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -4,20 +4,17 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-)
 
-// readHeaderTimeout bounds the time to read a request's headers.
-const readHeaderTimeout = 10 * time.Second
+	"github.com/mimosaspool/mimosaspool/internal/ingress"
+)
 
 // SignalContext returns a context that is cancelled at the first SIGTERM or SIGINT.
 // A second signal calls onSecondSignal and exits with code 1.
@@ -65,12 +62,17 @@
 }
 
 // Serve serves h at addr until ctx ends, then waits for requests in flight to finish.
-func Serve(ctx context.Context, addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
+// Connections, request heads and bodies are bounded as the options say.
+func Serve(ctx context.Context, addr string, h http.Handler, opt ServeOptions) error {
+	gate := ingress.New(opt.gateConfig())
+	l, err := gate.Listen(addr)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", addr)
+		return err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols()}
+	sweeps, stopSweeps := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSweeps()
+	go gate.Run(sweeps)
+	srv := gate.Server(gate.Handler(h))
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(l) }()
 	logrus.WithField("address", l.Addr().String()).Info("serving")
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	served, answered := make(chan error, 1), make(chan int, 1)
-	go func() { served <- lifecycle.Serve(ctx, addr, h) }()
+	go func() { served <- lifecycle.Serve(ctx, addr, h, lifecycle.ServeOptions{MemoryMiB: 64}) }()
 	Eventually(func() error { c, err := net.Dial("tcp", addr); closeIf(c); return err }).Should(Succeed())
 	go func() {
 		resp, err := http.Get("http://" + addr)
--- a/internal/schedulerd/main.go
+++ b/internal/schedulerd/main.go
@@ -77,7 +77,8 @@
 	r := lifecycle.Router(d.Ready, t.Handler())
 	d.Register(func(prefix string, h http.Handler) { r.PathPrefix(prefix).Handler(h) })
 	served := make(chan error, 1)
-	go func() { served <- lifecycle.Serve(ctx, f.Listen, http.MaxBytesHandler(r, maxBody)); cancel() }()
+	opt := lifecycle.ServeOptions{MemoryMiB: f.MemoryMiB, Count: func(kind, reason string) { t.Count(kind, reason, 1) }}
+	go func() { served <- lifecycle.Serve(ctx, f.Listen, http.MaxBytesHandler(r, maxBody), opt); cancel() }()
 	d.Run(ctx)
 	return <-served
 }
--- a/internal/settings/host_options.go
+++ b/internal/settings/host_options.go
@@ -14,14 +14,20 @@
 	Region string `flag:"region" validate:"required"`
 	Domain string `flag:"domain" validate:"required"`
 	Listen string `flag:"listen" validate:"required,hostname_port"`
+	// MemoryMiB is the memory of the program in mebibytes.
+	MemoryMiB int64 `flag:"memory-mib" validate:"min=32"`
 }
 
+// defaultMemoryMiB is the memory of a program on an entry host.
+const defaultMemoryMiB = 256
+
 // AddFlags adds the flags of the options to a command. content says in the help
 // text what is served at Listen.
 func (o *HostOptions) AddFlags(cmd *cobra.Command, content string) {
 	cmd.Flags().StringVar(&o.Host, "host", "", "name of this entry host")
 	cmd.Flags().StringVar(&o.Region, "region", "", "region of this host")
 	cmd.Flags().StringVar(&o.Domain, "domain", "", "failure domain of this host")
+	cmd.Flags().Int64Var(&o.MemoryMiB, "memory-mib", defaultMemoryMiB, "memory of the program in MiB, from which the bounds on its clients are derived")
 	AddListenFlag(cmd, &o.Listen, content)
 }
 
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -32,6 +32,9 @@
 	},
 }
 
+// memoryMiB bounds what the clients of the stand-in can make it hold, in mebibytes.
+const memoryMiB = 1024
+
 // Main runs the program and returns its exit code.
 func Main() int {
 	var f flags
@@ -65,5 +68,5 @@
 	r := lifecycle.Router(func() bool { return true }, nil)
 	s.Register(r)
 	s.registerPlatform(r, "direct")
-	return lifecycle.Serve(ctx, f.Listen, r)
+	return lifecycle.Serve(ctx, f.Listen, r, lifecycle.ServeOptions{MemoryMiB: memoryMiB})
 }
