All servers of a node stand behind gates

What callers and machines beside them saw: 300 connections at the port for other nodes brought a node to 861 MiB (96 allowed) with bodies, and to 116 with answers that nobody read; 800 silent ones took 968 descriptors there and 817 at the address for readiness (400 allowed).

Cause: only the callers' address had bounds over all connections; handlers of calls between nodes read bodies of any length.

Change: one way to listen, through internal/ingress. The servers for other nodes, readiness and metrics get parts of the memory and descriptors. Bodies of other nodes have 4 MiB at most; responses with records take memory from a budget until they are written, and a node that gets none asks elsewhere, as it does when a node doesn't answer; /metrics, /recent and operators' statements are served 8 at a time each.

Open: reads of the store that a node makes for others are bounded in their responses, not in their number.

--- a/internal/ingress/shared_test.go
+++ b/internal/ingress/shared_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +153,37 @@
 	g.Expect(gate.ledger.clients).To(HaveLen(1))
 	g.Expect(gate.ledger.heads).To(BeZero())
 }
+
+// What responses hold must be bounded and released, and so must the number of requests.
+func TestResponsesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	b := NewAnswerBudget(100)
+	held := func(n int64) (ok bool) {
+		b.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { ok = HoldAnswer(r.Context(), n) })).
+			ServeHTTP(nil, httptest.NewRequest(http.MethodGet, "/", nil))
+		return ok
+	}
+	b.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		g.Expect(HoldAnswer(r.Context(), 150)).To(BeTrue(), "there is no other")
+		g.Expect(held(1)).To(BeFalse())
+	})).ServeHTTP(nil, httptest.NewRequest(http.MethodGet, "/", nil))
+	g.Expect(held(60)).To(BeTrue())
+	g.Expect(b.held.Load()).To(BeZero())
+	g.Expect(HoldAnswer(context.Background(), 1000)).To(BeTrue(), "there is no budget")
+
+	var h http.Handler
+	codes := []int{}
+	h = LimitRequests(2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(codes) == 0 {
+			codes = append(codes, 0)
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			return
+		}
+		w2 := httptest.NewRecorder()
+		h.ServeHTTP(w2, r)
+		codes = append(codes, w2.Code)
+	}))
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	g.Expect(codes).To(Equal([]int{0, http.StatusServiceUnavailable}))
+}
--- a/internal/noded/clients.go
+++ b/internal/noded/clients.go
@@ -44,6 +44,34 @@
 	f.Int64Var(&o.JobBytes, "job-table-bytes", 0, "most bytes of memory of all accepted jobs; 0 is 1/5 of the memory")
 }
 
+const (
+	// maxPeerBodyBytes bounds the body of a request of another node or of an operator.
+	maxPeerBodyBytes = 4 << 20
+	// maxOperatorRequests bounds the requests of a kind of operators that are served at the same
+	// time. Their responses grow with the number of jobs or the length of the log.
+	maxOperatorRequests = 8
+	// answerMemoryDivisor is the share of the memory for responses to other nodes.
+	answerMemoryDivisor = 16
+	// The servers for other nodes and for probes get the bounds of hosts with these parts of the
+	// memory and the descriptors.
+	peerMemoryDivisor, peerDescriptorDivisor   = 2, 2
+	probeMemoryDivisor, probeDescriptorDivisor = 8, 16
+)
+
+// peerBounds returns the bounds of the server for other nodes and operators.
+func peerBounds(l node.Limits) ingress.Bounds {
+	return partialBounds(l, peerMemoryDivisor, peerDescriptorDivisor)
+}
+
+// probeBounds returns the bounds of the servers for the balancer's probes and for metrics.
+func probeBounds(l node.Limits) ingress.Bounds {
+	return partialBounds(l, probeMemoryDivisor, probeDescriptorDivisor)
+}
+
+func partialBounds(l node.Limits, memoryDivisor, descriptorDivisor int64) ingress.Bounds {
+	return ingress.Bounds{}.Derive(l.MemoryMiB<<20/memoryDivisor, l.MaxDescriptors/descriptorDivisor)
+}
+
 func (o *clientOptions) bounds(l node.Limits) ingress.Bounds {
 	return ingress.Bounds{
 		Connections: o.Connections, IdleConnections: o.IdleConnections, HeadBytes: o.HeadBytes, BodyBytes: o.BodyBytes,
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/peer"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
 	"github.com/mimosaspool/mimosaspool/internal/telemetry"
+	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
 const (
@@ -53,6 +54,7 @@
 	platform  *Platform
 	node      *node.Node
 	telemetry *telemetry.Telemetry
+	clients   clientOptions
 	gate      *ingress.Gate
 	log       logrus.FieldLogger
 	lines     *logging.Writer
@@ -90,10 +92,8 @@
 	}
 	set.Limits.MaxPendingBytes, set.Limits.MaxJobBytes = opt.clients.PendingBytes, opt.clients.JobBytes
 	d.node = node.New(set, ports, log, internal, uuid.NewString(), node.ClaimDelay(set.Node))
-	d.gate = ingress.New(ingress.Config{
-		Bounds: opt.clients.bounds(set.Limits), Limits: func() ingress.Limits { return opt.clients.limits(d.node.ConnectionLimits()) },
-		Refusal: p.RefusalBody, Count: ports.Count, Log: log,
-	})
+	d.clients = opt.clients
+	d.gate = d.newGate("callers", opt.clients.bounds(set.Limits), d.node.ConnectionLimits)
 	return d, t.RegisterNodeGauges(telemetry.NodeState{ViewAges: d.node.ViewAges, IsLeader: d.node.IsLeader, IsReady: d.node.Desk().Ready})
 }
 
@@ -126,8 +126,7 @@
 	defer cancelRun()
 	go d.node.Run(run)
 	go d.reload(run, hangups)
-	go d.gate.Run(run)
-	servers, failed, err := d.listen()
+	servers, failed, err := d.listen(run)
 	if err != nil {
 		return err
 	}
@@ -148,65 +147,79 @@
 	return d.telemetry.Close()
 }
 
-// listen opens the servers: callers, readiness, and the other nodes.
-func (d *daemon) listen() ([]*http.Server, <-chan error, error) {
+// newGate returns a gate for a server; the name tells in the log which one it is. operators
+// returns their limits.
+func (d *daemon) newGate(name string, b ingress.Bounds, operators func() workflow.ConnectionLimits) *ingress.Gate {
+	return ingress.New(ingress.Config{
+		Bounds: b, Limits: func() ingress.Limits { return d.clients.limits(operators()) }, Refusal: d.platform.RefusalBody,
+		Count: func(kind, reason string) { d.telemetry.Count(kind, reason, 1) }, Log: d.log.WithField("server", name),
+	})
+}
+
+// listen opens the servers: callers, readiness, and the other nodes. Their gates run until the
+// context ends.
+func (d *daemon) listen(ctx context.Context) ([]*http.Server, <-chan error, error) {
 	desk := desk{d.node.Desk()}
 	callers := &requestLog{next: d.gate.Handler(d.platform.Callers(desk)), log: d.log, observe: d.telemetry.Observe, age: d.node.JobsViewAge}
 	inner := mux.NewRouter()
-	inner.Handle("/metrics", d.telemetry.Handler())
-	inner.Path("/recent").Methods(http.MethodGet).HandlerFunc(d.recent)
+	inner.Handle("/metrics", ingress.LimitRequests(maxOperatorRequests, d.telemetry.Handler()))
+	inner.Path("/recent").Methods(http.MethodGet).Handler(ingress.LimitRequests(maxOperatorRequests, http.HandlerFunc(d.recent)))
 	inner.PathPrefix(api.PeerPathPrefix).Handler(peer.Handler(d.node))
-	inner.PathPrefix(operators.OperatorPathPrefix).Handler(console.Handler(d.node, d.platform.PeerTransport, d.handed))
-	handlers := map[string]http.Handler{
-		d.platform.Settings.ReadyAddress: d.platform.Ready(desk),
-		d.internal:                       inner,
+	inner.PathPrefix(operators.OperatorPathPrefix).Handler(ingress.LimitRequests(maxOperatorRequests, console.Handler(d.node, d.platform.PeerTransport, d.handed)))
+	limits := d.platform.Settings.Limits
+	answers := ingress.NewAnswerBudget(limits.MemoryMiB << 20 / answerMemoryDivisor)
+	probes := d.newGate("readiness", probeBounds(limits), noOperatorLimits)
+	peers := d.newGate("nodes", peerBounds(limits), noOperatorLimits)
+	endpoints := []struct {
+		addr    string
+		gate    *ingress.Gate
+		handler http.Handler
+	}{
+		{d.platform.Settings.CallersAddress, d.gate, callers},
+		{d.platform.Settings.ReadyAddress, probes, probes.Handler(d.platform.Ready(desk))},
+		{d.internal, peers, peers.Handler(http.MaxBytesHandler(answers.Handler(inner), maxPeerBodyBytes))},
 	}
-	failed := make(chan error, len(handlers)+1)
+	failed := make(chan error, len(endpoints))
 	var servers []*http.Server
-	if addr := d.platform.Settings.CallersAddress; addr != "" {
-		l, err := d.gate.Listen(addr)
-		if err != nil {
-			return nil, nil, err
-		}
-		s := d.gate.Server(callers)
-		servers = append(servers, s)
-		go func() { failed <- s.Serve(l) }()
-	}
-	for addr, h := range handlers {
-		if addr == "" {
+	for _, e := range endpoints {
+		if e.addr == "" {
 			continue
 		}
-		s, l, err := open(addr, h)
+		s, l, err := open(ctx, e.addr, e.gate, e.handler)
 		if err != nil {
 			return nil, nil, err
 		}
 		servers = append(servers, s)
 		go func() { failed <- s.Serve(l) }()
 	}
-	if s := d.serveMetrics(); s != nil {
+	if s := d.serveMetrics(ctx); s != nil {
 		servers = append(servers, s)
 	}
 	return servers, failed, nil
 }
 
-// open listens on the address for a server of the handler.
-func open(addr string, h http.Handler) (*http.Server, net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func noOperatorLimits() workflow.ConnectionLimits { return workflow.ConnectionLimits{} }
+
+// open listens on the address for a server of the handler behind a gate.
+func open(ctx context.Context, addr string, gate *ingress.Gate, h http.Handler) (*http.Server, net.Listener, error) {
+	l, err := gate.Listen(addr)
 	if err != nil {
-		return nil, nil, errors.Wrapf(err, "listen on %s", addr)
+		return nil, nil, err
 	}
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, l, nil
+	go gate.Run(ctx)
+	return gate.Server(h), l, nil
 }
 
 // serveMetrics serves the metrics on the further port, if there is one. The
 // platform doesn't promise that it is free, and a node serves callers without it.
-func (d *daemon) serveMetrics() *http.Server {
+func (d *daemon) serveMetrics(ctx context.Context) *http.Server {
 	if d.metrics == "" {
 		return nil
 	}
 	routes := http.NewServeMux()
-	routes.Handle("/metrics", d.telemetry.Handler())
-	s, l, err := open(d.metrics, routes)
+	routes.Handle("/metrics", ingress.LimitRequests(maxOperatorRequests, d.telemetry.Handler()))
+	gate := d.newGate("metrics", probeBounds(d.platform.Settings.Limits), noOperatorLimits)
+	s, l, err := open(ctx, d.metrics, gate, gate.Handler(routes))
 	if err != nil {
 		d.metricsLost(err)
 		return nil
--- a/internal/noded/metrics_test.go
+++ b/internal/noded/metrics_test.go
@@ -7,10 +7,12 @@
 	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/mimosaspool/mimosaspool/internal/node"
 	"github.com/mimosaspool/mimosaspool/internal/telemetry"
 )
 
@@ -36,13 +38,14 @@
 	log, hook := logtest.NewNullLogger()
 	tel, err := telemetry.New("test")
 	g.Expect(err).NotTo(HaveOccurred())
-	d := &daemon{log: log, telemetry: tel, metrics: taken.Addr().String()}
-	g.Expect(d.serveMetrics()).To(BeNil())
+	d := &daemon{log: log, telemetry: tel, metrics: taken.Addr().String(),
+		platform: &Platform{Settings: node.Settings{Limits: node.Limits{MemoryMiB: 64}}}, clients: clientOptions{BodyStall: time.Second, BodyTimeout: time.Second}}
+	g.Expect(d.serveMetrics(t.Context())).To(BeNil())
 	g.Expect(hook.LastEntry().Message).To(Equal("metrics are served between nodes only"))
 	g.Expect(hook.LastEntry().Data).To(HaveKeyWithValue("address", d.metrics))
 
 	g.Expect(taken.Close()).To(Succeed())
-	s := d.serveMetrics()
+	s := d.serveMetrics(t.Context())
 	g.Expect(s).NotTo(BeNil())
 	tel.Count("refusal", "no-queue", 1)
 	res, err := http.Get("http://" + d.metrics + "/metrics")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	api "github.com/mimosaspool/mimosaspool/api/peer"
+	"github.com/mimosaspool/mimosaspool/internal/ingress"
 	"github.com/mimosaspool/mimosaspool/internal/intake"
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
@@ -113,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encodeBatch(b, received)
+	return encodeBatch(ctx, b, received)
 }
 
 // encodeBatch returns the response to a request received at the given time. The
@@ -121,7 +122,10 @@
 // subtracts it from the time at which it sent the request, which is earlier. So
 // the clocks of two nodes aren't compared, and network delay never makes the
 // batch look newer than it is.
-func encodeBatch(b store.Batch, received time.Time) (*api.ReadResponse, error) {
+func encodeBatch(ctx context.Context, b store.Batch, received time.Time) (*api.ReadResponse, error) {
+	if err := holdAnswer(ctx, b.Records); err != nil {
+		return nil, err
+	}
 	resp := &api.ReadResponse{Records: encodeRecords(b.Records), Next: b.NextOffset, End: b.End}
 	if !b.ReadAt.IsZero() {
 		resp.Aged, resp.AgeMillis = true, ageMillis(received, b.ReadAt)
@@ -129,6 +133,22 @@
 	return resp, compressRecords(resp)
 }
 
+// encodedFactor is the memory that a byte of a record takes in a response: decoded and encoded.
+const encodedFactor = 2
+
+// holdAnswer takes memory for a response with the records, and returns an error that tells the
+// client to ask elsewhere if there is none.
+func holdAnswer(ctx context.Context, records []store.StoredRecord) error {
+	n := int64(0)
+	for _, r := range records {
+		n += encodedFactor * int64(len(r.Key)+len(r.Value))
+	}
+	if !ingress.HoldAnswer(ctx, n) {
+		return twirp.NewError(twirp.Unavailable, "too many responses are being sent")
+	}
+	return nil
+}
+
 // decodeBatch returns the batch in the response to a request sent at the given time.
 func decodeBatch(resp *api.ReadResponse, sent time.Time) (store.Batch, error) {
 	if err := decompressRecords(resp); err != nil {
@@ -148,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encodeBatch(b, received)
+	return encodeBatch(ctx, b, received)
 }
 
 // Newest implements the Peer service.
@@ -162,6 +182,9 @@
 	case err != nil:
 		return nil, err
 	}
+	if err := holdAnswer(ctx, page.Records); err != nil {
+		return nil, err
+	}
 	resp := &api.NewestResponse{Records: encodeRecords(page.Records), More: page.NextKey, End: page.End}
 	if !page.ReadAt.IsZero() {
 		resp.Aged, resp.AgeMillis = true, ageMillis(received, page.ReadAt)
