A node without memory for a response is not taken for one that is loading

The error of a refused response had the code that a node sends while it reads its own view, and the caller waited for it. It has one of its own now, with which the caller asks elsewhere. Found by reading.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SITE ?= tallowood
 SEED ?= 1
 
-.PHONY: build generate fmt lint test bench demo chaos proof measure slopes
+.PHONY: build generate fmt lint test bench demo chaos proof measure slopes soak
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -45,6 +45,11 @@
 chaos: build
 	$(BIN)/mimosaspool-demo chaos --bin $(BIN) --site $(SITE) --seed $(SEED)
 
+# Plays crowds of clients beside faults against real nodes; SOAKS seeds from SEED on.
+SOAKS ?= 50
+soak:
+	MIMOSASPOOL_SOAK_SEEDS=$(SOAKS) MIMOSASPOOL_SOAK_FIRST=$(SEED) $(GO) test -count=1 -timeout 60m -run TestCrowdSoak -v ./platform
+
 # Plays generated histories under faults: SEEDS=1000 is the long form.
 SEEDS ?= 0
 proof:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -144,7 +144,7 @@
 		n += encodedFactor * int64(len(r.Key)+len(r.Value))
 	}
 	if !ingress.HoldAnswer(ctx, n) {
-		return twirp.NewError(twirp.Unavailable, "too many responses are being sent")
+		return twirp.NewError(twirp.ResourceExhausted, "too many responses are being sent")
 	}
 	return nil
 }
