The soak with client accounts; an open case without them

Trace: a crowd without accounts had filled the table with small valid jobs, which never end there, as no worker runs them.

--- a/Makefile
+++ b/Makefile
@@ -47,8 +47,9 @@
 
 # Plays crowds of clients beside faults against real nodes; SOAKS seeds from SEED on.
 SOAKS ?= 50
+SOAK ?= TestCrowdSoak
 soak:
-	MIMOSASPOOL_SOAK_SEEDS=$(SOAKS) MIMOSASPOOL_SOAK_FIRST=$(SEED) $(GO) test -count=1 -timeout 60m -run TestCrowdSoak -v ./platform
+	MIMOSASPOOL_SOAK_SEEDS=$(SOAKS) MIMOSASPOOL_SOAK_FIRST=$(SEED) $(GO) test -count=1 -timeout 60m -run '^$(SOAK)$$' -v ./platform
 
 # Plays generated histories under faults: SEEDS=1000 is the long form.
 SEEDS ?= 0
