--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -39,6 +39,8 @@
 	storeAddr         string
 	cmd               *exec.Cmd
 	done              chan struct{}
+	// gone is set once its machine is lost for good.
+	gone bool
 }
 
 // Site is a small deployment with its stand-ins.
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -76,6 +76,28 @@
 	life     int
 	listedAt time.Time
 	draining bool
+	// conns are the open connections; those beyond maxConns are reset. 0 is without bound.
+	conns    map[net.Conn]bool
+	maxConns int
+	resets   int
+}
+
+// track is called at each change of a connection's state.
+func (w *Worker) track(c net.Conn, state http.ConnState) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if w.maxConns > 0 && len(w.conns) >= w.maxConns {
+			w.resets++
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			return
+		}
+		w.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(w.conns, c)
+	}
 }
 
 // TaskSpec is what the fleet knows of the tasks of a job's step.
@@ -141,7 +163,8 @@
 	w.fence, w.deadline, w.lastEnd, w.ends, w.sequence, w.draining = 0, 0, 0, nil, 0, false
 	w.runs, w.barred, w.changed = map[runKey]*Run{}, map[string]int64{}, make(chan struct{})
 	life := w.life
-	w.server = &http.Server{Handler: w}
+	w.conns = map[net.Conn]bool{}
+	w.server = &http.Server{Handler: w, ConnState: w.track}
 	server := w.server
 	w.fleet.mu.Unlock()
 	go server.Serve(l)
