--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -86,6 +86,9 @@
 	ports.Observe = t.Observe
 	ports.ProcessorTime = processorTime
 	ports.Store = measuredStore{ports.Store, t.Observe}
+	if p.ObserveWorkerConnections != nil {
+		p.ObserveWorkerConnections(connectionObserver{ports.Count})
+	}
 	d := &daemon{platform: p, telemetry: t, log: log, lines: lines, budget: opt.LogBudget, internal: internal}
 	if opt.MetricsPort > 0 {
 		d.metrics = net.JoinHostPort(set.Host, strconv.Itoa(opt.MetricsPort))
--- a/internal/noded/main.go
+++ b/internal/noded/main.go
@@ -13,6 +13,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/logging"
 	"github.com/mimosaspool/mimosaspool/internal/node"
 	"github.com/mimosaspool/mimosaspool/internal/settings"
+	"github.com/mimosaspool/mimosaspool/internal/workerconn"
 )
 
 // Platform is what the program needs of the platform that it runs on.
@@ -30,6 +31,8 @@
 	// RefusalBody returns the content type and body of a refusal that is made before a
 	// request reaches Callers.
 	RefusalBody func(reason string) (contentType string, body []byte)
+	// ObserveWorkerConnections sets the observer of the connections to workers. It may be nil.
+	ObserveWorkerConnections func(workerconn.Observer)
 }
 
 // Connect reads the settings that the platform has laid down and opens its
