Share a budget of connections to workers between leaders that are lost in a row

Cause: a leader kept up to four or five connections to each worker. Those of a lost host stay open at the worker, so that a worker of 64 was full after 13 to 16 of them and reset all that later leaders opened.

Change: internal/workerconn decides over which connection a call goes. There is one for heartbeats and one for orders; up to two more are opened while orders queue up, but not by a leader that follows four lost ones in a row, which the tenure partition counts. Where the second connection is reset, all calls share one; where none is accepted, one heartbeat a second at most tries, and all else fails at once as surely not sent.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -34,6 +34,8 @@
 	PreviousLeaderBound time.Duration
 	// ConfirmationTTL is how long a confirmation of leadership by workers is valid.
 	ConfirmationTTL time.Duration
+	// WorkerConnections bounds the connections to each worker; see worker.Order.
+	WorkerConnections int
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease    time.Duration
 	StopTimeout time.Duration
@@ -619,5 +621,5 @@
 }
 
 func (c *Core) orderFor(h *host) worker.Order {
-	return worker.Order{Worker: h.info.ID, Address: h.info.Address, Token: c.set.Token}
+	return worker.Order{Worker: h.info.ID, Address: h.info.Address, Token: c.set.Token, MaxConnections: c.set.WorkerConnections}
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -52,6 +52,8 @@
 	backAt  time.Duration
 	// refuses is set while something in between refuses connections to the worker.
 	refuses bool
+	// exhausted is set while the worker accepts no connection.
+	exhausted bool
 	// startCode is the answer to starts.
 	startCode worker.Code
 	// hidesRuns is set while the rows of its runs can't be read.
@@ -149,6 +151,10 @@
 			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionRefused, SentAt: b.now})
 			return
 		}
+		if w.exhausted {
+			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionsExhausted, SentAt: b.now})
+			return
+		}
 		w.forget(e.Heartbeat.LastAckedEnd)
 		b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, SentAt: b.now, Lists: w.listed(b.now)})
 	case StartTask:
@@ -164,6 +170,9 @@
 		if w.crashed || w.refuses {
 			code = worker.ConnectionRefused
 		}
+		if w.exhausted {
+			code = worker.ConnectionsExhausted
+		}
 		if code == worker.OK {
 			w.lists.Running = append(w.lists.Running, worker.ActiveRun{Task: e.Start.Task, Run: e.Start.Run})
 		}
@@ -179,6 +188,10 @@
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionRefused})
 			return
 		}
+		if w.exhausted {
+			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionsExhausted})
+			return
+		}
 		if w.addressReused {
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.WrongIncarnation})
 			return
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -144,6 +144,15 @@
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(h)
 		return
+	case worker.ConnectionsExhausted:
+		// This tells nothing of other workers. The client limits how often it connects.
+		h.refusedSince = 0
+		h.nextHeartbeat = c.now + heartbeatRetry
+		if h.unanswered++; h.unanswered <= 1 {
+			h.nextHeartbeat = c.now // there may be another connection
+		}
+		c.reasons["hold-"+ev.Code.String()]++
+		return
 	case worker.ConnectionRefused:
 		h.unanswered++
 		h.nextHeartbeat = c.now + heartbeatRetry
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -200,7 +200,7 @@
 	r.orderInFlight = false
 	r.begun = r.begun || ev.Code == worker.OK
 	h := r.host
-	if ev.Code != worker.Unknown && ev.Code != worker.NotExecuted && ev.Code != worker.ConnectionRefused {
+	if ev.Code.FromWorker() {
 		c.recordRoundTrip(h, c.now-r.orderSentAt)
 		c.recordContact(h)
 	}
@@ -245,7 +245,7 @@
 	switch code {
 	case worker.InvalidTicket:
 		s.advice.dropTicket(r.host)
-	case worker.InsufficientCapacity:
+	case worker.InsufficientCapacity, worker.ConnectionsExhausted:
 		r.host.health.pauseUntil = c.now + refusalPause
 	case worker.NotExecuted:
 		// No connection was made in time, or the worker accepts nothing at the moment.
@@ -265,7 +265,7 @@
 
 const (
 	// refusalPause is how long a worker gets no new work after it refused a start
-	// for lack of capacity.
+	// for lack of capacity, or a connection.
 	refusalPause = 200 * time.Millisecond
 	// refusedBackoff delays a task whose start was refused.
 	refusedBackoff = 20 * time.Millisecond
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -47,6 +47,9 @@
 	return r.code, r.clock
 }
 
+// CloseIdleConnections implements worker.Client.
+func (c *fleetClient) CloseIdleConnections() {}
+
 // Heartbeat implements worker.Client.
 func (c *fleetClient) Heartbeat(ctx context.Context, h worker.Heartbeat) (worker.Code, worker.HeartbeatResponse) {
 	r := c.call(ctx, h.Order, func(w *life, _ bool) reply {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/mimosaspool/mimosaspool/internal/store"
 	"github.com/mimosaspool/mimosaspool/internal/tenure"
 	"github.com/mimosaspool/mimosaspool/internal/worker"
+	"github.com/mimosaspool/mimosaspool/internal/workerconn"
 	"github.com/mimosaspool/mimosaspool/internal/workflow"
 )
 
@@ -381,7 +382,7 @@
 	lease := min(limits.MaxLease, maxLease)
 	previousLeaseBound := float64(tenure.DefaultTiming().Confidence+lease) / (1 - maxClockDrift)
 	return dispatch.Settings{
-		Token: token, TermOffset: offset, Lease: lease, MaxLease: limits.MaxLease,
+		Token: token, TermOffset: offset, WorkerConnections: workerconn.Limit(n.leadership.LostLeaders(n.uptime())), Lease: lease, MaxLease: limits.MaxLease,
 		PreviousLeaderBound: time.Duration(previousLeaseBound) + leaseMargin, ConfirmationTTL: tenure.DefaultTiming().Confidence,
 		StopTimeout: limits.StopTimeout, RemoteFactor: limits.RemoteFactor, StatusRetention: limits.StatusRetention,
 		MaxLiveTasks:     int(limits.MemoryMiB << 20 / liveTaskDivisor / liveTaskMemory),
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -85,6 +85,7 @@
 	n.admission.Store(nil)
 	n.dispatching.Store(false)
 	n.term.cancel()
+	n.deps.Workers.CloseIdleConnections()
 	n.term = nil
 	n.termToken.Store(0)
 }
--- a/internal/noded/daemon.go
+++ b/internal/noded/daemon.go
@@ -87,7 +87,7 @@
 	ports.ProcessorTime = processorTime
 	ports.Store = measuredStore{ports.Store, t.Observe}
 	if p.ObserveWorkerConnections != nil {
-		p.ObserveWorkerConnections(connectionObserver{ports.Count})
+		p.ObserveWorkerConnections(connectionObserver{count: ports.Count, log: log})
 	}
 	d := &daemon{platform: p, telemetry: t, log: log, lines: lines, budget: opt.LogBudget, internal: internal}
 	if opt.MetricsPort > 0 {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -32,6 +32,9 @@
 	StoreMillis int64 `json:"s,omitempty"`
 	// Address is the address at which the leader serves the other nodes.
 	Address string `json:"a,omitempty"`
+	// LostLeaders is how many leaders before this one ended in a row without a release,
+	// each less than lostLeaderMemory after its claim. A release doesn't end the row.
+	LostLeaders int `json:"l,omitempty"`
 }
 
 // Encode returns the JSON encoding of the record.
@@ -101,6 +104,8 @@
 	token int64
 	// members are those of the newest record with members.
 	members []string
+	// claimedAt is when the current leader's claim was read, or the last one before.
+	claimedAt time.Duration
 	// afterRelease is set if the current leader's claim followed a release.
 	afterRelease bool
 	// lostToken is the highest token that this node has held and lost.
@@ -176,7 +181,7 @@
 	switch {
 	case r.Token == 0:
 		e.afterRelease = e.token == 0 && e.leader.Resigned
-		e.leader, e.token = r, offset+1
+		e.leader, e.token, e.claimedAt = r, offset+1, now
 	case r.Token >= e.token && r.Token > e.releasedToken:
 		e.leader, e.token = r, r.Token
 	}
@@ -211,6 +216,18 @@
 // Members returns the members that the leader gives orders to, as last recorded.
 func (e *Election) Members() []string { return e.members }
 
+// lostLeaderMemory is how long a leader counts those that were lost before it.
+const lostLeaderMemory = 10 * time.Minute
+
+// LostLeaders returns how many leaders were lost in a row before the current one, as of
+// now: see Record.LostLeaders.
+func (e *Election) LostLeaders(now time.Duration) int {
+	if now-e.claimedAt > lostLeaderMemory {
+		return 0
+	}
+	return e.leader.LostLeaders
+}
+
 // AfterRelease reports whether the current leader's claim followed a release.
 func (e *Election) AfterRelease() bool { return e.afterRelease }
 
@@ -319,13 +336,18 @@
 	r := Record{Node: e.node, Incarnation: e.incarnation, Address: address, StoreMillis: e.storeLatency.Milliseconds(), Sequence: e.sequence}
 	switch action {
 	case Heartbeat:
-		r.Token = e.token
+		r.Token, r.LostLeaders = e.token, e.LostLeaders(now)
 	case ReleasePrevious:
 		// The previous leader has stopped and doesn't work until the next claim, so that
 		// the record has no address.
 		r.Token, r.Resigned, r.Address, r.Members = e.token, true, "", e.members
+		r.LostLeaders = e.leader.LostLeaders + 1
 	default:
 		r.Members = e.members
+		r.LostLeaders = e.leader.LostLeaders
+		if e.token != 0 {
+			r.LostLeaders++ // it has not released leadership
+		}
 	}
 	return r, e.end
 }
@@ -391,7 +413,7 @@
 }
 
 func (e *Election) releaseRecord() Record {
-	return Record{Node: e.node, Incarnation: e.incarnation, Token: e.token, Resigned: true, Address: e.leader.Address}
+	return Record{Node: e.node, Incarnation: e.incarnation, Token: e.token, Resigned: true, Address: e.leader.Address, LostLeaders: e.leader.LostLeaders}
 }
 
 // MarkLost records that this node is no longer the leader, whatever the partition
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -429,3 +429,30 @@
 	}
 	g.Expect(leader.IsLeader()).To(BeTrue())
 }
+
+// TestLostLeadersAreCounted checks that a leader knows how many were lost in a row before
+// it, however new its process is, and that a planned stop or a long term loses nothing.
+func TestLostLeadersAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	p, now := &partition{}, time.Second
+	for i := range 5 {
+		s := New(DefaultTiming(), string(rune('a'+i)), "1", 0)
+		p.run(&now, now+3*time.Second, s)
+		g.Expect(s.IsLeader()).To(BeTrue())
+		g.Expect(s.LostLeaders(now)).To(Equal(i))
+	}
+	planned := New(DefaultTiming(), "f", "1", 0)
+	p.run(&now, now+3*time.Second, planned)
+	g.Expect(planned.LostLeaders(now)).To(Equal(5))
+	p.records, p.appendedAt = append(p.records, planned.Resign()), append(p.appendedAt, now)
+	next := New(DefaultTiming(), "g", "1", 0)
+	p.run(&now, now+time.Second, next)
+	g.Expect(next.IsLeader()).To(BeTrue())
+	g.Expect(next.LostLeaders(now)).To(Equal(5), "it stopped as planned")
+	p.run(&now, now+lostLeaderMemory, next)
+	g.Expect(next.LostLeaders(now)).To(BeZero())
+	last := New(DefaultTiming(), "h", "1", 0)
+	p.run(&now, now+3*time.Second, last)
+	g.Expect(last.IsLeader()).To(BeTrue())
+	g.Expect(last.LostLeaders(now)).To(Equal(1))
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -74,9 +74,21 @@
 	// ConnectionRefused: no connection was made. Nothing listens at the worker's address,
 	// or something in between refused it.
 	ConnectionRefused
+	// ConnectionsExhausted: the worker accepts no further connection. The order was not sent;
+	// a heartbeat may have been.
+	ConnectionsExhausted
 )
 
-var codeNames = [...]string{"ok", "unknown", "not-done", "fenced", "old", "late", "no-room", "no-ticket", "wrong-life", "invalid", "absent"}
+var codeNames = [...]string{"ok", "unknown", "not-done", "fenced", "old", "late", "no-room", "no-ticket", "wrong-life", "invalid", "absent", "no-connection"}
+
+// FromWorker reports whether the worker has answered.
+func (c Code) FromWorker() bool {
+	switch c {
+	case Unknown, NotExecuted, ConnectionRefused, ConnectionsExhausted:
+		return false
+	}
+	return true
+}
 
 func (c Code) String() string { return codeNames[c] }
 
@@ -87,6 +99,9 @@
 	// Token is the sender's fencing token. A worker ignores orders with a lower
 	// token than it has seen.
 	Token int64
+	// MaxConnections bounds the sender's connections to the worker; 0 stands for the least
+	// number that it needs.
+	MaxConnections int
 }
 
 // Start orders a worker to run a task.
@@ -198,6 +213,8 @@
 	Throttle(ctx context.Context, p Throttle) (Code, int64)
 	// Heartbeat returns a response only with OK.
 	Heartbeat(ctx context.Context, h Heartbeat) (Code, HeartbeatResponse)
+	// CloseIdleConnections closes the connections that carry no call.
+	CloseIdleConnections()
 }
 
 // PolicyClient asks the policy service which of the given workers may run a
