Log task-started when a worker has begun the task, and starts without an answer

The decision task-started was recorded when the order was sent, so that a trace showed a task as started that no worker had begun, and the time from accept to start left out the worker's part. It is now recorded when an answer, a list or an end shows the run; an order without an answer has the new decision start-unanswered.

--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -298,6 +298,10 @@
 		return
 	}
 	t.trialSeen(false)
+	if r != nil {
+		c.runBegun(r)
+	}
+	t.step.occurrence.job.begun = true
 	c.saveCheckpoint(t, e.Checkpoint, e.Run)
 	if e.How == worker.Done {
 		t.step.occurrence.job.recordSuccess()
@@ -439,9 +443,10 @@
 func (c *Core) adoptRun(h *host, x worker.ActiveRun) *run {
 	t := c.findTask(x.Task)
 	r := &run{task: t, taskID: x.Task, number: x.Run, host: h, state: running, sentAt: c.now,
-		progressAt: c.now, beganAt: c.now, latencyMillis: -1}
+		progressAt: c.now, beganAt: c.now, begun: true, latencyMillis: -1}
 	r.pace.percent = fullPace
 	if t != nil {
+		t.step.occurrence.job.begun = true
 		t.trialSeen(true)
 		r.crashesBefore = t.crashHistory().suspicion()
 		c.addRun(t, r)
@@ -480,7 +485,7 @@
 	if r.state == starting && !r.orderInFlight {
 		r.state = running
 	}
-	r.begun = true
+	c.runBegun(r)
 	if !r.listed {
 		r.listed = true
 		if r.startCheckpoint != "" {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -34,7 +34,9 @@
 	excess      bool
 	excessOrder int64
 	started     bool
-	dirty       bool
+	// begun is set once a worker has shown that it began one of the tasks.
+	begun bool
+	dirty bool
 	// finalRecorded is set once the final state is in the log.
 	finalRecorded bool
 	// expected holds the run times expected of the steps, criticalPath that of their longest
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,8 @@
 	size     workflow.Size
 	state    runState
 	sentAt   time.Duration
+	// waited is how long the task had waited when its start was ordered.
+	waited time.Duration
 	// unconfirmed is set if an order for the run got no answer. The order may still
 	// be carried out late.
 	unconfirmed bool
@@ -140,19 +142,34 @@
 	c.addRun(t, r)
 	h.addRun(r)
 	c.chargeRun(r)
+	r.waited = c.waitTime(t)
 	c.sendStart(r)
-	j := s.occurrence.job
-	queued := time.Duration(0)
-	if !j.started {
-		queued = time.Duration(max(c.wall-j.def.AcceptedMillis, 1)) * time.Millisecond
+	if j := s.occurrence.job; !j.started {
 		j.started = true
 		c.markDirty(j)
 	}
-	c.recordDecision(Decision{Kind: "task-started", Job: j.def.ID, Task: r.taskID.String(), Worker: h.info.ID, Run: number,
-		Age: c.waitTime(t), Queued: queued, Expected: c.learnedTime(t.step)})
 	return r
 }
 
+// runBegun applies that the worker has shown that it carried out the run's start.
+func (c *Core) runBegun(r *run) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	if r.task == nil {
+		return
+	}
+	j := r.task.step.occurrence.job
+	queued := time.Duration(0)
+	if !j.begun {
+		queued = time.Duration(max(c.wall-j.def.AcceptedMillis, 1)) * time.Millisecond
+		j.begun = true
+	}
+	c.recordDecision(Decision{Kind: "task-started", Job: j.def.ID, Task: r.taskID.String(), Worker: r.host.info.ID, Run: r.number,
+		Age: r.waited, Queued: queued, Expected: c.learnedTime(r.task.step)})
+}
+
 func (c *Core) sendStart(r *run) {
 	h := r.host
 	r.attempts++
@@ -198,7 +215,9 @@
 		return
 	}
 	r.orderInFlight = false
-	r.begun = r.begun || ev.Code == worker.OK
+	if ev.Code == worker.OK {
+		c.runBegun(r)
+	}
 	h := r.host
 	if ev.Code.FromWorker() {
 		c.recordRoundTrip(h, c.now-r.orderSentAt)
@@ -226,7 +245,7 @@
 		if h.unanswered == 0 {
 			c.recordLostAnswer(h)
 		}
-		c.reasons["start-unanswered"]++
+		c.recordDecision(Decision{Kind: "start-unanswered", Job: r.taskID.Job, Task: r.taskID.String(), Worker: h.info.ID, Run: r.number, Age: c.now - r.orderSentAt})
 		r.nextOrderAt, h.hasOrdersToRetry = c.now, true
 	case worker.WrongIncarnation:
 		c.handleWrongIncarnation(h)
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -16,7 +16,7 @@
 // Times are the values of the label name of mimosaspool_time_seconds.
 var Times = []Definition{
 	{"accept", "s", "from a caller's job to its answer, whatever the answer"},
-	{"queue", "s", "from a job's acceptance to the order for its first task"},
+	{"queue", "s", "from a job's acceptance to the begin of its first task, as a worker has shown it"},
 	{"start", "s", "from an order to start to the worker's answer"},
 	{"shown", "s", "from the holder's knowing that a job is over to its being in the log"},
 	{"advice", "s", "one question to the policy service"},
@@ -45,7 +45,8 @@
 	{"job-waits", "events", "a ready step has tasks that can't start; the reason names what most workers lack"},
 	{"job-ended", "events", "a job is completed, failed or cancelled"},
 	{"job-cancelled", "events", "a caller's cancellation was taken in"},
-	{"task-started", "events", "a task was sent to a worker"},
+	{"task-started", "events", "a worker has shown that it began a task; the age is how long the task had waited for its order"},
+	{"start-unanswered", "events", "an order to start a task got no answer: it may have begun, or begin later"},
 	{"task-ended", "events", "a worker has shown a task's end; the outcome says how it ended"},
 	{"task-stopped", "events", "a run is being stopped, for the reason shown"},
 	{"start-refused", "events", "a worker refused a start; the outcome is its answer"},
