Show a job as running only once a worker has begun one of its tasks

Cause: one field of a job's progress, started, was set when an order was sent. It decided whether a successor lets the wait near the data go on, for which an order counts, and what callers see, for which it must not.

Change: Ordered and Begun are two fields. Begun is set by an answer to the start, a list that shows the run, its end, or an adopted run, and alone makes a job running and not pending. Of a record of an older version, which lacks it, an end, a failure or a checkpoint proves a begin. Explain and the list of workers count starts without proof as starting. A job record without an ID, whose tasks no worker accepts, is unreadable now: it had been shown as started and would have been pending for good.

Tests that gave a job the progress Started give it Ordered and Begun; the console's test reads a column that moved by one.

--- a/internal/console/ask.go
+++ b/internal/console/ask.go
@@ -259,7 +259,7 @@
 		for _, w := range resp.GetWorkers() {
 			all, free := w.GetCapacity(), w.GetFree()
 			t.Add(operator.Text(w.GetId()), operator.Text(w.GetPool()), operator.Text(w.GetRack()), operator.Text(w.GetState()),
-				operator.Number(int64(w.GetRunning())), operator.Number(int64(w.GetStopping())),
+				operator.Number(int64(w.GetStarting())), operator.Number(int64(w.GetRunning())), operator.Number(int64(w.GetStopping())),
 				cores(all), cores(free), operator.Number(all.GetMemoryMib()), operator.Number(free.GetMemoryMib()),
 				operator.Number(all.GetAccelerators()), operator.Number(free.GetAccelerators()), operator.Number(w.GetHeardMillis()))
 		}
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -106,7 +106,7 @@
 // site returns a holder and another node, which knows of a job that waits.
 func site(t *testing.T) (holder, other *fake, urls []string) {
 	job := &workflow.Job{ID: testID, Queue: "q", Steps: []workflow.Step{{Count: 3}, {Count: 2, DependsOn: []int{0}, Gang: true}}}
-	jobs := map[string]node.JobState{testID: {Job: job, Offset: 5, State: workflow.Running, Progress: workflow.Progress{Started: true,
+	jobs := map[string]node.JobState{testID: {Job: job, Offset: 5, State: workflow.Running, Progress: workflow.Progress{Ordered: true, Begun: true,
 		Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Done: workflow.Bitmap{1}}}}}}}}
 	holder = &fake{name: "a", jobs: jobs, inspection: &node.Inspection{At: time.Now(), Dispatching: true,
 		Workers: []dispatch.WorkerView{{ID: "w1", Pool: "p", State: "ready", Free: workflow.Size{MilliCPU: 500}, Running: 2}},
@@ -135,7 +135,7 @@
 	g.Expect(explained).To(HaveKeyWithValue("dispatcher", "a"))
 	g.Expect(explained).To(HaveKeyWithValue("objective", "in 3s"))
 	g.Expect(res.Answers[3].Changes).To(Equal([]string{remedy["room"]}))
-	g.Expect(res.Answers[4].Table.Rows[0][9].Text).To(Equal("room"))
+	g.Expect(res.Answers[4].Table.Rows[0][10].Text).To(Equal("room"))
 	for _, a := range res.Answers {
 		g.Expect(a.Missing).To(BeEmpty(), a.Statement)
 	}
--- a/internal/console/convert.go
+++ b/internal/console/convert.go
@@ -98,13 +98,13 @@
 
 func encodeStep(s dispatch.StepView) *api.StepState {
 	return &api.StepState{Occurrence: int32(s.Occurrence), Step: int32(s.Step), Tasks: int32(s.Tasks), Done: int32(s.Done),
-		Running: int32(s.Running), Stopping: int32(s.Stopping), Waiting: int32(s.Waiting), Reason: s.Reason, Detail: s.Detail,
+		Starting: int32(s.Starting), Running: int32(s.Running), Stopping: int32(s.Stopping), Waiting: int32(s.Waiting), Reason: s.Reason, Detail: s.Detail,
 		WaitedMillis: s.Waited.Milliseconds(), Workers: s.Workers}
 }
 
 func encodeWorker(w dispatch.WorkerView) *api.Worker {
 	return &api.Worker{Id: w.ID, Address: w.Address, Pool: w.Pool, Rack: w.Rack, State: w.State, Capacity: encodeSize(w.Capacity),
-		Free: encodeSize(w.Free), Running: int32(w.Running), Stopping: int32(w.Stopping), HeardMillis: w.LastContact.Milliseconds()}
+		Free: encodeSize(w.Free), Starting: int32(w.Starting), Running: int32(w.Running), Stopping: int32(w.Stopping), HeardMillis: w.LastContact.Milliseconds()}
 }
 
 func encodeMember(m node.Member) *api.Member {
--- a/internal/console/explain.go
+++ b/internal/console/explain.go
@@ -80,7 +80,7 @@
 			waited = (time.Duration(s.GetWaitedMillis()) * time.Millisecond).String()
 		}
 		t.Add(operator.Number(int64(s.GetOccurrence())), operator.Number(int64(s.GetStep())), operator.Text(kind), operator.Number(int64(s.GetTasks())),
-			operator.Number(int64(s.GetDone())), operator.Number(int64(s.GetRunning())), operator.Number(int64(s.GetStopping())),
+			operator.Number(int64(s.GetDone())), operator.Number(int64(s.GetStarting())), operator.Number(int64(s.GetRunning())), operator.Number(int64(s.GetStopping())),
 			operator.Number(int64(s.GetWaiting())), operator.Text(waited), operator.Text(s.GetReason()), operator.Text(s.GetDetail()),
 			operator.Text(strings.Join(s.GetWorkers(), " ")))
 	}
--- a/internal/dispatch/account_test.go
+++ b/internal/dispatch/account_test.go
@@ -54,16 +54,16 @@
 func TestUnseenTasksCountUntilWorkersAreFenced(t *testing.T) {
 	for name, accept := range map[string]func(*harness){
 		"started": func(b *harness) {
-			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Started: true}, workflow.Step{})
+			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Ordered: true, Begun: true}, workflow.Step{})
 		},
 		"cancelled": func(b *harness) {
-			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Started: true, Final: workflow.Cancelled, EndedMillis: b.now.Milliseconds()}, workflow.Step{})
+			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Ordered: true, Begun: true, Final: workflow.Cancelled, EndedMillis: b.now.Milliseconds()}, workflow.Step{})
 		},
 		"copy of a finished task": func(b *harness) {
-			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: b.now.Milliseconds()}, workflow.Step{Speculative: true})
+			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Ordered: true, Begun: true, Final: workflow.Completed, EndedMillis: b.now.Milliseconds()}, workflow.Step{Speculative: true})
 		},
 		"step after one whose end is not recorded": func(b *harness) {
-			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Started: true}, workflow.Step{}, workflow.Step{DependsOn: []int{0}})
+			b.acceptFor("a", "old", testOffset-1, workflow.Progress{Ordered: true, Begun: true}, workflow.Step{}, workflow.Step{DependsOn: []int{0}})
 			b.queuedEvents[len(b.queuedEvents)-1].(JobAccepted).Job.Steps[0].Size.MilliCPU = 100
 		},
 	} {
@@ -88,7 +88,7 @@
 // the other work of the previous leader is known.
 func TestRecordedRunsOfEndedJobsCount(t *testing.T) {
 	b := newTakeover(t, "old.0.0.0")
-	b.acceptFor("a", "old", testOffset-1, workflow.Progress{Started: true, Final: workflow.Cancelled, EndedMillis: b.now.Milliseconds()}, workflow.Step{})
+	b.acceptFor("a", "old", testOffset-1, workflow.Progress{Ordered: true, Begun: true, Final: workflow.Cancelled, EndedMillis: b.now.Milliseconds()}, workflow.Step{})
 	b.acceptFor("a", "new", testOffset+1, workflow.Progress{}, workflow.Step{})
 	b.advance(5 * time.Second)
 	b.Expect(b.core.barrier).To(BeFalse())
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -326,7 +326,7 @@
 	if c.jobs[ev.Job.ID] != nil {
 		return
 	}
-	j := &job{def: ev.Job, longRunning: ev.Job.LongRunning(), offset: ev.Offset, started: ev.Progress.Started, finalState: ev.Progress.Final,
+	j := &job{def: ev.Job, longRunning: ev.Job.LongRunning(), offset: ev.Offset, ordered: ev.Progress.Ordered || ev.Progress.HasBegun(), begun: ev.Progress.HasBegun(), finalState: ev.Progress.Final,
 		endedAt: ev.Progress.EndedMillis, finishedBefore: ev.Progress.FinishedOccurrences, finishedLater: map[int]bool{},
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
@@ -414,10 +414,10 @@
 	}
 }
 
-// waitedBefore returns how long the occurrence has waited under previous leaders if none
-// of the job's tasks has been started yet, and 0 otherwise.
+// waitedBefore returns how long the occurrence has waited under previous leaders if they
+// have ordered no start of the job's tasks, and 0 otherwise.
 func (c *Core) waitedBefore(j *job, k int) time.Duration {
-	if j.started || j.def.AcceptedMillis == 0 {
+	if j.ordered || j.def.AcceptedMillis == 0 {
 		return 0
 	}
 	since := max(j.def.AcceptedMillis, j.def.DueMillis(k))
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -338,7 +338,7 @@
 func TestRunOfPreviousLeaderIsAdoptedWithItsSize(t *testing.T) {
 	b := newHarness(t, "w1")
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
-	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Ordered: true, Begun: true})
 	b.acceptJob("new", testOffset+1, workflow.Step{}, workflow.Progress{})
 	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("old", 0), Run: 7}}
 	b.listWorkers()
@@ -356,7 +356,7 @@
 func TestEndsRecordedByPreviousLeaderAreNotCountedAgain(t *testing.T) {
 	b := newHarness(t, "w1", "w2")
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1, LastEnd: 3}})
-	p := workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Failures: map[int]int{0: 1}}}}}}
+	p := workflow.Progress{Ordered: true, Begun: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Failures: map[int]int{0: 1}}}}}}
 	b.acceptJob("j", testOffset-1, workflow.Step{}, p)
 	b.workers["w1"].lastEnd = 3
 	b.workers["w1"].lists.Ended = []worker.EndedRun{{Number: 3, Task: testTaskID("j", 0), Run: 7, How: worker.Failed}}
@@ -543,7 +543,7 @@
 	for _, id := range []string{"w2", "w3"} {
 		b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: id, Address: id + ":1", Pool: "p", Born: 1}})
 	}
-	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Ordered: true, Begun: true})
 	b.acceptJob("new", testOffset+1, workflow.Step{}, workflow.Progress{})
 	b.listWorkers()
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -224,7 +224,7 @@
 }
 
 func TestRunningTrialIsNoCrashForNextLeader(t *testing.T) {
-	tried := workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 2}, Trials: workflow.Bitmap{1}}}}}}
+	tried := workflow.Progress{Ordered: true, Begun: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{{Crashes: map[int]int{0: 2}, Trials: workflow.Bitmap{1}}}}}}
 	b := newHarness(t, "w1")
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
 	b.acceptJob("tried", testOffset-1, workflow.Step{}, tried)
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -301,7 +301,7 @@
 	if r != nil {
 		c.runBegun(r)
 	}
-	t.step.occurrence.job.begun = true
+	c.jobBegun(t.step.occurrence.job)
 	c.saveCheckpoint(t, e.Checkpoint, e.Run)
 	if e.How == worker.Done {
 		t.step.occurrence.job.recordSuccess()
@@ -446,7 +446,7 @@
 		progressAt: c.now, beganAt: c.now, begun: true, latencyMillis: -1}
 	r.pace.percent = fullPace
 	if t != nil {
-		t.step.occurrence.job.begun = true
+		c.jobBegun(t.step.occurrence.job)
 		t.trialSeen(true)
 		r.crashesBefore = t.crashHistory().suspicion()
 		c.addRun(t, r)
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -42,7 +42,7 @@
 func TestWrongIncarnationAtNewAddressDoesNotFreeInheritedRuns(t *testing.T) {
 	b := newHarness(t, "w1", "w2")
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1}})
-	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.acceptJob("old", testOffset-1, workflow.Step{}, workflow.Progress{Ordered: true, Begun: true})
 	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("old", 0), Run: 7}}
 	b.listAtOtherAddress()
 	b.advanceByAddress(4 * time.Second)
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,9 +14,10 @@
 	// State is "ready" or the first reason why the worker gets no new work.
 	State          string
 	Capacity, Free workflow.Size
-	// Running counts the runs that are starting or running, Stopping those whose
-	// resources are held until their end is known.
-	Running, Stopping int
+	// Starting counts the runs that were ordered and that the worker hasn't shown, Running
+	// those that it has, and Stopping those whose resources are held until their end is
+	// known.
+	Starting, Running, Stopping int
 	// LastContact is the time since the worker last answered.
 	LastContact time.Duration
 }
@@ -39,9 +41,9 @@
 // StepView is the state of a step of an occurrence.
 type StepView struct {
 	Occurrence, Step int
-	// Tasks is the total. Done are done; each of the others is Running (or
-	// starting), Stopping or Waiting. Copies aren't counted.
-	Tasks, Done, Running, Stopping, Waiting int
+	// Tasks is the total. Done are done; each of the others is Starting (ordered, and not
+	// known to have begun), Running, Stopping or Waiting. Copies aren't counted.
+	Tasks, Done, Starting, Running, Stopping, Waiting int
 	// Reason and Detail state why tasks wait, if some do.
 	Reason, Detail string
 	// Waited is how long the task that has waited longest has been waiting.
@@ -64,10 +66,13 @@
 		v := WorkerView{ID: h.info.ID, Address: h.info.Address, Pool: h.info.Pool, Rack: h.info.Rack(), State: c.workerState(h),
 			Capacity: h.info.Capacity, Free: h.free, LastContact: c.now - h.lastContact}
 		for _, r := range h.runs {
-			if r.state == stopping {
+			switch {
+			case r.state == stopping:
 				v.Stopping++
-			} else {
+			case r.begun:
 				v.Running++
+			default:
+				v.Starting++
 			}
 		}
 		out = append(out, v)
@@ -140,6 +145,8 @@
 			}
 		case t.allRunsStopping():
 			v.Stopping++
+		case !t.hasBegunRun():
+			v.Starting++
 		default:
 			v.Running++
 		}
@@ -176,3 +183,8 @@
 	}
 	return "on step " + list
 }
+
+// hasBegunRun reports whether a run of the task that isn't being stopped has begun.
+func (t *task) hasBegunRun() bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.begun && r.state != stopping })
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -33,10 +33,10 @@
 	// among the excess jobs.
 	excess      bool
 	excessOrder int64
-	started     bool
-	// begun is set once a worker has shown that it began one of the tasks.
-	begun bool
-	dirty bool
+	// ordered is set once the start of a task was ordered, begun once a worker has shown that
+	// it began one. Only begun is shown to callers.
+	ordered, begun bool
+	dirty          bool
 	// finalRecorded is set once the final state is in the log.
 	finalRecorded bool
 	// expected holds the run times expected of the steps, criticalPath that of their longest
@@ -247,7 +247,7 @@
 
 // progress returns the progress of the job that is to be recorded.
 func (j *job) progress() workflow.Progress {
-	p := workflow.Progress{Started: j.started, Final: j.finalState, EndedMillis: j.endedAt, FinishedOccurrences: j.finishedBefore}
+	p := workflow.Progress{Ordered: j.ordered, Begun: j.begun, Final: j.finalState, EndedMillis: j.endedAt, FinishedOccurrences: j.finishedBefore}
 	if j.finalState != "" {
 		return p
 	}
--- a/internal/dispatch/occurrence_test.go
+++ b/internal/dispatch/occurrence_test.go
@@ -28,7 +28,7 @@
 	b := newHarness(t, "w1")
 	b.workers["w1"].lastEnd = 1
 	b.workers["w1"].lists.Ended = []worker.EndedRun{{Number: 1, Task: testTaskID("j", 0), Run: 7, How: worker.Done}}
-	acceptStartedOccurrence(b, workflow.Progress{Started: true})
+	acceptStartedOccurrence(b, workflow.Progress{Ordered: true, Begun: true})
 	b.advance(5 * time.Second)
 	for _, s := range b.starts {
 		b.Expect(s.Start.Task.Index).To(Equal(1), "task 0 is done")
@@ -40,7 +40,7 @@
 func TestRunOfOccurrenceNotYetDueIsAdopted(t *testing.T) {
 	b := newHarness(t, "w1")
 	b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("j", 0), Run: 7}}
-	acceptStartedOccurrence(b, workflow.Progress{Started: true})
+	acceptStartedOccurrence(b, workflow.Progress{Ordered: true, Begun: true})
 	b.advance(2 * time.Second)
 	b.Expect(b.stops).To(BeEmpty())
 }
@@ -49,7 +49,7 @@
 func TestProgressOfOccurrenceNotYetDueIsKept(t *testing.T) {
 	b := newHarness(t, "w1")
 	done := workflow.OccurrenceProgress{Steps: []workflow.StepProgress{{Done: workflow.Bitmap{1}}}}
-	acceptStartedOccurrence(b, workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{done}})
+	acceptStartedOccurrence(b, workflow.Progress{Ordered: true, Begun: true, Occurrences: []workflow.OccurrenceProgress{done}})
 	b.advance(2 * time.Second)
 	for _, s := range b.starts {
 		b.Expect(s.Start.Task.Index).To(Equal(1), "task 0 is done")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -144,13 +144,24 @@
 	c.chargeRun(r)
 	r.waited = c.waitTime(t)
 	c.sendStart(r)
-	if j := s.occurrence.job; !j.started {
-		j.started = true
+	if j := s.occurrence.job; !j.ordered {
+		j.ordered = true
 		c.markDirty(j)
 	}
 	return r
 }
 
+// jobBegun records that a task of the job has begun, for callers.
+func (c *Core) jobBegun(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	if j.finalState == "" {
+		c.markDirty(j)
+	}
+}
+
 // runBegun applies that the worker has shown that it carried out the run's start.
 func (c *Core) runBegun(r *run) {
 	if r.begun {
@@ -164,7 +175,7 @@
 	queued := time.Duration(0)
 	if !j.begun {
 		queued = time.Duration(max(c.wall-j.def.AcceptedMillis, 1)) * time.Millisecond
-		j.begun = true
+		c.jobBegun(j)
 	}
 	c.recordDecision(Decision{Kind: "task-started", Job: j.def.ID, Task: r.taskID.String(), Worker: r.host.info.ID, Run: r.number,
 		Age: r.waited, Queued: queued, Expected: c.learnedTime(r.task.step)})
--- a/internal/dispatch/succession_test.go
+++ b/internal/dispatch/succession_test.go
@@ -612,7 +612,7 @@
 	for len(s.runsOn("waits")) == 0 && s.now < time.Minute+20*time.Second {
 		s.leaders[len(s.leaders)-1].stopped = true
 		l := s.takeOver()
-		accept(l, "fills the rack", workflow.Progress{Started: true})
+		accept(l, "fills the rack", workflow.Progress{Ordered: true, Begun: true})
 		accept(l, "waits", workflow.Progress{})
 		s.advance(time.Second)
 	}
--- a/internal/dispatch/worker_entry_test.go
+++ b/internal/dispatch/worker_entry_test.go
@@ -209,7 +209,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := oddHarness(t)
 			b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: oddEntryBorn}})
-			b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+			b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Ordered: true, Begun: true})
 			b.workers["w1"].lists.Running = []worker.ActiveRun{{Task: testTaskID("j", 0), Run: 7}}
 			b.list(odd, "w2")
 			b.advanceByAddress(3 * time.Second)
@@ -265,7 +265,7 @@
 	w.lists.Born = 2
 	w.lists.Ended, w.lastEnd = []worker.EndedRun{{Number: 1, Task: testTaskID("j", 0), Run: 7, How: worker.Done}}, 1
 	b.queuedEvents = append(b.queuedEvents, WorkerRegistered{Registration: Registration{Worker: "w1", Address: "w1:1", Pool: "p", Born: 1, LastEnd: 3}})
-	b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Started: true})
+	b.acceptJob("j", testOffset-1, workflow.Step{}, workflow.Progress{Ordered: true, Begun: true})
 	b.listWorkers()
 	b.advance(time.Second)
 	b.Expect(b.startHosts("j")).To(BeEmpty())
--- a/internal/language/lists.go
+++ b/internal/language/lists.go
@@ -48,9 +48,9 @@
 	"drained": join(text("host"), numbers("version"), text("actor")),
 	// What follows is asked of nodes.
 	"jobs": join(text("job", "queue", "state"), numbers("steps", "tasks", "occurrences", "finished"), text("accepted"), numbers("offset")),
-	"steps of": join(numbers("occurrence", "step"), text("kind"), numbers("tasks", "done", "running", "stopping", "waiting"),
+	"steps of": join(numbers("occurrence", "step"), text("kind"), numbers("tasks", "done", "starting", "running", "stopping", "waiting"),
 		text("waited", "reason", "detail", "workers")),
-	"workers of dispatcher": join(text("name", "pool", "rack", "state"), numbers("running", "stopping", "cpu", "free-cpu", "memory",
+	"workers of dispatcher": join(text("name", "pool", "rack", "state"), numbers("starting", "running", "stopping", "cpu", "free-cpu", "memory",
 		"free-memory", "accelerators", "free-accelerators", "heard-ms")),
 	"members": join(text("node", "address", "state"), numbers("token")),
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -661,6 +661,8 @@
 		return false, ""
 	case o.Code != intake.OK:
 		return false, "gets the answer " + o.Code.String()
+	case state == workflow.Running && progress.Started.IsZero():
+		return false, "is shown as running but no task has begun"
 	case state == workflow.Completed && progress.Finished.IsZero():
 		return true, "is shown as completed but isn't done"
 	case state == workflow.Cancelled && !h.cancelling:
--- a/internal/node/jobtable.go
+++ b/internal/node/jobtable.go
@@ -55,7 +55,7 @@
 		return e.progress.Final
 	case e.cancelled:
 		return workflow.Cancelled
-	case e.progress.Started:
+	case e.progress.HasBegun():
 		return workflow.Running
 	}
 	return workflow.Queued
@@ -70,7 +70,7 @@
 }
 
 func (e *jobEntry) pending() bool {
-	return e.job != nil && !e.progress.Started && e.progress.Final == "" && !e.cancelled
+	return e.job != nil && !e.progress.HasBegun() && e.progress.Final == "" && !e.cancelled
 }
 
 // jobTable is a node's view of all jobs, built from the job log. Only the control
@@ -78,7 +78,7 @@
 type jobTable struct {
 	mu      sync.RWMutex
 	entries map[string]*jobEntry
-	// pendingByQueue counts, by queue, the jobs of which no task has started.
+	// pendingByQueue counts, by queue, the jobs of which no task is known to have begun.
 	pendingByQueue map[string]int
 	// room bounds the memory of all jobs.
 	room *intake.JobRoom
@@ -297,6 +297,9 @@
 		}
 		return nil, nil
 	}
+	if id == "" {
+		return nil, errors.New("job record without an ID") // no worker accepts its tasks
+	}
 	e := t.ensureEntry(id)
 	if e.job != nil && e.progress.Final == "" {
 		return nil, nil // a duplicate: the first record stays in force
@@ -488,7 +491,7 @@
 	}
 }
 
-// pendingCount returns the number of a queue's jobs of which no task has started.
+// pendingCount returns the number of a queue's jobs of which no task is known to have begun.
 func (t *jobTable) pendingCount(queue string) int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/internal/node/jobtable_test.go
+++ b/internal/node/jobtable_test.go
@@ -57,8 +57,8 @@
 	}
 	table.apply(withOffsets(0, jobRecord(g, "a", ""), jobRecord(g, "b", ""), jobRecord(g, "c", ""), jobRecord(g, "d", ""), jobRecord(g, "a", "")), 5)
 	g.Expect(table.pendingCount("plain")).To(Equal(4))
-	table.apply(withOffsets(5, progress("a", workflow.Progress{Started: true}), store.Record{Key: cancelKeyPrefix + "b", Value: []byte("{}")},
-		progress("c", workflow.Progress{Final: workflow.Failed}), progress("a", workflow.Progress{Started: true, FinishedOccurrences: 1})), 9)
+	table.apply(withOffsets(5, progress("a", workflow.Progress{Ordered: true, Begun: true}), store.Record{Key: cancelKeyPrefix + "b", Value: []byte("{}")},
+		progress("c", workflow.Progress{Final: workflow.Failed}), progress("a", workflow.Progress{Ordered: true, Begun: true, FinishedOccurrences: 1})), 9)
 	g.Expect(table.pendingCount("plain")).To(Equal(1))
 	table.apply(withOffsets(9, store.Record{Key: jobKeyPrefix + "d"}, store.Record{Key: jobKeyPrefix + "a"}), 11)
 	g.Expect(table.pendingCount("plain")).To(BeZero())
@@ -74,7 +74,7 @@
 	job.Queue, job.QueueSnapshot, job.Spec = "q", &workflow.Queue{Name: "q"}, strings.Repeat("s", 4000)
 	value, err := json.Marshal(job)
 	g.Expect(err).NotTo(HaveOccurred())
-	final := workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: 7, FinishedOccurrences: 1}
+	final := workflow.Progress{Ordered: true, Begun: true, Final: workflow.Completed, EndedMillis: 7, FinishedOccurrences: 1}
 	encoded, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Progress: final, Summary: job.Summary()}}}, store.DefaultMaxRequestBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	ended := encoded.records
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		ended, err := commitRecords(dispatch.Commit{Progress: []dispatch.JobProgress{{ID: job.ID, Summary: job.Summary(),
-			Progress: workflow.Progress{Started: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, FinishedOccurrences: 1}}}}, store.DefaultMaxRequestBytes)
+			Progress: workflow.Progress{Ordered: true, Begun: true, Final: workflow.Completed, EndedMillis: job.AcceptedMillis, FinishedOccurrences: 1}}}}, store.DefaultMaxRequestBytes)
 		s.Expect(err).NotTo(HaveOccurred())
 		records = append(records, ended.records...)
 	}
--- a/internal/node/splitvalue_test.go
+++ b/internal/node/splitvalue_test.go
@@ -283,7 +283,7 @@
 		for i := range failures {
 			s.Failures[i] = 1
 		}
-		return dispatch.JobProgress{ID: id, Progress: workflow.Progress{Started: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{s}}}}}
+		return dispatch.JobProgress{ID: id, Progress: workflow.Progress{Ordered: true, Begun: true, Occurrences: []workflow.OccurrenceProgress{{Steps: []workflow.StepProgress{s}}}}}
 	}
 	c := dispatch.Commit{
 		Progress:   []dispatch.JobProgress{progress("small", 2, 2), progress("checkpoints", 500, 2), progress("failures", 1, 2000)},
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -2,12 +2,18 @@
 
 import (
 	"encoding/hex"
+	"slices"
 )
 
 // Progress is the recorded progress of a job. The zero value is a job of which
-// nothing has started.
+// no start has been ordered.
 type Progress struct {
-	Started bool `json:"s,omitempty"`
+	// Ordered is set once a leader has ordered the start of a task, which may not have
+	// begun. It is for leaders only.
+	Ordered bool `json:"s,omitempty"`
+	// Begun is set once a worker has shown that it began a task. Versions that know only
+	// Ordered don't record it; see HasBegun.
+	Begun bool `json:"b,omitempty"`
 	// Final is the state in which the job ended, empty before its end.
 	Final State `json:"f,omitempty"`
 	// EndedMillis is when the job ended, in Unix milliseconds.
@@ -22,6 +28,38 @@
 	FinishedLater Bitmap `json:"l,omitempty"`
 }
 
+// HasBegun reports whether a worker is known to have begun a task of the job. Tasks that
+// have ended or have saved a checkpoint prove it also in records that lack Begun.
+func (p *Progress) HasBegun() bool {
+	if p.Begun || p.FinishedOccurrences > 0 || len(p.FinishedLater) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(p.Occurrences, func(o OccurrenceProgress) bool {
+		return o.Finished || slices.ContainsFunc(o.Steps, StepProgress.hasBegun)
+	})
+}
+
+// hasBegun reports whether a task of the step is known to have begun. A worker that crashed
+// under a run may not have begun it.
+func (s StepProgress) hasBegun() bool {
+	for i := range 8 * len(s.Done) {
+		if s.Done.Has(i) {
+			return true
+		}
+	}
+	for _, n := range s.Failures {
+		if n > 0 {
+			return true
+		}
+	}
+	for _, checkpoint := range s.Checkpoints {
+		if checkpoint != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // WithoutCheckpoints returns a copy without the checkpoints of tasks.
 func (p Progress) WithoutCheckpoints() Progress {
 	occurrences := make([]OccurrenceProgress, len(p.Occurrences))
