--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -326,7 +326,8 @@
 	if c.jobs[ev.Job.ID] != nil {
 		return
 	}
-	j := &job{def: ev.Job, longRunning: ev.Job.LongRunning(), offset: ev.Offset, ordered: ev.Progress.Ordered || ev.Progress.HasBegun(), begun: ev.Progress.HasBegun(), finalState: ev.Progress.Final,
+	begun := ev.Progress.HasBegun()
+	j := &job{def: ev.Job, longRunning: ev.Job.LongRunning(), offset: ev.Offset, ordered: ev.Progress.Ordered || begun, begun: begun, finalState: ev.Progress.Final,
 		endedAt: ev.Progress.EndedMillis, finishedBefore: ev.Progress.FinishedOccurrences, finishedLater: map[int]bool{},
 		restored: map[int]workflow.OccurrenceProgress{}}
 	c.jobs[ev.Job.ID] = j
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -147,12 +147,8 @@
 			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.WrongIncarnation, SentAt: b.now})
 			return
 		}
-		if w.crashed || w.refuses {
-			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionRefused, SentAt: b.now})
-			return
-		}
-		if w.exhausted {
-			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: worker.ConnectionsExhausted, SentAt: b.now})
+		if code := w.connect(); code != worker.OK {
+			b.queuedEvents = append(b.queuedEvents, HeartbeatAnswered{Worker: e.Heartbeat.Worker, Incarnation: e.Incarnation, Code: code, SentAt: b.now})
 			return
 		}
 		w.forget(e.Heartbeat.LastAckedEnd)
@@ -167,11 +163,8 @@
 		if w.unreachable {
 			code = worker.Unknown
 		}
-		if w.crashed || w.refuses {
-			code = worker.ConnectionRefused
-		}
-		if w.exhausted {
-			code = worker.ConnectionsExhausted
+		if failed := w.connect(); failed != worker.OK {
+			code = failed
 		}
 		if code == worker.OK {
 			w.lists.Running = append(w.lists.Running, worker.ActiveRun{Task: e.Start.Task, Run: e.Start.Run})
@@ -184,12 +177,8 @@
 			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.Unknown})
 			return
 		}
-		if w.crashed || w.refuses {
-			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionRefused})
-			return
-		}
-		if w.exhausted {
-			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: worker.ConnectionsExhausted})
+		if code := w.connect(); code != worker.OK {
+			b.queuedEvents = append(b.queuedEvents, StopAnswered{Worker: e.Stop.Worker, Incarnation: e.Incarnation, Task: e.Stop.Task, Run: e.Stop.Run, Code: code})
 			return
 		}
 		if w.addressReused {
@@ -203,6 +192,17 @@
 	}
 }
 
+// connect returns what comes of an attempt to connect to the worker.
+func (w *testWorker) connect() worker.Code {
+	switch {
+	case w.exhausted:
+		return worker.ConnectionsExhausted
+	case w.crashed || w.refuses:
+		return worker.ConnectionRefused
+	}
+	return worker.OK
+}
+
 // longTask is how long the tasks of the tests would run.
 const longTask = time.Hour
 
--- a/internal/workflow/progress.go
+++ b/internal/workflow/progress.go
@@ -42,10 +42,8 @@
 // hasBegun reports whether a task of the step is known to have begun. A worker that crashed
 // under a run may not have begun it.
 func (s StepProgress) hasBegun() bool {
-	for i := range 8 * len(s.Done) {
-		if s.Done.Has(i) {
-			return true
-		}
+	if slices.ContainsFunc(s.Done, func(b byte) bool { return b != 0 }) {
+		return true
 	}
 	for _, n := range s.Failures {
 		if n > 0 {
