--- a/internal/dispatch/begun_test.go
+++ b/internal/dispatch/begun_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// Explain and the list of workers counted a start without an answer as a running task.
+func TestUnansweredStartIsInspectedAsStarting(t *testing.T) {
+	b := newHarness(t, "w1")
+	b.listWorkers()
+	b.advance(500 * time.Millisecond)
+	b.workers["w1"].unreachable = true
+	b.acceptJob("j", testOffset+1, workflow.Step{}, workflow.Progress{})
+	for len(b.starts) == 0 {
+		b.advance(tick)
+	}
+	counts := func() [4]int {
+		s, w := b.core.InspectJob("j").Steps[0], b.core.InspectWorkers()[0]
+		return [4]int{s.Starting, s.Running, w.Starting, w.Running}
+	}
+	b.Expect(counts()).To(Equal([4]int{1, 0, 1, 0}))
+	b.workers["w1"].unreachable = false // the start is sent again
+	b.advance(200 * time.Millisecond)
+	b.Expect(counts()).To(Equal([4]int{0, 1, 0, 1}))
+}
+
 // A successor took the order of a previous leader for a begin. It finds the run on a worker,
 // or starts the task itself.
 func TestSuccessorRecordsOrderedJobAsBegunOnlyOnEvidence(t *testing.T) {
